--- /dev/null
+++ b/packages/berylspread-cli/src/berylspread_cli/__init__.py
@@ -0,0 +1,1 @@
+"""The operators'."""
--- /dev/null
+++ b/packages/berylspread-daemon/src/berylspread_daemon/__init__.py
@@ -0,0 +1,1 @@
+"""The entry VM daemon of berylspread."""
--- /dev/null
+++ b/packages/berylspread/src/berylspread/__init__.py
@@ -0,0 +1,1 @@
+"""Coordination parts of the berylspread cluster scheduler."""
