Fix the interfaces between the parts

Cause: the parts are built side by side and need one vocabulary. Conclusion: each part can now be written against fakes.

--- a/packages/berylspread-cli/src/berylspread_cli/__init__.py
+++ b/packages/berylspread-cli/src/berylspread_cli/__init__.py
@@ -1,1 +1,1 @@
-"""The operators'."""
+"""Command line of berylspread for operators and callers."""
--- /dev/null
+++ b/packages/berylspread/src/berylspread/backend/interface.py
@@ -0,0 +1,130 @@
+"""What a backend server offers, as this program uses it.
+
+``POST /v1/sync`` starts, renews and stops tasks in one exchange and returns what
+runs; ``POST /v1/call`` runs one interactive call.  Both carry the epoch of the
+sender's ownership as a fencing token.
+"""
+
+from typing import Protocol, final
+
+import msgspec
+
+from berylspread.kernel.errors import Failure
+from berylspread.model import Resources, TaskState, Vm
+
+
+@final
+class TaskStart(msgspec.Struct, frozen=True):
+    """Start one attempt of a task under a lease.
+
+    ``start_within_s`` counts from the receipt of the request; ``not_after`` is
+    seconds since the epoch.  A worker that checks them refuses later starts.
+    """
+
+    task: str
+    attempt: int
+    team: str
+    job_class: str
+    shape: Resources
+    payload: str
+    lease_s: float
+    not_after: float
+    traceparent: str = ''
+    resume_from: str = ''
+
+
+@final
+class TaskStop(msgspec.Struct, frozen=True):
+    """Stop a task; ``mode`` is ``stop``, ``checkpoint`` or ``throttle``."""
+
+    task: str
+    mode: str = 'stop'
+
+
+@final
+class SyncRequest(msgspec.Struct, frozen=True):
+    """One exchange with a worker.
+
+    Renews the leases of ``renew`` by ``lease_s``; the worker answers at once if
+    a task has changed since ``seen``, and after ``wait_s`` at the latest.
+    ``acknowledged`` names ended tasks that the worker may forget.
+    """
+
+    unit: str
+    epoch: int
+    starts: list[TaskStart] = []
+    renew: list[str] = []
+    stops: list[TaskStop] = []
+    acknowledged: list[str] = []
+    lease_s: float = 0.0
+    seen: int = 0
+    wait_s: float = 0.0
+
+
+@final
+class TaskReport(msgspec.Struct, frozen=True):
+    """A task at a worker; ``used`` lags behind what it uses now."""
+
+    task: str
+    attempt: int
+    team: str
+    job_class: str
+    shape: Resources
+    state: TaskState
+    started_at: float = 0.0
+    exit_code: int = 0
+    reason: str = ''
+    output: str = ''
+    checkpoint: str = ''
+    used: Resources = Resources()
+
+
+@final
+class SyncReply(msgspec.Struct, frozen=True):
+    """What the worker holds and every task that runs or has ended there.
+
+    ``refused`` names starts that the worker did not take, with the reason.
+    """
+
+    worker: str
+    capacity: Resources
+    sequence: int
+    tasks: list[TaskReport]
+    refused: dict[str, str] = {}
+
+
+@final
+class CallRequest(msgspec.Struct, frozen=True):
+    """One interactive call to a backend server."""
+
+    request_id: str
+    attempt: int
+    team: str
+    queue: str
+    unit: str
+    epoch: int
+    timeout_s: float
+    body: bytes
+    content_type: str = 'application/octet-stream'
+    traceparent: str = ''
+
+
+@final
+class CallReply(msgspec.Struct, frozen=True):
+    """The whole answer of a backend server, matched by id and attempt."""
+
+    request_id: str
+    attempt: int
+    status: int
+    body: bytes
+    content_type: str = 'application/octet-stream'
+
+
+class Workers(Protocol):
+    """The connections to the backend servers."""
+
+    async def sync(self, vm: Vm, request: SyncRequest) -> SyncReply | Failure:
+        """Exchange with one worker, or ``WorkerUnreachable``."""
+
+    async def call(self, vm: Vm, request: CallRequest) -> CallReply | Failure:
+        """Run a call; ``WorkerUnreachable`` has the field ``sent``."""
--- /dev/null
+++ b/packages/berylspread/src/berylspread/calls/__init__.py
@@ -0,0 +1,1 @@
+"""Interactive calls: routing, slots, retries, deadlines."""
--- /dev/null
+++ b/packages/berylspread/src/berylspread/config/__init__.py
@@ -0,0 +1,1 @@
+"""Documents: sections, checks and differences."""
--- /dev/null
+++ b/packages/berylspread/src/berylspread/health/__init__.py
@@ -0,0 +1,1 @@
+"""Health of workers: failure rates, quarantine and probes."""
--- /dev/null
+++ b/packages/berylspread/src/berylspread/jobs/__init__.py
@@ -0,0 +1,1 @@
+"""The home of jobs: pending work, handing out, outcomes."""
--- /dev/null
+++ b/packages/berylspread/src/berylspread/kernel/__init__.py
@@ -0,0 +1,31 @@
+"""The kernel: failures, registries, options, clocks and invariants."""
+
+from berylspread.kernel.clock import CLOCK_DRIFT, WallClock, now
+from berylspread.kernel.errors import (
+    Failure,
+    RunState,
+    failure,
+    failure_types,
+)
+from berylspread.kernel.invariants import InvariantViolation, check
+from berylspread.kernel.options import Option, Place, Section, parse_section
+from berylspread.kernel.registry import Plugin, Registry, nearest
+
+__all__ = (
+    'CLOCK_DRIFT',
+    'Failure',
+    'InvariantViolation',
+    'Option',
+    'Place',
+    'Plugin',
+    'Registry',
+    'RunState',
+    'Section',
+    'WallClock',
+    'check',
+    'failure',
+    'failure_types',
+    'nearest',
+    'now',
+    'parse_section',
+)
--- /dev/null
+++ b/packages/berylspread/src/berylspread/kernel/options.py
@@ -0,0 +1,227 @@
+"""Typed options: tables on a class that turn INI text into checked values.
+
+A section class lists its options as class attributes; ``parse_section`` reads a
+mapping of strings and returns an instance of it or the first ``InvalidInput``.
+"""
+
+import math
+from collections.abc import Callable, Mapping
+from typing import Any, Final, Generic, TypeVar, final
+
+from berylspread.kernel.errors import InvalidInput
+from berylspread.kernel.registry import nearest
+
+ValueT = TypeVar('ValueT')
+SectionT = TypeVar('SectionT', bound='Section')
+
+TRUE_WORDS: Final = frozenset(('yes', 'true', 'on', '1'))
+FALSE_WORDS: Final = frozenset(('no', 'false', 'off', '0'))
+
+
+class Option(Generic[ValueT]):
+    """One option: its default, how its text is read, and its allowed range."""
+
+    __slots__ = ('allowed', 'default', 'help', 'key', 'read')
+
+    def __init__(
+        self,
+        read: Callable[[str], ValueT],
+        *,
+        default: ValueT | None = None,
+        allowed: str = 'text',
+        help: str = '',  # noqa: A002
+    ) -> None:
+        """Keep the reader; an option without a default is required."""
+        self.read = read
+        self.default = default
+        self.allowed = allowed
+        self.help = help
+        self.key = ''
+
+    def __set_name__(self, owner: type, name: str) -> None:
+        """Take the attribute's name as the option's key."""
+        self.key = name
+
+
+def integer(
+    minimum: int, maximum: int, *, default: int | None = None, help: str = ''
+) -> Option[int]:
+    """Return an option that holds a whole number in a closed range."""
+    return Option(
+        _ranged(int, minimum, maximum),
+        default=default,
+        allowed=f'a whole number from {minimum} to {maximum}',
+        help=help,
+    )
+
+
+def number(
+    minimum: float,
+    maximum: float,
+    *,
+    default: float | None = None,
+    help: str = '',
+) -> Option[float]:
+    """Return an option that holds a finite number in a closed range."""
+    return Option(
+        _ranged(float, minimum, maximum),
+        default=default,
+        allowed=f'a number from {minimum} to {maximum}',
+        help=help,
+    )
+
+
+def text(*, default: str | None = None, help: str = '') -> Option[str]:
+    """Return an option that holds non-empty text."""
+    return Option(_non_empty, default=default, help=help)
+
+
+def choice(
+    *words: str, default: str | None = None, help: str = ''
+) -> Option[str]:
+    """Return an option that holds one of the given words."""
+
+    def read(raw: str) -> str:
+        if raw not in words:
+            raise ValueError(raw)
+        return raw
+
+    return Option(
+        read, default=default, allowed=f'one of {", ".join(words)}', help=help
+    )
+
+
+def flag(*, default: bool | None = None, help: str = '') -> Option[bool]:
+    """Return an option that holds yes or no."""
+    return Option(_flag, default=default, allowed='yes or no', help=help)
+
+
+def words(
+    *, default: tuple[str, ...] | None = None, help: str = ''
+) -> Option[tuple[str, ...]]:
+    """Return an option that holds words separated by commas or spaces."""
+
+    def read(raw: str) -> tuple[str, ...]:
+        return tuple(raw.replace(',', ' ').split())
+
+    return Option(read, default=default, allowed='a list of words', help=help)
+
+
+class Section:
+    """Base of a section: subclasses declare options and get their values.
+
+    The values are set as attributes of the instance; ``label`` is the part of
+    the section's header after the kind, as in ``[team proofs]``.
+    """
+
+    kind: str = ''
+
+    def __init__(self, label: str = '') -> None:
+        """Start with the label only; ``parse_section`` sets the values."""
+        self.label = label
+
+    @classmethod
+    def options(cls) -> dict[str, Option[Any]]:
+        """Return the options by key, those of base classes first."""
+        found: dict[str, Option[Any]] = {}
+        for base in reversed(cls.__mro__):
+            found.update({
+                key: option
+                for key, option in vars(base).items()
+                if isinstance(option, Option)
+            })
+        return found
+
+
+@final
+class Place:
+    """Where a text stands: the file or document, and the section's header."""
+
+    __slots__ = ('section', 'source')
+
+    def __init__(self, source: str, section: str) -> None:
+        """Keep both names for error messages."""
+        self.source = source
+        self.section = section
+
+
+def parse_section(
+    cls: type[SectionT], place: Place, label: str, raw: Mapping[str, str]
+) -> SectionT | InvalidInput:
+    """Read a section's options, or return the first option that is wrong."""
+    known = cls.options()
+    unknown = next((key for key in raw if key not in known), None)
+    if unknown is not None:
+        return _invalid(
+            place,
+            unknown,
+            'unknown option',
+            nearest=nearest(unknown, known),
+        )
+    section = cls(label)
+    for key, option in known.items():
+        value = _value(option, place, raw.get(key))
+        if isinstance(value, InvalidInput):
+            return value
+        setattr(section, key, value)
+    return section
+
+
+def _value(option: Option[Any], place: Place, raw: str | None) -> Any:
+    if raw is None:
+        if option.default is None:
+            return _invalid(
+                place, option.key, 'missing option', allowed=option.allowed
+            )
+        return option.default
+    try:
+        return option.read(raw.strip())
+    except ValueError:
+        return _invalid(
+            place,
+            option.key,
+            f'{raw!r} is not {option.allowed}',
+            allowed=option.allowed,
+        )
+
+
+def _invalid(
+    place: Place, option: str, problem: str, **fields: Any
+) -> InvalidInput:
+    return InvalidInput(
+        f'{place.source}: [{place.section}] {option}: {problem}',
+        source=place.source,
+        section=place.section,
+        option=option,
+        **fields,
+    )
+
+
+NumberT = TypeVar('NumberT', int, float)
+
+
+def _ranged(
+    convert: Callable[[str], NumberT], minimum: NumberT, maximum: NumberT
+) -> Callable[[str], NumberT]:
+    def read(raw: str) -> NumberT:
+        value = convert(raw)
+        if not math.isfinite(value) or not minimum <= value <= maximum:
+            raise ValueError(raw)
+        return value
+
+    return read
+
+
+def _non_empty(raw: str) -> str:
+    if not raw:
+        raise ValueError(raw)
+    return raw
+
+
+def _flag(raw: str) -> bool:
+    word = raw.lower()
+    if word in TRUE_WORDS:
+        return True
+    if word in FALSE_WORDS:
+        return False
+    raise ValueError(raw)
--- /dev/null
+++ b/packages/berylspread/src/berylspread/limits/__init__.py
@@ -0,0 +1,1 @@
+"""Limits: capacity and quota ledgers."""
--- /dev/null
+++ b/packages/berylspread/src/berylspread/log/__init__.py
@@ -0,0 +1,45 @@
+"""The platform's log: records, client, appender, reader and folded state."""
+
+from berylspread.log.interface import Entry, LogStore, Page
+from berylspread.log.records import (
+    AllotmentMoved,
+    Batch,
+    Claim,
+    ConfigApplied,
+    ElectorateChanged,
+    JobAccepted,
+    JobCancelled,
+    JobEnded,
+    KeyCreated,
+    KeyWithdrawn,
+    Record,
+    Release,
+    SnapshotPart,
+    TasksEnded,
+    TasksStarted,
+    decode_batch,
+    encode_batch,
+)
+
+__all__ = (
+    'AllotmentMoved',
+    'Batch',
+    'Claim',
+    'ConfigApplied',
+    'ElectorateChanged',
+    'Entry',
+    'JobAccepted',
+    'JobCancelled',
+    'JobEnded',
+    'KeyCreated',
+    'KeyWithdrawn',
+    'LogStore',
+    'Page',
+    'Record',
+    'Release',
+    'SnapshotPart',
+    'TasksEnded',
+    'TasksStarted',
+    'decode_batch',
+    'encode_batch',
+)
--- /dev/null
+++ b/packages/berylspread/src/berylspread/model/__init__.py
@@ -0,0 +1,45 @@
+"""Plain data that every part shares: resources, VMs and work."""
+
+from berylspread.model.fleet import (
+    NodeRef,
+    Vm,
+    VmRole,
+    VmState,
+    partition_unit,
+    shard_unit,
+    unit_region,
+)
+from berylspread.model.resources import DIMENSIONS, ZERO, Resources
+from berylspread.model.work import (
+    DEFAULT_PRIORITY,
+    TERMINAL_STATES,
+    URGENT_PRIORITY,
+    Constraints,
+    JobKind,
+    JobSpec,
+    TaskEnd,
+    TaskKey,
+    TaskState,
+)
+
+__all__ = (
+    'DEFAULT_PRIORITY',
+    'DIMENSIONS',
+    'TERMINAL_STATES',
+    'URGENT_PRIORITY',
+    'ZERO',
+    'Constraints',
+    'JobKind',
+    'JobSpec',
+    'NodeRef',
+    'Resources',
+    'TaskEnd',
+    'TaskKey',
+    'TaskState',
+    'Vm',
+    'VmRole',
+    'VmState',
+    'partition_unit',
+    'shard_unit',
+    'unit_region',
+)
--- /dev/null
+++ b/packages/berylspread/src/berylspread/partition/__init__.py
@@ -0,0 +1,1 @@
+"""The owner of a rack's workers: capacity, placement, leases."""
--- /dev/null
+++ b/packages/berylspread/src/berylspread/peers/interface.py
@@ -0,0 +1,83 @@
+"""Messages between nodes: asked for with a reply, or told without one.
+
+A message is a ``msgspec.Struct`` with a tag, registered by ``message``.  It
+travels as MessagePack inside an envelope of the peer protocol.
+"""
+
+from collections.abc import Awaitable, Callable
+from typing import Any, Final, Protocol, TypeVar, final
+
+import msgspec
+
+from berylspread.kernel.errors import Failure, WireFailure
+from berylspread.model import NodeRef
+
+
+class Message(msgspec.Struct, frozen=True, tag=True):
+    """Base of every message and reply between nodes."""
+
+
+MessageT = TypeVar('MessageT', bound=Message)
+Handler = Callable[[NodeRef, Any], Awaitable[Message | Failure | None]]
+
+_types: Final[dict[str, type[Message]]] = {}
+
+
+def message(cls: type[MessageT]) -> type[MessageT]:
+    """Register a message type, so that peers can decode it; a decorator."""
+    known = _types.setdefault(cls.__name__, cls)
+    if known is not cls:
+        raise TypeError(f'message {cls.__name__!r} is taken by {known!r}')
+    return cls
+
+
+@final
+class Codec:
+    """Encodes and decodes the registered message types."""
+
+    __slots__ = ('decoders', 'encoder')
+
+    def __init__(self) -> None:
+        """Start with a decoder for failures only."""
+        self.encoder = msgspec.msgpack.Encoder()
+        self.decoders: dict[str, msgspec.msgpack.Decoder[Any]] = {
+            WireFailure.__name__: msgspec.msgpack.Decoder(WireFailure),
+        }
+
+    def encode(self, body: Message | WireFailure) -> tuple[str, bytes]:
+        """Return the type's name and the bytes of a message."""
+        return type(body).__name__, self.encoder.encode(body)
+
+    def decode(self, name: str, blob: bytes) -> Any:
+        """Return the message; raise ``msgspec.DecodeError`` if malformed."""
+        decoder = self.decoders.get(name)
+        if decoder is None:
+            cls = _types.get(name)
+            if cls is None:
+                raise msgspec.DecodeError(f'unknown message type {name!r}')
+            decoder = msgspec.msgpack.Decoder(cls)
+            self.decoders[name] = decoder
+        return decoder.decode(blob)
+
+
+class Peers(Protocol):
+    """The streams to the other nodes.
+
+    A node may address itself; the message then skips the network.
+    """
+
+    async def ask(
+        self,
+        node: str,
+        body: Message,
+        reply_type: type[MessageT],
+        *,
+        timeout_s: float,
+    ) -> MessageT | Failure:
+        """Send a message and wait for its reply, or ``PeerUnreachable``."""
+
+    def tell(self, node: str, body: Message) -> None:
+        """Send a message without a reply; it may be lost."""
+
+    def handle(self, cls: type[Message], handler: Handler) -> None:
+        """Serve messages of one type; the handler's result is the reply."""
--- /dev/null
+++ b/packages/berylspread/src/berylspread/placement/__init__.py
@@ -0,0 +1,1 @@
+"""Placement plug-ins: orders, filters, scorers and preemption."""
--- /dev/null
+++ b/packages/berylspread/src/berylspread/proto/__init__.py
@@ -0,0 +1,1 @@
+"""Generated code of the peer protocol."""
