Run the features in one behave process for each folder

Cause: behave loads the steps and hooks of one base folder only, so folders laid out like the source need a process each. Result: on a scratch copy, exit code 1 for a failed, erroneous or undefined scenario, a failed hook at each level, an import error, a syntax error, a missing folder, only skipped scenarios and none; exit code 0 for a pass and a listed failure; an undefined step and a failed hook are not passed over although the scenario is listed. Conclusion: only listed failures of steps pass.

--- /dev/null
+++ b/tools/run_features.py
@@ -0,0 +1,216 @@
+"""Run the features, one behave process for each folder.
+
+The output of the folders is printed in their order.  The last line counts
+the scenarios.  The exit code is 1 after a failure that KNOWN-RED.txt does not
+list, an undefined step, a failed hook, or a run without any scenario.
+
+KNOWN-RED.txt holds one entry a line; the fields are separated by ``|``::
+
+    features/jobs/gang.feature: Name of the scenario | command | seen | issue
+"""
+
+import argparse
+import json
+import os
+import subprocess
+import sys
+import tempfile
+from collections.abc import Iterable
+from concurrent.futures import ThreadPoolExecutor
+from dataclasses import dataclass, field
+from functools import partial
+from pathlib import Path
+
+ROOT = Path(__file__).resolve().parent.parent
+FEATURES = ROOT / 'features'
+KNOWN_RED = ROOT / 'KNOWN-RED.txt'
+DEFAULT_JOBS = 8
+
+PASSED = 'passed'
+SKIPPED = 'skipped'
+# An assertion failed, or a step raised another exception.
+FAILURES = frozenset(('failed', 'error'))
+# What behave prints for a hook or a cleanup that raised.
+HOOK_ERRORS = ('HOOK-ERROR', 'CLEANUP-ERROR')
+
+
+@dataclass(slots=True)
+class FolderRun:
+    """What one behave process reported."""
+
+    folder: str
+    output: str
+    # The outcome of each scenario, by location and name.
+    outcomes: list[tuple[str, str]] = field(default_factory=list)
+    problem: str = ''
+
+
+def find_folders(names: list[str]) -> list[Path]:
+    """Return the named folders, or every one that holds a feature."""
+    if names:
+        return [FEATURES / name for name in names]
+    return sorted({path.parent for path in FEATURES.glob('*/*.feature')})
+
+
+def classify(scenario: dict[str, object]) -> str:
+    """Map the status that behave gave a scenario to an outcome."""
+    status = str(scenario.get('status', 'untested'))
+    if status in {PASSED, SKIPPED}:
+        return status
+    steps = scenario.get('steps', ())
+    assert isinstance(steps, Iterable)
+    undefined = any(
+        step.get('result', {}).get('status') == 'undefined' for step in steps
+    )
+    return 'undefined' if undefined else status
+
+
+def full_name(scenario: dict[str, str]) -> str:
+    """Join the path of the feature and the name of the scenario."""
+    path = scenario['location'].rsplit(':', 1)[0]
+    return f'{path}: {scenario["name"]}'
+
+
+def read_outcomes(report: Path) -> list[tuple[str, str]]:
+    """Read the scenarios of one JSON report."""
+    features = json.loads(report.read_text(encoding='utf-8'))
+    return [
+        (full_name(scenario), classify(scenario))
+        for feature in features
+        for scenario in feature.get('elements', ())
+        if scenario['type'] != 'background'
+    ]
+
+
+def run_folder(folder: Path, report_dir: str) -> FolderRun:
+    """Run behave over one folder and collect what it reported."""
+    report = Path(report_dir) / f'{folder.name}.json'
+    command = [
+        *(sys.executable, '-m', 'behave', '--no-color'),
+        *('--format', 'json', '--outfile', str(report)),
+        *('--format', 'progress', '--outfile', '/dev/stdout'),
+        str(folder.relative_to(ROOT)),
+    ]
+    done = subprocess.run(
+        command,
+        cwd=ROOT,
+        env=os.environ | {'PYTHONHASHSEED': '0'},
+        stdin=subprocess.DEVNULL,
+        stdout=subprocess.PIPE,
+        stderr=subprocess.STDOUT,
+        text=True,
+        check=False,
+    )
+    run = FolderRun(folder.name, done.stdout.rstrip())
+    try:
+        run.outcomes = read_outcomes(report)
+    except (OSError, ValueError) as error:
+        run.problem = f'no report from behave: {error}'
+        return run
+    run.problem = find_problem(run, done.returncode)
+    return run
+
+
+def find_problem(run: FolderRun, exit_code: int) -> str:
+    """Name the failure of a folder that no scenario accounts for."""
+    if not run.outcomes:
+        return 'no scenario'
+    if any(mark in run.output for mark in HOOK_ERRORS):
+        return 'a hook or a cleanup failed'
+    all_well = all(outcome in {PASSED, SKIPPED} for _, outcome in run.outcomes)
+    if exit_code and all_well:
+        return f'behave ended with exit code {exit_code}'
+    return ''
+
+
+def read_known_red() -> set[str]:
+    """Read the names of the scenarios that may fail."""
+    if not KNOWN_RED.exists():
+        return set()
+    lines = KNOWN_RED.read_text(encoding='utf-8').splitlines()
+    return {
+        line.split('|', 1)[0].strip()
+        for line in lines
+        if line.strip() and not line.startswith('#')
+    }
+
+
+def count(runs: list[FolderRun], wanted: str) -> int:
+    """Count the scenarios of all folders that have the wanted outcome."""
+    return sum(outcome == wanted for run in runs for _, outcome in run.outcomes)
+
+
+def report_known(runs: list[FolderRun], known: set[str]) -> None:
+    """Print what became of the scenarios that KNOWN-RED.txt lists."""
+    folders = tuple(f'features/{run.folder}/' for run in runs)
+    outcomes = {name: outcome for run in runs for name, outcome in run.outcomes}
+    for name in sorted(known):
+        if not name.startswith(folders):
+            continue
+        outcome = outcomes.get(name)
+        if outcome in FAILURES:
+            print(f'known red, passed over: {name}')
+        elif outcome == PASSED:
+            print(f'known red, but it passes; remove the entry: {name}')
+        else:
+            print(f'known red, but not run to a result: {name}')
+
+
+def report_failures(runs: list[FolderRun], known: set[str]) -> bool:
+    """Print what went wrong and return whether anything did."""
+    lines = [
+        f'problem: features/{run.folder}: {run.problem}'
+        for run in runs
+        if run.problem
+    ]
+    for run in runs:
+        lines.extend(
+            f'{outcome}: {name}'
+            for name, outcome in run.outcomes
+            if outcome not in {PASSED, SKIPPED}
+            and not (outcome in FAILURES and name in known)
+        )
+    print(*lines, sep='\n', end='\n' if lines else '')
+    return bool(lines)
+
+
+def report(runs: list[FolderRun], known: set[str]) -> bool:
+    """Print the summary and return whether the run is good."""
+    has_failures = report_failures(runs, known)
+    report_known(runs, known)
+    passed = count(runs, PASSED)
+    skipped = count(runs, SKIPPED)
+    failed = sum(len(run.outcomes) for run in runs) - passed - skipped
+    is_empty = passed + failed == 0
+    if is_empty:
+        print('problem: no scenario was run')
+    print(f'{passed} passed, {failed} failed, {skipped} skipped')
+    return not (has_failures or is_empty)
+
+
+def parse_arguments() -> argparse.Namespace:
+    """Read the command line."""
+    parser = argparse.ArgumentParser(description=__doc__.split('\n', 1)[0])
+    parser.add_argument('folders', nargs='*', help='folders under features/')
+    parser.add_argument('--jobs', type=int, default=DEFAULT_JOBS)
+    return parser.parse_args()
+
+
+def main() -> int:
+    """Run the folders and return the exit code."""
+    arguments = parse_arguments()
+    folders = find_folders(arguments.folders)
+    runs: list[FolderRun] = []
+    with (
+        tempfile.TemporaryDirectory() as report_dir,
+        ThreadPoolExecutor(max(1, arguments.jobs)) as pool,
+    ):
+        run_one = partial(run_folder, report_dir=report_dir)
+        for finished in pool.map(run_one, folders):
+            print(f'== features/{finished.folder}\n{finished.output}\n')
+            runs.append(finished)
+    return 0 if report(runs, read_known_red()) else 1
+
+
+if __name__ == '__main__':
+    sys.exit(main())
