Report undefined steps behind a listed failure

Cause: behave does not mark the steps after a failing one, so an undefined step behind a failure that KNOWN-RED.txt lists went unreported. Change: the snippets that behave prints for undefined steps fail the folder. Result: on a scratch copy, a listed scenario with an undefined step after the failing one: exit code 0 -> 1; without it the exit code stays 0. Conclusion: no undefined step passes.

--- a/tools/run_features.py
+++ b/tools/run_features.py
@@ -32,6 +32,8 @@
 FAILURES = frozenset(('failed', 'error'))
 # What behave prints for a hook or a cleanup that raised.
 HOOK_ERRORS = ('HOOK-ERROR', 'CLEANUP-ERROR')
+# Heads the snippets that behave prints for undefined steps.
+UNDEFINED_STEPS = 'StepNotImplementedError'
 
 
 @dataclass(slots=True)
@@ -117,6 +119,8 @@
         return 'no scenario'
     if any(mark in run.output for mark in HOOK_ERRORS):
         return 'a hook or a cleanup failed'
+    if UNDEFINED_STEPS in run.output:
+        return 'an undefined step'
     all_well = all(outcome in {PASSED, SKIPPED} for _, outcome in run.outcomes)
     if exit_code and all_well:
         return f'behave ended with exit code {exit_code}'
