--- a/packages/berylspread-standins/src/berylspread_standins/worker.py
+++ b/packages/berylspread-standins/src/berylspread_standins/worker.py
@@ -206,12 +206,12 @@
         return StaleEpoch('older epoch', unit=unit, epoch=epoch, newest=highest)
 
     def _obey(self, request: SyncRequest) -> dict[str, str]:
-        for ended in request.acknowledged:
-            if ended in self.runs and self.runs[ended].is_over:
-                self.runs.pop(ended)
-        for renewed in request.renew:
-            if renewed in self.runs:
-                self.runs[renewed].renew(request.lease_s / self.clock_rate)
+        for run in _known(self.runs, request.acknowledged):
+            if run.is_over:
+                self.runs.pop(run.start.task)
+        lease_s = request.lease_s / self.clock_rate
+        for run in _known(self.runs, request.renew):
+            run.renew(lease_s)
         for stop in request.stops:
             self._stop(stop)
         return {
@@ -331,3 +331,7 @@
         if execution in self.calls:
             self.calls.discard(execution)
             self.observer.ended(execution)
+
+
+def _known(runs: dict[str, Run], tasks: list[str]) -> list[Run]:
+    return [runs[task] for task in tasks if task in runs]
--- /dev/null
+++ b/packages/berylspread/src/berylspread/backend/http_client.py
@@ -0,0 +1,184 @@
+"""The protocol towards backend servers over HTTP.
+
+Names travel percent-encoded in headers, so that any text is safe there.
+"""
+
+import collections
+from http import HTTPStatus
+from typing import Final, final
+from urllib.parse import quote
+
+import msgspec
+
+from berylspread.backend.http_pool import Answer, AnswerMismatch, Pool
+from berylspread.backend.interface import (
+    CallReply,
+    CallRequest,
+    SyncReply,
+    SyncRequest,
+)
+from berylspread.kernel import errors
+from berylspread.kernel.errors import Failure, WireFailure, WorkerUnreachable
+from berylspread.model import Vm
+
+SYNC_PATH: Final = '/v1/sync'
+CALL_PATH: Final = '/v1/call'
+REQUEST_ID_HEADER: Final = 'X-Request-Id'
+ATTEMPT_HEADER: Final = 'X-Attempt'
+REFUSED_HEADER: Final = 'X-Refused'
+JSON_TYPE: Final = 'application/json'
+RAW_TYPE: Final = 'application/octet-stream'
+
+#: Connections that a backend server accepts.
+WORKER_CONNECTIONS: Final = 64
+#: Entry VMs that share a backend server's connections.
+SHARING_NODES: Final = 9
+#: Connections of each pool for syncs: one waits, another starts tasks.
+SYNC_CONNECTIONS: Final = 2
+CONNECTIONS: Final = WORKER_CONNECTIONS // SHARING_NODES
+SYNC_TIMEOUT_S: Final = 5.0
+#: Pools of the least recently used backend servers are closed beyond this.
+MAX_POOLS: Final = 256
+#: ASCII characters that stay as they are in a header.
+HEADER_SAFE: Final = "!#$&'()*+,/:;<=>?@[]^`{|}"
+
+
+@final
+class WorkerPools(msgspec.Struct, frozen=True):
+    """One backend server's pools, apart so that calls cannot starve syncs."""
+
+    syncs: Pool
+    calls: Pool
+
+
+@final
+class HttpWorkers:
+    """Connections to the backend servers; implements ``Workers``."""
+
+    __slots__ = ('call_connections', 'encoder', 'pools', 'refusal', 'reply')
+
+    def __init__(self, *, connections: int = CONNECTIONS) -> None:
+        """Take this node's share of each backend server's connections."""
+        self.call_connections = max(connections - SYNC_CONNECTIONS, 1)
+        self.pools: collections.OrderedDict[str, WorkerPools] = (
+            collections.OrderedDict()
+        )
+        self.encoder = msgspec.json.Encoder()
+        self.reply = msgspec.json.Decoder(SyncReply)
+        self.refusal = msgspec.json.Decoder(WireFailure)
+
+    async def sync(self, vm: Vm, request: SyncRequest) -> SyncReply | Failure:
+        """Exchange with one worker.
+
+        Returns:
+            The worker's reply; ``WorkerUnreachable`` without an answer;
+            ``AnswerMismatch`` for an answer that is not whole or not of this
+            worker; or the worker's own refusal, as ``StaleEpoch``.
+
+        """
+        pools = await self._pools(vm)
+        answer = await pools.syncs.post(
+            SYNC_PATH,
+            self.encoder.encode(request),
+            {'Content-Type': JSON_TYPE},
+            timeout_s=SYNC_TIMEOUT_S + request.wait_s,
+        )
+        if isinstance(answer, Failure):
+            return answer
+        if answer.status != HTTPStatus.OK:
+            return self._refused(answer)
+        try:
+            reply = self.reply.decode(answer.body)
+        except msgspec.DecodeError as error:
+            return AnswerMismatch(f'malformed answer: {error}')
+        if reply.worker != vm.vm_id:
+            return AnswerMismatch(
+                'answer of another worker',
+                expected=vm.vm_id,
+                answered=reply.worker,
+            )
+        return reply
+
+    async def call(self, vm: Vm, request: CallRequest) -> CallReply | Failure:
+        """Run a call.
+
+        Returns:
+            The whole answer; ``WorkerUnreachable`` with the field ``sent``,
+            which is ``False`` only if no byte of the request was sent;
+            ``AnswerMismatch`` for an answer that is not whole or not to this
+            request and attempt; or the worker's own refusal, as ``StaleEpoch``.
+
+        """
+        pools = await self._pools(vm)
+        headers = _call_headers(request)
+        answer = await pools.calls.post(
+            CALL_PATH, request.body, headers, timeout_s=request.timeout_s
+        )
+        if isinstance(answer, Failure):
+            return answer
+        if REFUSED_HEADER in answer.headers:
+            return self._refused(answer)
+        for name in (REQUEST_ID_HEADER, ATTEMPT_HEADER):
+            if answer.headers.get(name) != headers[name]:
+                return AnswerMismatch(
+                    'answer to another request',
+                    header=name,
+                    expected=headers[name],
+                    answered=answer.headers.get(name, ''),
+                )
+        return CallReply(
+            request.request_id,
+            request.attempt,
+            answer.status,
+            answer.body,
+            answer.headers.get('Content-Type', RAW_TYPE),
+        )
+
+    async def close(self) -> None:
+        """Close all connections."""
+        while self.pools:
+            await self._close_oldest()
+
+    async def _pools(self, vm: Vm) -> WorkerPools:
+        found = self.pools.get(vm.address)
+        if found is None:
+            found = WorkerPools(
+                syncs=Pool(vm.address, SYNC_CONNECTIONS),
+                calls=Pool(vm.address, self.call_connections),
+            )
+            self.pools[vm.address] = found
+        self.pools.move_to_end(vm.address)
+        while len(self.pools) > MAX_POOLS:
+            await self._close_oldest()
+        return found
+
+    async def _close_oldest(self) -> None:
+        _, pools = self.pools.popitem(last=False)
+        await pools.syncs.close()
+        await pools.calls.close()
+
+    def _refused(self, answer: Answer) -> Failure:
+        try:
+            return errors.from_wire(self.refusal.decode(answer.body))
+        except (msgspec.DecodeError, TypeError):
+            return WorkerUnreachable('refused', sent=True, status=answer.status)
+
+
+def _call_headers(request: CallRequest) -> dict[str, str]:
+    headers = {
+        REQUEST_ID_HEADER: _quote(request.request_id),
+        ATTEMPT_HEADER: str(request.attempt),
+        'X-Team': _quote(request.team),
+        'X-Queue': _quote(request.queue),
+        'X-Unit': _quote(request.unit),
+        'X-Epoch': str(request.epoch),
+        'X-Timeout-S': f'{request.timeout_s:.3f}',
+        'Content-Type': _quote(request.content_type, ' "'),
+    }
+    if request.traceparent:
+        headers['traceparent'] = _quote(request.traceparent)
+    return headers
+
+
+def _quote(raw: str, also_safe: str = '') -> str:
+    return quote(raw, safe=HEADER_SAFE + also_safe)
--- /dev/null
+++ b/packages/berylspread/src/berylspread/backend/http_pool.py
@@ -0,0 +1,137 @@
+"""Keep-alive connections to one backend server, within bounds."""
+
+import asyncio
+from collections.abc import Mapping
+from typing import Any, Final, final
+
+import httpx
+import msgspec
+
+from berylspread.kernel.errors import Failure, WorkerUnreachable, failure
+
+CONNECT_TIMEOUT_S: Final = 2.0
+#: Idle connections are closed before the backend server does so, in seconds.
+KEEPALIVE_S: Final = 20.0
+MIB: Final = 1024 * 1024
+MAX_ANSWER_MIB: Final = 32
+LENGTH_HEADERS: Final = ('content-length', 'transfer-encoding')
+
+
+@failure
+class AnswerMismatch(Failure):
+    """A backend server's answer is not whole or not to this request."""
+
+    name = 'answer-mismatch'
+    http_status = 502
+    exit_code = Failure.exit_code
+
+
+@final
+class Answer(msgspec.Struct, frozen=True):
+    """A whole HTTP answer."""
+
+    status: int
+    headers: httpx.Headers
+    body: bytes
+
+
+@final
+class SentTracer:
+    """Learns from the HTTP library whether a request began to be sent."""
+
+    __slots__ = ('is_sent',)
+
+    def __init__(self) -> None:
+        """Start with nothing sent."""
+        self.is_sent = False
+
+    async def __call__(self, event: str, details: Mapping[str, Any]) -> None:
+        """Take note of one event of the library."""
+        if event == 'http11.send_request_headers.started':
+            self.is_sent = True
+
+
+@final
+class Pool:
+    """At most ``connections`` connections to one address."""
+
+    __slots__ = ('base', 'transport', 'urls')
+
+    def __init__(self, address: str, connections: int) -> None:
+        """Connect on demand to ``address``, an ``IP:port``."""
+        self.base = httpx.URL(f'http://{address}')
+        self.urls: dict[str, httpx.URL] = {}
+        self.transport = httpx.AsyncHTTPTransport(
+            verify=False,
+            trust_env=False,
+            limits=httpx.Limits(
+                max_connections=connections,
+                max_keepalive_connections=connections,
+                keepalive_expiry=KEEPALIVE_S,
+            ),
+        )
+
+    async def post(
+        self,
+        path: str,
+        body: bytes,
+        headers: Mapping[str, str],
+        *,
+        timeout_s: float,
+    ) -> Answer | WorkerUnreachable | AnswerMismatch:
+        """Send a request and return the whole answer, or why there is none."""
+        tracer = SentTracer()
+        request = httpx.Request(
+            'POST',
+            self._url(path),
+            headers=headers,
+            content=body,
+            extensions={
+                'trace': tracer,
+                'timeout': {
+                    'connect': min(CONNECT_TIMEOUT_S, timeout_s),
+                    'pool': timeout_s,
+                    'read': timeout_s,
+                    'write': timeout_s,
+                },
+            },
+        )
+        try:
+            async with asyncio.timeout(timeout_s):
+                return await self._exchange(request)
+        except (httpx.HTTPError, TimeoutError) as error:
+            return WorkerUnreachable(
+                f'{type(error).__name__}: {error}', sent=tracer.is_sent
+            )
+
+    async def close(self) -> None:
+        """Close the connections."""
+        await self.transport.aclose()
+
+    async def _exchange(
+        self, request: httpx.Request
+    ) -> Answer | AnswerMismatch:
+        response = await self.transport.handle_async_request(request)
+        try:
+            return await _read(response)
+        finally:
+            await response.aclose()
+
+    def _url(self, path: str) -> httpx.URL:
+        found = self.urls.get(path)
+        if found is None:
+            found = self.base.join(path)
+            self.urls[path] = found
+        return found
+
+
+async def _read(response: httpx.Response) -> Answer | AnswerMismatch:
+    if not any(name in response.headers for name in LENGTH_HEADERS):
+        # An answer that ends with its connection may be cut short unnoticed.
+        return AnswerMismatch('answer without a length')
+    body = bytearray()
+    async for chunk in response.aiter_raw():
+        body += chunk
+        if len(body) > MAX_ANSWER_MIB * MIB:
+            return AnswerMismatch('answer too large', limit_mib=MAX_ANSWER_MIB)
+    return Answer(response.status_code, response.headers, bytes(body))
--- /dev/null
+++ b/packages/berylspread/src/berylspread/log/http_client.py
@@ -0,0 +1,131 @@
+"""The platform's log over HTTP."""
+
+import asyncio
+from http import HTTPStatus
+from typing import Any, Final, final
+
+import httpx
+import msgspec
+
+from berylspread.kernel.errors import Failure, LogUnavailable, WireFailure
+from berylspread.log.interface import Page
+
+TIMEOUT_S: Final = 5.0
+CONNECT_TIMEOUT_S: Final = 2.0
+#: One connection waits for new entries, the others append.
+CONNECTIONS: Final = 8
+#: Idle connections are closed before the service does so, in seconds.
+KEEPALIVE_S: Final = 20.0
+APPEND_PATH: Final = '/v1/append'
+ENTRIES_PATH: Final = '/v1/entries'
+#: Failures before any byte of the request was sent.
+UNSENT: Final = (httpx.ConnectError, httpx.ConnectTimeout, httpx.PoolTimeout)
+
+
+@final
+class Appended(msgspec.Struct, frozen=True):
+    """The answer to an append."""
+
+    offset: int
+
+
+@final
+class HttpLog:
+    """Client of the log service.
+
+    ``POST /v1/append`` takes an entry as its body and answers with its offset
+    in JSON; ``GET /v1/entries`` answers with a ``Page`` in MessagePack.
+    """
+
+    __slots__ = ('appended', 'client', 'page', 'refusal', 'timeout_s')
+
+    def __init__(self, base_url: str, *, timeout_s: float = TIMEOUT_S) -> None:
+        """Connect to the service at ``base_url``."""
+        self.timeout_s = timeout_s
+        self.client = httpx.AsyncClient(
+            base_url=base_url,
+            timeout=httpx.Timeout(timeout_s, connect=CONNECT_TIMEOUT_S),
+            limits=httpx.Limits(
+                max_connections=CONNECTIONS,
+                max_keepalive_connections=CONNECTIONS,
+                keepalive_expiry=KEEPALIVE_S,
+            ),
+            trust_env=False,
+        )
+        self.appended = msgspec.json.Decoder(Appended)
+        self.page = msgspec.msgpack.Decoder(Page)
+        self.refusal = msgspec.json.Decoder(WireFailure)
+
+    async def append(self, blob: bytes) -> int | Failure:
+        """Append one entry, or return ``LogUnavailable``.
+
+        Its field ``may_have_applied`` is ``False`` only if nothing was sent or
+        the service says so.
+        """
+        answer = await self._exchange(
+            self.client.post(APPEND_PATH, content=blob), self.timeout_s
+        )
+        if isinstance(answer, LogUnavailable):
+            return answer
+        if answer.status_code != HTTPStatus.OK:
+            return self._refused(answer)
+        try:
+            return self.appended.decode(answer.content).offset
+        except msgspec.DecodeError as error:
+            return _unavailable(f'malformed answer: {error}')
+
+    async def read(
+        self, offset: int, *, limit: int, wait_s: float
+    ) -> Page | Failure:
+        """Return up to ``limit`` entries from ``offset`` on, or a failure."""
+        timeout_s = self.timeout_s + wait_s
+        query = {'offset': offset, 'limit': limit, 'wait_s': wait_s}
+        answer = await self._exchange(
+            self.client.get(ENTRIES_PATH, params=query, timeout=timeout_s),
+            timeout_s,
+        )
+        if isinstance(answer, LogUnavailable):
+            return answer
+        if answer.status_code != HTTPStatus.OK:
+            return self._refused(answer)
+        try:
+            return self.page.decode(answer.content)
+        except msgspec.DecodeError as error:
+            return _unavailable(f'malformed answer: {error}')
+
+    async def close(self) -> None:
+        """Close the connections."""
+        await self.client.aclose()
+
+    async def _exchange(
+        self, request: Any, timeout_s: float
+    ) -> httpx.Response | LogUnavailable:
+        try:
+            async with asyncio.timeout(timeout_s):
+                return await request  # type: ignore[no-any-return]
+        except UNSENT as error:
+            return _unavailable(_describe(error), may_have_applied=False)
+        except (httpx.HTTPError, TimeoutError) as error:
+            return _unavailable(_describe(error))
+
+    def _refused(self, answer: httpx.Response) -> LogUnavailable:
+        try:
+            refusal = self.refusal.decode(answer.content)
+        except msgspec.DecodeError:
+            return _unavailable('refused', status=answer.status_code)
+        may_have_applied = refusal.fields.get('may_have_applied', True)
+        return _unavailable(
+            refusal.reason,
+            status=answer.status_code,
+            may_have_applied=bool(may_have_applied),
+        )
+
+
+def _describe(error: Exception) -> str:
+    return f'{type(error).__name__}: {error}'
+
+
+def _unavailable(
+    reason: str, *, may_have_applied: bool = True, **fields: int
+) -> LogUnavailable:
+    return LogUnavailable(reason, may_have_applied=may_have_applied, **fields)
