--- a/packages/berylspread-standins/src/berylspread_standins/http_apps.py
+++ b/packages/berylspread-standins/src/berylspread_standins/http_apps.py
@@ -51,6 +51,8 @@
 async def append(request: HttpRequest, state: State) -> Response[bytes]:
     """Append the body as one entry."""
     offset = await state.service.append(await request.body())
+    if state.service.lose_answer:
+        await asyncio.sleep(LOST_ANSWER_S)
     if isinstance(offset, Failure):
         return _failed(offset)
     return _json(Appended(offset))
--- a/packages/berylspread-standins/src/berylspread_standins/log_service.py
+++ b/packages/berylspread-standins/src/berylspread_standins/log_service.py
@@ -56,6 +56,7 @@
         'free_at',
         'is_down',
         'latency_s',
+        'lose_answer',
         'retained_bytes',
         'retention',
         'slow_s',
@@ -81,6 +82,8 @@
         self.free_at = 0.0
         self.is_down = False
         self.slow_s = 0.0
+        #: Probability that an append has effect and its answer is lost.
+        self.lose_answer = 0.0
         self.changed = asyncio.Event()
 
     @property
@@ -240,7 +243,8 @@
         if self._happens(self.faults.duplicate):
             await self.service.append(blob)
         answer = await self.service.append(blob)
-        if answer and self._happens(self.faults.lose_answer):
+        lose_answer = max(self.faults.lose_answer, self.service.lose_answer)
+        if answer and self._happens(lose_answer):
             return None
         arrived = await self._travel(0, inbound=False, purpose='append')
         return answer if arrived else None
--- a/packages/berylspread-standins/src/berylspread_standins/vm_list.py
+++ b/packages/berylspread-standins/src/berylspread_standins/vm_list.py
@@ -29,11 +29,20 @@
     While ``is_stale`` no change shows, and while ``is_down`` nothing answers.
     """
 
-    __slots__ = ('changes', 'is_down', 'is_stale', 'lag_s', 'truth', 'visible')
+    __slots__ = (
+        'changes',
+        'extra_lag_s',
+        'is_down',
+        'is_stale',
+        'lag_s',
+        'truth',
+        'visible',
+    )
 
     def __init__(self, *, lag_s: float = LAG_S) -> None:
         """Start with an empty list."""
         self.lag_s = lag_s
+        self.extra_lag_s = 0.0
         self.is_stale = False
         self.is_down = False
         self.truth: dict[str, Vm] = {}
@@ -67,7 +76,7 @@
     def listed(self) -> list[Vm]:
         """Return the VMs as the list shows them now."""
         if not self.is_stale:
-            shown_until = now() - self.lag_s
+            shown_until = now() - self.lag_s - self.extra_lag_s
             while self.changes and self.changes[0][0] <= shown_until:
                 self._apply_first()
         return list(self.visible.values())
--- a/packages/berylspread-standins/src/berylspread_standins/worker.py
+++ b/packages/berylspread-standins/src/berylspread_standins/worker.py
@@ -23,7 +23,7 @@
 from berylspread_standins.gate import Gate
 from berylspread_standins.observer import Execution, Observer
 from berylspread_standins.run import THROTTLED_RATE, Ending, Run
-from berylspread_standins.workload import Workload, parse_workload
+from berylspread_standins.workload import Workload, distort, parse_workload
 
 CONNECTIONS: Final = 64
 CORES: Final = 32
@@ -62,7 +62,14 @@
 class WorkerFaults:
     """What is wrong with a worker."""
 
-    __slots__ = ('fails_all', 'is_unreachable', 'lose_answer', 'slow_s')
+    __slots__ = (
+        'fails_all',
+        'is_unreachable',
+        'lose_answer',
+        'run_factor',
+        'slow_s',
+        'use_factor',
+    )
 
     def __init__(self) -> None:
         """Start without faults."""
@@ -73,6 +80,10 @@
         self.lose_answer = 0.0
         #: Added to each answer.
         self.slow_s = 0.0
+        #: Tasks started from now on run for this many times their run time,
+        #: and use this many times what they declare.
+        self.run_factor = 1.0
+        self.use_factor = 1.0
 
 
 @final
@@ -231,7 +242,12 @@
             return 'already-running'
         if self._has_ended(start):
             return 'already-ended'
-        workload = parse_workload(start.payload)
+        workload = distort(
+            parse_workload(start.payload),
+            start.shape,
+            run_factor=self.faults.run_factor,
+            use_factor=self.faults.use_factor,
+        )
         execution = Execution(
             self.vm.vm_id,
             start.task,
--- a/packages/berylspread-standins/src/berylspread_standins/workload.py
+++ b/packages/berylspread-standins/src/berylspread_standins/workload.py
@@ -40,3 +40,29 @@
 def dump_workload(workload: Workload) -> str:
     """Return a payload that holds the workload."""
     return msgspec.json.encode(workload).decode()
+
+
+def distort(
+    workload: Workload,
+    declared: Resources,
+    *,
+    run_factor: float,
+    use_factor: float,
+) -> Workload:
+    """Return the workload with other run time and use than it states."""
+    if run_factor == 1 and use_factor == 1:
+        return workload
+    run_s = workload.run_s
+    if run_s is not None:
+        run_s *= run_factor
+    used = workload.used or declared
+    return msgspec.structs.replace(
+        workload,
+        run_s=run_s,
+        used=Resources(
+            int(used.cpu_milli * use_factor),
+            int(used.memory_mib * use_factor),
+            used.accelerators,
+            used.slots,
+        ),
+    )
