Stream messages between nodes over gRPC

Cause: nodes ask and tell one another many small messages. Change: one dialled bidirectional stream a peer, frames that gather one loop turn, replies matched by id, source and incarnation, withdrawn asks never sent, failures and trace context carried.

--- a/packages/berylspread/src/berylspread/peers/__init__.py
+++ b/packages/berylspread/src/berylspread/peers/__init__.py
@@ -1,5 +1,8 @@
 """Streams between nodes."""
 
+from berylspread.peers.counters import PeerCounters
+from berylspread.peers.dispatch import Dispatcher
+from berylspread.peers.grpc_peers import GrpcPeers
 from berylspread.peers.interface import (
     Codec,
     Handler,
@@ -7,11 +10,16 @@
     Peers,
     message,
 )
+from berylspread.peers.link import PeerSettings
 
 __all__ = (
     'Codec',
+    'Dispatcher',
+    'GrpcPeers',
     'Handler',
     'Message',
+    'PeerCounters',
+    'PeerSettings',
     'Peers',
     'message',
 )
--- /dev/null
+++ b/packages/berylspread/src/berylspread/peers/counters.py
@@ -0,0 +1,35 @@
+"""Counts of what travels between nodes."""
+
+import collections
+from typing import final
+
+
+@final
+class PeerCounters:
+    """Messages and bytes by message type, and what was dropped and why."""
+
+    __slots__ = (
+        'dropped',
+        'received_bytes',
+        'received_messages',
+        'sent_bytes',
+        'sent_messages',
+    )
+
+    def __init__(self) -> None:
+        """Start at zero."""
+        self.sent_messages: collections.Counter[str] = collections.Counter()
+        self.sent_bytes: collections.Counter[str] = collections.Counter()
+        self.received_messages: collections.Counter[str] = collections.Counter()
+        self.received_bytes: collections.Counter[str] = collections.Counter()
+        self.dropped: collections.Counter[str] = collections.Counter()
+
+    def sent(self, type_name: str, size: int) -> None:
+        """Count one envelope of ``size`` bytes that was handed to a stream."""
+        self.sent_messages[type_name] += 1
+        self.sent_bytes[type_name] += size
+
+    def received(self, type_name: str, size: int) -> None:
+        """Count one envelope of ``size`` bytes that arrived."""
+        self.received_messages[type_name] += 1
+        self.received_bytes[type_name] += size
--- /dev/null
+++ b/packages/berylspread/src/berylspread/peers/dispatch.py
@@ -0,0 +1,79 @@
+"""Serves the messages that arrive at this node."""
+
+from typing import Final, final
+
+import msgspec
+from absl import logging
+
+from berylspread.kernel.errors import (
+    Failure,
+    Internal,
+    InvalidInput,
+    WireFailure,
+    from_wire,
+    to_wire,
+)
+from berylspread.model import NodeRef
+from berylspread.peers.interface import Codec, Handler, Message, message
+from berylspread.peers.tracing import serve_span
+from berylspread.proto.peer_pb2 import Envelope
+
+
+@final
+@message
+class NoReply(Message, frozen=True):
+    """What a handler without a result answers to an ask."""
+
+
+WireBody = Message | WireFailure
+NO_REPLY: Final = NoReply()
+
+
+@final
+class Dispatcher:
+    """The handlers by message type, and the codec."""
+
+    __slots__ = ('codec', 'handlers')
+
+    def __init__(self) -> None:
+        """Start without handlers."""
+        self.codec = Codec()
+        self.handlers: dict[str, Handler] = {}
+
+    def register(self, cls: type[Message], handler: Handler) -> None:
+        """Serve one message type; a second handler replaces the first."""
+        self.handlers[cls.__name__] = handler
+
+    async def serve(self, source: NodeRef, envelope: Envelope) -> WireBody:
+        """Handle one message and return the reply's body."""
+        try:
+            body = self.codec.decode(envelope.type, envelope.body)
+        except msgspec.DecodeError as error:
+            return to_wire(InvalidInput(str(error), type=envelope.type))
+        with serve_span(envelope.type, source.node, envelope.traceparent):
+            reply = await self.handle(source, body)
+        return to_wire(reply) if isinstance(reply, Failure) else reply
+
+    async def handle(self, source: NodeRef, body: Message) -> Message | Failure:
+        """Call the handler; a fault in it becomes ``Internal``."""
+        name = type(body).__name__
+        handler = self.handlers.get(name)
+        if handler is None:
+            return InvalidInput(f'no handler for {name!r}', type=name)
+        try:
+            reply = await handler(source, body)
+        except Exception as error:  # noqa: BLE001
+            logging.exception('handler of %s failed', name)
+            return Internal(f'handler of {name} failed: {error!r}')
+        return NO_REPLY if reply is None else reply
+
+    def decode_reply(self, envelope: Envelope) -> Message | Failure:
+        """Return the reply in an envelope; a malformed one is ``Internal``."""
+        try:
+            body = self.codec.decode(envelope.type, envelope.body)
+        except msgspec.DecodeError as error:
+            return Internal(f'malformed reply: {error}', type=envelope.type)
+        if isinstance(body, WireFailure):
+            return from_wire(body)
+        reply: Message = body
+        return reply
--- /dev/null
+++ b/packages/berylspread/src/berylspread/peers/grpc_peers.py
@@ -0,0 +1,168 @@
+"""The streams between nodes over gRPC."""
+
+import asyncio
+from typing import Any, Final, TypeVar, final
+
+import grpc
+
+from berylspread.kernel.errors import Failure, Internal, PeerUnreachable
+from berylspread.model import NodeRef
+from berylspread.peers.counters import PeerCounters
+from berylspread.peers.dispatch import Dispatcher
+from berylspread.peers.interface import Handler, Message
+from berylspread.peers.link import Addresses, Link, PeerSettings
+from berylspread.peers.service import Incarnations, PeerService
+from berylspread.proto import peer_pb2_grpc
+
+ReplyT = TypeVar('ReplyT', bound=Message)
+
+MIN_PING_INTERVAL_MS: Final = 1000
+
+
+@final
+class GrpcPeers:
+    """One dialled stream to each peer that is addressed, one server.
+
+    ``addresses`` maps a node to ``IP:port``, or ``None`` if it is not known; it
+    is asked at each dial, so a change of the VM list applies at once.
+    """
+
+    __slots__ = (
+        'addresses',
+        'counters',
+        'dispatcher',
+        'incarnations',
+        'links',
+        'ref',
+        'server',
+        'settings',
+        'tasks',
+    )
+
+    def __init__(
+        self,
+        ref: NodeRef,
+        addresses: Addresses,
+        settings: PeerSettings | None = None,
+    ) -> None:
+        """Take the own identity; nothing is opened before ``start``."""
+        self.ref = ref
+        self.addresses = addresses
+        self.settings = settings or PeerSettings()
+        self.counters = PeerCounters()
+        self.dispatcher = Dispatcher()
+        self.incarnations = Incarnations()
+        self.links: dict[str, Link] = {}
+        self.tasks: set[asyncio.Task[None]] = set()
+        self.server: grpc.aio.Server | None = None
+
+    async def start(self, listen: str) -> int:
+        """Accept streams at ``IP:port``; return the port."""
+        server = grpc.aio.server(options=_server_options())
+        service = PeerService(
+            self.ref,
+            self.incarnations,
+            self.dispatcher,
+            self.counters,
+            self.settings.linger_s,
+        )
+        add_service: Any = peer_pb2_grpc.add_PeerServicer_to_server
+        add_service(service, server)
+        port = server.add_insecure_port(listen)
+        await server.start()
+        self.server = server
+        return port
+
+    async def stop(self, grace_s: float = 0.0) -> None:
+        """Close the streams; replies under way have ``grace_s`` seconds."""
+        if self.server is not None:
+            await self.server.stop(grace_s)
+        tasks = list(self.tasks)
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+        self.links.clear()
+
+    async def ask(
+        self,
+        node: str,
+        body: Message,
+        reply_type: type[ReplyT],
+        *,
+        timeout_s: float,
+    ) -> ReplyT | Failure:
+        """Send a message and wait for its reply, or ``PeerUnreachable``.
+
+        The failure's field ``sent`` is false if the peer certainly never got
+        the message.
+        """
+        if node == self.ref.node:
+            reply = await self._ask_self(body, timeout_s)
+        elif self.addresses(node) is None:
+            return PeerUnreachable(
+                f'{node}: no address is known', node=node, sent=False
+            )
+        else:
+            reply = await self._link(node).ask(body, timeout_s)
+        if isinstance(reply, (reply_type, Failure)):
+            return reply
+        return Internal(f'unexpected reply of type {type(reply).__name__}')
+
+    def tell(self, node: str, body: Message) -> None:
+        """Send a message without a reply; it may be lost."""
+        if node == self.ref.node:
+            self._spawn(self._tell_self(body))
+        elif self.addresses(node) is None:
+            self.counters.dropped['no-address'] += 1
+        else:
+            self._link(node).tell(body)
+
+    def handle(self, cls: type[Message], handler: Handler) -> None:
+        """Serve messages of one type; the handler's result is the reply."""
+        self.dispatcher.register(cls, handler)
+
+    async def _ask_self(
+        self, body: Message, timeout_s: float
+    ) -> Message | Failure:
+        try:
+            async with asyncio.timeout(timeout_s):
+                return await self.dispatcher.handle(self.ref, body)
+        except TimeoutError:
+            return PeerUnreachable(
+                f'no reply for {timeout_s} s', node=self.ref.node, sent=True
+            )
+
+    async def _tell_self(self, body: Message) -> None:
+        await self.dispatcher.handle(self.ref, body)
+
+    def _link(self, node: str) -> Link:
+        link = self.links.get(node)
+        if link is None:
+            link = Link(
+                self.ref,
+                node,
+                self.addresses,
+                self.incarnations.is_current,
+                self.dispatcher,
+                self.counters,
+                self.settings,
+            )
+            self.links[node] = link
+            self._spawn(link.run())
+        return link
+
+    def _spawn(self, work: Any) -> None:
+        task = asyncio.create_task(work)
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+
+
+def _server_options() -> list[tuple[str, int]]:
+    return [
+        (
+            'grpc.http2.min_recv_ping_interval_without_data_ms',
+            MIN_PING_INTERVAL_MS,
+        ),
+        ('grpc.http2.max_ping_strikes', 0),
+        ('grpc.so_reuseport', 0),
+    ]
--- /dev/null
+++ b/packages/berylspread/src/berylspread/peers/link.py
@@ -0,0 +1,267 @@
+"""The dialling side of a stream to one peer."""
+
+import asyncio
+import itertools
+import random
+from collections.abc import Callable
+from typing import Any, Final, final
+
+import grpc
+import msgspec
+from absl import logging
+
+from berylspread.kernel.clock import now
+from berylspread.kernel.errors import Failure, PeerUnreachable
+from berylspread.model import NodeRef
+from berylspread.peers.counters import PeerCounters
+from berylspread.peers.dispatch import Dispatcher
+from berylspread.peers.interface import Message
+from berylspread.peers.outbox import Outbox
+from berylspread.peers.tracing import ask_span, current_traceparent
+from berylspread.proto.peer_pb2 import Envelope
+from berylspread.proto.peer_pb2_grpc import PeerStub
+
+SOURCE_KEY: Final = 'berylspread-source'
+MAX_BACKOFF_DOUBLINGS: Final = 16
+INCARNATION_KEY: Final = 'berylspread-incarnation'
+TARGET_KEY: Final = 'berylspread-target'
+
+Addresses = Callable[[str], str | None]
+IsCurrent = Callable[[NodeRef], bool]
+
+
+@final
+class PeerSettings(msgspec.Struct, frozen=True):
+    """Timing of the streams, in seconds."""
+
+    linger_s: float = 0.0
+    backoff_s: float = 0.1
+    max_backoff_s: float = 2.0
+    keepalive_s: float = 10.0
+    keepalive_timeout_s: float = 4.0
+    silence_s: float = 3.0
+
+
+@final
+class _Ask:
+    """A message that waits for its reply."""
+
+    __slots__ = ('reply', 'sent')
+
+    def __init__(self) -> None:
+        self.reply: asyncio.Future[Message | Failure] = (
+            asyncio.get_running_loop().create_future()
+        )
+        self.sent = False
+
+
+@final
+class Link:
+    """One long-lived stream to a peer, dialled again when it breaks.
+
+    Asks wait in the outbox while the stream is down.  An ask that has timed
+    out before it was sent is withdrawn: the peer never sees it.
+    """
+
+    __slots__ = (
+        'address',
+        'addresses',
+        'asks',
+        'call',
+        'counters',
+        'dispatcher',
+        'heard_at',
+        'ids',
+        'is_current',
+        'node',
+        'outbox',
+        'rng',
+        'settings',
+        'source',
+    )
+
+    def __init__(
+        self,
+        source: NodeRef,
+        node: str,
+        addresses: Addresses,
+        is_current: IsCurrent,
+        dispatcher: Dispatcher,
+        counters: PeerCounters,
+        settings: PeerSettings,
+    ) -> None:
+        """Take the own identity, the peer and where its address is found."""
+        self.source = source
+        self.node = node
+        self.addresses = addresses
+        self.is_current = is_current
+        self.dispatcher = dispatcher
+        self.counters = counters
+        self.settings = settings
+        self.outbox = Outbox(counters, settings.linger_s)
+        self.asks: dict[int, _Ask] = {}
+        self.ids = itertools.count(1)
+        self.rng = random.Random()
+        self.address = ''
+        self.call: Any = None
+        self.heard_at = now()
+
+    async def ask(self, body: Message, timeout_s: float) -> Message | Failure:
+        """Send a message and wait for its reply, or ``PeerUnreachable``."""
+        self._follow_address()
+        ask_id = next(self.ids)
+        ask = _Ask()
+        asked_at = now()
+        with ask_span(type(body).__name__, self.node):
+            self.asks[ask_id] = ask
+            if not self.outbox.put(self.envelope(body, ask_id)):
+                del self.asks[ask_id]
+                return self._unreachable('the queue is full', ask)
+            try:
+                async with asyncio.timeout(timeout_s):
+                    return await ask.reply
+            except TimeoutError:
+                self._hang_up_if_silent(asked_at)
+                return self._unreachable(f'no reply for {timeout_s} s', ask)
+            finally:
+                self.asks.pop(ask_id, None)
+
+    def tell(self, body: Message) -> None:
+        """Queue a message without a reply; it is lost if the queue is full."""
+        self._follow_address()
+        self.outbox.put(self.envelope(body, 0))
+
+    def envelope(self, body: Message, ask_id: int) -> Envelope:
+        """Return the envelope of a message; ``ask_id`` is 0 for a tell."""
+        name, blob = self.dispatcher.codec.encode(body)
+        return Envelope(
+            id=ask_id,
+            traceparent=current_traceparent(),
+            source=self.source.node,
+            incarnation=self.source.incarnation,
+            type=name,
+            body=blob,
+        )
+
+    async def run(self) -> None:
+        """Keep the stream up until cancelled."""
+        failures = 0
+        while True:
+            await self.outbox.ready.wait()
+            dialled_at = now()
+            await self._dial()
+            self._fail_sent_asks()
+            if self.heard_at >= dialled_at:
+                failures = 0
+            failures += 1
+            await asyncio.sleep(self._backoff_s(failures))
+
+    async def _dial(self) -> None:
+        self.address = self.addresses(self.node) or ''
+        if not self.address:
+            return
+        try:
+            await self._converse()
+        except grpc.RpcError as error:
+            logging.log_every_n_seconds(
+                logging.INFO, 'stream to %s broke: %r', 10, self.node, error
+            )
+        except asyncio.CancelledError:
+            if self.call is None or not self.call.cancelled():
+                raise
+        finally:
+            self.call = None
+
+    async def _converse(self) -> None:
+        options = channel_options(self.settings)
+        async with grpc.aio.insecure_channel(
+            self.address, options=options
+        ) as channel:
+            self.call = open_stream(channel)(
+                self.outbox.frames(self._is_wanted),
+                metadata=(
+                    (SOURCE_KEY, self.source.node),
+                    (INCARNATION_KEY, str(self.source.incarnation)),
+                    (TARGET_KEY, self.node),
+                ),
+                wait_for_ready=False,
+            )
+            async for frame in self.call:
+                self.heard_at = now()
+                for envelope in frame.envelopes:
+                    self._receive(envelope)
+
+    def _is_wanted(self, envelope: Envelope) -> bool:
+        """Return whether to send; a withdrawn ask stays unsent."""
+        if not envelope.id:
+            return True
+        ask = self.asks.get(envelope.id)
+        if ask is None:
+            return False
+        ask.sent = True
+        return True
+
+    def _receive(self, envelope: Envelope) -> None:
+        self.counters.received(envelope.type, envelope.ByteSize())
+        source = NodeRef(envelope.source, envelope.incarnation)
+        if source.node != self.node or not self.is_current(source):
+            self.counters.dropped['wrong-source'] += 1
+            return
+        ask = self.asks.get(envelope.reply_to)
+        if ask is None or ask.reply.done():
+            self.counters.dropped['late-reply'] += 1
+            return
+        ask.reply.set_result(self.dispatcher.decode_reply(envelope))
+
+    def _fail_sent_asks(self) -> None:
+        for ask in self.asks.values():
+            if ask.sent and not ask.reply.done():
+                ask.reply.set_result(self._unreachable('the stream broke', ask))
+
+    def _follow_address(self) -> None:
+        """Dial again if the peer has moved."""
+        if self.call is None:
+            return
+        address = self.addresses(self.node)
+        if address and address != self.address:
+            self.call.cancel()
+
+    def _hang_up_if_silent(self, asked_at: float) -> None:
+        """Dial again if a half-open stream is likely."""
+        quiet_since = max(self.heard_at, asked_at - self.settings.silence_s)
+        if self.call is None or now() - quiet_since < self.settings.silence_s:
+            return
+        self.counters.dropped['silent-stream'] += 1
+        self.call.cancel()
+
+    def _unreachable(self, problem: str, ask: _Ask) -> PeerUnreachable:
+        return PeerUnreachable(
+            f'{self.node}: {problem}', node=self.node, sent=ask.sent
+        )
+
+    def _backoff_s(self, failures: int) -> float:
+        settings = self.settings
+        ceiling = min(
+            settings.backoff_s * 2 ** min(failures - 1, MAX_BACKOFF_DOUBLINGS),
+            settings.max_backoff_s,
+        )
+        return self.rng.uniform(ceiling / 2, ceiling)
+
+
+def open_stream(channel: grpc.aio.Channel) -> Callable[..., Any]:
+    """Return the generated stub's method, which has no types."""
+    stub: Any = PeerStub(channel)
+    exchange: Callable[..., Any] = stub.Exchange
+    return exchange
+
+
+def channel_options(settings: PeerSettings) -> list[tuple[str, int]]:
+    """Return gRPC options: keepalive on, the library's own retries off."""
+    return [
+        ('grpc.keepalive_time_ms', int(settings.keepalive_s * 1000)),
+        ('grpc.keepalive_timeout_ms', int(settings.keepalive_timeout_s * 1000)),
+        ('grpc.keepalive_permit_without_calls', 0),
+        ('grpc.http2.max_pings_without_data', 0),
+        ('grpc.enable_retries', 0),
+        ('grpc.use_local_subchannel_pool', 1),
+    ]
--- /dev/null
+++ b/packages/berylspread/src/berylspread/peers/outbox.py
@@ -0,0 +1,92 @@
+"""A bounded queue of envelopes that is drained in frames."""
+
+import asyncio
+import collections
+from collections.abc import AsyncIterator, Callable
+from typing import Final, final
+
+from berylspread.peers.counters import PeerCounters
+from berylspread.proto.peer_pb2 import Envelope, Frame
+
+MAX_QUEUED_ENVELOPES: Final = 4096
+MAX_FRAME_ENVELOPES: Final = 256
+MAX_FRAME_BYTES: Final = 1 << 19
+
+
+@final
+class Outbox:
+    """Envelopes that wait for one stream.
+
+    Envelopes that are put within one turn of the loop, or within ``linger_s``
+    seconds, leave in one frame.
+    """
+
+    __slots__ = (
+        'closed',
+        'counters',
+        'envelopes',
+        'linger_s',
+        'reader',
+        'ready',
+    )
+
+    def __init__(self, counters: PeerCounters, linger_s: float) -> None:
+        """Start empty and open."""
+        self.counters = counters
+        self.linger_s = linger_s
+        self.envelopes: collections.deque[Envelope] = collections.deque()
+        self.ready = asyncio.Event()
+        self.closed = False
+        self.reader = 0
+
+    def put(self, envelope: Envelope) -> bool:
+        """Queue an envelope; return whether there was room."""
+        if len(self.envelopes) >= MAX_QUEUED_ENVELOPES:
+            self.counters.dropped['queue-full'] += 1
+            return False
+        self.envelopes.append(envelope)
+        self.ready.set()
+        return True
+
+    def close(self) -> None:
+        """End ``frames`` once what is queued has left."""
+        self.closed = True
+        self.ready.set()
+
+    async def frames(
+        self, is_wanted: Callable[[Envelope], bool]
+    ) -> AsyncIterator[Frame]:
+        """Yield frames until closed; skip envelopes no longer wanted.
+
+        A later call ends the earlier ones: their stream has broken.
+        """
+        self.reader += 1
+        reader = self.reader
+        while True:
+            await self.ready.wait()
+            await asyncio.sleep(self.linger_s)
+            if reader != self.reader:
+                return
+            frame = self._next_frame(is_wanted)
+            if frame.envelopes:
+                yield frame
+            if self.closed and not self.envelopes:
+                return
+
+    def _next_frame(self, is_wanted: Callable[[Envelope], bool]) -> Frame:
+        frame = Frame()
+        size = 0
+        while self.envelopes and len(frame.envelopes) < MAX_FRAME_ENVELOPES:
+            envelope = self.envelopes.popleft()
+            if not is_wanted(envelope):
+                self.counters.dropped['withdrawn'] += 1
+                continue
+            frame.envelopes.append(envelope)
+            envelope_size = envelope.ByteSize()
+            self.counters.sent(envelope.type, envelope_size)
+            size += envelope_size
+            if size >= MAX_FRAME_BYTES:
+                break
+        if not self.envelopes and not self.closed:
+            self.ready.clear()
+        return frame
--- /dev/null
+++ b/packages/berylspread/src/berylspread/peers/service.py
@@ -0,0 +1,182 @@
+"""The accepting side of the streams from other nodes."""
+
+import asyncio
+from collections.abc import AsyncIterator
+from typing import Any, Final, final
+
+import grpc
+
+from berylspread.kernel.errors import Overloaded, to_wire
+from berylspread.model import NodeRef
+from berylspread.peers.counters import PeerCounters
+from berylspread.peers.dispatch import Dispatcher, WireBody
+from berylspread.peers.link import INCARNATION_KEY, SOURCE_KEY, TARGET_KEY
+from berylspread.peers.outbox import Outbox
+from berylspread.proto.peer_pb2 import Envelope, Frame
+from berylspread.proto.peer_pb2_grpc import PeerServicer
+
+MAX_SERVED_AT_ONCE: Final = 1024
+
+
+@final
+class Incarnations:
+    """The newest incarnation that was heard of each node."""
+
+    __slots__ = ('newest',)
+
+    def __init__(self) -> None:
+        """Start with no node heard."""
+        self.newest: dict[str, int] = {}
+
+    def is_current(self, source: NodeRef) -> bool:
+        """Note an incarnation; return whether none newer was heard."""
+        newest = max(self.newest.get(source.node, 0), source.incarnation)
+        self.newest[source.node] = newest
+        return source.incarnation == newest
+
+
+@final
+class Connection:
+    """One accepted stream: messages arrive, replies leave in frames."""
+
+    __slots__ = (
+        'counters',
+        'dispatcher',
+        'incarnations',
+        'outbox',
+        'own',
+        'serving',
+        'source',
+    )
+
+    def __init__(
+        self,
+        own: NodeRef,
+        source: NodeRef,
+        incarnations: Incarnations,
+        dispatcher: Dispatcher,
+        counters: PeerCounters,
+        linger_s: float,
+    ) -> None:
+        """Take both ends' identities and what serves the messages."""
+        self.own = own
+        self.source = source
+        self.incarnations = incarnations
+        self.dispatcher = dispatcher
+        self.counters = counters
+        self.outbox = Outbox(counters, linger_s)
+        self.serving: set[asyncio.Task[None]] = set()
+
+    async def read(self, frames: AsyncIterator[Frame]) -> None:
+        """Serve each message of the stream in a task of its own."""
+        try:
+            async for frame in frames:
+                for envelope in frame.envelopes:
+                    self._receive(envelope)
+        finally:
+            self.outbox.close()
+
+    def close(self) -> None:
+        """Stop serving; replies have nowhere to go."""
+        for task in self.serving:
+            task.cancel()
+
+    def _receive(self, envelope: Envelope) -> None:
+        self.counters.received(envelope.type, envelope.ByteSize())
+        source = NodeRef(envelope.source, envelope.incarnation)
+        if source != self.source or not self.incarnations.is_current(source):
+            self.counters.dropped['stale-incarnation'] += 1
+            return
+        if len(self.serving) >= MAX_SERVED_AT_ONCE:
+            self._reply(envelope, to_wire(Overloaded('too many messages')))
+            return
+        task = asyncio.create_task(self._serve(envelope))
+        self.serving.add(task)
+        task.add_done_callback(self.serving.discard)
+
+    async def _serve(self, envelope: Envelope) -> None:
+        self._reply(
+            envelope, await self.dispatcher.serve(self.source, envelope)
+        )
+
+    def _reply(self, envelope: Envelope, body: WireBody) -> None:
+        if not envelope.id:
+            return
+        name, blob = self.dispatcher.codec.encode(body)
+        self.outbox.put(
+            Envelope(
+                reply_to=envelope.id,
+                source=self.own.node,
+                incarnation=self.own.incarnation,
+                type=name,
+                body=blob,
+            )
+        )
+
+
+@final
+class PeerService(PeerServicer):
+    """The gRPC service that accepts streams."""
+
+    def __init__(
+        self,
+        own: NodeRef,
+        incarnations: Incarnations,
+        dispatcher: Dispatcher,
+        counters: PeerCounters,
+        linger_s: float,
+    ) -> None:
+        """Take the own identity and what serves the messages."""
+        self.own = own
+        self.incarnations = incarnations
+        self.dispatcher = dispatcher
+        self.counters = counters
+        self.linger_s = linger_s
+
+    async def Exchange(  # noqa: N802
+        self,
+        request_iterator: AsyncIterator[Frame],
+        context: 'grpc.aio.ServicerContext[Any, Any]',
+    ) -> AsyncIterator[Frame]:
+        """Serve one stream until either end closes it."""
+        source = await self._caller(context)
+        connection = Connection(
+            self.own,
+            source,
+            self.incarnations,
+            self.dispatcher,
+            self.counters,
+            self.linger_s,
+        )
+        reader = asyncio.create_task(connection.read(request_iterator))
+        try:
+            async for frame in connection.outbox.frames(_always):
+                yield frame
+        finally:
+            reader.cancel()
+            connection.close()
+
+    async def _caller(
+        self, context: 'grpc.aio.ServicerContext[Any, Any]'
+    ) -> NodeRef:
+        """Return who dials; abort a stream that is meant for another node."""
+        metadata = dict(context.invocation_metadata() or ())
+        if metadata.get(TARGET_KEY) != self.own.node:
+            self.counters.dropped['wrong-target'] += 1
+            await context.abort(
+                grpc.StatusCode.NOT_FOUND, f'this node is {self.own.node}'
+            )
+        source = NodeRef(
+            str(metadata[SOURCE_KEY]), int(metadata[INCARNATION_KEY])
+        )
+        if not self.incarnations.is_current(source):
+            self.counters.dropped['stale-incarnation'] += 1
+            await context.abort(
+                grpc.StatusCode.FAILED_PRECONDITION,
+                f'a newer incarnation of {source.node} was heard',
+            )
+        return source
+
+
+def _always(_envelope: Envelope) -> bool:
+    return True
