Keep the view of nodes by heartbeats and the VM list

Cause: ownership and dispatch need to know which nodes live. Change: a task a peer asks for heartbeats; adaptive timeouts with hysteresis; own stalls excused; riders on heartbeats for promises and loads; departures by newer incarnation or by the VM list.

--- /dev/null
+++ b/packages/berylspread/src/berylspread/membership/heartbeats.py
@@ -0,0 +1,310 @@
+"""Membership by heartbeats and the platform's VM list."""
+
+import asyncio
+import random
+from collections.abc import Callable
+from typing import Final, final
+
+from absl import logging
+
+from berylspread.kernel.clock import now
+from berylspread.kernel.errors import Failure
+from berylspread.kernel.invariants import InvariantViolation
+from berylspread.membership.interface import Liveness, Member, VmDirectory
+from berylspread.membership.messages import (
+    Heartbeat,
+    HeartbeatReply,
+    NodeStatus,
+    Rider,
+)
+from berylspread.membership.peer import Peer
+from berylspread.membership.settings import MembershipSettings
+from berylspread.membership.vm_list import VmList
+from berylspread.model import NodeRef, Vm
+from berylspread.peers import Peers
+
+JITTER: Final = 0.1
+STALL_CHECK_S: Final = 0.25
+LOG_INTERVAL_S: Final = 30
+
+StatusSource = Callable[[], NodeStatus]
+
+
+@final
+class HeartbeatMembership:
+    """The members: this node, listed entry VMs, and nodes that were heard.
+
+    One task a peer asks for heartbeats; only replies to own asks count as
+    signs of life, so that a link cut in one direction is cut for both ends.
+    """
+
+    __slots__ = (
+        'directory',
+        'interest',
+        'peers',
+        'ref',
+        'riders',
+        'rng',
+        'settings',
+        'started_at',
+        'status',
+        'table',
+        'tasks',
+        'vm_list',
+    )
+
+    def __init__(
+        self,
+        ref: NodeRef,
+        peers: Peers,
+        directory: VmDirectory,
+        status: StatusSource,
+        settings: MembershipSettings | None = None,
+        rng: random.Random | None = None,
+    ) -> None:
+        """Take the own identity and status; ``run`` starts the heartbeats."""
+        self.ref = ref
+        self.peers = peers
+        self.directory = directory
+        self.status = status
+        self.settings = settings or MembershipSettings()
+        self.rng = rng or random.Random()
+        self.vm_list = VmList()
+        self.table: dict[str, Peer] = {}
+        self.tasks: dict[str, asyncio.Task[None]] = {}
+        self.riders: dict[str, Rider] = {}
+        self.interest: dict[str, asyncio.Event] = {}
+        self.started_at = now()
+        peers.handle(Heartbeat, self._serve_heartbeat)
+
+    def add_rider(self, name: str, rider: Rider) -> None:
+        """Let a module's data ride on the heartbeats."""
+        self.riders[name] = rider
+
+    def poke(self, node: str) -> None:
+        """Send the next heartbeat to a peer at once."""
+        event = self.interest.get(node)
+        if event is not None:
+            event.set()
+
+    def address(self, node: str) -> str | None:
+        """Return a node's ``IP:port``, or ``None`` if it is not known."""
+        peer = self.table.get(node)
+        return (peer.address or None) if peer else None
+
+    def members(self, region: str = '') -> list[Member]:
+        """Return the known entry nodes, of one region or of all."""
+        found = [self._own_member()]
+        found += [self._member(peer) for peer in self.table.values()]
+        return [one for one in found if region in {'', one.region}]
+
+    def member(self, node: str) -> Member | None:
+        """Return one entry node."""
+        if node == self.ref.node:
+            return self._own_member()
+        peer = self.table.get(node)
+        return self._member(peer) if peer else None
+
+    def workers(self, unit: str = '') -> list[Vm]:
+        """Return the listed workers, of one partition unit or of all."""
+        return self.vm_list.workers_of(unit)
+
+    def units(self, region: str) -> list[str]:
+        """Return a region's partition units, in order of their names."""
+        return self.vm_list.units_of(region)
+
+    def departed_at(self, ref: NodeRef) -> float | None:
+        """Return the loop time since when a process has surely ended.
+
+        A process has ended once a newer incarnation of its node was heard, or
+        once the platform has not listed its VM for ``gone_after_s`` and it was
+        not heard in that time.
+        """
+        if ref == self.ref:
+            return None
+        if ref.node == self.ref.node:
+            return self.started_at
+        peer = self.table.get(ref.node)
+        if peer is not None and peer.is_replaced(ref):
+            return peer.replaced_at.get(ref.incarnation, peer.heard_at)
+        return self._gone_at(ref.node)
+
+    async def run(self) -> None:
+        """Keep the view up to date until cancelled."""
+        try:
+            async with asyncio.TaskGroup() as group:
+                group.create_task(self._poll_list())
+                group.create_task(self._watch_own_stalls())
+        finally:
+            for task in self.tasks.values():
+                task.cancel()
+
+    async def refresh_list(self) -> None:
+        """Fetch the VM list once and start or stop watching peers."""
+        listed = await self.directory.fetch()
+        if isinstance(listed, Failure):
+            logging.log_every_n_seconds(
+                logging.WARNING,
+                'VM list not available: %r',
+                LOG_INTERVAL_S,
+                listed,
+            )
+            return
+        self.vm_list.replace(listed, now())
+        for vm in self.vm_list.entries.values():
+            if vm.vm_id != self.ref.node:
+                self._peer(vm.vm_id, vm.region).listed(vm)
+        self._forget_gone()
+
+    async def _poll_list(self) -> None:
+        while True:
+            await self.refresh_list()
+            await asyncio.sleep(self._jittered(self.settings.list_interval_s))
+
+    async def _watch_own_stalls(self) -> None:
+        """Excuse the peers' silence while this node itself was paused."""
+        while True:
+            slept_at = now()
+            await asyncio.sleep(STALL_CHECK_S)
+            stall_s = now() - slept_at - STALL_CHECK_S
+            if stall_s >= self.settings.stall_s:
+                self.excuse(stall_s)
+
+    def excuse(self, stall_s: float) -> None:
+        """Take back ``stall_s`` seconds of silence of every peer."""
+        logging.warning('this node did not run for %.1f s', stall_s)
+        for peer in self.table.values():
+            peer.suspicion.excuse(stall_s)
+
+    async def _watch(self, peer: Peer) -> None:
+        event = self.interest[peer.node]
+        while True:
+            interval_s = peer.suspicion.interval_s
+            started_at = now()
+            await self._exchange(peer, interval_s)
+            pause_s = self._jittered(interval_s)
+            await self._pause(event, started_at + pause_s - now())
+
+    def _jittered(self, interval_s: float) -> float:
+        return interval_s * self.rng.uniform(1 - JITTER, 1 + JITTER)
+
+    async def _pause(self, event: asyncio.Event, pause_s: float) -> None:
+        try:
+            async with asyncio.timeout(max(pause_s, 0)):
+                await event.wait()
+        except TimeoutError:
+            return
+        finally:
+            event.clear()
+
+    async def _exchange(self, peer: Peer, interval_s: float) -> None:
+        sent_at = now()
+        body = Heartbeat(self.status(), self._asks(peer.node))
+        reply = await self.peers.ask(
+            peer.node,
+            body,
+            HeartbeatReply,
+            timeout_s=self.settings.suspect_after * interval_s,
+        )
+        if isinstance(reply, Failure):
+            return
+        source = NodeRef(peer.node, reply.incarnation)
+        peer.heard(source, reply.status, now())
+        peer.suspicion.heard(now())
+        for name, blob in reply.parts.items():
+            self._receive_part(name, source, sent_at, blob)
+
+    def _receive_part(
+        self, name: str, source: NodeRef, sent_at: float, blob: bytes
+    ) -> None:
+        rider = self.riders.get(name)
+        if rider is None:
+            return
+        try:
+            rider.receive(source, sent_at, blob)
+        except InvariantViolation:
+            logging.exception('rider %s failed; heartbeats go on', name)
+
+    async def _serve_heartbeat(
+        self, source: NodeRef, body: Heartbeat
+    ) -> HeartbeatReply:
+        peer = self._peer(source.node, body.status.region)
+        peer.heard(source, body.status, now())
+        parts = {
+            name: self.riders[name].answer(source, blob)
+            for name, blob in body.parts.items()
+            if name in self.riders
+        }
+        return HeartbeatReply(
+            self.ref.incarnation, self.status(), _non_empty(parts)
+        )
+
+    def _asks(self, node: str) -> dict[str, bytes]:
+        return _non_empty(
+            {name: rider.ask(node) for name, rider in self.riders.items()}
+        )
+
+    def _peer(self, node: str, region: str) -> Peer:
+        """Return a peer; start to watch it if it is new."""
+        peer = self.table.get(node)
+        if peer is not None:
+            return peer
+        is_local = region == self.status().region
+        interval_s = (
+            self.settings.heartbeat_s
+            if is_local
+            else self.settings.remote_heartbeat_s
+        )
+        peer = Peer(node, self.settings, interval_s, now())
+        self.table[node] = peer
+        self.interest[node] = asyncio.Event()
+        self.tasks[node] = asyncio.create_task(self._watch(peer))
+        return peer
+
+    def _forget_gone(self) -> None:
+        deadline = now() - self.settings.forget_after_s
+        for node, peer in list(self.table.items()):
+            gone_at = self._gone_at(node)
+            if gone_at is None or max(gone_at, peer.heard_at) > deadline:
+                continue
+            del self.table[node]
+            del self.interest[node]
+            self.tasks.pop(node).cancel()
+
+    def _gone_at(self, node: str) -> float | None:
+        """Return since when the platform no longer lists a silent VM."""
+        self.vm_list.note(node)
+        missing_at = self.vm_list.missing_at(node)
+        if missing_at is None:
+            return None
+        peer = self.table.get(node)
+        if peer is not None and peer.status is not None:
+            missing_at = max(missing_at, peer.heard_at)
+        is_gone = now() - missing_at >= self.settings.gone_after_s
+        return missing_at if is_gone else None
+
+    def _member(self, peer: Peer) -> Member:
+        return peer.member(
+            now(),
+            leaving=self.vm_list.is_leaving(peer.node),
+            gone=self._gone_at(peer.node) is not None,
+        )
+
+    def _own_member(self) -> Member:
+        status = self.status()
+        leaving = status.leaving or self.vm_list.is_leaving(self.ref.node)
+        return Member(
+            node=self.ref.node,
+            address=status.address,
+            region=status.region,
+            zone=status.zone,
+            liveness=Liveness.leaving if leaving else Liveness.alive,
+            ref=self.ref,
+            log_offset=status.log_offset,
+            config_version=status.config_version,
+            ready=status.ready,
+        )
+
+
+def _non_empty(parts: dict[str, bytes]) -> dict[str, bytes]:
+    return {name: blob for name, blob in parts.items() if blob}
--- /dev/null
+++ b/packages/berylspread/src/berylspread/membership/peer.py
@@ -0,0 +1,97 @@
+"""What this node knows of one other node."""
+
+from typing import final
+
+from berylspread.membership.interface import Liveness, Member
+from berylspread.membership.messages import NodeStatus
+from berylspread.membership.settings import MembershipSettings
+from berylspread.membership.suspicion import Suspicion
+from berylspread.model import NodeRef, Vm
+
+
+@final
+class Peer:
+    """A node's last status, its incarnation and the suspicion against it."""
+
+    __slots__ = (
+        'address',
+        'heard_at',
+        'node',
+        'ref',
+        'region',
+        'replaced_at',
+        'settings',
+        'status',
+        'suspicion',
+        'zone',
+    )
+
+    def __init__(
+        self,
+        node: str,
+        settings: MembershipSettings,
+        interval_s: float,
+        now: float,
+    ) -> None:
+        """Start with nothing but the node's name."""
+        self.node = node
+        self.settings = settings
+        self.address = ''
+        self.region = ''
+        self.zone = ''
+        self.ref: NodeRef | None = None
+        self.status: NodeStatus | None = None
+        self.suspicion = Suspicion(settings, interval_s, now)
+        self.heard_at = now
+        self.replaced_at: dict[int, float] = {}
+
+    def listed(self, vm: Vm) -> None:
+        """Take address and place from the VM list, until heard directly."""
+        if self.status is None:
+            self.address = vm.address
+            self.region = vm.region
+            self.zone = vm.zone
+
+    def heard(self, source: NodeRef, status: NodeStatus, now: float) -> None:
+        """Take the status of any message; an older incarnation is ignored."""
+        if self.ref is not None and source.incarnation < self.ref.incarnation:
+            return
+        if self.ref is not None and source != self.ref:
+            self.replaced_at[self.ref.incarnation] = now
+            self.suspicion = Suspicion(
+                self.settings, self.suspicion.interval_s, now
+            )
+        self.ref = source
+        self.status = status
+        self.address = status.address
+        self.region = status.region
+        self.zone = status.zone
+        self.heard_at = now
+
+    def is_replaced(self, ref: NodeRef) -> bool:
+        """Return whether a newer incarnation than ``ref`` was heard."""
+        return self.ref is not None and ref.incarnation < self.ref.incarnation
+
+    def member(self, now: float, *, leaving: bool, gone: bool) -> Member:
+        """Return the view of this node that other parts see."""
+        status = self.status
+        return Member(
+            node=self.node,
+            address=self.address,
+            region=self.region,
+            zone=self.zone,
+            liveness=self._liveness(now, leaving=leaving, gone=gone),
+            ref=self.ref,
+            log_offset=status.log_offset if status else 0,
+            config_version=status.config_version if status else 0,
+            ready=bool(status and status.ready),
+        )
+
+    def _liveness(self, now: float, *, leaving: bool, gone: bool) -> Liveness:
+        state = self.suspicion.update(now)
+        if gone:
+            return Liveness.dead
+        is_leaving = leaving or bool(self.status and self.status.leaving)
+        if is_leaving and state is Liveness.alive:
+            return Liveness.leaving
+        return state
--- /dev/null
+++ b/packages/berylspread/src/berylspread/membership/suspicion.py
@@ -0,0 +1,91 @@
+"""When a silent peer becomes suspect and dead."""
+
+import collections
+from typing import Final, final
+
+from berylspread.membership.interface import Liveness
+from berylspread.membership.settings import MembershipSettings
+
+GAPS_KEPT: Final = 16
+GAP_MARGIN: Final = 1.5
+
+
+@final
+class Suspicion:
+    """An adaptive timeout on the gaps between a peer's replies.
+
+    The timeout follows the largest recent gap, so that a slow link or a pause
+    that was survived once does not raise suspicion again.  Hysteresis: a peer
+    that was suspect must reply several times in a row before it is alive.
+    """
+
+    __slots__ = (
+        'gaps',
+        'heard_at',
+        'interval_s',
+        'replies',
+        'settings',
+        'state',
+    )
+
+    def __init__(
+        self, settings: MembershipSettings, interval_s: float, now: float
+    ) -> None:
+        """Start as suspect: a peer is alive once it has replied."""
+        self.settings = settings
+        self.interval_s = interval_s
+        self.heard_at = now
+        self.gaps: collections.deque[float] = collections.deque(
+            maxlen=GAPS_KEPT
+        )
+        self.replies = 0
+        self.state = Liveness.suspect
+
+    def heard(self, now: float) -> None:
+        """Take a reply."""
+        self.update(now)
+        self.gaps.append(now - self.heard_at)
+        self.heard_at = now
+        self.replies += 1
+        if self.replies >= self._replies_needed():
+            self.state = Liveness.alive
+
+    def update(self, now: float) -> Liveness:
+        """Let time pass; return the state."""
+        silence_s = now - self.heard_at
+        if silence_s >= self.dead_after_s():
+            self._degrade(Liveness.dead)
+        elif (
+            self.state is Liveness.alive and silence_s >= self.suspect_after_s()
+        ):
+            self._degrade(Liveness.suspect)
+        return self.state
+
+    def excuse(self, stall_s: float) -> None:
+        """Take silence back in which this node itself did not run."""
+        self.heard_at += stall_s
+
+    def suspect_after_s(self) -> float:
+        """Return the silence in seconds after which the peer is suspect."""
+        return max(
+            self.settings.suspect_after * self.interval_s, self._margin_s()
+        )
+
+    def dead_after_s(self) -> float:
+        """Return the silence in seconds after which the peer is dead."""
+        ceiling_s = self.settings.max_dead_after * self.interval_s
+        return max(
+            self.settings.dead_after * self.interval_s,
+            min(GAP_MARGIN * self._margin_s(), ceiling_s),
+        )
+
+    def _margin_s(self) -> float:
+        return GAP_MARGIN * max(self.gaps, default=0.0)
+
+    def _degrade(self, state: Liveness) -> None:
+        self.state = state
+        self.replies = 0
+
+    def _replies_needed(self) -> int:
+        never_alive = not self.gaps or self.state is Liveness.alive
+        return 1 if never_alive else self.settings.replies_to_recover
--- /dev/null
+++ b/packages/berylspread/src/berylspread/membership/vm_list.py
@@ -0,0 +1,70 @@
+"""The platform's VM list as this node has read it."""
+
+from collections.abc import Sequence
+from typing import Final, final
+
+from berylspread.model import Vm, VmRole, VmState, partition_unit
+
+NEVER: Final = float('-inf')
+
+
+@final
+class VmList:
+    """The listed VMs, and since when others are missing from the list."""
+
+    __slots__ = ('entries', 'fetched_at', 'missing_since', 'workers')
+
+    def __init__(self) -> None:
+        """Start with nothing read."""
+        self.entries: dict[str, Vm] = {}
+        self.workers: dict[str, Vm] = {}
+        self.missing_since: dict[str, float] = {}
+        self.fetched_at = NEVER
+
+    def replace(self, vms: Sequence[Vm], now: float) -> None:
+        """Take a newly fetched list."""
+        listed = {vm.vm_id: vm for vm in vms}
+        for vm_id in (*self.entries, *self.workers):
+            if vm_id not in listed:
+                self.missing_since.setdefault(vm_id, now)
+        for vm_id in listed:
+            self.missing_since.pop(vm_id, None)
+        self.entries = _of_role(listed, VmRole.entry)
+        self.workers = _of_role(listed, VmRole.worker)
+        self.fetched_at = now
+
+    def note(self, vm_id: str) -> None:
+        """Remember a VM that was named elsewhere and is not listed."""
+        if self.fetched_at != NEVER and vm_id not in self.entries:
+            self.missing_since.setdefault(vm_id, self.fetched_at)
+
+    def missing_at(self, vm_id: str) -> float | None:
+        """Return the loop time since when a VM is not listed."""
+        return self.missing_since.get(vm_id)
+
+    def is_leaving(self, vm_id: str) -> bool:
+        """Return whether the platform lists an entry VM as leaving."""
+        vm = self.entries.get(vm_id)
+        return vm is not None and vm.state is VmState.leaving
+
+    def workers_of(self, unit: str) -> list[Vm]:
+        """Return the listed workers of a partition unit, or all for ''."""
+        return [
+            vm
+            for vm in self.workers.values()
+            if not unit or partition_unit(vm.region, vm.rack) == unit
+        ]
+
+    def units_of(self, region: str) -> list[str]:
+        """Return a region's partition units in order of their names."""
+        return sorted(
+            {
+                partition_unit(vm.region, vm.rack)
+                for vm in self.workers.values()
+                if vm.region == region
+            }
+        )
+
+
+def _of_role(listed: dict[str, Vm], role: VmRole) -> dict[str, Vm]:
+    return {vm_id: vm for vm_id, vm in listed.items() if vm.role is role}
