--- a/packages/berylspread/src/berylspread/config/__init__.py
+++ b/packages/berylspread/src/berylspread/config/__init__.py
@@ -1,1 +1,58 @@
-"""Documents: sections, checks and differences."""
+"""Documents: sections, checks and differences.
+
+What works on the log as well is in ``config.operations`` and ``config.keys``,
+which are imported by their names, since the log's fold reads documents.
+"""
+
+from berylspread.config.checks import (
+    DocumentWarning,
+    check_usage,
+    document_check,
+    parse_document,
+    warnings,
+)
+from berylspread.config.difference import Change, diff
+from berylspread.config.document import Document, InvalidDocument
+from berylspread.config.limits import FleetLimits, read_limits
+from berylspread.config.policies import policy_checks
+from berylspread.config.sections import (
+    DocumentSection,
+    LimitsSection,
+    OrganisationSection,
+    PolicySection,
+    QueueSection,
+    RegionSection,
+    TeamSection,
+    TimingSection,
+    WorkerClassSection,
+    ZoneSection,
+    section,
+    section_kinds,
+)
+
+__all__ = (
+    'Change',
+    'Document',
+    'DocumentSection',
+    'DocumentWarning',
+    'FleetLimits',
+    'InvalidDocument',
+    'LimitsSection',
+    'OrganisationSection',
+    'PolicySection',
+    'QueueSection',
+    'RegionSection',
+    'TeamSection',
+    'TimingSection',
+    'WorkerClassSection',
+    'ZoneSection',
+    'check_usage',
+    'diff',
+    'document_check',
+    'parse_document',
+    'policy_checks',
+    'read_limits',
+    'section',
+    'section_kinds',
+    'warnings',
+)
--- /dev/null
+++ b/packages/berylspread/src/berylspread/config/checks.py
@@ -0,0 +1,223 @@
+"""Checks of a whole document: relations between its sections."""
+
+from collections.abc import Callable, Iterable, Iterator, Mapping
+from typing import Any, Final, final
+
+import msgspec
+
+from berylspread.config.document import (
+    PERCENT,
+    Document,
+    InvalidDocument,
+    read_document,
+)
+from berylspread.config.sections import (
+    DocumentSection,
+    OrganisationSection,
+    QueueSection,
+    RegionSection,
+    TeamSection,
+    WorkerClassSection,
+    ZoneSection,
+)
+from berylspread.kernel.errors import InvalidInput
+from berylspread.kernel.registry import nearest
+from berylspread.model import DIMENSIONS, ZERO, Resources
+
+#: Shares are written with few digits, so that their sum may be off a little.
+SHARE_TOLERANCE: Final = 1e-6
+
+Check = Callable[[Document], Iterator[InvalidInput]]
+_checks: Final[list[Check]] = []
+
+
+def document_check(check: Check) -> Check:
+    """Register a check of whole documents; a decorator."""
+    _checks.append(check)
+    return check
+
+
+@final
+class DocumentWarning(msgspec.Struct, frozen=True):
+    """Something in a document that is allowed and looks wrong."""
+
+    section: str
+    reason: str
+
+
+def parse_document(source: str, text: str) -> Document | InvalidDocument:
+    """Return a checked document, or every error that was found in it."""
+    errors: list[InvalidInput] = []
+    document = read_document(source, text, errors)
+    for check in _checks:
+        errors.extend(check(document))
+    return InvalidDocument.of(source, errors) if errors else document
+
+
+@document_check
+def check_references(document: Document) -> Iterator[InvalidInput]:
+    """Every section that an option names exists."""
+    for holder, option, target in _REFERENCES:
+        known = document.labelled(target)
+        for label, section in document.labelled(holder).items():
+            name = getattr(section, option)
+            if name and name not in known:
+                yield _error(
+                    document,
+                    f'{holder.kind} {label}',
+                    option,
+                    f'no {target.kind} is called {name!r}',
+                    nearest=nearest(name, known),
+                )
+
+
+@document_check
+def check_regions(document: Document) -> Iterator[InvalidInput]:
+    """Limits have regions to be split over."""
+    if not document.regions():
+        yield _error(document, 'region', 'weight', 'no region is defined')
+
+
+@document_check
+def check_cycles(document: Document) -> Iterator[InvalidInput]:
+    """No organisation is its own ancestor."""
+    organisations = document.labelled(OrganisationSection)
+    for label in organisations:
+        if _reaches_itself(label, organisations):
+            yield _error(
+                document,
+                f'organisation {label}',
+                'parent',
+                'the organisation is its own ancestor',
+            )
+
+
+@document_check
+def check_shares(document: Document) -> Iterator[InvalidInput]:
+    """The shares of siblings add up to at most 100 percent."""
+    sums: dict[tuple[str, str], float] = {}
+    for organisation in document.labelled(OrganisationSection).values():
+        key = (organisation.parent, 'organisation')
+        sums[key] = sums.get(key, 0.0) + (organisation.share or 0.0)
+    for team in document.labelled(TeamSection).values():
+        key = (team.organisation, 'organisation')
+        sums[key] = sums.get(key, 0.0) + (team.share or 0.0)
+    for (parent, kind), total in sums.items():
+        if total > PERCENT + SHARE_TOLERANCE:
+            yield _error(
+                document,
+                f'{kind} {parent}'.strip(),
+                'share',
+                f'the shares below it add up to {total:g}%',
+                allowed='at most 100',
+            )
+
+
+@document_check
+def check_queues(document: Document) -> Iterator[InvalidInput]:
+    """A queue has a team or is open; its deadlines are in order."""
+    for label, queue in document.labelled(QueueSection).items():
+        header = f'queue {label}'
+        if bool(queue.team) == queue.open:
+            yield _error(
+                document, header, 'team', 'give either team or open = yes'
+            )
+        if queue.default_deadline_s > queue.max_deadline_s:
+            yield _error(
+                document,
+                header,
+                'default_deadline_s',
+                'is longer than max_deadline_s',
+                allowed=f'at most {queue.max_deadline_s:g}',
+            )
+
+
+def check_usage(
+    document: Document, used: Mapping[str, Resources]
+) -> list[InvalidInput]:
+    """Return an error for each limit below what the team runs now."""
+    errors = []
+    for label, amount in sorted(used.items()):
+        team = document.team(label)
+        limit = team.limit() if team else ZERO
+        for name in DIMENSIONS:
+            most = getattr(limit, name)
+            running = getattr(amount, name)
+            if most and running > most:
+                errors.append(
+                    _error(
+                        document,
+                        f'team {label}',
+                        LIMIT_OPTIONS[name],
+                        f'{running} {name} run now, over the limit of {most}',
+                        allowed=f'at least {running} {name}',
+                    )
+                )
+    return errors
+
+
+def warnings(document: Document) -> list[DocumentWarning]:
+    """Return what is allowed and looks wrong."""
+    classes = [
+        worker.capacity()
+        for worker in document.labelled(WorkerClassSection).values()
+    ]
+    if not classes:
+        return []
+    return [
+        DocumentWarning(
+            f'queue {label}',
+            f'no worker class holds a task: {_misfits(queue, classes)}',
+        )
+        for label, queue in document.queues().items()
+        if not any(queue.shape().fits(capacity) for capacity in classes)
+    ]
+
+
+LIMIT_OPTIONS: Final = {
+    'cpu_milli': 'limit_cpu',
+    'memory_mib': 'limit_memory_gib',
+    'accelerators': 'limit_accelerators',
+    'slots': 'limit_tasks',
+}
+
+_REFERENCES: Final[
+    tuple[tuple[type[DocumentSection], str, type[DocumentSection]], ...]
+] = (
+    (ZoneSection, 'region', RegionSection),
+    (OrganisationSection, 'parent', OrganisationSection),
+    (TeamSection, 'organisation', OrganisationSection),
+    (QueueSection, 'team', TeamSection),
+    (QueueSection, 'region', RegionSection),
+)
+
+
+def _misfits(queue: QueueSection, classes: Iterable[Resources]) -> str:
+    found = {queue.shape().misfit(capacity) for capacity in classes}
+    return ', '.join(sorted(name for name in found if name))
+
+
+def _reaches_itself(
+    label: str, organisations: Mapping[str, OrganisationSection]
+) -> bool:
+    name = organisations[label].parent
+    for _ in range(len(organisations)):
+        if name == label:
+            return True
+        above = organisations.get(name)
+        if above is None:
+            return False
+        name = above.parent
+    return False
+
+
+def _error(
+    document: Document, section: str, option: str, problem: str, **fields: Any
+) -> InvalidInput:
+    return InvalidInput(
+        f'{document.source}: [{section}] {option}: {problem}',
+        source=document.source,
+        section=section,
+        option=option,
+        **fields,
+    )
--- /dev/null
+++ b/packages/berylspread/src/berylspread/config/difference.py
@@ -0,0 +1,56 @@
+"""Differences between two documents, option by option."""
+
+from typing import final
+
+import msgspec
+
+from berylspread.config.text import RawDocument, parse_text
+from berylspread.kernel.errors import InvalidInput
+
+
+@final
+class Change(msgspec.Struct, frozen=True):
+    """An option that differs; ``None`` where one document lacks it.
+
+    ``option`` is empty where a whole section was added or removed.
+    """
+
+    section: str
+    option: str
+    before: str | None
+    after: str | None
+
+
+def diff(old: str, new: str) -> list[Change] | InvalidInput:
+    """Return the changes from one document's text to another's."""
+    before = parse_text('old', old)
+    if isinstance(before, InvalidInput):
+        return before
+    after = parse_text('new', new)
+    if isinstance(after, InvalidInput):
+        return after
+    changes = []
+    olds, news = _by_header(before), _by_header(after)
+    for header in sorted(olds.keys() | news.keys()):
+        changes.extend(_section(header, olds.get(header), news.get(header)))
+    return changes
+
+
+def _by_header(document: RawDocument) -> dict[str, dict[str, str]]:
+    return {raw.header: dict(raw.texts) for raw in document.sections}
+
+
+def _section(
+    header: str, old: dict[str, str] | None, new: dict[str, str] | None
+) -> list[Change]:
+    changes = []
+    if old is None:
+        changes.append(Change(header, '', None, header))
+    if new is None:
+        changes.append(Change(header, '', header, None))
+    olds, news = old or {}, new or {}
+    for option in sorted(olds.keys() | news.keys()):
+        before, after = olds.get(option), news.get(option)
+        if before != after:
+            changes.append(Change(header, option, before, after))
+    return changes
--- /dev/null
+++ b/packages/berylspread/src/berylspread/config/document.py
@@ -0,0 +1,205 @@
+"""A checked document, with typed lookups."""
+
+from typing import Final, TypeVar, cast, final
+
+from berylspread.config.policies import check_policy, plugin_section
+from berylspread.config.sections import (
+    DocumentSection,
+    EnvironmentSection,
+    LimitsSection,
+    OrganisationSection,
+    PolicySection,
+    QueueSection,
+    RegionSection,
+    TeamSection,
+    TimingSection,
+    section_kinds,
+)
+from berylspread.config.text import RawDocument, RawSection, parse_text
+from berylspread.kernel.errors import Failure, InvalidInput, failure
+from berylspread.kernel.options import Place, Section, read_section
+from berylspread.kernel.registry import nearest
+
+SectionT = TypeVar('SectionT', bound=DocumentSection)
+PERCENT: Final = 100.0
+PLUGIN_KIND: Final = 'plugin'
+
+
+@failure
+class InvalidDocument(Failure):
+    """A document has errors; the field ``errors`` lists each as fields."""
+
+    name = 'invalid-document'
+    http_status = 400
+    exit_code = 2
+
+    @classmethod
+    def of(cls, source: str, errors: list[InvalidInput]) -> 'InvalidDocument':
+        """Collect the errors of one document."""
+        return cls(
+            '; '.join(error.reason for error in errors),
+            source=source,
+            errors=[
+                {'reason': error.reason, **error.fields} for error in errors
+            ],
+        )
+
+
+@final
+class Document:
+    """The sections of one document, by kind and label."""
+
+    __slots__ = ('plugins', 'sections', 'source')
+
+    def __init__(self, source: str) -> None:
+        """Start without sections; an absent unlabelled one has defaults."""
+        self.source = source
+        self.sections: dict[str, dict[str, DocumentSection]] = {}
+        self.plugins: dict[str, Section] = {}
+
+    def labelled(self, cls: type[SectionT]) -> dict[str, SectionT]:
+        """Return the sections of a kind by label."""
+        return cast('dict[str, SectionT]', self.sections.get(cls.kind, {}))
+
+    def single(self, cls: type[SectionT]) -> SectionT:
+        """Return an unlabelled section, with defaults where it is absent."""
+        found = self.sections.get(cls.kind, {}).get('')
+        return cast('SectionT', found) if found is not None else cls()
+
+    @property
+    def environment(self) -> str:
+        """The name of the environment that the document is for."""
+        return self.single(EnvironmentSection).name
+
+    @property
+    def policy(self) -> PolicySection:
+        """The plug-ins and weights."""
+        return self.single(PolicySection)
+
+    @property
+    def limits(self) -> LimitsSection:
+        """The sizes of the system's own structures."""
+        return self.single(LimitsSection)
+
+    @property
+    def timing(self) -> TimingSection:
+        """The durations."""
+        return self.single(TimingSection)
+
+    def teams(self) -> dict[str, TeamSection]:
+        """Return the teams by name."""
+        return self.labelled(TeamSection)
+
+    def team(self, name: str) -> TeamSection | None:
+        """Return a team, or ``None``."""
+        return self.labelled(TeamSection).get(name)
+
+    def queues(self) -> dict[str, QueueSection]:
+        """Return the queues by name."""
+        return self.labelled(QueueSection)
+
+    def queue(self, name: str) -> QueueSection | None:
+        """Return a queue, or ``None``."""
+        return self.labelled(QueueSection).get(name)
+
+    def regions(self) -> dict[str, RegionSection]:
+        """Return the regions by name."""
+        return self.labelled(RegionSection)
+
+    def plugin(self, kind: str, name: str) -> Section | None:
+        """Return the options of a plug-in, if the document has a section."""
+        return self.plugins.get(f'{kind} {name}')
+
+    def entitled_share(self, team: str) -> float:
+        """Return a team's share of the fleet from 0 to 1; 0 if unknown.
+
+        It is the product of the shares from the team up to the root.
+        """
+        found = self.team(team)
+        if found is None:
+            return 0.0
+        organisations = self.labelled(OrganisationSection)
+        share = found.share / PERCENT
+        name = found.organisation
+        for _ in range(len(organisations)):
+            organisation = organisations.get(name)
+            if organisation is None:
+                break
+            share *= organisation.share / PERCENT
+            name = organisation.parent
+        return share
+
+
+def read_document(
+    source: str, text: str, errors: list[InvalidInput]
+) -> Document:
+    """Read a document's sections; add every error in them to ``errors``.
+
+    Relations between sections are checked by ``parse_document``.
+    """
+    document = Document(source)
+    raw = parse_text(source, text)
+    if isinstance(raw, InvalidInput):
+        errors.append(raw)
+        return document
+    for found in raw.sections:
+        _read_one(document, found, errors)
+    _require_environment(document, raw, errors)
+    return document
+
+
+def _read_one(
+    document: Document, raw: RawSection, errors: list[InvalidInput]
+) -> None:
+    place = Place(document.source, raw.header)
+    if raw.kind == PLUGIN_KIND:
+        _read_plugin(document, raw, errors)
+        return
+    cls = section_kinds.get(raw.kind)
+    if cls is None:
+        errors.append(
+            _invalid_header(
+                place, 'unknown section', nearest(raw.kind, section_kinds)
+            )
+        )
+        return
+    if cls.labelled != bool(raw.label):
+        problem = 'needs a name' if cls.labelled else 'takes no name'
+        errors.append(_invalid_header(place, problem))
+        return
+    section = read_section(cls, place, raw.label, raw.texts, errors)
+    document.sections.setdefault(cls.kind, {})[raw.label] = section
+    if isinstance(section, PolicySection):
+        errors.extend(check_policy(place, section))
+
+
+def _read_plugin(
+    document: Document, raw: RawSection, errors: list[InvalidInput]
+) -> None:
+    place = Place(document.source, raw.header)
+    cls = plugin_section(place, raw.label)
+    if isinstance(cls, InvalidInput):
+        errors.append(cls)
+        return
+    document.plugins[raw.label] = read_section(
+        cls, place, raw.label, raw.texts, errors
+    )
+
+
+def _require_environment(
+    document: Document, raw: RawDocument, errors: list[InvalidInput]
+) -> None:
+    if not any(raw.of_kind(EnvironmentSection.kind)):
+        place = Place(document.source, EnvironmentSection.kind)
+        errors.append(_invalid_header(place, 'missing section'))
+
+
+def _invalid_header(
+    place: Place, problem: str, suggestion: str | None = None
+) -> InvalidInput:
+    return InvalidInput(
+        f'{place.source}: [{place.section}]: {problem}',
+        source=place.source,
+        section=place.section,
+        nearest=suggestion,
+    )
--- /dev/null
+++ b/packages/berylspread/src/berylspread/config/limits.py
@@ -0,0 +1,46 @@
+"""The teams' limits and the regions, read from a document's text.
+
+The log's fold uses this, so it reads no more than it needs: a document that an
+older release wrote, or one with options that a newer one knows, still gives the
+same limits on every node.
+"""
+
+from typing import final
+
+import msgspec
+
+from berylspread.config.sections import RegionSection, SectionT, TeamSection
+from berylspread.config.text import RawSection, parse_text
+from berylspread.kernel.errors import InvalidInput
+from berylspread.kernel.options import Place, read_section
+from berylspread.model import Resources
+
+
+@final
+class FleetLimits(msgspec.Struct, frozen=True):
+    """The weight of each region and the limit of each team; 0 is no limit."""
+
+    regions: dict[str, int]
+    teams: dict[str, Resources]
+
+
+def read_limits(text: str) -> FleetLimits | None:
+    """Return the limits of a document, or ``None`` if it is not INI text."""
+    document = parse_text('document', text)
+    if isinstance(document, InvalidInput):
+        return None
+    regions = {
+        raw.label: _read(RegionSection, raw).weight
+        for raw in document.of_kind(RegionSection.kind)
+    }
+    teams = {
+        raw.label: _read(TeamSection, raw).limit()
+        for raw in document.of_kind(TeamSection.kind)
+    }
+    return FleetLimits(regions, teams)
+
+
+def _read(cls: type[SectionT], raw: RawSection) -> SectionT:
+    errors: list[InvalidInput] = []
+    place = Place('document', raw.header)
+    return read_section(cls, place, raw.label, raw.texts, errors)
--- /dev/null
+++ b/packages/berylspread/src/berylspread/config/policies.py
@@ -0,0 +1,65 @@
+"""Checks of plug-in names, filled by the packages that have the plug-ins."""
+
+from typing import Any, Final, final
+
+from berylspread.config.sections import PolicySection
+from berylspread.kernel.errors import InvalidInput, UnknownName
+from berylspread.kernel.options import Place, Section
+from berylspread.kernel.registry import Registry, nearest
+
+
+@final
+class NoOptions(Section):
+    """The section of a plug-in that has no options."""
+
+
+#: The registry behind each option of ``[policy]`` that names plug-ins.  A
+#: plug-in class may have an attribute ``section``, its ``Section`` of options.
+policy_checks: Final[dict[str, Registry[Any]]] = {}
+
+
+def check_policy(place: Place, policy: PolicySection) -> list[InvalidInput]:
+    """Return an error for each plug-in that is not registered."""
+    errors = []
+    for option, registry in policy_checks.items():
+        for name in _names(getattr(policy, option)):
+            found = registry.lookup(name)
+            if isinstance(found, UnknownName):
+                errors.append(_unknown(place, option, found))
+    return errors
+
+
+def plugin_section(place: Place, label: str) -> type[Section] | InvalidInput:
+    """Return the options of the plug-in that ``KIND NAME`` names."""
+    kind, _, name = label.partition(' ')
+    registries = {found.kind: found for found in policy_checks.values()}
+    registry = registries.get(kind)
+    if registry is None:
+        return InvalidInput(
+            f'{place.source}: [{place.section}]: no kind of plug-in is called'
+            f' {kind!r}',
+            source=place.source,
+            section=place.section,
+            nearest=nearest(kind, registries),
+        )
+    cls = registry.lookup(name.strip())
+    if isinstance(cls, UnknownName):
+        return _unknown(place, 'name', cls)
+    section: type[Section] = getattr(cls, 'section', NoOptions)
+    return section
+
+
+def _names(value: str | tuple[str, ...]) -> tuple[str, ...]:
+    if isinstance(value, str):
+        return (value,) if value else ()
+    return value
+
+
+def _unknown(place: Place, option: str, found: UnknownName) -> InvalidInput:
+    return InvalidInput(
+        f'{place.source}: [{place.section}] {option}: {found.reason}',
+        source=place.source,
+        section=place.section,
+        option=option,
+        nearest=found.fields['nearest'],
+    )
--- /dev/null
+++ b/packages/berylspread/src/berylspread/config/sections.py
@@ -0,0 +1,209 @@
+"""The kinds of sections that a document may have, and their options."""
+
+from typing import Final, TypeVar
+
+from berylspread.kernel import options
+from berylspread.kernel.options import Section
+from berylspread.model import Resources
+
+MILLI_PER_CORE: Final = 1000
+MIB_PER_GIB: Final = 1024
+MAX_CORES: Final = 1_000_000
+MAX_GIB: Final = 100_000_000
+MAX_DEVICES: Final = 1_000_000
+MAX_TASKS: Final = 1_000_000
+DAY_S: Final = 86_400.0
+
+SectionT = TypeVar('SectionT', bound='DocumentSection')
+
+
+class DocumentSection(Section):
+    """Base of a document's sections; a labelled kind may come many times."""
+
+    labelled: bool = True
+
+
+section_kinds: Final[dict[str, type[DocumentSection]]] = {}
+
+
+def section(cls: type[SectionT]) -> type[SectionT]:
+    """Register a kind of section; a class decorator."""
+    known = section_kinds.setdefault(cls.kind, cls)
+    if known is not cls:
+        raise TypeError(f'section kind {cls.kind!r} is taken by {known!r}')
+    return cls
+
+
+class LimitOptions(DocumentSection):
+    """The options of an upper limit; 0 means that there is none."""
+
+    limit_cpu = options.number(0, MAX_CORES, default=0.0, help='cores')
+    limit_memory_gib = options.number(0, MAX_GIB, default=0.0, help='GiB')
+    limit_accelerators = options.integer(0, MAX_DEVICES, default=0)
+    limit_tasks = options.integer(
+        0, MAX_TASKS, default=0, help='tasks and calls at one time'
+    )
+
+    def limit(self) -> Resources:
+        """Return the limit as a vector; a task or call takes one slot."""
+        return Resources(
+            round(self.limit_cpu * MILLI_PER_CORE),
+            round(self.limit_memory_gib * MIB_PER_GIB),
+            self.limit_accelerators,
+            self.limit_tasks,
+        )
+
+
+@section
+class EnvironmentSection(DocumentSection):
+    """What the document is for."""
+
+    kind = 'environment'
+    labelled = False
+
+    name = options.choice('trial', 'production')
+    description = options.text(default='')
+
+
+@section
+class RegionSection(DocumentSection):
+    """A region; limits are first split over the regions by weight."""
+
+    kind = 'region'
+
+    weight = options.integer(0, 1_000_000, default=1)
+    link_mbit_s = options.number(
+        0.1, 1_000_000, default=15.0, help='to the other regions, each way'
+    )
+
+
+@section
+class ZoneSection(DocumentSection):
+    """An availability zone."""
+
+    kind = 'zone'
+
+    region = options.text()
+
+
+@section
+class OrganisationSection(DocumentSection):
+    """An organisation; its share is of its parent's, or of the whole fleet."""
+
+    kind = 'organisation'
+
+    share = options.number(0, 100, help='percent')
+    parent = options.text(
+        default='', help='an organisation; leave out for none'
+    )
+
+
+@section
+class TeamSection(LimitOptions):
+    """A team; its share is a percentage of its organisation's."""
+
+    kind = 'team'
+
+    organisation = options.text()
+    share = options.number(0, 100, help='percent')
+
+
+@section
+class QueueSection(DocumentSection):
+    """A queue: who may use it, and what one task or call on it takes."""
+
+    kind = 'queue'
+
+    team = options.text(default='', help='leave out on a queue open to all')
+    open = options.flag(default=False)
+    work = options.choice('interactive', 'batch', 'gang', 'service', key='kind')
+    region = options.text(default='', help='leave out for the region of entry')
+    cpu = options.number(0, MAX_CORES, default=1.0, help='cores')
+    memory_gib = options.number(0, MAX_GIB, default=1.0, help='GiB')
+    accelerators = options.integer(0, MAX_DEVICES, default=0)
+    slots = options.integer(0, 1_000, default=1)
+    priority = options.integer(0, 100, default=0)
+    default_deadline_s = options.number(0.001, 30 * DAY_S, default=30.0)
+    max_deadline_s = options.number(0.001, 30 * DAY_S, default=DAY_S)
+    idempotent = options.flag(default=True)
+    preemptible = options.flag(default=True)
+    max_body_kib = options.integer(1, 65_536, default=256)
+    max_waiting = options.integer(1, 1_000_000, default=10_000)
+    max_tasks = options.integer(1, 100_000, default=10_000)
+    max_attempts = options.integer(1, 100, default=3)
+
+    def shape(self) -> Resources:
+        """Return what one task or call takes."""
+        return Resources(
+            round(self.cpu * MILLI_PER_CORE),
+            round(self.memory_gib * MIB_PER_GIB),
+            self.accelerators,
+            self.slots,
+        )
+
+
+@section
+class PolicySection(DocumentSection):
+    """The plug-ins that decide, and how the measures weigh against another."""
+
+    kind = 'policy'
+    labelled = False
+
+    queue_order = options.text(default='fair-share')
+    filters = options.words(default=())
+    scorers = options.words(default=())
+    preemption = options.text(default='', help='leave out for none')
+    waiting = options.number(0, 100, default=1.0)
+    packing = options.number(0, 100, default=1.0)
+    control_cost = options.number(0, 100, default=1.0)
+    nearness = options.number(0, 100, default=1.0)
+
+
+@section
+class LimitsSection(DocumentSection):
+    """Sizes of the system's own structures and budgets."""
+
+    kind = 'limits'
+    labelled = False
+
+    shards = options.integer(1, 1024, default=4, help='job homes in a region')
+    appends_per_s = options.number(1, 10_000, default=100.0)
+    snapshot_share = options.number(1, 90, default=20.0, help='percent')
+    relay_kib_s = options.number(1, 1_000_000, default=256.0)
+    peer_kib_s = options.number(1, 1_000_000, default=1024.0)
+
+
+@section
+class TimingSection(DocumentSection):
+    """Durations in seconds."""
+
+    kind = 'timing'
+    labelled = False
+
+    lease_s = options.number(1, 3600, default=15.0)
+    heartbeat_s = options.number(0.05, 60, default=0.5)
+    promise_s = options.number(0.5, 600, default=5.0)
+    key_trust_s = options.number(0.5, 600, default=5.0)
+    log_retention_s = options.number(10, 365 * DAY_S, default=DAY_S)
+    drain_s = options.number(0, 3600, default=30.0)
+
+
+@section
+class WorkerClassSection(DocumentSection):
+    """A kind of worker, for checking whether a shape could ever be placed."""
+
+    kind = 'worker-class'
+
+    cpu = options.number(0, MAX_CORES, help='cores')
+    memory_gib = options.number(0, MAX_GIB, help='GiB')
+    accelerators = options.integer(0, MAX_DEVICES, default=0)
+    slots = options.integer(0, 100_000, default=8)
+
+    def capacity(self) -> Resources:
+        """Return what one worker of the class holds."""
+        return Resources(
+            round(self.cpu * MILLI_PER_CORE),
+            round(self.memory_gib * MIB_PER_GIB),
+            self.accelerators,
+            self.slots,
+        )
--- /dev/null
+++ b/packages/berylspread/src/berylspread/config/text.py
@@ -0,0 +1,58 @@
+"""The INI text of a document, before its options are read."""
+
+import configparser
+from collections.abc import Iterator, Mapping
+from typing import final
+
+from berylspread.kernel.errors import InvalidInput
+
+
+@final
+class RawSection:
+    """One section as text: the kind and the label of its header."""
+
+    __slots__ = ('header', 'kind', 'label', 'texts')
+
+    def __init__(self, header: str, texts: Mapping[str, str]) -> None:
+        """Split the header at its first space."""
+        self.header = header
+        self.kind, _, label = header.partition(' ')
+        self.label = label.strip()
+        self.texts = texts
+
+
+@final
+class RawDocument:
+    """The sections of a document, in order."""
+
+    __slots__ = ('sections', 'source')
+
+    def __init__(self, source: str, sections: list[RawSection]) -> None:
+        """Keep the document's name for error messages."""
+        self.source = source
+        self.sections = sections
+
+    def of_kind(self, kind: str) -> Iterator[RawSection]:
+        """Yield the sections of one kind."""
+        return (found for found in self.sections if found.kind == kind)
+
+
+def parse_text(source: str, text: str) -> RawDocument | InvalidInput:
+    """Split INI text into sections, or return what is wrong with its syntax."""
+    parser = configparser.ConfigParser(
+        interpolation=None, default_section='', inline_comment_prefixes=(';',)
+    )
+    try:
+        parser.read_string(text, source)
+    except configparser.Error as error:
+        line = getattr(error, 'lineno', None)
+        return InvalidInput(
+            f'{source}: {error.message}'.replace('\n', ' '),
+            source=source,
+            line=line,
+        )
+    sections = [
+        RawSection(header, dict(parser.items(header)))
+        for header in parser.sections()
+    ]
+    return RawDocument(source, sections)
--- a/packages/berylspread/src/berylspread/kernel/options.py
+++ b/packages/berylspread/src/berylspread/kernel/options.py
@@ -1,12 +1,13 @@
 """Typed options: tables on a class that turn INI text into checked values.
 
 A section class lists its options as class attributes; ``parse_section`` reads a
-mapping of strings and returns an instance of it or the first ``InvalidInput``.
+mapping of strings and returns an instance of it or the first ``InvalidInput``;
+``read_section`` collects every one.
 """
 
 import math
 from collections.abc import Callable, Mapping
-from typing import Any, Final, Generic, TypeVar, final
+from typing import Any, Final, Generic, Self, TypeVar, final, overload
 
 from berylspread.kernel.errors import InvalidInput
 from berylspread.kernel.registry import nearest
@@ -21,7 +22,7 @@
 class Option(Generic[ValueT]):
     """One option: its default, how its text is read, and its allowed range."""
 
-    __slots__ = ('allowed', 'default', 'help', 'key', 'read')
+    __slots__ = ('allowed', 'attribute', 'default', 'help', 'key', 'read')
 
     def __init__(
         self,
@@ -29,18 +30,35 @@
         *,
         default: ValueT | None = None,
         allowed: str = 'text',
-        help: str = '',  # noqa: A002
+        help: str = '',
+        key: str = '',
     ) -> None:
-        """Keep the reader; an option without a default is required."""
+        """Keep the reader; an option without a default is required.
+
+        ``key`` is the option's name in the text, where it differs from the
+        attribute's.
+        """
         self.read = read
         self.default = default
         self.allowed = allowed
         self.help = help
-        self.key = ''
+        self.key = key
+        self.attribute = ''
 
     def __set_name__(self, owner: type, name: str) -> None:
-        """Take the attribute's name as the option's key."""
-        self.key = name
+        """Take the attribute's name, which is the key too by default."""
+        self.attribute = name
+        self.key = self.key or name
+
+    @overload
+    def __get__(self, section: None, owner: type) -> Self: ...
+
+    @overload
+    def __get__(self, section: 'Section', owner: type) -> ValueT: ...
+
+    def __get__(self, section: 'Section | None', owner: type) -> Any:
+        """Return the option on a class, the default on an instance."""
+        return self if section is None else self.default
 
 
 def integer(
@@ -77,7 +95,7 @@
 
 
 def choice(
-    *words: str, default: str | None = None, help: str = ''
+    *words: str, default: str | None = None, help: str = '', key: str = ''
 ) -> Option[str]:
     """Return an option that holds one of the given words."""
 
@@ -87,7 +105,11 @@
         return raw
 
     return Option(
-        read, default=default, allowed=f'one of {", ".join(words)}', help=help
+        read,
+        default=default,
+        allowed=f'one of {", ".join(words)}',
+        help=help,
+        key=key,
     )
 
 
@@ -125,11 +147,13 @@
         """Return the options by key, those of base classes first."""
         found: dict[str, Option[Any]] = {}
         for base in reversed(cls.__mro__):
-            found.update({
-                key: option
-                for key, option in vars(base).items()
-                if isinstance(option, Option)
-            })
+            found.update(
+                {
+                    option.key: option
+                    for option in vars(base).values()
+                    if isinstance(option, Option)
+                }
+            )
         return found
 
 
@@ -149,21 +173,35 @@
     cls: type[SectionT], place: Place, label: str, raw: Mapping[str, str]
 ) -> SectionT | InvalidInput:
     """Read a section's options, or return the first option that is wrong."""
+    errors: list[InvalidInput] = []
+    section = read_section(cls, place, label, raw, errors)
+    return errors[0] if errors else section
+
+
+def read_section(
+    cls: type[SectionT],
+    place: Place,
+    label: str,
+    raw: Mapping[str, str],
+    errors: list[InvalidInput],
+) -> SectionT:
+    """Read a section's options and add every one that is wrong to ``errors``.
+
+    A wrong option keeps its default, or ``None`` where it is required.
+    """
     known = cls.options()
-    unknown = next((key for key in raw if key not in known), None)
-    if unknown is not None:
-        return _invalid(
-            place,
-            unknown,
-            'unknown option',
-            nearest=nearest(unknown, known),
-        )
+    errors.extend(
+        _invalid(place, key, 'unknown option', nearest=nearest(key, known))
+        for key in raw
+        if key not in known
+    )
     section = cls(label)
     for key, option in known.items():
         value = _value(option, place, raw.get(key))
         if isinstance(value, InvalidInput):
-            return value
-        setattr(section, key, value)
+            errors.append(value)
+        else:
+            setattr(section, option.attribute, value)
     return section
 
 
--- a/packages/berylspread/src/berylspread/log/__init__.py
+++ b/packages/berylspread/src/berylspread/log/__init__.py
@@ -1,5 +1,10 @@
 """The platform's log: records, client, appender, reader and folded state."""
 
+from berylspread.log.appender import (
+    AppendCounts,
+    Appender,
+    AppenderSettings,
+)
 from berylspread.log.interface import Entry, LogStore, Page
 from berylspread.log.records import (
     AllotmentMoved,
@@ -20,11 +25,21 @@
     decode_batch,
     encode_batch,
 )
+from berylspread.log.state import (
+    ClusterState,
+    StateWire,
+    decode_state,
+    encode_state,
+)
 
 __all__ = (
     'AllotmentMoved',
+    'AppendCounts',
+    'Appender',
+    'AppenderSettings',
     'Batch',
     'Claim',
+    'ClusterState',
     'ConfigApplied',
     'ElectorateChanged',
     'Entry',
@@ -38,8 +53,11 @@
     'Record',
     'Release',
     'SnapshotPart',
+    'StateWire',
     'TasksEnded',
     'TasksStarted',
     'decode_batch',
+    'decode_state',
     'encode_batch',
+    'encode_state',
 )
--- /dev/null
+++ b/packages/berylspread/src/berylspread/log/appender.py
@@ -0,0 +1,328 @@
+"""Group commit: records of many callers ride one append.
+
+One append is in flight at a time.  A batch whose answer was lost is sent again
+under the same sequence number until it is confirmed, by the store or by a
+reader that saw it in the tail; it stays at the head of the line meanwhile.
+"""
+
+import asyncio
+import collections
+import random
+from typing import Final, final
+
+import msgspec
+from absl import logging
+
+from berylspread.kernel.clock import now
+from berylspread.kernel.errors import (
+    Failure,
+    InvalidInput,
+    LogUnavailable,
+    Overloaded,
+)
+from berylspread.log.interface import LogStore
+from berylspread.log.records import Record
+
+_encoder: Final = msgspec.msgpack.Encoder()
+
+
+@final
+class AppenderSettings(msgspec.Struct, frozen=True):
+    """Limits of one appender: seconds, bytes and counts.
+
+    ``read_back_s`` bounds the wait for a reader to tell the offset of a batch
+    that was sent more than once; 0 if no reader reports to ``observed``.
+    """
+
+    min_interval_s: float = 0.1
+    call_timeout_s: float = 5.0
+    backoff_s: float = 0.1
+    max_backoff_s: float = 2.0
+    read_back_s: float = 1.0
+    max_batch_bytes: int = 256 * 1024
+    max_waiting_bytes: int = 4 * 1024 * 1024
+    max_waiting_calls: int = 10_000
+
+
+@final
+class AppendCounts:
+    """What an appender did since it started."""
+
+    __slots__ = (
+        'appends',
+        'batches',
+        'overloaded',
+        'records',
+        'retries',
+        'sent_bytes',
+        'timeouts',
+    )
+
+    def __init__(self) -> None:
+        """Start at zero."""
+        self.appends = 0
+        self.batches = 0
+        self.overloaded = 0
+        self.records = 0
+        self.retries = 0
+        self.sent_bytes = 0
+        self.timeouts = 0
+
+
+@final
+class _Call:
+    """The records of one caller, encoded, and the future it waits for."""
+
+    __slots__ = ('confirmed', 'records', 'sent', 'size')
+
+    def __init__(self, records: list[msgspec.Raw]) -> None:
+        self.records = records
+        self.size = sum(len(record) for record in records)
+        self.confirmed: asyncio.Future[int | Failure] = (
+            asyncio.get_running_loop().create_future()
+        )
+        self.sent = False
+
+    def resolve(self, result: int | Failure) -> None:
+        if not self.confirmed.done():
+            self.confirmed.set_result(result)
+
+
+@final
+class _RawBatch(msgspec.Struct, frozen=True):
+    """A ``Batch`` whose records are encoded already."""
+
+    writer: str
+    sequence: int
+    records: list[msgspec.Raw]
+
+
+@final
+class _InFlight:
+    """The batch at the head of the line."""
+
+    __slots__ = ('attempts', 'blob', 'calls', 'observed', 'sequence')
+
+    def __init__(self, sequence: int, blob: bytes, calls: list[_Call]) -> None:
+        self.sequence = sequence
+        self.blob = blob
+        self.calls = calls
+        self.attempts = 0
+        self.observed: asyncio.Future[int] = (
+            asyncio.get_running_loop().create_future()
+        )
+
+
+@final
+class Appender:
+    """Appends records for this node under one writer id.
+
+    The writer id must be new with each start of the process, since sequence
+    numbers begin at 1.  ``run`` must be running for ``append`` to return a
+    confirmed offset.
+    """
+
+    __slots__ = (
+        'arrived',
+        'counts',
+        'in_flight',
+        'last_sent_at',
+        'rng',
+        'sequence',
+        'settings',
+        'store',
+        'waiting',
+        'waiting_bytes',
+        'writer',
+    )
+
+    def __init__(
+        self,
+        store: LogStore,
+        writer: str,
+        settings: AppenderSettings | None = None,
+        rng: random.Random | None = None,
+    ) -> None:
+        """Take the store, this node's writer id, limits and jitter source."""
+        self.store = store
+        self.writer = writer
+        self.settings = settings or AppenderSettings()
+        self.rng = rng or random.Random()
+        self.counts = AppendCounts()
+        self.sequence = 0
+        self.waiting: collections.deque[_Call] = collections.deque()
+        self.waiting_bytes = 0
+        self.arrived = asyncio.Event()
+        self.in_flight: _InFlight | None = None
+        self.last_sent_at = float('-inf')
+
+    async def append(
+        self, *records: Record, timeout_s: float | None = None
+    ) -> int | Failure:
+        """Append records that take effect together; return their offset.
+
+        Returns ``LogUnavailable`` after ``timeout_s`` seconds, with the field
+        ``may_have_applied``: false if the records were never sent, and then
+        they never will be.  Returns ``Overloaded`` if too much waits, and
+        ``InvalidInput`` if the records are larger than one batch may be.
+        """
+        call = _Call(
+            [msgspec.Raw(_encoder.encode(record)) for record in records]
+        )
+        refusal = self._refusal(call)
+        if refusal is not None:
+            return refusal
+        self.waiting.append(call)
+        self.waiting_bytes += call.size
+        self.arrived.set()
+        if timeout_s is None:
+            timeout_s = self.settings.call_timeout_s
+        try:
+            async with asyncio.timeout(timeout_s):
+                return await call.confirmed
+        except TimeoutError:
+            self.counts.timeouts += 1
+            return _unconfirmed(call, timeout_s)
+        finally:
+            self._withdraw(call)
+
+    def observed(self, writer: str, sequence: int, offset: int) -> None:
+        """Confirm the batch in flight, if a reader saw it in the log's tail."""
+        batch = self.in_flight
+        if batch is None or writer != self.writer:
+            return
+        if sequence == batch.sequence and not batch.observed.done():
+            batch.observed.set_result(offset)
+
+    async def run(self) -> None:
+        """Send batches until cancelled."""
+        while True:
+            await self.arrived.wait()
+            await self._pace(0.0)
+            batch = self._next_batch()
+            if batch is None:
+                continue
+            self.in_flight = batch
+            result = await self._confirm(batch)
+            self.in_flight = None
+            for call in batch.calls:
+                call.resolve(result)
+
+    def _refusal(self, call: _Call) -> Failure | None:
+        limits = self.settings
+        if call.size > limits.max_batch_bytes:
+            return InvalidInput(
+                f'{call.size} bytes of records exceed one append',
+                size=call.size,
+                limit=limits.max_batch_bytes,
+            )
+        if (
+            len(self.waiting) >= limits.max_waiting_calls
+            or self.waiting_bytes + call.size > limits.max_waiting_bytes
+        ):
+            self.counts.overloaded += 1
+            return Overloaded(
+                'too many records wait for the log',
+                waiting=len(self.waiting),
+                waiting_bytes=self.waiting_bytes,
+            )
+        return None
+
+    def _withdraw(self, call: _Call) -> None:
+        """Take back a call that was not sent; its caller has gone."""
+        if call.sent:
+            return
+        self.waiting.remove(call)
+        self.waiting_bytes -= call.size
+
+    def _next_batch(self) -> _InFlight | None:
+        calls: list[_Call] = []
+        size = 0
+        while self.waiting:
+            call = self.waiting[0]
+            if size + call.size > self.settings.max_batch_bytes:
+                break
+            size += call.size
+            calls.append(self.waiting.popleft())
+            call.sent = True
+        self.waiting_bytes -= size
+        if not self.waiting:
+            self.arrived.clear()
+        if not calls:
+            return None
+        self.sequence += 1
+        records = [record for call in calls for record in call.records]
+        self.counts.batches += 1
+        self.counts.records += len(records)
+        blob = _encoder.encode(_RawBatch(self.writer, self.sequence, records))
+        return _InFlight(self.sequence, blob, calls)
+
+    async def _confirm(self, batch: _InFlight) -> int | Failure:
+        """Send until the store or a reader confirms, however long it takes."""
+        while True:
+            result = await self._attempt(batch)
+            if isinstance(result, int):
+                return result
+            if isinstance(result, InvalidInput):
+                return result
+            logging.log_every_n_seconds(
+                logging.WARNING, 'append not confirmed: %r', 10, result
+            )
+            self.counts.retries += 1
+            await self._pace(self._backoff_s(batch.attempts), batch)
+
+    async def _attempt(self, batch: _InFlight) -> int | Failure:
+        if batch.observed.done():
+            return batch.observed.result()
+        batch.attempts += 1
+        self.last_sent_at = now()
+        self.counts.appends += 1
+        self.counts.sent_bytes += len(batch.blob)
+        sending = asyncio.ensure_future(self.store.append(batch.blob))
+        try:
+            await asyncio.wait(
+                (sending, batch.observed),
+                return_when=asyncio.FIRST_COMPLETED,
+            )
+        finally:
+            if not sending.done():
+                sending.cancel()
+        if batch.observed.done():
+            return batch.observed.result()
+        result = sending.result()
+        if isinstance(result, int) and batch.attempts > 1:
+            return await self._first_offset(batch, result)
+        return result
+
+    async def _first_offset(self, batch: _InFlight, offset: int) -> int:
+        """Return where the first copy is: an earlier attempt may have won."""
+        await asyncio.wait((batch.observed,), timeout=self.settings.read_back_s)
+        return batch.observed.result() if batch.observed.done() else offset
+
+    async def _pace(
+        self, at_least_s: float, batch: _InFlight | None = None
+    ) -> None:
+        """Keep the interval between appends, or return as a reader confirms."""
+        free_at = self.last_sent_at + self.settings.min_interval_s
+        delay_s = max(free_at - now(), at_least_s)
+        if delay_s <= 0:
+            return
+        if batch is None:
+            await asyncio.sleep(delay_s)
+        else:
+            await asyncio.wait((batch.observed,), timeout=delay_s)
+
+    def _backoff_s(self, attempts: int) -> float:
+        limits = self.settings
+        ceiling = min(
+            limits.backoff_s * 2 ** min(attempts, 20), limits.max_backoff_s
+        )
+        return self.rng.uniform(ceiling / 2, ceiling)
+
+
+def _unconfirmed(call: _Call, timeout_s: float) -> LogUnavailable:
+    return LogUnavailable(
+        f'the log has not confirmed the append for {timeout_s} s',
+        may_have_applied=call.sent,
+        timeout_s=timeout_s,
+    )
--- /dev/null
+++ b/packages/berylspread/src/berylspread/log/folds/__init__.py
@@ -0,0 +1,45 @@
+"""Folds: each keeps one part of the state that the log's records make up."""
+
+from berylspread.log.folds.allotments import (
+    AllotmentFold,
+    AllotmentsWire,
+    TeamAllotment,
+)
+from berylspread.log.folds.base import Context, Fold, applies
+from berylspread.log.folds.configs import ConfigFold, ConfigsWire, Version
+from berylspread.log.folds.index_set import IndexSet
+from berylspread.log.folds.jobs import EndedJob, JobFold, JobState, JobsWire
+from berylspread.log.folds.keys import KeyFold, KeysWire, TeamKey
+from berylspread.log.folds.units import (
+    Electorate,
+    UnitClaim,
+    UnitFold,
+    UnitsWire,
+)
+from berylspread.log.folds.writers import WriterFold, WritersWire
+
+__all__ = (
+    'AllotmentFold',
+    'AllotmentsWire',
+    'ConfigFold',
+    'ConfigsWire',
+    'Context',
+    'Electorate',
+    'EndedJob',
+    'Fold',
+    'IndexSet',
+    'JobFold',
+    'JobState',
+    'JobsWire',
+    'KeyFold',
+    'KeysWire',
+    'TeamAllotment',
+    'TeamKey',
+    'UnitClaim',
+    'UnitFold',
+    'UnitsWire',
+    'Version',
+    'WriterFold',
+    'WritersWire',
+    'applies',
+)
--- /dev/null
+++ b/packages/berylspread/src/berylspread/log/folds/base.py
@@ -0,0 +1,51 @@
+"""The base of the folds: handlers by record type, filled by a decorator."""
+
+from collections.abc import Callable
+from typing import Any, ClassVar, Final, TypeVar, final
+
+import msgspec
+
+HandlerT = TypeVar('HandlerT', bound=Callable[..., None])
+HANDLES: Final = '_handles'
+
+
+@final
+class Context(msgspec.Struct, frozen=True):
+    """Where the record being applied stands in the log.
+
+    ``log_time`` is the latest time of append seen so far, in seconds since the
+    epoch by the store's clock; it is the same on every node.
+    """
+
+    offset: int
+    log_time: float
+
+
+def applies(record_type: type[Any]) -> Callable[[HandlerT], HandlerT]:
+    """Mark a method as the handler of a record type; a decorator."""
+
+    def mark(method: HandlerT) -> HandlerT:
+        setattr(method, HANDLES, record_type)
+        return method
+
+    return mark
+
+
+class Fold:
+    """Base of one part of the state.
+
+    A handler depends on nothing but the state so far, the record and its
+    context, so that every node comes to the same state.
+    """
+
+    __slots__ = ()
+
+    handlers: ClassVar[dict[type[Any], str]] = {}
+
+    def __init_subclass__(cls) -> None:
+        """Fill the table of handlers from the marked methods."""
+        cls.handlers = {
+            getattr(method, HANDLES): name
+            for name, method in vars(cls).items()
+            if hasattr(method, HANDLES)
+        }
--- /dev/null
+++ b/packages/berylspread/src/berylspread/log/folds/configs.py
@@ -0,0 +1,136 @@
+"""The documents in force, by environment, and their history."""
+
+from typing import Final, final
+
+import msgspec
+
+from berylspread.log.folds.base import Context, Fold, applies
+from berylspread.log.records import ConfigApplied
+
+#: Versions of an environment that ``history`` can list.
+KEPT_VERSIONS: Final = 50
+#: Versions whose text is kept, the one in force among them.
+KEPT_TEXTS: Final = 3
+#: Refused documents that are remembered for their writers.
+KEPT_CONFLICTS: Final = 20
+
+
+@final
+class Version(msgspec.Struct, frozen=True, array_like=True):
+    """One accepted document; ``text`` is empty once it is too old."""
+
+    version: int
+    base: int
+    author: str
+    note: str
+    applied_at: float
+    text: str
+
+
+@final
+class Refused(msgspec.Struct, frozen=True, array_like=True):
+    """A document that lost against the version then in force."""
+
+    offset: int
+    base: int
+    in_force: int
+    author: str
+
+
+@final
+class EnvironmentWire(msgspec.Struct, frozen=True, array_like=True):
+    """The versions of one environment, oldest first."""
+
+    versions: tuple[Version, ...] = ()
+    refused: tuple[Refused, ...] = ()
+
+
+@final
+class ConfigsWire(msgspec.Struct, frozen=True, array_like=True):
+    """The versions of every environment."""
+
+    environments: dict[str, EnvironmentWire] = {}
+
+
+@final
+class ConfigFold(Fold):
+    """Accepts a document only if it was made from the version in force."""
+
+    __slots__ = ('refusals', 'versions')
+
+    def __init__(self) -> None:
+        """Start without any document."""
+        self.versions: dict[str, list[Version]] = {}
+        self.refusals: dict[str, list[Refused]] = {}
+
+    def in_force(self, environment: str) -> Version | None:
+        """Return the version in force, or ``None`` before the first."""
+        versions = self.versions.get(environment)
+        return versions[-1] if versions else None
+
+    def history(self, environment: str) -> tuple[Version, ...]:
+        """Return the versions kept, oldest first."""
+        return tuple(self.versions.get(environment, ()))
+
+    def refused(self, environment: str, offset: int) -> Refused | None:
+        """Return the refusal of the document at an offset, if it lost."""
+        return next(
+            (
+                refused
+                for refused in self.refusals.get(environment, ())
+                if refused.offset == offset
+            ),
+            None,
+        )
+
+    @applies(ConfigApplied)
+    def on_applied(self, context: Context, record: ConfigApplied) -> None:
+        """Put the document in force, or remember that it lost."""
+        current = self.in_force(record.environment)
+        in_force = current.version if current else 0
+        if record.base != in_force:
+            refusals = self.refusals.setdefault(record.environment, [])
+            refusals.append(
+                Refused(context.offset, record.base, in_force, record.author)
+            )
+            del refusals[:-KEPT_CONFLICTS]
+            return
+        versions = self.versions.setdefault(record.environment, [])
+        versions.append(
+            Version(
+                context.offset,
+                record.base,
+                record.author,
+                record.note,
+                record.applied_at,
+                record.text,
+            )
+        )
+        del versions[:-KEPT_VERSIONS]
+        if len(versions) > KEPT_TEXTS:
+            old = versions[-KEPT_TEXTS - 1]
+            versions[-KEPT_TEXTS - 1] = msgspec.structs.replace(old, text='')
+
+    def to_wire(self) -> ConfigsWire:
+        """Return the contents for a snapshot."""
+        names = sorted(self.versions.keys() | self.refusals.keys())
+        return ConfigsWire(
+            {
+                name: EnvironmentWire(
+                    tuple(self.versions.get(name, ())),
+                    tuple(self.refusals.get(name, ())),
+                )
+                for name in names
+            }
+        )
+
+    @classmethod
+    def from_wire(cls, wire: ConfigsWire) -> 'ConfigFold':
+        """Rebuild from a snapshot."""
+        fold = cls()
+        for name, environment in wire.environments.items():
+            if environment.versions:
+                fold.versions[name] = list(environment.versions)
+            if environment.refused:
+                fold.refusals[name] = list(environment.refused)
+        return fold
--- /dev/null
+++ b/packages/berylspread/src/berylspread/log/folds/jobs.py
@@ -0,0 +1,236 @@
+"""The jobs that have not ended, and a bounded number of those that have."""
+
+import collections
+from typing import Final, final
+
+import msgspec
+
+from berylspread.log.folds.base import Context, Fold, applies
+from berylspread.log.folds.index_set import IndexSet
+from berylspread.log.records import (
+    JobAccepted,
+    JobCancelled,
+    JobEnded,
+    TasksEnded,
+    TasksStarted,
+)
+from berylspread.model import JobSpec, TaskEnd, TaskState
+
+#: Ended jobs that status queries can still see.
+KEPT_ENDED: Final = 2000
+#: Seconds of log time for which an ended job is kept at most.
+KEPT_ENDED_S: Final = 24 * 3600.0
+#: Ends of a job's tasks that are kept whole, the first ones that come.
+KEPT_ENDS: Final = 8
+
+
+@final
+class JobWire(msgspec.Struct, frozen=True, array_like=True):
+    """A job in a snapshot; the sets of indexes are bytes of ``IndexSet``."""
+
+    spec: JobSpec
+    accepted_at: int
+    started: bytes
+    ended: dict[str, bytes]
+    ends: tuple[TaskEnd, ...]
+    cancelled: str | None
+
+
+@final
+class EndedJob(msgspec.Struct, frozen=True, array_like=True):
+    """A job that ended; ``counts`` is the number of tasks by state.
+
+    ``log_time`` is the store's time of the record that ended it, in seconds
+    since the epoch, and ``offset`` that record's place.
+    """
+
+    spec: JobSpec
+    state: TaskState
+    reason: str
+    ended_at: float
+    counts: dict[str, int]
+    ends: tuple[TaskEnd, ...]
+    offset: int
+    log_time: float
+
+
+@final
+class JobsWire(msgspec.Struct, frozen=True, array_like=True):
+    """The jobs in order of acceptance, and the ended ones in order of end."""
+
+    active: tuple[JobWire, ...] = ()
+    ended: tuple[EndedJob, ...] = ()
+
+
+@final
+class JobState:
+    """A job that has not ended.
+
+    ``accepted_at`` is the offset of its acceptance; ``cancelled`` the reason of
+    a cancellation; ``started`` the tasks of a non-idempotent job that may have
+    been started; ``ended`` the indexes by terminal state.
+    """
+
+    __slots__ = ('accepted_at', 'cancelled', 'ended', 'ends', 'spec', 'started')
+
+    def __init__(self, spec: JobSpec, accepted_at: int) -> None:
+        """Start with no task started."""
+        self.spec = spec
+        self.accepted_at = accepted_at
+        self.started = IndexSet()
+        self.ended: dict[TaskState, IndexSet] = {}
+        self.ends: list[TaskEnd] = []
+        self.cancelled: str | None = None
+
+    def end_state(self, index: int) -> TaskState | None:
+        """Return the terminal state of a task, or ``None``."""
+        return next(
+            (state for state, found in self.ended.items() if index in found),
+            None,
+        )
+
+    def ended_indexes(self) -> IndexSet:
+        """Return the indexes of all tasks that reached a terminal state."""
+        found = IndexSet()
+        for indexes in self.ended.values():
+            found.bits |= indexes.bits
+        return found
+
+    def counts(self) -> dict[str, int]:
+        """Return the number of ended tasks by the name of their state."""
+        return {
+            state.value: len(indexes) for state, indexes in self.ended.items()
+        }
+
+    def end(self, end: TaskEnd) -> None:
+        """Note the end of a task; the first one that is logged counts."""
+        if not 0 <= end.index < self.spec.tasks:
+            return
+        if self.end_state(end.index) is not None:
+            return
+        self.ended.setdefault(end.state, IndexSet()).add(end.index)
+        if len(self.ends) < KEPT_ENDS:
+            self.ends.append(end)
+
+    def to_wire(self) -> JobWire:
+        """Return the contents for a snapshot."""
+        return JobWire(
+            self.spec,
+            self.accepted_at,
+            self.started.to_bytes(),
+            {
+                state.value: found.to_bytes()
+                for state, found in self.ended.items()
+            },
+            tuple(self.ends),
+            self.cancelled,
+        )
+
+    @classmethod
+    def from_wire(cls, wire: JobWire) -> 'JobState':
+        """Rebuild from a snapshot."""
+        job = cls(wire.spec, wire.accepted_at)
+        job.started = IndexSet.from_bytes(wire.started)
+        job.ended = {
+            TaskState(name): IndexSet.from_bytes(blob)
+            for name, blob in wire.ended.items()
+        }
+        job.ends = list(wire.ends)
+        job.cancelled = wire.cancelled
+        return job
+
+
+@final
+class JobFold(Fold):
+    """Keeps jobs by their id, in order of acceptance."""
+
+    __slots__ = ('active', 'ended')
+
+    def __init__(self) -> None:
+        """Start without jobs."""
+        self.active: dict[str, JobState] = {}
+        self.ended: collections.OrderedDict[str, EndedJob] = (
+            collections.OrderedDict()
+        )
+
+    def of_unit(self, unit: str) -> list[JobState]:
+        """Return the jobs of one home that have not ended."""
+        return [job for job in self.active.values() if job.spec.home == unit]
+
+    def is_known(self, job_id: str) -> bool:
+        """Return whether a job is active or among the ended ones kept."""
+        return job_id in self.active or job_id in self.ended
+
+    @applies(JobAccepted)
+    def on_accepted(self, context: Context, record: JobAccepted) -> None:
+        """Add a job; a known id is a repeated request and ignored."""
+        spec = record.spec
+        if not self.is_known(spec.job_id):
+            self.active[spec.job_id] = JobState(spec, context.offset)
+
+    @applies(JobCancelled)
+    def on_cancelled(self, context: Context, record: JobCancelled) -> None:
+        """Note the first reason of a cancellation."""
+        job = self.active.get(record.job_id)
+        if job is not None and job.cancelled is None:
+            job.cancelled = record.reason
+
+    @applies(TasksStarted)
+    def on_started(self, context: Context, record: TasksStarted) -> None:
+        """Note tasks that may be started from here on."""
+        job = self.active.get(record.job_id)
+        if job is not None:
+            job.started.update(
+                index for index in record.indexes if 0 <= index < job.spec.tasks
+            )
+
+    @applies(TasksEnded)
+    def on_tasks_ended(self, context: Context, record: TasksEnded) -> None:
+        """Note the ends of tasks."""
+        job = self.active.get(record.job_id)
+        if job is not None:
+            for end in record.ends:
+                job.end(end)
+
+    @applies(JobEnded)
+    def on_ended(self, context: Context, record: JobEnded) -> None:
+        """Move the job to the ended ones, without its payload."""
+        job = self.active.pop(record.job_id, None)
+        if job is None:
+            return
+        self.ended[record.job_id] = EndedJob(
+            msgspec.structs.replace(job.spec, payload=''),
+            record.state,
+            record.reason,
+            record.ended_at,
+            job.counts(),
+            tuple(job.ends),
+            context.offset,
+            context.log_time,
+        )
+        self._forget(context.log_time)
+
+    def _forget(self, log_time: float) -> None:
+        while self.ended:
+            oldest = next(iter(self.ended.values()))
+            is_recent = oldest.log_time > log_time - KEPT_ENDED_S
+            if is_recent and len(self.ended) <= KEPT_ENDED:
+                return
+            self.ended.popitem(last=False)
+
+    def to_wire(self) -> JobsWire:
+        """Return the contents for a snapshot."""
+        return JobsWire(
+            tuple(job.to_wire() for job in self.active.values()),
+            tuple(self.ended.values()),
+        )
+
+    @classmethod
+    def from_wire(cls, wire: JobsWire) -> 'JobFold':
+        """Rebuild from a snapshot."""
+        fold = cls()
+        for active in wire.active:
+            fold.active[active.spec.job_id] = JobState.from_wire(active)
+        for ended in wire.ended:
+            fold.ended[ended.spec.job_id] = ended
+        return fold
--- /dev/null
+++ b/packages/berylspread/src/berylspread/log/folds/keys.py
@@ -0,0 +1,92 @@
+"""The teams' keys: digests, and which were withdrawn."""
+
+import collections
+from typing import Final, final
+
+import msgspec
+
+from berylspread.log.folds.base import Context, Fold, applies
+from berylspread.log.records import KeyCreated, KeyWithdrawn
+
+#: Withdrawn keys that are remembered; a forgotten one is unknown, so refused.
+KEPT_WITHDRAWN: Final = 1000
+
+
+@final
+class TeamKey(msgspec.Struct, frozen=True, array_like=True):
+    """A key of a team; ``withdrawn_at`` is ``None`` while it works."""
+
+    key_id: str
+    team: str
+    digest: bytes
+    label: str
+    created_at: float
+    withdrawn_at: float | None = None
+
+
+@final
+class KeysWire(msgspec.Struct, frozen=True, array_like=True):
+    """The keys that work, and the withdrawn ones, oldest first."""
+
+    active: tuple[TeamKey, ...] = ()
+    withdrawn: tuple[TeamKey, ...] = ()
+
+
+@final
+class KeyFold(Fold):
+    """Keeps keys by their id."""
+
+    __slots__ = ('active', 'withdrawn')
+
+    def __init__(self) -> None:
+        """Start without keys."""
+        self.active: dict[str, TeamKey] = {}
+        self.withdrawn: collections.OrderedDict[str, TeamKey] = (
+            collections.OrderedDict()
+        )
+
+    def find(self, key_id: str) -> TeamKey | None:
+        """Return a key, withdrawn or not."""
+        return self.active.get(key_id) or self.withdrawn.get(key_id)
+
+    def of_team(self, team: str) -> list[TeamKey]:
+        """Return a team's keys that work."""
+        return [key for key in self.active.values() if key.team == team]
+
+    @applies(KeyCreated)
+    def on_created(self, context: Context, record: KeyCreated) -> None:
+        """Add a key; an id that was used before is ignored."""
+        if self.find(record.key_id) is None:
+            self.active[record.key_id] = TeamKey(
+                record.key_id,
+                record.team,
+                record.digest,
+                record.label,
+                record.created_at,
+            )
+
+    @applies(KeyWithdrawn)
+    def on_withdrawn(self, context: Context, record: KeyWithdrawn) -> None:
+        """Move a key to the withdrawn ones."""
+        key = self.active.pop(record.key_id, None)
+        if key is None:
+            return
+        self.withdrawn[record.key_id] = msgspec.structs.replace(
+            key, withdrawn_at=record.withdrawn_at
+        )
+        if len(self.withdrawn) > KEPT_WITHDRAWN:
+            self.withdrawn.popitem(last=False)
+
+    def to_wire(self) -> KeysWire:
+        """Return the contents for a snapshot."""
+        return KeysWire(
+            tuple(self.active.values()), tuple(self.withdrawn.values())
+        )
+
+    @classmethod
+    def from_wire(cls, wire: KeysWire) -> 'KeyFold':
+        """Rebuild from a snapshot."""
+        fold = cls()
+        fold.active.update({key.key_id: key for key in wire.active})
+        fold.withdrawn.update({key.key_id: key for key in wire.withdrawn})
+        return fold
--- /dev/null
+++ b/packages/berylspread/src/berylspread/log/folds/units.py
@@ -0,0 +1,121 @@
+"""The last claim and release of each unit, and the regions' electorates."""
+
+from typing import final
+
+import msgspec
+
+from berylspread.log.folds.base import Context, Fold, applies
+from berylspread.log.records import Claim, ElectorateChanged, Release
+from berylspread.model import NodeRef
+
+
+@final
+class UnitClaim(msgspec.Struct, frozen=True, array_like=True):
+    """The winning claim of a unit's newest epoch.
+
+    ``offset`` is that of the claim; ``released_at`` that of the release by the
+    owner, 0 while it holds the unit.
+    """
+
+    unit: str
+    epoch: int
+    owner: NodeRef
+    electorate_version: int
+    offset: int
+    released_at: int = 0
+    successor: str = ''
+
+
+@final
+class Electorate(msgspec.Struct, frozen=True, array_like=True):
+    """The members of a region's electorate in its newest version."""
+
+    region: str
+    version: int
+    members: tuple[NodeRef, ...]
+    offset: int
+
+
+@final
+class UnitsWire(msgspec.Struct, frozen=True, array_like=True):
+    """The newest claims and electorates."""
+
+    claims: tuple[UnitClaim, ...] = ()
+    electorates: tuple[Electorate, ...] = ()
+
+
+@final
+class UnitFold(Fold):
+    """The first claim of the next epoch wins; any other is ignored."""
+
+    __slots__ = ('claims', 'electorates')
+
+    def __init__(self) -> None:
+        """Start without owners."""
+        self.claims: dict[str, UnitClaim] = {}
+        self.electorates: dict[str, Electorate] = {}
+
+    def claim(self, unit: str) -> UnitClaim | None:
+        """Return the winning claim of a unit's newest epoch."""
+        return self.claims.get(unit)
+
+    def electorate(self, region: str) -> Electorate | None:
+        """Return a region's newest electorate."""
+        return self.electorates.get(region)
+
+    @applies(Claim)
+    def on_claim(self, context: Context, record: Claim) -> None:
+        """Install the claim if it is the first of the next epoch."""
+        last = self.claims.get(record.unit)
+        if record.epoch == _next(last and last.epoch):
+            self.claims[record.unit] = UnitClaim(
+                record.unit,
+                record.epoch,
+                record.owner,
+                record.electorate_version,
+                context.offset,
+            )
+
+    @applies(Release)
+    def on_release(self, context: Context, record: Release) -> None:
+        """Note the release, if the owner of the newest epoch made it."""
+        last = self.claims.get(record.unit)
+        if last is None or last.released_at:
+            return
+        if (last.epoch, last.owner) == (record.epoch, record.owner):
+            self.claims[record.unit] = msgspec.structs.replace(
+                last,
+                released_at=context.offset,
+                successor=record.successor,
+            )
+
+    @applies(ElectorateChanged)
+    def on_electorate(
+        self, context: Context, record: ElectorateChanged
+    ) -> None:
+        """Install the next version; any other is ignored."""
+        last = self.electorates.get(record.region)
+        if record.version == _next(last and last.version):
+            self.electorates[record.region] = Electorate(
+                record.region, record.version, record.members, context.offset
+            )
+
+    def to_wire(self) -> UnitsWire:
+        """Return the contents for a snapshot."""
+        return UnitsWire(
+            tuple(self.claims.values()), tuple(self.electorates.values())
+        )
+
+    @classmethod
+    def from_wire(cls, wire: UnitsWire) -> 'UnitFold':
+        """Rebuild from a snapshot."""
+        fold = cls()
+        fold.claims.update({claim.unit: claim for claim in wire.claims})
+        fold.electorates.update(
+            {electorate.region: electorate for electorate in wire.electorates}
+        )
+        return fold
+
+
+def _next(last: int | None) -> int:
+    return 1 if last is None else last + 1
--- /dev/null
+++ b/packages/berylspread/src/berylspread/log/state.py
@@ -0,0 +1,203 @@
+"""The state that the log's records make up: replay and live reading alike."""
+
+import collections
+from collections.abc import Callable
+from typing import Any, Final, final
+
+import msgspec
+from absl import logging
+
+from berylspread.kernel import check
+from berylspread.log.folds import (
+    AllotmentFold,
+    AllotmentsWire,
+    ConfigFold,
+    ConfigsWire,
+    Context,
+    Fold,
+    JobFold,
+    JobsWire,
+    KeyFold,
+    KeysWire,
+    UnitFold,
+    UnitsWire,
+    WriterFold,
+    WritersWire,
+)
+from berylspread.log.interface import Entry
+from berylspread.log.records import Batch, decode_batch
+
+Listener = Callable[[int, Any], None]
+BatchListener = Callable[[str, int, int], None]
+RestoreListener = Callable[[], None]
+_Handler = Callable[[Context, Any], None]
+_Handlers = dict[type[Any], list[_Handler]]
+
+_encoder: Final = msgspec.msgpack.Encoder()
+
+
+@final
+class StateWire(msgspec.Struct, frozen=True, array_like=True):
+    """The whole state in a snapshot, after the entry at ``offset``."""
+
+    offset: int = 0
+    log_time: float = 0.0
+    writers: WritersWire = WritersWire()
+    configs: ConfigsWire = ConfigsWire()
+    keys: KeysWire = KeysWire()
+    units: UnitsWire = UnitsWire()
+    jobs: JobsWire = JobsWire()
+    allotments: AllotmentsWire = AllotmentsWire()
+
+
+_decoder: Final = msgspec.msgpack.Decoder(StateWire)
+
+
+@final
+class ClusterState:
+    """The folds, and the offset of the last entry that they took in.
+
+    ``log_time`` is the latest time of append, in seconds since the epoch by the
+    store's clock.
+    """
+
+    __slots__ = (
+        'allotments',
+        'batch_listeners',
+        'configs',
+        'duplicates',
+        'handlers',
+        'jobs',
+        'keys',
+        'listeners',
+        'log_time',
+        'offset',
+        'restore_listeners',
+        'undecodable',
+        'units',
+        'writers',
+    )
+
+    def __init__(self) -> None:
+        """Start before the first entry."""
+        self.listeners: collections.defaultdict[type[Any], list[Listener]] = (
+            collections.defaultdict(list)
+        )
+        self.batch_listeners: list[BatchListener] = []
+        self.restore_listeners: list[RestoreListener] = []
+        self.duplicates = 0
+        self.undecodable = 0
+        self.offset = 0
+        self.log_time = 0.0
+        self.writers = WriterFold()
+        self.handlers: _Handlers = {}
+        self._install(StateWire())
+
+    def subscribe(self, record_type: type[Any], listener: Listener) -> None:
+        """Call back with offset and record once a record has been applied.
+
+        The record may have been ignored, as a claim that lost; the state tells.
+        """
+        self.listeners[record_type].append(listener)
+
+    def on_batch(self, listener: BatchListener) -> None:
+        """Call back with writer, sequence and offset of each batch applied."""
+        self.batch_listeners.append(listener)
+
+    def on_restore(self, listener: RestoreListener) -> None:
+        """Call back after the state has been replaced by a snapshot."""
+        self.restore_listeners.append(listener)
+
+    def apply_entry(self, entry: Entry) -> None:
+        """Take in the next entry of the log."""
+        check(
+            'entries are applied in order',
+            entry.offset == self.offset + 1,
+            offset=entry.offset,
+            expected=self.offset + 1,
+        )
+        self.offset = entry.offset
+        self.log_time = max(self.log_time, entry.appended_at)
+        batch = self._decode(entry)
+        if batch is None:
+            return
+        if not self.writers.is_first(batch.writer, batch.sequence):
+            self.duplicates += 1
+            return
+        context = Context(entry.offset, self.log_time)
+        for record in batch.records:
+            for handler in self.handlers.get(type(record), ()):
+                handler(context, record)
+        self._tell(batch)
+
+    def restore(self, wire: StateWire) -> None:
+        """Replace the state by a snapshot that is not older than it."""
+        check(
+            'the state never moves back',
+            wire.offset >= self.offset,
+            offset=wire.offset,
+            current=self.offset,
+        )
+        self._install(wire)
+        for listener in self.restore_listeners:
+            listener()
+
+    def to_wire(self) -> StateWire:
+        """Return the contents for a snapshot."""
+        return StateWire(
+            self.offset,
+            self.log_time,
+            self.writers.to_wire(),
+            self.configs.to_wire(),
+            self.keys.to_wire(),
+            self.units.to_wire(),
+            self.jobs.to_wire(),
+            self.allotments.to_wire(),
+        )
+
+    def _install(self, wire: StateWire) -> None:
+        self.offset = wire.offset
+        self.log_time = wire.log_time
+        self.writers = WriterFold.from_wire(wire.writers)
+        self.configs = ConfigFold.from_wire(wire.configs)
+        self.keys = KeyFold.from_wire(wire.keys)
+        self.units = UnitFold.from_wire(wire.units)
+        self.jobs = JobFold.from_wire(wire.jobs)
+        self.allotments = AllotmentFold.from_wire(wire.allotments, self.configs)
+        self.handlers = _handlers(
+            # The allotments follow the document in force, so they come later.
+            (self.configs, self.keys, self.units, self.jobs, self.allotments)
+        )
+
+    def _decode(self, entry: Entry) -> Batch | None:
+        try:
+            return decode_batch(entry.blob)
+        except msgspec.DecodeError as error:
+            self.undecodable += 1
+            logging.error('entry %d is not a batch: %s', entry.offset, error)
+            return None
+
+    def _tell(self, batch: Batch) -> None:
+        for batch_listener in self.batch_listeners:
+            batch_listener(batch.writer, batch.sequence, self.offset)
+        for record in batch.records:
+            for listener in self.listeners.get(type(record), ()):
+                listener(self.offset, record)
+
+
+def encode_state(wire: StateWire) -> bytes:
+    """Return the bytes of a snapshot."""
+    return _encoder.encode(wire)
+
+
+def decode_state(blob: bytes) -> StateWire:
+    """Return a snapshot; raise ``msgspec.DecodeError`` if malformed."""
+    return _decoder.decode(blob)
+
+
+def _handlers(folds: tuple[Fold, ...]) -> _Handlers:
+    table: _Handlers = {}
+    for fold in folds:
+        for record_type, name in fold.handlers.items():
+            table.setdefault(record_type, []).append(getattr(fold, name))
+    return table
