Add the job home: book, hand-outs, reconciliation, gangs, outcomes

Cause: one place per team and region has to know what is handed out. Change: JobBook keeps each task in exactly one place; Reconciler compares it with the partitions' inventories under each new epoch; GangStarter reserves in unit order and holds nothing while it waits.

--- /dev/null
+++ b/packages/berylspread/src/berylspread/jobs/book.py
@@ -0,0 +1,344 @@
+"""The jobs of one home: demand classes, hand-outs, retries and outcomes."""
+
+import heapq
+from typing import Final, final
+
+import msgspec
+import xxhash
+
+from berylspread.jobs.progress import JobProgress
+from berylspread.kernel import now
+from berylspread.limits import QuotaLedger
+from berylspread.model import (
+    Constraints,
+    JobKind,
+    JobSpec,
+    Resources,
+    TaskEnd,
+    TaskKey,
+    TaskState,
+)
+from berylspread.partition.messages import TaskEvent, TaskGrant
+from berylspread.placement.demand import DemandClass
+
+RETRY_BASE_S: Final = 1.0
+RETRY_CAP_S: Final = 60.0
+
+
+@final
+class ClassKey(msgspec.Struct, frozen=True, array_like=True):
+    """What tasks of one demand class have in common."""
+
+    team: str
+    queue: str
+    job_class: str
+    kind: JobKind
+    shape: Resources
+    priority: int
+    preemptible: bool
+    expected_run_s: float
+    deadline: float | None
+    constraints: Constraints
+
+    @classmethod
+    def of(cls, spec: JobSpec) -> 'ClassKey':
+        """Return the key of a job's tasks."""
+        return cls(
+            team=spec.team,
+            queue=spec.queue,
+            job_class=spec.job_class,
+            kind=spec.kind,
+            shape=spec.shape,
+            priority=spec.priority,
+            preemptible=spec.preemptible,
+            expected_run_s=spec.expected_run_s,
+            deadline=spec.deadline,
+            constraints=spec.constraints,
+        )
+
+    @property
+    def class_id(self) -> str:
+        """A short digest that both sides of a pull use as a name."""
+        return xxhash.xxh64_hexdigest(msgspec.msgpack.encode(self))
+
+
+@final
+class JobClass:
+    """The jobs of one demand class, in order of acceptance."""
+
+    __slots__ = ('class_id', 'jobs', 'key')
+
+    def __init__(self, key: ClassKey) -> None:
+        """Start without jobs."""
+        self.key = key
+        self.class_id = key.class_id
+        self.jobs: dict[str, JobProgress] = {}
+
+    @property
+    def pending(self) -> int:
+        """How many tasks wait."""
+        return sum(len(job.pending) for job in self.jobs.values())
+
+
+@final
+class JobBook:
+    """Where every task of the home's jobs stands; no input or output.
+
+    ``ends`` collects the outcomes that the home has still to append to the log.
+    """
+
+    __slots__ = ('classes', 'delayed', 'ends', 'jobs', 'quota')
+
+    def __init__(self, quota: QuotaLedger) -> None:
+        """Start empty; ``quota`` counts every task that is out or unsure."""
+        self.quota = quota
+        self.jobs: dict[str, JobProgress] = {}
+        self.classes: dict[str, JobClass] = {}
+        self.delayed: list[tuple[float, str, int]] = []
+        self.ends: dict[str, list[TaskEnd]] = {}
+
+    def add(self, progress: JobProgress) -> None:
+        """Take up a job, new or recovered; a repeat changes nothing."""
+        spec = progress.spec
+        if spec.job_id in self.jobs:
+            return
+        self.jobs[spec.job_id] = progress
+        self.quota.adopt(spec.team, spec.shape, len(progress.unsure))
+        key = ClassKey.of(spec)
+        job_class = self.classes.get(key.class_id)
+        if job_class is None:
+            job_class = JobClass(key)
+            self.classes[job_class.class_id] = job_class
+        job_class.jobs[spec.job_id] = progress
+
+    def demand(self, home: str, epoch: int) -> list[DemandClass]:
+        """Return the pending classes, gangs left out: those are reserved."""
+        self.wake_delayed()
+        return [
+            self._demand_class(job_class, home, epoch, pending)
+            for job_class in self.classes.values()
+            if job_class.key.kind is not JobKind.gang
+            if (pending := job_class.pending)
+        ]
+
+    def take(
+        self, class_id: str, count: int, unit: str, epoch: int
+    ) -> list[TaskGrant]:
+        """Hand out up to ``count`` tasks of a class to a partition."""
+        job_class = self.classes.get(class_id)
+        if job_class is None:
+            return []
+        key = job_class.key
+        allowed = self.quota.take(
+            key.team, key.shape, min(count, job_class.pending)
+        )
+        waiting = (
+            job for job in list(job_class.jobs.values()) for _ in job.pending
+        )
+        chosen = [job for job, _ in zip(list(waiting), range(allowed))]
+        return [self.grant(job, unit, epoch) for job in chosen]
+
+    def grant(self, progress: JobProgress, unit: str, epoch: int) -> TaskGrant:
+        """Hand out the job's first pending task; its quota has been taken."""
+        index, handed = progress.hand_out(unit, epoch)
+        spec = progress.spec
+        return TaskGrant(
+            task=progress.key(index),
+            attempt=handed.attempt,
+            team=spec.team,
+            queue=spec.queue,
+            job_class=spec.job_class,
+            kind=spec.kind,
+            shape=spec.shape,
+            priority=spec.priority,
+            preemptible=spec.preemptible,
+            expected_run_s=spec.expected_run_s,
+            payload=spec.payload,
+            checkpoint=progress.checkpoints.get(index, ''),
+            constraints=spec.constraints,
+        )
+
+    def apply(self, event: TaskEvent) -> bool:
+        """Apply an event; return whether the attempt has ended.
+
+        An event of an attempt that is not the one handed out is dropped.
+        """
+        progress = self.jobs.get(event.task.job_id)
+        if progress is None:
+            return False
+        handed = progress.out.get(event.task.index)
+        if handed is None or handed.attempt != event.attempt:
+            return False
+        if event.state in _STILL_OUT:
+            handed.state = event.state
+            handed.worker = event.worker
+            return False
+        if event.checkpoint:
+            progress.checkpoints[event.task.index] = event.checkpoint
+        self._leave(progress, event)
+        return True
+
+    def return_unstarted(self, task: TaskKey, attempt: int) -> None:
+        """Take back a hand-out that certainly reached no worker."""
+        self.apply(TaskEvent(task, attempt, TaskState.pending))
+
+    def settle_unsure(self) -> None:
+        """Decide the tasks that no inventory showed: they run nowhere."""
+        for progress in list(self.jobs.values()):
+            for index in sorted(progress.unsure):
+                self._lose(progress, index, 'no worker has the task')
+
+    def lose(self, task: TaskKey, reason: str) -> None:
+        """Decide a handed-out task that certainly runs nowhere any more."""
+        progress = self.jobs.get(task.job_id)
+        if progress is not None and task.index in progress.out:
+            self._lose(progress, task.index, reason)
+
+    def cancel(self, job_id: str, reason: str) -> list[TaskKey]:
+        """Cancel a job; return the tasks that have to be stopped."""
+        progress = self.jobs.get(job_id)
+        if progress is None:
+            return []
+        for index in progress.cancel_pending():
+            self._end(progress, TaskEnd(index, TaskState.cancelled, 0, reason))
+        return [progress.key(index) for index in progress.out]
+
+    def take_ends(self) -> dict[str, list[TaskEnd]]:
+        """Return and clear the outcomes that are not in the log yet."""
+        ends, self.ends = self.ends, {}
+        return ends
+
+    def forget(self, job_id: str) -> None:
+        """Drop an ended job."""
+        progress = self.jobs.pop(job_id, None)
+        if progress is None:
+            return
+        class_id = ClassKey.of(progress.spec).class_id
+        job_class = self.classes[class_id]
+        job_class.jobs.pop(job_id, None)
+        if not job_class.jobs:
+            self.classes.pop(class_id)
+
+    def _demand_class(
+        self, job_class: JobClass, home: str, epoch: int, pending: int
+    ) -> DemandClass:
+        key = job_class.key
+        oldest = next(
+            job.accepted_at for job in job_class.jobs.values() if job.pending
+        )
+        return DemandClass(
+            class_id=job_class.class_id,
+            home=home,
+            home_epoch=epoch,
+            team=key.team,
+            queue=key.queue,
+            job_class=key.job_class,
+            kind=key.kind,
+            shape=key.shape,
+            count=pending,
+            priority=key.priority,
+            waited_s=now() - oldest,
+            expected_run_s=key.expected_run_s,
+            constraints=key.constraints,
+            preemptible=key.preemptible,
+        )
+
+    def wake_delayed(self) -> None:
+        """Make the retries pending whose backoff is over."""
+        while self.delayed and self.delayed[0][0] <= now():
+            _due, job_id, index = heapq.heappop(self.delayed)
+            progress = self.jobs.get(job_id)
+            if progress is None:
+                continue
+            if progress.cancelled:
+                self._end(progress, TaskEnd(index, TaskState.cancelled))
+            else:
+                progress.put_back(index)
+
+    def _leave(self, progress: JobProgress, event: TaskEvent) -> None:
+        index = event.task.index
+        if event.state is TaskState.pending:
+            progress.started.discard(index)
+        if event.state is TaskState.failed:
+            progress.avoid_workers.add(event.worker)
+        resumes = bool(event.checkpoint) and not progress.cancelled
+        if resumes or self._runs_again(progress, index, event.state):
+            self._retry(progress, index, event.state)
+            return
+        self._end(
+            progress,
+            TaskEnd(
+                index,
+                _end_state(progress, event.state),
+                event.exit_code,
+                event.reason,
+                event.output,
+            ),
+        )
+
+    def _lose(self, progress: JobProgress, index: int, reason: str) -> None:
+        if self._runs_again(progress, index, TaskState.lost):
+            self._retry(progress, index, TaskState.pending)
+            return
+        state = _end_state(progress, TaskState.lost)
+        self._end(progress, TaskEnd(index, state, 0, reason))
+
+    def _runs_again(
+        self, progress: JobProgress, index: int, state: TaskState
+    ) -> bool:
+        spec = progress.spec
+        if progress.cancelled:
+            return False
+        if state is TaskState.pending or index not in progress.started:
+            return True
+        if spec.kind is JobKind.service:
+            return True
+        if not spec.idempotent or state not in _RETRIED:
+            return False
+        if state is TaskState.failed:
+            return progress.attempts[index] < spec.max_attempts
+        return True
+
+    def _retry(
+        self, progress: JobProgress, index: int, state: TaskState
+    ) -> None:
+        self._give_back(progress, index)
+        if state is not TaskState.failed and state is not TaskState.succeeded:
+            progress.put_back(index)
+            return
+        progress.out.pop(index, None)
+        backoff = min(
+            RETRY_BASE_S * 2 ** (progress.attempts[index] - 1), RETRY_CAP_S
+        )
+        heapq.heappush(
+            self.delayed, (now() + backoff, progress.spec.job_id, index)
+        )
+
+    def _give_back(self, progress: JobProgress, index: int) -> None:
+        if index in progress.out or index in progress.unsure:
+            self.quota.give_back(progress.spec.team, progress.spec.shape, 1)
+
+    def _end(self, progress: JobProgress, end: TaskEnd) -> None:
+        self._give_back(progress, end.index)
+        progress.end(end.index, end.state)
+        self.ends.setdefault(progress.spec.job_id, []).append(end)
+
+
+_STILL_OUT: Final = frozenset((
+    TaskState.starting,
+    TaskState.running,
+    TaskState.stopping,
+))
+_RETRIED: Final = frozenset((
+    TaskState.failed,
+    TaskState.lost,
+    TaskState.cancelled,
+))
+
+
+def _end_state(progress: JobProgress, state: TaskState) -> TaskState:
+    if progress.cancelled and state in {TaskState.lost, TaskState.pending}:
+        return TaskState.cancelled
+    if state is TaskState.lost and not progress.spec.idempotent:
+        return TaskState.unknown
+    return state
--- /dev/null
+++ b/packages/berylspread/src/berylspread/jobs/gangs.py
@@ -0,0 +1,216 @@
+"""Starts gangs: room on every partition first, then all tasks or none.
+
+A gang reserves on one partition after the other, in the order of unit names,
+and gives everything back as soon as it cannot have all: it waits while holding
+nothing, so two gangs cannot deadlock.
+"""
+
+import asyncio
+from typing import TYPE_CHECKING, Final, final
+
+from absl import logging
+
+from berylspread.jobs.progress import JobProgress
+from berylspread.jobs.reconcile import PARTITION_PREFIX
+from berylspread.kernel import Failure, now
+from berylspread.model import TaskState, unit_region
+from berylspread.partition.messages import (
+    CommitAsk,
+    CommitReply,
+    ReleaseHold,
+    ReserveAsk,
+    ReserveReply,
+    TaskEvent,
+    TaskGrant,
+)
+
+if TYPE_CHECKING:
+    from berylspread.jobs.home import JobHome
+
+HOLD_S: Final = 5.0
+ASK_TIMEOUT_S: Final = 2.0
+RETRY_MIN_S: Final = 0.2
+RETRY_MAX_S: Final = 2.0
+
+
+@final
+class Hold:
+    """Room for some of a gang's tasks on one partition."""
+
+    __slots__ = ('gang', 'node', 'partition', 'reserved')
+
+    def __init__(self, node: str, reply: ReserveReply) -> None:
+        """Keep who holds how much, and under which name."""
+        self.node = node
+        self.gang = reply.gang
+        self.partition = reply.partition
+        self.reserved = reply.reserved
+
+
+@final
+class GangStarter:
+    """Tries the home's waiting gangs, the longest waiting first."""
+
+    __slots__ = ('commits', 'home', 'not_before', 'tries')
+
+    def __init__(self, home: 'JobHome') -> None:
+        """Start without a gang tried."""
+        self.home = home
+        self.not_before: dict[str, float] = {}
+        self.commits: set[asyncio.Task[None]] = set()
+        self.tries = 0
+
+    async def round(self) -> None:
+        """Try every gang that is wholly at rest and due."""
+        if not self.home.tenure.is_valid(now()):
+            return
+        for progress in self._waiting():
+            await self._try(progress)
+
+    def member_left(self, event: TaskEvent) -> None:
+        """Stop the rest of a gang that a member left without success."""
+        progress = self.home.book.jobs.get(event.task.job_id)
+        if progress is None or not progress.is_gang:
+            return
+        if event.state is not TaskState.succeeded:
+            self.home.stopper.add(progress.key(index) for index in progress.out)
+
+    def _waiting(self) -> list[JobProgress]:
+        self.home.book.wake_delayed()
+        gangs = [
+            job
+            for job in self.home.book.jobs.values()
+            if job.is_gang
+            and len(job.pending) + len(job.ended) == job.spec.tasks
+            and job.pending
+            and self.not_before.get(job.spec.job_id, 0) <= now()
+        ]
+        gangs.sort(key=lambda job: (-job.spec.priority, job.accepted_at))
+        return gangs
+
+    async def _try(self, progress: JobProgress) -> None:
+        wanted = len(progress.pending)
+        spec = progress.spec
+        if self.home.quota.headroom(spec.team, spec.shape) < wanted:
+            self._back_off(progress)
+            return
+        holds = await self._reserve(progress, wanted)
+        if sum(hold.reserved for hold in holds) < wanted:
+            self._give_up(progress, holds)
+            return
+        await self._commit(progress, holds, wanted)
+
+    async def _reserve(
+        self, progress: JobProgress, wanted: int
+    ) -> list[Hold]:
+        holds: list[Hold] = []
+        missing = wanted
+        self.tries += 1
+        for unit, node in self._partitions(progress):
+            if not missing:
+                break
+            reply = await self.home.context.peers.ask(
+                node,
+                self._reserve_ask(progress, unit, missing),
+                ReserveReply,
+                timeout_s=ASK_TIMEOUT_S,
+            )
+            if isinstance(reply, Failure) or not reply.reserved:
+                continue
+            holds.append(Hold(node, reply))
+            missing -= reply.reserved
+        return holds
+
+    def _reserve_ask(
+        self, progress: JobProgress, unit: str, missing: int
+    ) -> ReserveAsk:
+        spec = progress.spec
+        return ReserveAsk(
+            home=self.home.unit,
+            partition=unit,
+            gang=f'{spec.job_id}@{self.home.unit.epoch}.{self.tries}',
+            shape=spec.shape,
+            wanted=missing,
+            hold_s=HOLD_S,
+            constraints=spec.constraints,
+            waited_s=now() - progress.accepted_at,
+        )
+
+    def _partitions(self, progress: JobProgress) -> list[tuple[str, str]]:
+        region = progress.spec.constraints.region or self.home.region
+        owners = self.home.context.state.owners(PARTITION_PREFIX)
+        return sorted(
+            (unit, owner.node)
+            for unit, (owner, _epoch) in owners.items()
+            if unit_region(unit) == region
+        )
+
+    async def _commit(
+        self, progress: JobProgress, holds: list[Hold], wanted: int
+    ) -> None:
+        spec = progress.spec
+        taken = self.home.quota.take(spec.team, spec.shape, wanted)
+        if taken < wanted or len(progress.pending) != wanted:
+            self.home.quota.give_back(spec.team, spec.shape, taken)
+            self._give_up(progress, holds)
+            return
+        logging.info('gang %s starts on %d partitions', spec.job_id, len(holds))
+        shares = [(hold, self._grants(progress, hold)) for hold in holds]
+        logged = await self.home.log_starts([
+            grant for _hold, grants in shares for grant in grants
+        ])
+        if logged is not None:
+            self._give_up(progress, holds)
+            return
+        for hold, grants in shares:
+            task = asyncio.create_task(self._commit_one(progress, hold, grants))
+            self.commits.add(task)
+            task.add_done_callback(self.commits.discard)
+
+    def _grants(self, progress: JobProgress, hold: Hold) -> list[TaskGrant]:
+        return [
+            self.home.book.grant(
+                progress, hold.partition.unit, hold.partition.epoch
+            )
+            for _ in range(hold.reserved)
+        ]
+
+    async def _commit_one(
+        self, progress: JobProgress, hold: Hold, grants: list[TaskGrant]
+    ) -> None:
+        # Repeated until answered: a lost answer must not leave a task in doubt.
+        ask = CommitAsk(self.home.unit, hold.partition, hold.gang, grants)
+        while self._is_owner(hold):
+            reply = await self.home.context.peers.ask(
+                hold.node, ask, CommitReply, timeout_s=ASK_TIMEOUT_S
+            )
+            if not isinstance(reply, Failure):
+                self._committed(progress, reply, grants)
+                return
+            await asyncio.sleep(RETRY_MIN_S)
+
+    def _committed(
+        self, progress: JobProgress, reply: CommitReply, grants: list[TaskGrant]
+    ) -> None:
+        if reply.taken:
+            return
+        for grant in grants:
+            self.home.book.return_unstarted(grant.task, grant.attempt)
+        self.home.stopper.add(progress.key(index) for index in progress.out)
+        self._back_off(progress)
+
+    def _is_owner(self, hold: Hold) -> bool:
+        owner = self.home.context.state.owner(hold.partition.unit)
+        return owner is not None and owner[1] == hold.partition.epoch
+
+    def _give_up(self, progress: JobProgress, holds: list[Hold]) -> None:
+        for hold in holds:
+            self.home.context.peers.tell(
+                hold.node,
+                ReleaseHold(hold.partition.unit, hold.gang),
+            )
+        self._back_off(progress)
+
+    def _back_off(self, progress: JobProgress) -> None:
+        delay_s = self.home.context.rng.uniform(RETRY_MIN_S, RETRY_MAX_S)
+        self.not_before[progress.spec.job_id] = now() + delay_s
--- /dev/null
+++ b/packages/berylspread/src/berylspread/jobs/home.py
@@ -0,0 +1,304 @@
+"""The home of a shard of teams in a region: it hands out their tasks.
+
+One ``JobHome`` lives for one tenure of a ``teams/...`` unit.
+"""
+
+import asyncio
+from typing import Final, final
+
+from absl import logging
+
+from berylspread.jobs.book import JobBook
+from berylspread.jobs.gangs import GangStarter
+from berylspread.jobs.outcomes import FLUSH_S, OutcomeWriter
+from berylspread.jobs.progress import JobProgress
+from berylspread.jobs.reconcile import PARTITION_PREFIX, Reconciler
+from berylspread.jobs.stops import Stopper
+from berylspread.kernel import Failure, now
+from berylspread.kernel.errors import LogUnavailable, NotOwner, StaleEpoch
+from berylspread.limits import QuotaLedger
+from berylspread.log import (
+    AllotmentMoved,
+    ConfigApplied,
+    JobAccepted,
+    JobCancelled,
+    TasksStarted,
+)
+from berylspread.model import JobSpec, unit_region
+from berylspread.ownership import Tenure
+from berylspread.partition.messages import (
+    DemandUpdate,
+    EventsTaken,
+    PullAsk,
+    PullReply,
+    TaskEvents,
+    TaskGrant,
+    UnitEpoch,
+)
+from berylspread.placement.demand import DemandClass, TeamUse
+from berylspread.runtime import NodeContext, every
+
+PUBLISH_S: Final = 0.2
+REPUBLISH_S: Final = 2.0
+RECONCILE_S: Final = 0.5
+SPILL_AFTER_S: Final = 2.0
+
+
+@final
+class JobHome:
+    """Hands out pending tasks to partition owners and records their ends."""
+
+    __slots__ = (
+        'book',
+        'context',
+        'gangs',
+        'last_published',
+        'outcomes',
+        'published_at',
+        'pulls',
+        'quota',
+        'reconciler',
+        'region',
+        'sequence',
+        'stopper',
+        'tasks',
+        'tenure',
+        'unit',
+    )
+
+    def __init__(self, context: NodeContext, tenure: Tenure) -> None:
+        """Rebuild the book from the log; ``start`` begins the work."""
+        self.context = context
+        self.tenure = tenure
+        self.unit = UnitEpoch(tenure.unit, tenure.epoch)
+        self.region = unit_region(tenure.unit)
+        self.quota = QuotaLedger(self.region)
+        self.book = JobBook(self.quota)
+        self.reconciler = Reconciler(context, self.book, self.unit)
+        self.outcomes = OutcomeWriter(context, self.book)
+        self.stopper = Stopper(context, self.book, self.unit)
+        self.gangs = GangStarter(self)
+        self.pulls: dict[str, tuple[int, int, PullReply]] = {}
+        self.sequence = 0
+        self.published_at = float('-inf')
+        self.last_published: list[DemandClass] = []
+        self.tasks: list[asyncio.Task[None]] = []
+
+    def start(self) -> None:
+        """Load the jobs, subscribe to the log and start the periodic work."""
+        self._load_allotments()
+        self._load_jobs()
+        loops = (
+            (RECONCILE_S, self._reconcile, 'reconciliation'),
+            (PUBLISH_S, self._publish, 'demand'),
+            (FLUSH_S, self.outcomes.flush, 'outcomes'),
+            (RECONCILE_S, self.stopper.round, 'stops'),
+            (PUBLISH_S, self.gangs.round, 'gangs'),
+        )
+        self.tasks = [
+            asyncio.create_task(every(period_s, step, f'{self.unit.unit} {name}'))
+            for period_s, step, name in loops
+        ]
+
+    def close(self) -> None:
+        """Stop the periodic work; the unit has another owner."""
+        for task in self.tasks:
+            task.cancel()
+        self.tasks.clear()
+
+    def accepted(self, spec: JobSpec) -> None:
+        """Take up a job from the log that names this unit as its home."""
+        if spec.home == self.unit.unit:
+            self.book.add(JobProgress(spec, self._loop_time(spec)))
+
+    def cancelled(self, record: JobCancelled) -> None:
+        """Cancel a job of this home."""
+        self.stopper.add(self.book.cancel(record.job_id, record.reason))
+
+    def allotments_changed(self) -> None:
+        """Take over the teams' allotments after a change in the log."""
+        self._load_allotments()
+
+    async def pull(self, ask: PullAsk) -> PullReply | Failure:
+        """Hand out tasks; the same question gets the same reply."""
+        refusal = self._refusal(ask.home)
+        if refusal is not None:
+            return refusal
+        if not self.reconciler.is_current(ask.partition):
+            return StaleEpoch(
+                'the home has not read this epoch of the partition',
+                unit=ask.partition.unit,
+            )
+        epoch, sequence, reply = self.pulls.get(
+            ask.partition.unit, (0, 0, _NO_REPLY)
+        )
+        if (epoch, sequence) == (ask.partition.epoch, ask.sequence):
+            return reply
+        if epoch == ask.partition.epoch and ask.sequence < sequence:
+            return StaleEpoch('an old question', unit=ask.partition.unit)
+        return await self._hand_out(ask)
+
+    async def events(self, message: TaskEvents) -> EventsTaken | Failure:
+        """Apply events; reply only once the ends among them are durable."""
+        refusal = self._refusal(message.home)
+        if refusal is not None:
+            return refusal
+        if not self.reconciler.is_current(message.partition):
+            return StaleEpoch(
+                'the home has not read this epoch of the partition',
+                unit=message.partition.unit,
+            )
+        for event in message.events:
+            if self.book.apply(event):
+                self.stopper.left(event.task)
+                self.gangs.member_left(event)
+        if not await self.outcomes.settled():
+            return LogUnavailable('the outcomes are not durable yet')
+        return EventsTaken(len(message.events))
+
+    def uses(self) -> list[TeamUse]:
+        """Return what each team uses here against its entitled share."""
+        document = self.context.document
+        return [
+            TeamUse(
+                team=team,
+                share=document.entitled_share(team),
+                used=used,
+            )
+            for team, used in self.quota.used_by_team()
+        ]
+
+    def partition_owners(self, classes: list[DemandClass]) -> dict[str, bool]:
+        """Return the nodes to publish to, and whether they are local."""
+        spills = any(demand.waited_s > SPILL_AFTER_S for demand in classes)
+        owners: dict[str, bool] = {}
+        found = self.context.state.owners(PARTITION_PREFIX)
+        for unit, (owner, _epoch) in found.items():
+            local = unit_region(unit) == self.region
+            if local or spills:
+                owners[owner.node] = owners.get(owner.node, False) or local
+        return owners
+
+    async def _hand_out(self, ask: PullAsk) -> PullReply | Failure:
+        grants = [
+            self.book.take(
+                line.class_id,
+                line.count,
+                ask.partition.unit,
+                ask.partition.epoch,
+            )
+            for line in ask.lines
+        ]
+        self.sequence += 1
+        reply = PullReply(
+            sequence=ask.sequence,
+            grants=grants,
+            classes=self._demand(),
+            uses=self.uses(),
+            demand_sequence=self.sequence,
+        )
+        self.pulls[ask.partition.unit] = (
+            ask.partition.epoch,
+            ask.sequence,
+            reply,
+        )
+        failed = await self.log_starts([task for line in grants for task in line])
+        if failed is not None:
+            self.pulls.pop(ask.partition.unit, None)
+            return failed
+        return reply
+
+    async def log_starts(self, grants: list[TaskGrant]) -> Failure | None:
+        once: dict[str, list[int]] = {}
+        for grant in grants:
+            if not self.book.jobs[grant.task.job_id].spec.idempotent:
+                once.setdefault(grant.task.job_id, []).append(grant.task.index)
+        if not once:
+            return None
+        appended = await self.context.appender.append(*(
+            TasksStarted(job_id, tuple(indexes))
+            for job_id, indexes in once.items()
+        ))
+        if not isinstance(appended, Failure):
+            return None
+        for grant in grants:
+            self.book.return_unstarted(grant.task, grant.attempt)
+        return appended
+
+    async def _publish(self) -> None:
+        if not self.tenure.is_valid(now()):
+            return
+        demand = self._demand()
+        due = now() - self.published_at >= REPUBLISH_S
+        if not due and _same_demand(demand, self.last_published):
+            return
+        self.last_published = demand
+        self.published_at = now()
+        self.sequence += 1
+        update = DemandUpdate(self.unit, self.sequence, demand, self.uses())
+        for node in self.partition_owners(demand):
+            self.context.peers.tell(node, update)
+
+    def _demand(self) -> list[DemandClass]:
+        return self.book.demand(self.unit.unit, self.unit.epoch)
+
+    async def _reconcile(self) -> None:
+        if not self.tenure.is_valid(now()):
+            return
+        await self.reconciler.round()
+        self.stopper.add_strays(self.reconciler.strays)
+        self.stopper.add_excess(self.quota)
+
+    def _refusal(self, home: UnitEpoch) -> Failure | None:
+        if home.epoch != self.unit.epoch:
+            return StaleEpoch(
+                'the home has another epoch',
+                unit=self.unit.unit,
+                epoch=self.unit.epoch,
+            )
+        if not self.tenure.is_valid(now()):
+            return NotOwner('the authority has lapsed', unit=self.unit.unit)
+        return None
+
+    def _load_jobs(self) -> None:
+        for job in self.context.state.jobs_of(self.unit.unit):
+            self.book.add(
+                JobProgress.recovered(
+                    job.spec,
+                    self._loop_time(job.spec),
+                    set(job.started),
+                    dict(job.ended),
+                )
+            )
+            if job.cancelled:
+                self.book.cancel(job.spec.job_id, 'cancelled')
+        logging.info(
+            'home %s has %d jobs under epoch %d',
+            self.unit.unit,
+            len(self.book.jobs),
+            self.unit.epoch,
+        )
+
+    def _load_allotments(self) -> None:
+        for team in self.context.document.teams:
+            self.quota.set_allotment(
+                team, self.context.state.allotment(team, self.region)
+            )
+
+    def _loop_time(self, spec: JobSpec) -> float:
+        return now() - (self.context.wall.time() - spec.submitted_at)
+
+
+WATCHED_RECORDS: Final = (
+    AllotmentMoved,
+    ConfigApplied,
+    JobAccepted,
+    JobCancelled,
+)
+_NO_REPLY: Final = PullReply(0, [], [], [], 0)
+
+
+def _same_demand(left: list[DemandClass], right: list[DemandClass]) -> bool:
+    return [(demand.class_id, demand.count) for demand in left] == [
+        (demand.class_id, demand.count) for demand in right
+    ]
--- /dev/null
+++ b/packages/berylspread/src/berylspread/jobs/outcomes.py
@@ -0,0 +1,85 @@
+"""Appends the outcomes of a home's tasks to the log, in batches."""
+
+import asyncio
+from typing import Final, final
+
+from berylspread.jobs.book import JobBook
+from berylspread.kernel import Failure
+from berylspread.log import JobEnded, Record, TasksEnded
+from berylspread.model import TaskEnd
+from berylspread.runtime import NodeContext
+
+FLUSH_S: Final = 0.1
+SETTLE_TIMEOUT_S: Final = 5.0
+
+
+@final
+class OutcomeWriter:
+    """Takes the ends out of the book and holds them until they are durable."""
+
+    __slots__ = ('book', 'context', 'durable', 'waiting', 'written')
+
+    def __init__(self, context: NodeContext, book: JobBook) -> None:
+        """Start with nothing to write."""
+        self.context = context
+        self.book = book
+        self.waiting: dict[str, list[TaskEnd]] = {}
+        self.written = 0
+        self.durable = asyncio.Condition()
+
+    async def flush(self) -> None:
+        """Append what has ended; keep it for the next round if that fails."""
+        self._gather()
+        if not self.waiting:
+            return
+        batch = self.waiting
+        records, ended = self._records(batch)
+        offset = await self.context.appender.append(*records)
+        if isinstance(offset, Failure):
+            return
+        self.waiting = {}
+        for job_id in ended:
+            self.book.forget(job_id)
+        async with self.durable:
+            self.written += 1
+            self.durable.notify_all()
+
+    async def settled(self) -> bool:
+        """Wait until every end known now is in the log; false on timeout."""
+        if not self.waiting and not self.book.ends:
+            return True
+        goal = self.written + 2
+        try:
+            async with asyncio.timeout(SETTLE_TIMEOUT_S), self.durable:
+                await self.durable.wait_for(
+                    lambda: self.written >= goal
+                    or not (self.waiting or self.book.ends)
+                )
+        except TimeoutError:
+            return False
+        return True
+
+    def _gather(self) -> None:
+        for job_id, ends in self.book.take_ends().items():
+            self.waiting.setdefault(job_id, []).extend(ends)
+
+    def _records(
+        self, batch: dict[str, list[TaskEnd]]
+    ) -> tuple[list[Record], list[str]]:
+        records: list[Record] = [
+            TasksEnded(job_id, tuple(ends)) for job_id, ends in batch.items()
+        ]
+        ended = [
+            job_id
+            for job_id in batch
+            if (job := self.book.jobs.get(job_id)) is not None and job.is_ended
+        ]
+        records.extend(
+            JobEnded(
+                job_id,
+                self.book.jobs[job_id].summary_state(),
+                ended_at=self.context.wall.time(),
+            )
+            for job_id in ended
+        )
+        return records, ended
--- /dev/null
+++ b/packages/berylspread/src/berylspread/jobs/progress.py
@@ -0,0 +1,167 @@
+"""The progress of one job at its home: pending, handed out and ended tasks."""
+
+import collections
+from typing import Final, final
+
+from berylspread.kernel import check
+from berylspread.model import (
+    TERMINAL_STATES,
+    JobKind,
+    JobSpec,
+    TaskKey,
+    TaskState,
+)
+
+
+@final
+class HandedOut:
+    """An attempt that a partition owner has under one epoch."""
+
+    __slots__ = ('attempt', 'epoch', 'state', 'unit', 'worker')
+
+    def __init__(self, attempt: int, unit: str, epoch: int) -> None:
+        """Start as ``starting``, on no worker yet."""
+        self.attempt = attempt
+        self.unit = unit
+        self.epoch = epoch
+        self.state = TaskState.starting
+        self.worker = ''
+
+
+@final
+class JobProgress:
+    """Every task of a job is in exactly one of four places.
+
+    ``pending`` waits to be handed out, ``unsure`` may run somewhere and waits
+    for the inventories, ``out`` is handed out, ``ended`` has a terminal state.
+    """
+
+    __slots__ = (
+        'accepted_at',
+        'attempts',
+        'avoid_workers',
+        'cancelled',
+        'checkpoints',
+        'ended',
+        'out',
+        'pending',
+        'spec',
+        'started',
+        'unsure',
+    )
+
+    def __init__(self, spec: JobSpec, accepted_at: float) -> None:
+        """Start with every task pending; the time is the loop's."""
+        self.spec = spec
+        self.accepted_at = accepted_at
+        self.pending: collections.deque[int] = collections.deque(
+            range(spec.tasks)
+        )
+        self.unsure: set[int] = set()
+        self.out: dict[int, HandedOut] = {}
+        self.ended: dict[int, TaskState] = {}
+        self.attempts: collections.Counter[int] = collections.Counter()
+        self.started: set[int] = set()
+        self.checkpoints: dict[int, str] = {}
+        self.avoid_workers: set[str] = set()
+        self.cancelled = False
+
+    @classmethod
+    def recovered(
+        cls,
+        spec: JobSpec,
+        accepted_at: float,
+        started: set[int],
+        ended: dict[int, TaskState],
+    ) -> 'JobProgress':
+        """Rebuild from the log: tasks without an end may run somewhere."""
+        progress = cls(spec, accepted_at)
+        progress.pending.clear()
+        progress.ended = dict(ended)
+        progress.started = set(started)
+        progress.unsure = set(range(spec.tasks)) - ended.keys()
+        return progress
+
+    def key(self, index: int) -> TaskKey:
+        """Return the name of one of the job's tasks."""
+        return TaskKey(self.spec.job_id, index)
+
+    def hand_out(self, unit: str, epoch: int) -> tuple[int, HandedOut]:
+        """Move the first pending task out under a fresh attempt number."""
+        index = self.pending.popleft()
+        check(
+            'task-handed-out-once',
+            index not in self.out
+            and index not in self.ended
+            and index not in self.unsure,
+            job=self.spec.job_id,
+            index=index,
+        )
+        self.attempts[index] += 1
+        self.started.add(index)
+        handed = HandedOut(self.attempts[index], unit, epoch)
+        self.out[index] = handed
+        return index, handed
+
+    def adopt(self, index: int, attempt: int, unit: str, epoch: int) -> None:
+        """Take up an attempt that an inventory shows."""
+        self.unsure.discard(index)
+        self.attempts[index] = max(self.attempts[index], attempt)
+        self.started.add(index)
+        self.out[index] = HandedOut(attempt, unit, epoch)
+
+    def put_back(self, index: int) -> None:
+        """Make a task pending again that certainly runs nowhere."""
+        self.out.pop(index, None)
+        self.unsure.discard(index)
+        self.pending.append(index)
+
+    def end(self, index: int, state: TaskState) -> None:
+        """Record the terminal state of a task."""
+        check('end-is-terminal', state in TERMINAL_STATES, state=state.value)
+        self.out.pop(index, None)
+        self.unsure.discard(index)
+        self.ended[index] = state
+
+    def cancel_pending(self) -> list[int]:
+        """Drop the pending tasks and return their indexes."""
+        dropped = list(self.pending)
+        self.pending.clear()
+        self.cancelled = True
+        return dropped
+
+    @property
+    def is_ended(self) -> bool:
+        """Whether every task has ended."""
+        return len(self.ended) == self.spec.tasks
+
+    @property
+    def is_gang(self) -> bool:
+        """Whether the tasks start all at once or not at all."""
+        return self.spec.kind is JobKind.gang
+
+    def summary_state(self) -> TaskState:
+        """Return the state of the ended job: its worst task's."""
+        states = set(self.ended.values())
+        return next(
+            (state for state in WORST_FIRST if state in states),
+            TaskState.succeeded,
+        )
+
+    def counts(self) -> dict[str, int]:
+        """Return how many tasks are in each state."""
+        counted = collections.Counter(
+            handed.state.value for handed in self.out.values()
+        )
+        counted.update(state.value for state in self.ended.values())
+        counted['pending'] += len(self.pending) + len(self.unsure)
+        return {name: count for name, count in counted.items() if count}
+
+
+WORST_FIRST: Final = (
+    TaskState.unknown,
+    TaskState.lost,
+    TaskState.failed,
+    TaskState.cancelled,
+    TaskState.succeeded,
+)
--- /dev/null
+++ b/packages/berylspread/src/berylspread/jobs/reconcile.py
@@ -0,0 +1,113 @@
+"""Brings a home's book in line with what the partitions really hold.
+
+A home asks for the inventory of each partition under each new epoch of it, and
+after its own takeover of all.  Until every partition has answered, tasks that
+an earlier home may have handed out stay unsure.
+"""
+
+from typing import Final, final
+
+from berylspread.jobs.book import JobBook
+from berylspread.kernel import Failure
+from berylspread.model import TaskKey
+from berylspread.partition.messages import (
+    HeldTask,
+    InventoryAsk,
+    InventoryReply,
+    PartitionInventory,
+    UnitEpoch,
+)
+from berylspread.runtime import NodeContext
+
+INVENTORY_TIMEOUT_S: Final = 3.0
+PARTITION_PREFIX: Final = 'workers/'
+
+
+@final
+class Reconciler:
+    """Tracks which epoch of each partition the book agrees with."""
+
+    __slots__ = ('book', 'context', 'home', 'seen', 'settled', 'strays')
+
+    def __init__(
+        self, context: NodeContext, book: JobBook, home: UnitEpoch
+    ) -> None:
+        """Start in agreement with no partition."""
+        self.context = context
+        self.book = book
+        self.home = home
+        self.seen: dict[str, int] = {}
+        self.settled = False
+        self.strays: set[TaskKey] = set()
+
+    async def round(self) -> None:
+        """Ask the owners of partitions whose epoch is new."""
+        outdated = self._outdated()
+        for node in sorted(set(outdated.values())):
+            await self._ask(node)
+        if not self.settled and not self._outdated():
+            self.book.settle_unsure()
+            self.settled = True
+
+    def is_current(self, partition: UnitEpoch) -> bool:
+        """Return whether the book agrees with this epoch of a partition."""
+        return self.seen.get(partition.unit) == partition.epoch
+
+    def _outdated(self) -> dict[str, str]:
+        owners = self.context.state.owners(PARTITION_PREFIX)
+        return {
+            unit: owner.node
+            for unit, (owner, epoch) in owners.items()
+            if self.seen.get(unit) != epoch
+        }
+
+    async def _ask(self, node: str) -> None:
+        reply = await self.context.peers.ask(
+            node,
+            InventoryAsk(self.home),
+            InventoryReply,
+            timeout_s=INVENTORY_TIMEOUT_S,
+        )
+        if isinstance(reply, Failure):
+            return
+        for inventory in reply.partitions:
+            if inventory.complete:
+                self._apply(inventory)
+
+    def _apply(self, inventory: PartitionInventory) -> None:
+        partition = inventory.partition
+        if self.seen.get(partition.unit, 0) >= partition.epoch:
+            return
+        held = {task.task: task for task in inventory.tasks}
+        for task in held.values():
+            self._adopt(task, partition)
+        self._lose_missing(partition, held)
+        self.seen[partition.unit] = partition.epoch
+
+    def _adopt(self, held: HeldTask, partition: UnitEpoch) -> None:
+        progress = self.book.jobs.get(held.task.job_id)
+        if progress is None or held.task.index in progress.ended:
+            self.strays.add(held.task)
+            return
+        index = held.task.index
+        out = progress.out.get(index)
+        if index not in progress.unsure and (
+            out is None or out.attempt != held.attempt
+        ):
+            return
+        progress.adopt(index, held.attempt, partition.unit, partition.epoch)
+        progress.out[index].worker = held.worker
+        progress.out[index].state = held.state
+
+    def _lose_missing(
+        self, partition: UnitEpoch, held: dict[TaskKey, HeldTask]
+    ) -> None:
+        for progress in list(self.book.jobs.values()):
+            for index, out in list(progress.out.items()):
+                key = progress.key(index)
+                if out.unit != partition.unit or key in held:
+                    continue
+                if out.epoch < partition.epoch:
+                    self.book.lose(key, 'its partition has a new owner')
+
+
--- /dev/null
+++ b/packages/berylspread/src/berylspread/jobs/stops.py
@@ -0,0 +1,98 @@
+"""Stops tasks of a home: cancelled, stray, preempted for a lowered limit."""
+
+from collections.abc import Iterable
+from typing import Final, final
+
+from berylspread.jobs.book import JobBook
+from berylspread.limits import QuotaLedger
+from berylspread.model import JobKind, TaskKey
+from berylspread.partition.messages import StopTasks, UnitEpoch
+from berylspread.runtime import NodeContext
+
+STOP: Final = 'stop'
+CHECKPOINT: Final = 'checkpoint'
+
+
+@final
+class Stopper:
+    """Repeats each stop until the task has left its partition."""
+
+    __slots__ = ('book', 'context', 'home', 'stopping', 'strays')
+
+    def __init__(
+        self, context: NodeContext, book: JobBook, home: UnitEpoch
+    ) -> None:
+        """Start with nothing to stop."""
+        self.context = context
+        self.book = book
+        self.home = home
+        self.stopping: dict[TaskKey, str] = {}
+        self.strays: set[TaskKey] = set()
+
+    def add(self, tasks: Iterable[TaskKey], mode: str = STOP) -> None:
+        """Stop these tasks; a plain stop outdoes a checkpoint."""
+        for task in tasks:
+            if self.stopping.get(task) != STOP:
+                self.stopping[task] = mode
+
+    def add_strays(self, strays: set[TaskKey]) -> None:
+        """Stop tasks that run though their job has ended."""
+        self.strays.update(strays)
+        strays.clear()
+
+    def add_excess(self, quota: QuotaLedger) -> None:
+        """Preempt the tasks by which teams exceed a lowered limit."""
+        for team in quota.teams_in_excess():
+            excess = quota.excess(team)
+            for task in self._victims(team):
+                if not excess.exceeds_zero():
+                    break
+                shape = self.book.jobs[task.job_id].spec.shape
+                excess = excess - shape
+                self.add([task], CHECKPOINT)
+
+    def left(self, task: TaskKey) -> None:
+        """Forget a task that has left its partition."""
+        self.stopping.pop(task, None)
+
+    async def round(self) -> None:
+        """Send every stop that is due to the task's partition owner."""
+        by_mode: dict[tuple[str, str], list[TaskKey]] = {}
+        for task, mode in list(self.stopping.items()):
+            node = self._node(task)
+            if node:
+                by_mode.setdefault((node, mode), []).append(task)
+        if self.strays:
+            for node in self._all_nodes():
+                by_mode.setdefault((node, STOP), []).extend(self.strays)
+            self.strays.clear()
+        for (node, mode), tasks in by_mode.items():
+            self.context.peers.tell(node, StopTasks(self.home, tasks, mode))
+
+    def _node(self, task: TaskKey) -> str:
+        progress = self.book.jobs.get(task.job_id)
+        out = progress.out.get(task.index) if progress else None
+        if out is None:
+            self.stopping.pop(task, None)
+            return ''
+        owner = self.context.state.owner(out.unit)
+        return owner[0].node if owner else ''
+
+    def _all_nodes(self) -> set[str]:
+        owners = self.context.state.owners('workers/')
+        return {owner.node for owner, _epoch in owners.values()}
+
+    def _victims(self, team: str) -> list[TaskKey]:
+        jobs = [
+            job
+            for job in self.book.jobs.values()
+            if job.spec.team == team and job.out
+        ]
+        jobs.sort(
+            key=lambda job: (
+                job.spec.kind is JobKind.service,
+                job.spec.priority,
+                -job.accepted_at,
+            )
+        )
+        return [job.key(index) for job in jobs for index in job.out]
