Report calls in progress at a worker; add the worker link

Cause: a new partition owner must count the calls that its predecessor let through. Change: SyncReply lists calls, CallRequest carries the shape; WorkerLink renews leases in the long poll and sends starts beside it. Conclusion: the owner of the partition builds on it.

--- a/packages/berylspread/src/berylspread/backend/__init__.py
+++ b/packages/berylspread/src/berylspread/backend/__init__.py
@@ -2,6 +2,7 @@
 
 from berylspread.backend.interface import (
     CallReply,
+    CallReport,
     CallRequest,
     SyncReply,
     SyncRequest,
@@ -13,6 +14,7 @@
 
 __all__ = (
     'CallReply',
+    'CallReport',
     'CallRequest',
     'SyncReply',
     'SyncRequest',
--- a/packages/berylspread/src/berylspread/backend/interface.py
+++ b/packages/berylspread/src/berylspread/backend/interface.py
@@ -17,8 +17,8 @@
 class TaskStart(msgspec.Struct, frozen=True):
     """Start one attempt of a task under a lease.
 
-    ``start_within_s`` counts from the receipt of the request; ``not_after`` is
-    seconds since the epoch.  A worker that checks them refuses later starts.
+    ``not_after`` is seconds since the epoch; a worker that checks it refuses
+    the start later.
     """
 
     task: str
@@ -79,11 +79,23 @@
     used: Resources = Resources()
 
 
+@final
+class CallReport(msgspec.Struct, frozen=True):
+    """An interactive call in progress at a worker."""
+
+    request_id: str
+    attempt: int
+    team: str
+    shape: Resources
+
+
 @final
 class SyncReply(msgspec.Struct, frozen=True):
     """What the worker holds and every task that runs or has ended there.
 
     ``refused`` names starts that the worker did not take, with the reason.
+    ``sequence`` rises with each change; after a restart it starts below the
+    last one seen.  ``calls`` are those in progress.
     """
 
     worker: str
@@ -91,6 +103,7 @@
     sequence: int
     tasks: list[TaskReport]
     refused: dict[str, str] = {}
+    calls: list[CallReport] = []
 
 
 @final
@@ -105,6 +118,7 @@
     epoch: int
     timeout_s: float
     body: bytes
+    shape: Resources = Resources(slots=1)
     content_type: str = 'application/octet-stream'
     traceparent: str = ''
 
--- /dev/null
+++ b/packages/berylspread/src/berylspread/partition/attempts.py
@@ -0,0 +1,96 @@
+"""The attempts that a partition owner holds on its workers."""
+
+from typing import final
+
+from berylspread.model import (
+    TERMINAL_STATES,
+    TaskKey,
+    TaskState,
+)
+from berylspread.partition.messages import HeldTask, TaskEvent, TaskGrant
+
+
+@final
+class Attempt:
+    """One attempt on one worker, from its booking to its acknowledged end.
+
+    ``renewed_at`` is the loop time of the last request that may have renewed
+    its lease.  ``doubtful_until`` is set while a start may still arrive.
+    """
+
+    __slots__ = (
+        'confirmed',
+        'doubtful_until',
+        'event',
+        'grant',
+        'home',
+        'lapses_at',
+        'reported',
+        'started_at',
+        'state',
+        'stopping',
+        'worker',
+    )
+
+    def __init__(self, grant: TaskGrant, home: str, worker: str) -> None:
+        """Start unsent; ``home`` is the unit to report to."""
+        self.grant = grant
+        self.home = home
+        self.worker = worker
+        self.state = TaskState.starting
+        self.started_at = 0.0
+        self.confirmed = False
+        self.lapses_at = float('-inf')
+        self.doubtful_until: float | None = None
+        self.event: TaskEvent | None = None
+        self.reported = False
+        self.stopping = ''
+
+    @property
+    def name(self) -> str:
+        """The task's name at the worker."""
+        return str(self.grant.task)
+
+    @property
+    def is_ended(self) -> bool:
+        """Whether the attempt certainly runs no more."""
+        return self.state in TERMINAL_STATES or self.state is TaskState.pending
+
+    def held(self) -> HeldTask:
+        """Return what an inventory says of the attempt."""
+        return HeldTask(
+            task=self.grant.task,
+            attempt=self.grant.attempt,
+            team=self.grant.team,
+            shape=self.grant.shape,
+            state=self.state,
+            worker=self.worker,
+        )
+
+    def change(self, state: TaskState, **details: object) -> None:
+        """Move to a state and queue the event that reports it."""
+        self.state = state
+        self.reported = False
+        self.event = TaskEvent(
+            task=self.grant.task,
+            attempt=self.grant.attempt,
+            state=state,
+            worker=self.worker,
+            **details,  # type: ignore[arg-type]
+        )
+
+
+def task_key(name: str) -> TaskKey | None:
+    """Return the key in a task's name at a worker, or ``None`` if foreign."""
+    job_id, separator, index = name.rpartition('/')
+    if not separator or not index.isdecimal():
+        return None
+    return TaskKey(job_id, int(index))
+
+
+def home_of(job_id: str) -> str:
+    """Return the home unit that a job's id names."""
+    region, shard, _unique = job_id.split('.', 2)
+    return f'teams/{region}/{shard}'
+
+
--- /dev/null
+++ b/packages/berylspread/src/berylspread/partition/worker_link.py
@@ -0,0 +1,276 @@
+"""The connection to one worker: starts, lease renewals, stops and reports.
+
+Two tasks serve a worker.  ``watch`` renews every lease and waits for changes;
+``command`` sends starts and stops as they come up.  Their replies may cross:
+the worker's sequence number tells which is newer.
+"""
+
+import asyncio
+from collections.abc import Callable
+from typing import Final, final
+
+from absl import logging
+
+from berylspread.backend import (
+    SyncReply,
+    SyncRequest,
+    TaskStart,
+    TaskStop,
+    Workers,
+)
+from berylspread.kernel import CLOCK_DRIFT, Failure, WallClock, now
+from berylspread.kernel.errors import WorkerUnreachable
+from berylspread.model import TaskState, Vm
+from berylspread.ownership import Tenure
+from berylspread.partition.attempts import Attempt
+
+EXCHANGE_TIMEOUT_S: Final = 2.0
+START_WINDOW_S: Final = 2.0
+RETRY_MIN_S: Final = 0.2
+RETRY_MAX_S: Final = 2.0
+RENEWALS_PER_LEASE: Final = 4
+
+
+@final
+class LinkTiming:
+    """The lease's length and what follows from it, in seconds."""
+
+    __slots__ = ('lease_s', 'wait_s')
+
+    def __init__(self, lease_s: float) -> None:
+        """Renew several times within a lease."""
+        self.lease_s = lease_s
+        self.wait_s = lease_s / RENEWALS_PER_LEASE
+
+    def lapses_at(self, sent_at: float, timeout_s: float) -> float:
+        """Return when a lease has surely lapsed that a request renewed.
+
+        The request may have arrived as late as its timeout.
+        """
+        return sent_at + timeout_s + self.lease_s * (1 + CLOCK_DRIFT)
+
+
+@final
+class WorkerLink:
+    """One worker as its partition owner talks to it.
+
+    ``on_reply`` is called with each reply that is not outdated, and ``on_silent``
+    after each exchange that failed.
+    """
+
+    __slots__ = (
+        'acknowledged',
+        'attempts',
+        'failures',
+        'on_reply',
+        'on_silent',
+        'sequence',
+        'starts',
+        'stops',
+        'tasks',
+        'tenure',
+        'timing',
+        'vm',
+        'wake',
+        'wall',
+        'workers',
+    )
+
+    def __init__(
+        self,
+        vm: Vm,
+        tenure: Tenure,
+        workers: Workers,
+        wall: WallClock,
+        timing: LinkTiming,
+    ) -> None:
+        """Start without attempts; ``run`` opens the connection."""
+        self.vm = vm
+        self.tenure = tenure
+        self.workers = workers
+        self.wall = wall
+        self.timing = timing
+        self.attempts: dict[str, Attempt] = {}
+        self.starts: list[Attempt] = []
+        self.stops: dict[str, str] = {}
+        self.acknowledged: set[str] = set()
+        self.sequence = 0
+        self.failures = 0
+        self.wake = asyncio.Event()
+        self.on_reply: Callable[[WorkerLink, SyncReply], None] = _ignore_reply
+        self.on_silent: Callable[[WorkerLink], None] = _ignore_silence
+        self.tasks: list[asyncio.Task[None]] = []
+
+    def run(self) -> None:
+        """Start both tasks."""
+        name = self.vm.vm_id
+        self.tasks = [
+            asyncio.create_task(self._watch(), name=f'watch {name}'),
+            asyncio.create_task(self._command(), name=f'command {name}'),
+        ]
+
+    def close(self) -> None:
+        """End both tasks."""
+        for task in self.tasks:
+            task.cancel()
+        self.tasks.clear()
+
+    def start(self, attempt: Attempt) -> None:
+        """Send the start of an attempt with the next command."""
+        self.attempts[attempt.name] = attempt
+        attempt.lapses_at = now()
+        self.starts.append(attempt)
+        self.wake.set()
+
+    def stop(self, name: str, mode: str) -> None:
+        """Send a stop, checkpoint or throttle with the next command."""
+        self.stops[name] = mode
+        self.wake.set()
+
+    def acknowledge(self, name: str) -> None:
+        """Let the worker forget an ended task with the next exchange."""
+        self.attempts.pop(name, None)
+        self.acknowledged.add(name)
+
+    async def _watch(self) -> None:
+        while True:
+            await self._wait_for_authority()
+            reply = await self._exchange(
+                SyncRequest(
+                    unit=self.tenure.unit,
+                    epoch=self.tenure.epoch,
+                    renew=self._renewable(),
+                    acknowledged=list(self.acknowledged),
+                    lease_s=self.timing.lease_s,
+                    seen=self.sequence,
+                    wait_s=self.timing.wait_s,
+                )
+            )
+            if isinstance(reply, Failure):
+                await asyncio.sleep(self._backoff_s())
+
+    async def _command(self) -> None:
+        while True:
+            await self.wake.wait()
+            self.wake.clear()
+            await self._wait_for_authority()
+            starts, self.starts = self.starts, []
+            stops, self.stops = self.stops, {}
+            if not starts and not stops:
+                continue
+            await self._send_command(starts, stops)
+
+    async def _send_command(
+        self, starts: list[Attempt], stops: dict[str, str]
+    ) -> None:
+        # No await between the check of authority and the send below.
+        sent_at = now()
+        not_after = self.wall.time() + min(
+            START_WINDOW_S, self.tenure.valid_until - sent_at
+        )
+        for attempt in starts:
+            attempt.doubtful_until = sent_at + EXCHANGE_TIMEOUT_S + START_WINDOW_S
+        reply = await self._exchange(
+            SyncRequest(
+                unit=self.tenure.unit,
+                epoch=self.tenure.epoch,
+                starts=[self._task_start(item, not_after) for item in starts],
+                stops=[TaskStop(name, mode) for name, mode in stops.items()],
+                lease_s=self.timing.lease_s,
+            ),
+            starting=starts,
+        )
+        if isinstance(reply, Failure):
+            for name, mode in stops.items():
+                self.stops.setdefault(name, mode)
+            if not reply.fields.get('sent', True):
+                self._return_unsent(starts)
+            await asyncio.sleep(self._backoff_s())
+            if self.stops:
+                self.wake.set()
+
+    def _return_unsent(self, starts: list[Attempt]) -> None:
+        for attempt in starts:
+            attempt.doubtful_until = None
+            attempt.change(TaskState.pending, reason='worker unreachable')
+        self.on_silent(self)
+
+    async def _exchange(
+        self, request: SyncRequest, starting: list[Attempt] | None = None
+    ) -> SyncReply | Failure:
+        floor = self.sequence
+        timeout_s = request.wait_s + EXCHANGE_TIMEOUT_S
+        lapses_at = self.timing.lapses_at(now(), timeout_s)
+        for attempt in self._renewed(request, starting or []):
+            attempt.lapses_at = max(attempt.lapses_at, lapses_at)
+        try:
+            async with asyncio.timeout(timeout_s):
+                reply = await self.workers.sync(self.vm, request)
+        except TimeoutError:
+            reply = self._timed_out()
+        if isinstance(reply, Failure):
+            self.failures += 1
+            self.on_silent(self)
+            return reply
+        self.failures = 0
+        self.acknowledged.difference_update(request.acknowledged)
+        if floor > reply.sequence:
+            logging.warning('worker %s has restarted', self.vm.vm_id)
+            self.sequence = reply.sequence
+        if reply.sequence >= self.sequence:
+            self.sequence = reply.sequence
+            self.on_reply(self, reply)
+        return reply
+
+    def _timed_out(self) -> Failure:
+        return WorkerUnreachable(
+            f'worker {self.vm.vm_id} did not answer in time',
+            worker=self.vm.vm_id,
+            sent=True,
+        )
+
+    def _renewed(
+        self, request: SyncRequest, starting: list[Attempt]
+    ) -> list[Attempt]:
+        renewed = [
+            self.attempts[name]
+            for name in request.renew
+            if name in self.attempts
+        ]
+        return renewed + starting
+
+    def _renewable(self) -> list[str]:
+        return [
+            name
+            for name, attempt in self.attempts.items()
+            if not attempt.is_ended
+        ]
+
+    def _task_start(self, attempt: Attempt, not_after: float) -> TaskStart:
+        grant = attempt.grant
+        return TaskStart(
+            task=attempt.name,
+            attempt=grant.attempt,
+            team=grant.team,
+            job_class=grant.job_class,
+            shape=grant.shape,
+            payload=grant.payload,
+            lease_s=self.timing.lease_s,
+            not_after=not_after,
+            resume_from=grant.checkpoint,
+        )
+
+    async def _wait_for_authority(self) -> None:
+        while not self.tenure.is_valid(now()):
+            await asyncio.sleep(RETRY_MIN_S)
+
+    def _backoff_s(self) -> float:
+        return min(RETRY_MIN_S * 2**self.failures, RETRY_MAX_S)
+
+
+def _ignore_reply(link: WorkerLink, reply: SyncReply) -> None:
+    """Stand in until the owner has set its callback."""
+
+
+def _ignore_silence(link: WorkerLink) -> None:
+    """Stand in until the owner has set its callback."""
