Add the capacity and quota ledgers

Cause: nothing keeps what workers and teams were granted. Change: a capacity ledger per partition with holds that expire, adopted work, barriers and an index by class of free capacity; a quota ledger per home with handed-out tasks and lent slices of the call allowance.

--- a/packages/berylspread/src/berylspread/limits/__init__.py
+++ b/packages/berylspread/src/berylspread/limits/__init__.py
@@ -1,1 +1,35 @@
 """Limits: capacity and quota ledgers."""
+
+from berylspread.limits.capacity import CapacityLedger
+from berylspread.limits.errors import BookingExpired, NoCapacity, WorkerBarred
+from berylspread.limits.free_index import FreeIndex
+from berylspread.limits.quota import (
+    CALL_SHAPE,
+    QuotaLedger,
+    Slice,
+    TeamQuota,
+)
+from berylspread.limits.workers import (
+    NOBODY,
+    Barrier,
+    Booking,
+    Occupant,
+    WorkerView,
+)
+
+__all__ = (
+    'CALL_SHAPE',
+    'NOBODY',
+    'Barrier',
+    'Booking',
+    'BookingExpired',
+    'CapacityLedger',
+    'FreeIndex',
+    'NoCapacity',
+    'Occupant',
+    'QuotaLedger',
+    'Slice',
+    'TeamQuota',
+    'WorkerBarred',
+    'WorkerView',
+)
--- /dev/null
+++ b/packages/berylspread/src/berylspread/limits/capacity.py
@@ -0,0 +1,270 @@
+"""The capacity ledger: what each worker of a partition was granted.
+
+The partition owner's grants are the only truth about what is in use; a worker's
+report may lower what is free and never raises it over what was granted.
+"""
+
+import heapq
+from typing import final
+
+from berylspread.kernel import Failure, check
+from berylspread.kernel.errors import Conflict, UnknownName
+from berylspread.limits.errors import BookingExpired, NoCapacity, WorkerBarred
+from berylspread.limits.free_index import FreeIndex
+from berylspread.limits.vectors import positive
+from berylspread.limits.workers import (
+    NOBODY,
+    Barrier,
+    Booking,
+    Occupant,
+    WorkerView,
+)
+from berylspread.model import ZERO, Resources, Vm
+
+PROBE_BARRIERS = frozenset((Barrier.quarantined,))
+
+
+@final
+class CapacityLedger:
+    """The workers of one partition with their bookings, by key.
+
+    ``index`` may be shared with the other ledgers of this node.
+    """
+
+    __slots__ = ('bookings', 'expiries', 'index', 'unit', 'workers')
+
+    def __init__(self, unit: str, index: FreeIndex | None = None) -> None:
+        """Start without workers."""
+        self.unit = unit
+        self.index = FreeIndex() if index is None else index
+        self.workers: dict[str, WorkerView] = {}
+        self.bookings: dict[str, Booking] = {}
+        self.expiries: list[tuple[float, str]] = []
+
+    def add_worker(self, vm: Vm) -> WorkerView:
+        """Add a worker, which gives nothing before its first report."""
+        view = self.workers.get(vm.vm_id)
+        if view is None:
+            view = WorkerView(vm, self.unit)
+            self.workers[vm.vm_id] = view
+        return view
+
+    def remove_worker(self, worker: str) -> list[Booking]:
+        """Forget a worker; return the bookings that went with it."""
+        view = self.workers.pop(worker, None)
+        if view is None:
+            return []
+        self.index.discard(view)
+        for key in view.bookings:
+            self.bookings.pop(key)
+        return list(view.bookings.values())
+
+    def close(self) -> None:
+        """Take all workers out of the shared index; the tenure has ended."""
+        for view in self.workers.values():
+            self.index.discard(view)
+        self.workers.clear()
+        self.bookings.clear()
+
+    def report(
+        self, worker: str, capacity: Resources, used: Resources = ZERO
+    ) -> UnknownName | None:
+        """Take in what a worker says that it holds and uses now.
+
+        Use above what is granted lowers what is free until the next report.
+        """
+        view = self.workers.get(worker)
+        if view is None:
+            return _unknown(worker)
+        view.capacity = capacity
+        view.excess = positive(used - view.granted)
+        view.refresh()
+        self.remove_barrier(worker, Barrier.unknown)
+        return None
+
+    def add_barrier(self, worker: str, barrier: Barrier) -> None:
+        """Let a worker give nothing more for one reason."""
+        view = self.workers.get(worker)
+        if view is not None:
+            view.barriers.add(barrier)
+            self.index.put(view)
+
+    def remove_barrier(self, worker: str, barrier: Barrier) -> None:
+        """Withdraw one reason; the worker gives again when none is left."""
+        view = self.workers.get(worker)
+        if view is not None:
+            view.barriers.discard(barrier)
+            self._freed(view)
+
+    def free(self, worker: str) -> Resources:
+        """Return what a worker can still be granted; nothing if barred."""
+        view = self.workers.get(worker)
+        if view is None or view.barriers:
+            return ZERO
+        return positive(view.free)
+
+    def book(
+        self,
+        worker: str,
+        key: str,
+        shape: Resources,
+        occupant: Occupant = NOBODY,
+        *,
+        expires_at: float | None = None,
+        probe: bool = False,
+    ) -> Booking | Failure:
+        """Grant a part of a worker, or say what is in the way.
+
+        The same key for the same worker and shape returns the booking that
+        stands.  ``expires_at`` makes it a hold, to be committed before that
+        loop time.  A probe may use a quarantined worker.
+
+        Errors: ``UnknownName``, ``Conflict``, ``WorkerBarred``, ``NoCapacity``.
+        """
+        known = self.bookings.get(key)
+        if known is not None:
+            return _repeated(known, worker, shape)
+        view = self.workers.get(worker)
+        if view is None:
+            return _unknown(worker)
+        barriers = view.barriers
+        if probe:
+            barriers = barriers - PROBE_BARRIERS
+        if barriers:
+            return _barred(worker, barriers)
+        short = shape.misfit(view.free)
+        if short is not None:
+            return NoCapacity(
+                f'worker {worker!r} has too little {short} free',
+                worker=worker,
+                dimension=short,
+            )
+        booking = Booking(key, worker, shape, occupant, expires_at)
+        self._attach(view, booking)
+        check(
+            'granted-within-capacity',
+            view.granted.fits(view.capacity) and shape.is_non_negative(),
+            worker=worker,
+            key=key,
+        )
+        return booking
+
+    def adopt(
+        self,
+        worker: str,
+        key: str,
+        shape: Resources,
+        occupant: Occupant = NOBODY,
+    ) -> Booking | Failure:
+        """Count work that already runs at a worker, whether it fits or not.
+
+        Errors: ``UnknownName``, ``Conflict``.
+        """
+        known = self.bookings.get(key)
+        if known is not None:
+            return _repeated(known, worker, shape)
+        view = self.workers.get(worker)
+        if view is None:
+            return _unknown(worker)
+        booking = Booking(key, worker, shape, occupant, None)
+        self._attach(view, booking)
+        return booking
+
+    def commit(
+        self, key: str, now: float, *, as_key: str | None = None
+    ) -> Booking | BookingExpired | Conflict:
+        """Turn a hold into a booking that lasts, under its final key."""
+        booking = self.bookings.get(key)
+        lapsed = (
+            booking is None
+            or booking.expires_at is not None
+            and booking.expires_at <= now
+        )
+        if booking is None or lapsed:
+            return BookingExpired(f'hold {key!r} has lapsed', key=key)
+        final_key = key if as_key is None else as_key
+        if final_key != key and final_key in self.bookings:
+            return Conflict(f'{final_key!r} is booked already', key=final_key)
+        view = self.workers[booking.worker]
+        self.bookings.pop(key)
+        view.bookings.pop(key)
+        booking.key = final_key
+        booking.expires_at = None
+        self.bookings[final_key] = booking
+        view.bookings[final_key] = booking
+        return booking
+
+    def release(self, key: str) -> Booking | None:
+        """Free what a key was granted; ``None`` if it holds nothing."""
+        booking = self.bookings.pop(key, None)
+        if booking is None:
+            return None
+        view = self.workers[booking.worker]
+        view.detach(booking)
+        check(
+            'granted-non-negative',
+            view.granted.is_non_negative(),
+            worker=view.worker,
+            key=key,
+        )
+        self._freed(view)
+        return booking
+
+    def expire(self, now: float) -> list[Booking]:
+        """Release the holds that have lapsed; return them."""
+        lapsed = []
+        while self.expiries and self.expiries[0][0] <= now:
+            expires_at, key = heapq.heappop(self.expiries)
+            booking = self.bookings.get(key)
+            if booking is not None and booking.expires_at == expires_at:
+                self.release(key)
+                lapsed.append(booking)
+        return lapsed
+
+    def overdrawn(self) -> list[WorkerView]:
+        """Return the workers that have more in use than they hold."""
+        return [
+            view
+            for view in self.workers.values()
+            if not view.free.is_non_negative()
+        ]
+
+    def candidates(self, shape: Resources, limit: int) -> list[WorkerView]:
+        """Return up to ``limit`` workers with room for a shape."""
+        return self.index.candidates(shape, limit)
+
+    def _attach(self, view: WorkerView, booking: Booking) -> None:
+        view.attach(booking)
+        self.bookings[booking.key] = booking
+        if booking.expires_at is not None:
+            heapq.heappush(self.expiries, (booking.expires_at, booking.key))
+        self.index.put(view)
+
+    def _freed(self, view: WorkerView) -> None:
+        self.index.version += 1
+        self.index.put(view)
+
+
+def _repeated(
+    known: Booking, worker: str, shape: Resources
+) -> Booking | Conflict:
+    if known.worker == worker and known.shape == shape:
+        return known
+    return Conflict(
+        f'{known.key!r} is booked at worker {known.worker!r}',
+        key=known.key,
+        worker=known.worker,
+    )
+
+
+def _unknown(worker: str) -> UnknownName:
+    return UnknownName(f'no worker is called {worker!r}', key=worker)
+
+
+def _barred(worker: str, barriers: set[Barrier]) -> WorkerBarred:
+    names = sorted(barrier.value for barrier in barriers)
+    return WorkerBarred(
+        f'worker {worker!r} takes no new work: {", ".join(names)}',
+        worker=worker,
+        barriers=names,
+    )
--- /dev/null
+++ b/packages/berylspread/src/berylspread/limits/quota.py
@@ -0,0 +1,218 @@
+"""The quota ledger of a job home: what each team may use in this region.
+
+Every task that is handed out, and every slice of the call allowance that is
+lent to an entry node, counts against the team's allotment in the region.  A
+lent slice counts until it is returned or until its holder has surely stopped
+using it.
+"""
+
+import math
+from typing import Final, final
+
+from berylspread.kernel import CLOCK_DRIFT, check
+from berylspread.kernel.errors import StaleEpoch
+from berylspread.limits.vectors import bounded_times, over, within
+from berylspread.model import ZERO, Resources
+
+#: What one interactive call counts against its team's limit.
+CALL_SHAPE: Final = Resources(slots=1)
+SLICE_TTL_S: Final = 10.0
+LONGEST_CALL_S: Final = 60.0
+
+
+@final
+class Slice:
+    """Calls of one team that one entry node may have in flight.
+
+    ``count`` is the most that the entry node may believe to hold; ``offered``
+    is what the last reply granted.  ``counts_until`` is the loop time at which
+    a call under the slice can no longer be running.
+    """
+
+    __slots__ = ('count', 'counts_until', 'offered', 'sequence', 'valid_until')
+
+    def __init__(self) -> None:
+        """Start with nothing lent."""
+        self.sequence = -1
+        self.count = 0
+        self.offered = 0
+        self.valid_until: float = 0
+        self.counts_until: float = 0
+
+
+@final
+class TeamQuota:
+    """One team's allotment in the region, and what is used of it.
+
+    A dimension of the allotment that is 0 is unlimited.  ``outgoing`` is the
+    part that is being given to another region: it is out of use already.
+    """
+
+    __slots__ = ('allotment', 'lent', 'outgoing', 'slices', 'used')
+
+    def __init__(self) -> None:
+        """Start unlimited and unused."""
+        self.allotment = ZERO
+        self.outgoing = ZERO
+        self.used = ZERO
+        self.lent = 0
+        self.slices: dict[str, Slice] = {}
+
+    @property
+    def limit(self) -> Resources:
+        """Return the allotment less what is being given away."""
+        return self.allotment - self.outgoing
+
+    @property
+    def in_use(self) -> Resources:
+        """Return what counts: tasks handed out and slices lent."""
+        return self.used + CALL_SHAPE * self.lent
+
+    def room(self, shape: Resources) -> int | None:
+        """Return how many more of a shape fit; ``None`` if unlimited."""
+        return bounded_times(shape, self.in_use, self.limit, self.allotment)
+
+
+@final
+class QuotaLedger:
+    """The teams of one home.
+
+    ``slice_ttl_s`` is how long an entry node may use a slice after it asked,
+    ``longest_call_s`` how long a call may go on after that.
+    """
+
+    __slots__ = ('longest_call_s', 'slice_ttl_s', 'teams')
+
+    def __init__(
+        self,
+        slice_ttl_s: float = SLICE_TTL_S,
+        longest_call_s: float = LONGEST_CALL_S,
+    ) -> None:
+        """Start without teams; a team that is not known has no quota."""
+        self.slice_ttl_s = slice_ttl_s
+        self.longest_call_s = longest_call_s
+        self.teams: dict[str, TeamQuota] = {}
+
+    def set_allotment(self, team: str, allotment: Resources) -> None:
+        """Set what a team may use in this region; it may be below its use."""
+        self.teams.setdefault(team, TeamQuota()).allotment = allotment
+
+    def take(self, team: str, shape: Resources, count: int) -> int:
+        """Count tasks as handed out; return how many of ``count`` may be.
+
+        An unknown team gets none.
+        """
+        quota = self.teams.get(team)
+        if quota is None:
+            return 0
+        room = quota.room(shape)
+        granted = count if room is None else min(room, count)
+        if granted > 0:
+            quota.used += shape * granted
+            self._check_grant(team, quota, shape)
+        return max(granted, 0)
+
+    def give_back(self, team: str, shape: Resources, count: int = 1) -> None:
+        """Count handed-out tasks as ended."""
+        quota = self.teams[team]
+        quota.used -= shape * count
+        check(
+            'quota-used-non-negative',
+            quota.used.is_non_negative(),
+            team=team,
+            count=count,
+        )
+
+    def restore(self, team: str, shape: Resources, count: int = 1) -> None:
+        """Count tasks that a predecessor handed out, whatever the allotment."""
+        self.teams.setdefault(team, TeamQuota()).used += shape * count
+
+    def lend(
+        self,
+        entry: str,
+        team: str,
+        wanted: int,
+        now: float,
+        *,
+        sequence: int,
+        in_flight: int = 0,
+    ) -> Slice | StaleEpoch | None:
+        """Lend an entry node a slice of the team's calls; ``None`` if unknown.
+
+        ``wanted`` is the whole slice that the node wants, ``in_flight`` what it
+        uses as it asks.  A node has one question open at a time, numbers them,
+        and drops a reply to any but its last; so an older question that arrives
+        late is refused, and a repeated one gets the same answer.
+        """
+        quota = self.teams.get(team)
+        if quota is None:
+            return None
+        self.expire(team, now)
+        held = quota.slices.setdefault(entry, Slice())
+        if sequence < held.sequence:
+            return StaleEpoch('an older question for a slice', entry=entry)
+        if sequence > held.sequence:
+            self._offer(quota, held, wanted, in_flight)
+            held.sequence = sequence
+            self._renew(held, now)
+            self._check_slice(team, quota)
+        return held
+
+    def expire(self, team: str, now: float) -> None:
+        """Drop the slices whose holders have surely stopped using them."""
+        quota = self.teams[team]
+        for entry, held in list(quota.slices.items()):
+            if held.counts_until <= now:
+                quota.lent -= held.count
+                quota.slices.pop(entry)
+
+    def restore_slices(self, team: str, now: float) -> None:
+        """Block all call quota that a predecessor may have lent.
+
+        The new home of a team can't know its predecessor's slices; it counts
+        the whole allotment of calls as lent until the last has surely lapsed.
+        """
+        quota = self.teams.setdefault(team, TeamQuota())
+        ghost = quota.slices.setdefault('', Slice())
+        quota.lent -= ghost.count
+        room = quota.room(CALL_SHAPE)
+        ghost.count = 0 if room is None else max(room, 0)
+        quota.lent += ghost.count
+        self._renew(ghost, now)
+
+    def excess(self, team: str) -> Resources:
+        """Return what a team uses above its allotment, to be preempted."""
+        quota = self.teams.get(team)
+        if quota is None:
+            return ZERO
+        return over(quota.in_use, quota.limit, quota.allotment)
+
+    def _offer(
+        self, quota: TeamQuota, held: Slice, wanted: int, in_flight: int
+    ) -> None:
+        quota.lent -= held.count
+        room = quota.room(CALL_SHAPE)
+        offer = wanted if room is None else max(min(wanted, room), 0)
+        held.offered = offer
+        held.count = max(offer, in_flight)
+        quota.lent += held.count
+
+    def _renew(self, held: Slice, now: float) -> None:
+        held.valid_until = now + self.slice_ttl_s
+        lapse_s = (self.slice_ttl_s + self.longest_call_s) * (1 + CLOCK_DRIFT)
+        held.counts_until = now + math.ceil(lapse_s)
+
+    def _check_grant(
+        self, team: str, quota: TeamQuota, shape: Resources
+    ) -> None:
+        check(
+            'team-within-allotment',
+            within(quota.in_use, quota.limit, quota.allotment, shape),
+            team=team,
+            in_use=quota.in_use,
+            allotment=quota.allotment,
+        )
+
+    def _check_slice(self, team: str, quota: TeamQuota) -> None:
+        counted = sum(held.count for held in quota.slices.values())
+        check('slices-add-up', counted == quota.lent, team=team)
--- /dev/null
+++ b/packages/berylspread/src/berylspread/limits/workers.py
@@ -0,0 +1,147 @@
+"""A worker as the capacity ledger and the placement plug-ins see it."""
+
+import collections
+import enum
+from typing import Final, final
+
+from berylspread.model import ZERO, JobKind, Resources, Vm
+
+
+@final
+class Barrier(enum.Enum):
+    """Why a worker takes no new work."""
+
+    unknown = 'unknown'
+    draining = 'draining'
+    leaving = 'leaving'
+    quarantined = 'quarantined'
+
+
+@final
+class Occupant:
+    """What is known of the work behind a booking; times are loop seconds."""
+
+    __slots__ = (
+        'expected_end',
+        'job_class',
+        'kind',
+        'preemptible',
+        'priority',
+        'started_at',
+        'team',
+    )
+
+    def __init__(
+        self,
+        team: str = '',
+        job_class: str = '',
+        *,
+        kind: JobKind = JobKind.batch,
+        priority: int = 0,
+        preemptible: bool = False,
+        started_at: float = 0,
+        expected_end: float | None = None,
+    ) -> None:
+        """Describe work; ``expected_end`` is ``None`` if it is not known."""
+        self.team = team
+        self.job_class = job_class
+        self.kind = kind
+        self.priority = priority
+        self.preemptible = preemptible
+        self.started_at = started_at
+        self.expected_end = expected_end
+
+
+NOBODY: Final = Occupant()
+
+
+@final
+class Booking:
+    """A part of a worker that is granted to one key.
+
+    ``expires_at`` is the loop time at which an uncommitted hold lapses, and
+    ``None`` for a booking that lasts until it is released.
+    """
+
+    __slots__ = ('expires_at', 'key', 'occupant', 'shape', 'worker')
+
+    def __init__(
+        self,
+        key: str,
+        worker: str,
+        shape: Resources,
+        occupant: Occupant,
+        expires_at: float | None,
+    ) -> None:
+        """Keep what was granted to whom."""
+        self.key = key
+        self.worker = worker
+        self.shape = shape
+        self.occupant = occupant
+        self.expires_at = expires_at
+
+
+@final
+class WorkerView:
+    """One worker: what it holds, what is granted, and what is free.
+
+    ``excess`` is what the worker's last report showed in use above what was
+    granted at that time; it only lowers ``free``.  ``suspicion`` is the
+    probability from 0 to 1 that the worker fails a task by its own fault.
+    """
+
+    __slots__ = (
+        'barriers',
+        'bookings',
+        'by_class',
+        'capacity',
+        'excess',
+        'free',
+        'granted',
+        'index_key',
+        'suspicion',
+        'unit',
+        'vm',
+        'worker',
+    )
+
+    def __init__(self, vm: Vm, unit: str) -> None:
+        """Start without capacity, barred until the worker has reported."""
+        self.vm = vm
+        self.unit = unit
+        self.worker = vm.vm_id
+        self.capacity = ZERO
+        self.granted = ZERO
+        self.excess = ZERO
+        self.free = ZERO
+        self.barriers = {Barrier.unknown}
+        self.bookings: dict[str, Booking] = {}
+        self.by_class: collections.Counter[str] = collections.Counter()
+        self.suspicion: float = 0
+        self.index_key: tuple[int, ...] | None = None
+
+    @property
+    def has_accelerators(self) -> bool:
+        """Return whether the worker holds any accelerator."""
+        return self.capacity.accelerators > 0
+
+    def attach(self, booking: Booking) -> None:
+        """Count a booking as granted."""
+        self.bookings[booking.key] = booking
+        self.granted += booking.shape
+        self.by_class[booking.occupant.job_class] += 1
+        self.refresh()
+
+    def detach(self, booking: Booking) -> None:
+        """Count a booking as free again."""
+        self.bookings.pop(booking.key)
+        self.granted -= booking.shape
+        job_class = booking.occupant.job_class
+        self.by_class[job_class] -= 1
+        if not self.by_class[job_class]:
+            self.by_class.pop(job_class)
+        self.refresh()
+
+    def refresh(self) -> None:
+        """Derive what is free; it is negative where too much is in use."""
+        self.free = self.capacity - self.granted - self.excess
