Tell an allotment of zero from no limit

Cause: a team's limit of one over two regions gives one of them zero, which the ledger read as unlimited. Change: the team's fleet limit says which dimensions are limited. Conclusion: an empty allotment grants nothing.

--- a/packages/berylspread/src/berylspread/jobs/book.py
+++ b/packages/berylspread/src/berylspread/jobs/book.py
@@ -103,7 +103,7 @@
         if spec.job_id in self.jobs:
             return
         self.jobs[spec.job_id] = progress
-        self.quota.adopt(spec.team, spec.shape, len(progress.unsure))
+        self.quota.restore(spec.team, spec.shape, len(progress.unsure))
         key = ClassKey.of(spec)
         job_class = self.classes.get(key.class_id)
         if job_class is None:
--- a/packages/berylspread/src/berylspread/jobs/gangs.py
+++ b/packages/berylspread/src/berylspread/jobs/gangs.py
@@ -91,7 +91,9 @@
     async def _try(self, progress: JobProgress) -> None:
         wanted = len(progress.pending)
         spec = progress.spec
-        if self.home.quota.headroom(spec.team, spec.shape) < wanted:
+        quota = self.home.quota.teams.get(spec.team)
+        room = quota.room(spec.shape) if quota else 0
+        if room is not None and room < wanted:
             self._back_off(progress)
             return
         holds = await self._reserve(progress, wanted)
--- a/packages/berylspread/src/berylspread/jobs/home.py
+++ b/packages/berylspread/src/berylspread/jobs/home.py
@@ -72,7 +72,7 @@
         self.tenure = tenure
         self.unit = UnitEpoch(tenure.unit, tenure.epoch)
         self.region = unit_region(tenure.unit)
-        self.quota = QuotaLedger(self.region)
+        self.quota = QuotaLedger()
         self.book = JobBook(self.quota)
         self.reconciler = Reconciler(context, self.book, self.unit)
         self.outcomes = OutcomeWriter(context, self.book)
@@ -163,9 +163,9 @@
             TeamUse(
                 team=team,
                 share=document.entitled_share(team),
-                used=used,
+                used=quota.in_use,
             )
-            for team, used in self.quota.used_by_team()
+            for team, quota in self.quota.teams.items()
         ]
 
     def partition_owners(self, classes: list[DemandClass]) -> dict[str, bool]:
@@ -282,7 +282,9 @@
     def _load_allotments(self) -> None:
         for team in self.context.document.teams:
             self.quota.set_allotment(
-                team, self.context.state.allotment(team, self.region)
+                team,
+                self.context.state.allotment(team, self.region),
+                self.context.document.team_limit(team),
             )
 
     def _loop_time(self, spec: JobSpec) -> float:
--- a/packages/berylspread/src/berylspread/jobs/stops.py
+++ b/packages/berylspread/src/berylspread/jobs/stops.py
@@ -5,7 +5,7 @@
 
 from berylspread.jobs.book import JobBook
 from berylspread.limits import QuotaLedger
-from berylspread.model import JobKind, TaskKey
+from berylspread.model import ZERO, JobKind, TaskKey
 from berylspread.partition.messages import StopTasks, UnitEpoch
 from berylspread.runtime import NodeContext
 
@@ -42,13 +42,12 @@
 
     def add_excess(self, quota: QuotaLedger) -> None:
         """Preempt the tasks by which teams exceed a lowered limit."""
-        for team in quota.teams_in_excess():
+        for team in quota.teams:
             excess = quota.excess(team)
             for task in self._victims(team):
-                if not excess.exceeds_zero():
+                if excess.fits(ZERO):
                     break
-                shape = self.book.jobs[task.job_id].spec.shape
-                excess = excess - shape
+                excess -= self.book.jobs[task.job_id].spec.shape
                 self.add([task], CHECKPOINT)
 
     def left(self, task: TaskKey) -> None:
--- a/packages/berylspread/src/berylspread/limits/quota.py
+++ b/packages/berylspread/src/berylspread/limits/quota.py
@@ -44,15 +44,24 @@
 class TeamQuota:
     """One team's allotment in the region, and what is used of it.
 
-    A dimension of the allotment that is 0 is unlimited.  ``outgoing`` is the
-    part that is being given to another region: it is out of use already.
+    A dimension that is 0 in ``fleet_limit`` is unlimited; an allotment of 0 in
+    a limited dimension gives nothing.  ``outgoing`` is the part that is being
+    given to another region: it is out of use already.
     """
 
-    __slots__ = ('allotment', 'lent', 'outgoing', 'slices', 'used')
+    __slots__ = (
+        'allotment',
+        'fleet_limit',
+        'lent',
+        'outgoing',
+        'slices',
+        'used',
+    )
 
     def __init__(self) -> None:
         """Start unlimited and unused."""
         self.allotment = ZERO
+        self.fleet_limit = ZERO
         self.outgoing = ZERO
         self.used = ZERO
         self.lent = 0
@@ -70,7 +79,9 @@
 
     def room(self, shape: Resources) -> int | None:
         """Return how many more of a shape fit; ``None`` if unlimited."""
-        return bounded_times(shape, self.in_use, self.limit, self.allotment)
+        return bounded_times(
+            shape, self.in_use, self.limit, self.fleet_limit
+        )
 
 
 @final
@@ -93,9 +104,20 @@
         self.longest_call_s = longest_call_s
         self.teams: dict[str, TeamQuota] = {}
 
-    def set_allotment(self, team: str, allotment: Resources) -> None:
-        """Set what a team may use in this region; it may be below its use."""
-        self.teams.setdefault(team, TeamQuota()).allotment = allotment
+    def set_allotment(
+        self,
+        team: str,
+        allotment: Resources,
+        fleet_limit: Resources | None = None,
+    ) -> None:
+        """Set what a team may use in this region; it may be below its use.
+
+        ``fleet_limit`` is the team's limit over all regions, whose dimensions
+        of 0 are unlimited; the allotment itself stands for it if left out.
+        """
+        quota = self.teams.setdefault(team, TeamQuota())
+        quota.allotment = allotment
+        quota.fleet_limit = allotment if fleet_limit is None else fleet_limit
 
     def take(self, team: str, shape: Resources, count: int) -> int:
         """Count tasks as handed out; return how many of ``count`` may be.
@@ -185,7 +207,7 @@
         quota = self.teams.get(team)
         if quota is None:
             return ZERO
-        return over(quota.in_use, quota.limit, quota.allotment)
+        return over(quota.in_use, quota.limit, quota.fleet_limit)
 
     def _offer(
         self, quota: TeamQuota, held: Slice, wanted: int, in_flight: int
@@ -207,7 +229,7 @@
     ) -> None:
         check(
             'team-within-allotment',
-            within(quota.in_use, quota.limit, quota.allotment, shape),
+            within(quota.in_use, quota.limit, quota.fleet_limit, shape),
             team=team,
             in_use=quota.in_use,
             allotment=quota.allotment,
