Look up the document, owners, jobs and allotments in the state

Cause: the job home asks the folded state by unit, team and region. Change: ClusterState gives the document in force, owners, jobs of a home and allotments; a job's ended tasks are a mapping of index to state. Conclusion: the home runs on the fold as it is.

--- a/packages/berylspread/src/berylspread/config/checks.py
+++ b/packages/berylspread/src/berylspread/config/checks.py
@@ -22,7 +22,7 @@
 )
 from berylspread.kernel.errors import InvalidInput
 from berylspread.kernel.registry import nearest
-from berylspread.model import DIMENSIONS, ZERO, Resources
+from berylspread.model import DIMENSIONS, Resources
 
 #: Shares are written with few digits, so that their sum may be off a little.
 SHARE_TOLERANCE: Final = 1e-6
@@ -74,7 +74,7 @@
 @document_check
 def check_regions(document: Document) -> Iterator[InvalidInput]:
     """Limits have regions to be split over."""
-    if not document.regions():
+    if not document.regions:
         yield _error(document, 'region', 'weight', 'no region is defined')
 
 
@@ -138,8 +138,7 @@
     """Return an error for each limit below what the team runs now."""
     errors = []
     for label, amount in sorted(used.items()):
-        team = document.team(label)
-        limit = team.limit() if team else ZERO
+        limit = document.team_limit(label)
         for name in DIMENSIONS:
             most = getattr(limit, name)
             running = getattr(amount, name)
@@ -169,7 +168,7 @@
             f'queue {label}',
             f'no worker class holds a task: {_misfits(queue, classes)}',
         )
-        for label, queue in document.queues().items()
+        for label, queue in document.queues.items()
         if not any(queue.shape().fits(capacity) for capacity in classes)
     ]
 
--- a/packages/berylspread/src/berylspread/config/document.py
+++ b/packages/berylspread/src/berylspread/config/document.py
@@ -19,6 +19,7 @@
 from berylspread.kernel.errors import Failure, InvalidInput, failure
 from berylspread.kernel.options import Place, Section, read_section
 from berylspread.kernel.registry import nearest
+from berylspread.model import ZERO, Resources
 
 SectionT = TypeVar('SectionT', bound=DocumentSection)
 PERCENT: Final = 100.0
@@ -86,24 +87,32 @@
         """The durations."""
         return self.single(TimingSection)
 
+    @property
     def teams(self) -> dict[str, TeamSection]:
-        """Return the teams by name."""
+        """The teams by name."""
         return self.labelled(TeamSection)
 
     def team(self, name: str) -> TeamSection | None:
         """Return a team, or ``None``."""
         return self.labelled(TeamSection).get(name)
 
+    @property
     def queues(self) -> dict[str, QueueSection]:
-        """Return the queues by name."""
+        """The queues by name."""
         return self.labelled(QueueSection)
 
+    def team_limit(self, name: str) -> Resources:
+        """Return a team's upper limit in the fleet; 0 where there is none."""
+        found = self.team(name)
+        return found.limit() if found else ZERO
+
     def queue(self, name: str) -> QueueSection | None:
         """Return a queue, or ``None``."""
         return self.labelled(QueueSection).get(name)
 
+    @property
     def regions(self) -> dict[str, RegionSection]:
-        """Return the regions by name."""
+        """The regions by name."""
         return self.labelled(RegionSection)
 
     def plugin(self, kind: str, name: str) -> Section | None:
@@ -119,13 +128,13 @@
         if found is None:
             return 0.0
         organisations = self.labelled(OrganisationSection)
-        share = found.share / PERCENT
+        share = (found.share or 0.0) / PERCENT
         name = found.organisation
         for _ in range(len(organisations)):
             organisation = organisations.get(name)
             if organisation is None:
                 break
-            share *= organisation.share / PERCENT
+            share *= (organisation.share or 0.0) / PERCENT
             name = organisation.parent
         return share
 
--- a/packages/berylspread/src/berylspread/config/sections.py
+++ b/packages/berylspread/src/berylspread/config/sections.py
@@ -2,6 +2,7 @@
 
 from typing import Final, TypeVar
 
+from berylspread.config.environments import ENVIRONMENTS
 from berylspread.kernel import options
 from berylspread.kernel.options import Section
 from berylspread.model import Resources
@@ -61,7 +62,7 @@
     kind = 'environment'
     labelled = False
 
-    name = options.choice('trial', 'production')
+    name = options.choice(*ENVIRONMENTS)
     description = options.text(default='')
 
 
--- a/packages/berylspread/src/berylspread/log/folds/allotments.py
+++ b/packages/berylspread/src/berylspread/log/folds/allotments.py
@@ -5,10 +5,11 @@
 """
 
 from collections.abc import Callable, Iterator, Mapping
-from typing import Final, final
+from typing import final
 
 import msgspec
 
+from berylspread.config.environments import PRODUCTION
 from berylspread.config.limits import FleetLimits, read_limits
 from berylspread.kernel import check
 from berylspread.log.folds.apportion import adjust
@@ -17,8 +18,6 @@
 from berylspread.log.records import AllotmentMoved, ConfigApplied
 from berylspread.model import DIMENSIONS, ZERO, Resources
 
-PRODUCTION: Final = 'production'
-
 
 @final
 class TeamAllotment(msgspec.Struct, frozen=True, array_like=True):
--- a/packages/berylspread/src/berylspread/log/folds/jobs.py
+++ b/packages/berylspread/src/berylspread/log/folds/jobs.py
@@ -68,38 +68,48 @@
 
     ``accepted_at`` is the offset of its acceptance; ``cancelled`` the reason of
     a cancellation; ``started`` the tasks of a non-idempotent job that may have
-    been started; ``ended`` the indexes by terminal state.
+    been started; ``by_state`` the ended indexes by terminal state.
     """
 
-    __slots__ = ('accepted_at', 'cancelled', 'ended', 'ends', 'spec', 'started')
+    __slots__ = (
+        'accepted_at',
+        'by_state',
+        'cancelled',
+        'ends',
+        'spec',
+        'started',
+    )
 
     def __init__(self, spec: JobSpec, accepted_at: int) -> None:
         """Start with no task started."""
         self.spec = spec
         self.accepted_at = accepted_at
         self.started = IndexSet()
-        self.ended: dict[TaskState, IndexSet] = {}
+        self.by_state: dict[TaskState, IndexSet] = {}
         self.ends: list[TaskEnd] = []
         self.cancelled: str | None = None
 
     def end_state(self, index: int) -> TaskState | None:
         """Return the terminal state of a task, or ``None``."""
         return next(
-            (state for state, found in self.ended.items() if index in found),
+            (state for state, found in self.by_state.items() if index in found),
             None,
         )
 
-    def ended_indexes(self) -> IndexSet:
-        """Return the indexes of all tasks that reached a terminal state."""
-        found = IndexSet()
-        for indexes in self.ended.values():
-            found.bits |= indexes.bits
-        return found
+    @property
+    def ended(self) -> dict[int, TaskState]:
+        """The terminal states by index, of the tasks that ended."""
+        return {
+            index: state
+            for state, indexes in self.by_state.items()
+            for index in indexes
+        }
 
     def counts(self) -> dict[str, int]:
         """Return the number of ended tasks by the name of their state."""
         return {
-            state.value: len(indexes) for state, indexes in self.ended.items()
+            state.value: len(indexes)
+            for state, indexes in self.by_state.items()
         }
 
     def end(self, end: TaskEnd) -> None:
@@ -108,7 +118,7 @@
             return
         if self.end_state(end.index) is not None:
             return
-        self.ended.setdefault(end.state, IndexSet()).add(end.index)
+        self.by_state.setdefault(end.state, IndexSet()).add(end.index)
         if len(self.ends) < KEPT_ENDS:
             self.ends.append(end)
 
@@ -120,7 +130,7 @@
             self.started.to_bytes(),
             {
                 state.value: found.to_bytes()
-                for state, found in self.ended.items()
+                for state, found in self.by_state.items()
             },
             tuple(self.ends),
             self.cancelled,
@@ -131,7 +141,7 @@
         """Rebuild from a snapshot."""
         job = cls(wire.spec, wire.accepted_at)
         job.started = IndexSet.from_bytes(wire.started)
-        job.ended = {
+        job.by_state = {
             TaskState(name): IndexSet.from_bytes(blob)
             for name, blob in wire.ended.items()
         }
--- a/packages/berylspread/src/berylspread/log/state.py
+++ b/packages/berylspread/src/berylspread/log/state.py
@@ -7,6 +7,8 @@
 import msgspec
 from absl import logging
 
+from berylspread.config.document import Document, read_document
+from berylspread.config.environments import PRODUCTION
 from berylspread.kernel import check
 from berylspread.log.folds import (
     AllotmentFold,
@@ -16,6 +18,7 @@
     Context,
     Fold,
     JobFold,
+    JobState,
     JobsWire,
     KeyFold,
     KeysWire,
@@ -26,6 +29,7 @@
 )
 from berylspread.log.interface import Entry
 from berylspread.log.records import Batch, decode_batch
+from berylspread.model import ZERO, NodeRef, Resources
 
 Listener = Callable[[int, Any], None]
 BatchListener = Callable[[str, int, int], None]
@@ -72,6 +76,8 @@
         'listeners',
         'log_time',
         'offset',
+        'parsed',
+        'parsed_version',
         'restore_listeners',
         'undecodable',
         'units',
@@ -89,10 +95,58 @@
         self.undecodable = 0
         self.offset = 0
         self.log_time = 0.0
+        self.parsed: Document | None = None
+        self.parsed_version = 0
         self.writers = WriterFold()
         self.handlers: _Handlers = {}
         self._install(StateWire())
 
+    @property
+    def document(self) -> Document:
+        """The production document in force; an empty one before the first.
+
+        A section that an older or newer release wrote differently counts as
+        far as it can be read.
+        """
+        version = self.configs.in_force(PRODUCTION)
+        found = version.version if version else 0
+        if self.parsed is None or self.parsed_version != found:
+            text = version.text if version else ''
+            self.parsed = read_document(f'{PRODUCTION} {found}', text, [])
+            self.parsed_version = found
+        return self.parsed
+
+    @property
+    def config_version(self) -> int:
+        """The version of the production document in force; 0 if none."""
+        version = self.configs.in_force(PRODUCTION)
+        return version.version if version else 0
+
+    def owner(self, unit: str) -> tuple[NodeRef, int] | None:
+        """Return the last logged owner of a unit and its epoch."""
+        claim = self.units.claim(unit)
+        return (claim.owner, claim.epoch) if claim else None
+
+    def owners(self, prefix: str = '') -> dict[str, tuple[NodeRef, int]]:
+        """Return owner and epoch by unit, of units whose name has a prefix."""
+        return {
+            unit: (claim.owner, claim.epoch)
+            for unit, claim in self.units.claims.items()
+            if unit.startswith(prefix)
+        }
+
+    def jobs_of(self, unit: str) -> list[JobState]:
+        """Return the jobs of a home that have not ended, oldest first."""
+        return self.jobs.of_unit(unit)
+
+    def allotment(self, team: str, region: str) -> Resources:
+        """Return a region's part of a team's limit.
+
+        It says nothing in a dimension in which the team has no limit.
+        """
+        found = self.allotments.team(team)
+        return found.part(region) if found else ZERO
+
     def subscribe(self, record_type: type[Any], listener: Listener) -> None:
         """Call back with offset and record once a record has been applied.
 
