Keep the previous members of an electorate

Change: the fold keeps the members of the version before. Result: one tuple more for each region. Conclusion: establishment can be shown by any node.

--- a/packages/berylspread/src/berylspread/log/folds/units.py
+++ b/packages/berylspread/src/berylspread/log/folds/units.py
@@ -28,12 +28,16 @@
 
 @final
 class Electorate(msgspec.Struct, frozen=True, array_like=True):
-    """The members of a region's electorate in its newest version."""
+    """The members of a region's electorate in its newest version.
+
+    ``previous`` are the members of the version before it.
+    """
 
     region: str
     version: int
     members: tuple[NodeRef, ...]
     offset: int
+    previous: tuple[NodeRef, ...] = ()
 
 
 @final
@@ -97,7 +101,11 @@
         last = self.electorates.get(record.region)
         if record.version == _next(last and last.version):
             self.electorates[record.region] = Electorate(
-                record.region, record.version, record.members, context.offset
+                record.region,
+                record.version,
+                record.members,
+                context.offset,
+                last.members if last else (),
             )
 
     def to_wire(self) -> UnitsWire:
