--- a/packages/berylspread/src/berylspread/health/__init__.py
+++ b/packages/berylspread/src/berylspread/health/__init__.py
@@ -1,1 +1,16 @@
 """Health of workers: failure rates, quarantine and probes."""
+
+from berylspread.health.blame import ClassRecord, FailureRate
+from berylspread.health.drain import Drain, DrainEvent, DrainState
+from berylspread.health.monitor import HealthMonitor
+from berylspread.health.quarantine import Quarantine
+
+__all__ = (
+    'ClassRecord',
+    'Drain',
+    'DrainEvent',
+    'DrainState',
+    'FailureRate',
+    'HealthMonitor',
+    'Quarantine',
+)
--- /dev/null
+++ b/packages/berylspread/src/berylspread/health/blame.py
@@ -0,0 +1,83 @@
+"""Failure rates with decay, and whose fault a failure is.
+
+A task that fails says something of its worker only as far as tasks of its job
+class succeed elsewhere, and something of its class only as far as its worker
+serves other work well.
+"""
+
+import math
+from typing import Final, final
+
+HALF_LIFE_S: Final = 900.0
+#: Weight of the prior, in tasks.
+PRIOR_TASKS: Final = 2.0
+PRIOR_RATE: Final = 0.05
+MAX_WORKERS_MET: Final = 16
+
+
+@final
+class FailureRate:
+    """Decayed counts of ended and failed tasks."""
+
+    __slots__ = ('ended', 'failed', 'updated_at')
+
+    def __init__(self, now: float) -> None:
+        """Start without counts."""
+        self.ended: float = 0
+        self.failed: float = 0
+        self.updated_at = now
+
+    def add(self, now: float, *, failed: float, ended: float = 1) -> None:
+        """Count ended tasks, after letting the older counts decay."""
+        self.decay(now)
+        self.ended += ended
+        self.failed += failed
+
+    def decay(self, now: float) -> None:
+        """Let the counts decay up to now."""
+        elapsed_s = now - self.updated_at
+        if elapsed_s > 0:
+            kept = math.exp2(-elapsed_s / HALF_LIFE_S)
+            self.ended *= kept
+            self.failed *= kept
+            self.updated_at = now
+
+    def rate(self, prior: float = PRIOR_RATE) -> float:
+        """Return the failed part from 0 to 1, drawn to the prior."""
+        return (self.failed + prior * PRIOR_TASKS) / (self.ended + PRIOR_TASKS)
+
+
+@final
+class ClassRecord:
+    """How one job class does: in all, and on which workers it failed."""
+
+    __slots__ = ('failed_on', 'rate', 'succeeded_on')
+
+    def __init__(self, now: float) -> None:
+        """Start without counts."""
+        self.rate = FailureRate(now)
+        self.failed_on: dict[str, float] = {}
+        self.succeeded_on: dict[str, float] = {}
+
+    def add(self, worker: str, now: float, *, failed: bool) -> None:
+        """Count an ended task; the workers met last are remembered."""
+        self.rate.add(now, failed=float(failed))
+        met = self.failed_on if failed else self.succeeded_on
+        met.pop(worker, None)
+        met[worker] = now
+        if len(met) > MAX_WORKERS_MET:
+            met.pop(next(iter(met)))
+
+    def blame(self, worker: str) -> float:
+        """Return how far a failure on a worker is the class's fault, 0 to 1.
+
+        A class that failed on several other workers and succeeded on none is
+        at fault; one that succeeded on several others is not.
+        """
+        failed = _others(self.failed_on, worker)
+        succeeded = _others(self.succeeded_on, worker)
+        return failed / (failed + succeeded + 1)
+
+
+def _others(met: dict[str, float], worker: str) -> int:
+    return len(met) - (worker in met)
--- /dev/null
+++ b/packages/berylspread/src/berylspread/health/monitor.py
@@ -0,0 +1,163 @@
+"""Which workers fail what they are given: suspicion, quarantine, probes."""
+
+import collections
+from typing import Final, final
+
+from berylspread.health.blame import ClassRecord, FailureRate
+from berylspread.health.quarantine import Quarantine
+from berylspread.limits import Barrier, CapacityLedger, WorkerView
+
+MAX_CLASSES: Final = 2000
+#: A worker goes into quarantine above this rate and this many blamed failures.
+BLAMED_RATE: Final = 0.5
+BLAMED_FAILURES: Final = 2.5
+#: A class is faulty above this rate after failures on this many workers.
+FAULTY_RATE: Final = 0.5
+FAULTY_WORKERS: Final = 3
+MAX_QUARANTINED_SHARE: Final = 0.1
+
+
+@final
+class HealthMonitor:
+    """Counts ends of tasks per worker and job class, and quarantines workers.
+
+    It sets the barrier and the suspicion in the ledgers that it is given; at
+    most ``max_share`` of their workers, and at least one, may be quarantined.
+    """
+
+    __slots__ = (
+        'classes',
+        'fleet',
+        'ledgers',
+        'max_share',
+        'quarantined',
+        'workers',
+    )
+
+    def __init__(
+        self, now: float, max_share: float = MAX_QUARANTINED_SHARE
+    ) -> None:
+        """Start without workers."""
+        self.max_share = max_share
+        self.fleet = FailureRate(now)
+        self.workers: dict[str, FailureRate] = {}
+        self.classes: collections.OrderedDict[str, ClassRecord] = (
+            collections.OrderedDict()
+        )
+        self.quarantined: dict[str, Quarantine] = {}
+        self.ledgers: dict[str, CapacityLedger] = {}
+
+    def watch(self, ledger: CapacityLedger) -> None:
+        """Include a partition's workers."""
+        self.ledgers[ledger.unit] = ledger
+
+    def unwatch(self, unit: str) -> None:
+        """Leave a partition to its next owner."""
+        ledger = self.ledgers.pop(unit, None)
+        if ledger is not None:
+            for worker in ledger.workers:
+                self.forget(worker)
+
+    def forget(self, worker: str) -> None:
+        """Drop what is known of a worker that has gone."""
+        self.workers.pop(worker, None)
+        self.quarantined.pop(worker, None)
+
+    def ended(
+        self, worker: str, job_class: str, now: float, *, failed: bool
+    ) -> None:
+        """Take in the end of a task; cancelled and preempted ones don't count.
+
+        The blame for a failure is divided between the class and the worker.
+        """
+        record = self._class(job_class, now)
+        blame = 1 - record.blame(worker) if failed else 0.0
+        record.add(worker, now, failed=failed)
+        known = self.workers.setdefault(worker, FailureRate(now))
+        known.add(now, failed=blame)
+        self.fleet.add(now, failed=blame)
+        view = self.view(worker)
+        if view is not None:
+            view.suspicion = self.suspicion(worker)
+            self._judge(view, now, failed=failed)
+
+    def suspicion(self, worker: str) -> float:
+        """Return the worker's failure rate, drawn to the fleet's, 0 to 1."""
+        known = self.workers.get(worker)
+        prior = min(self.fleet.rate(), BLAMED_RATE)
+        return prior if known is None else known.rate(prior)
+
+    def is_faulty(self, job_class: str) -> bool:
+        """Return whether a class fails by its own fault wherever it runs."""
+        record = self.classes.get(job_class)
+        return (
+            record is not None
+            and record.rate.rate() > FAULTY_RATE
+            and len(record.failed_on) >= FAULTY_WORKERS
+            and len(record.failed_on) > len(record.succeeded_on)
+        )
+
+    def probe(self, now: float) -> list[str]:
+        """Return the quarantined workers that may take one probe task now."""
+        return [
+            worker
+            for worker, quarantine in self.quarantined.items()
+            if quarantine.may_probe(now)
+        ]
+
+    def probe_started(self, worker: str, now: float) -> None:
+        """Allow no further probe until this one has ended or timed out."""
+        quarantine = self.quarantined.get(worker)
+        if quarantine is not None:
+            quarantine.start_probe(now)
+
+    def view(self, worker: str) -> WorkerView | None:
+        """Return a watched worker."""
+        for ledger in self.ledgers.values():
+            view = ledger.workers.get(worker)
+            if view is not None:
+                return view
+        return None
+
+    def capacity_for_quarantine(self) -> int:
+        """Return how many more workers may go into quarantine."""
+        watched = sum(len(ledger.workers) for ledger in self.ledgers.values())
+        allowed = max(int(watched * self.max_share), 1)
+        return allowed - len(self.quarantined)
+
+    def _class(self, job_class: str, now: float) -> ClassRecord:
+        record = self.classes.get(job_class)
+        if record is None:
+            record = ClassRecord(now)
+            self.classes[job_class] = record
+            if len(self.classes) > MAX_CLASSES:
+                self.classes.popitem(last=False)
+        self.classes.move_to_end(job_class)
+        return record
+
+    def _judge(self, view: WorkerView, now: float, *, failed: bool) -> None:
+        quarantine = self.quarantined.get(view.worker)
+        if quarantine is None:
+            if failed and self._is_blamed(view.worker):
+                self._enter(view, now)
+        elif quarantine.ended(now, failed=failed):
+            self._leave(view)
+
+    def _is_blamed(self, worker: str) -> bool:
+        known = self.workers[worker]
+        return (
+            known.failed >= BLAMED_FAILURES
+            and known.rate(min(self.fleet.rate(), BLAMED_RATE)) > BLAMED_RATE
+        )
+
+    def _enter(self, view: WorkerView, now: float) -> None:
+        if self.capacity_for_quarantine() <= 0:
+            return
+        self.quarantined[view.worker] = Quarantine(now)
+        self.ledgers[view.unit].add_barrier(view.worker, Barrier.quarantined)
+
+    def _leave(self, view: WorkerView) -> None:
+        self.quarantined.pop(view.worker)
+        self.workers.pop(view.worker)
+        view.suspicion = self.suspicion(view.worker)
+        self.ledgers[view.unit].remove_barrier(view.worker, Barrier.quarantined)
--- /dev/null
+++ b/packages/berylspread/src/berylspread/health/quarantine.py
@@ -0,0 +1,46 @@
+"""One worker's quarantine: probes at growing intervals until it does well."""
+
+from typing import Final, final
+
+FIRST_PROBE_S: Final = 10.0
+LONGEST_PAUSE_S: Final = 600.0
+PROBE_TIMEOUT_S: Final = 300.0
+PROBES_TO_LEAVE: Final = 2
+
+
+@final
+class Quarantine:
+    """Times are loop seconds; ``pause_s`` doubles with each failed probe."""
+
+    __slots__ = ('next_probe_at', 'pause_s', 'probing', 'succeeded')
+
+    def __init__(self, now: float) -> None:
+        """Start with a pause before the first probe."""
+        self.pause_s = FIRST_PROBE_S
+        self.next_probe_at = now + self.pause_s
+        self.probing = False
+        self.succeeded = 0
+
+    def may_probe(self, now: float) -> bool:
+        """Return whether a probe is due; a lost one is repeated in time."""
+        return now >= self.next_probe_at
+
+    def start_probe(self, now: float) -> None:
+        """Wait for a probe's end, or for its timeout."""
+        self.probing = True
+        self.next_probe_at = now + PROBE_TIMEOUT_S
+
+    def ended(self, now: float, *, failed: bool) -> bool:
+        """Take in the end of a task; return whether the quarantine is over.
+
+        Tasks that were running before count only if they fail.
+        """
+        if failed:
+            self.succeeded = 0
+            self.pause_s = min(self.pause_s * 2, LONGEST_PAUSE_S)
+            self.next_probe_at = now + self.pause_s
+        elif self.probing:
+            self.succeeded += 1
+            self.next_probe_at = now
+        self.probing = False
+        return self.succeeded >= PROBES_TO_LEAVE
--- a/packages/berylspread/src/berylspread/limits/capacity.py
+++ b/packages/berylspread/src/berylspread/limits/capacity.py
@@ -45,7 +45,7 @@
         """Add a worker, which gives nothing before its first report."""
         view = self.workers.get(vm.vm_id)
         if view is None:
-            view = WorkerView(vm, self.unit)
+            view = WorkerView(vm, self.unit, self.index.tally)
             self.workers[vm.vm_id] = view
         return view
 
@@ -54,17 +54,17 @@
         view = self.workers.pop(worker, None)
         if view is None:
             return []
+        lost = list(view.bookings.values())
+        for booking in lost:
+            self.bookings.pop(booking.key)
+            view.detach(booking)
         self.index.discard(view)
-        for key in view.bookings:
-            self.bookings.pop(key)
-        return list(view.bookings.values())
+        return lost
 
     def close(self) -> None:
         """Take all workers out of the shared index; the tenure has ended."""
-        for view in self.workers.values():
-            self.index.discard(view)
-        self.workers.clear()
-        self.bookings.clear()
+        for worker in list(self.workers):
+            self.remove_worker(worker)
 
     def report(
         self, worker: str, capacity: Resources, used: Resources = ZERO
@@ -76,10 +76,14 @@
         view = self.workers.get(worker)
         if view is None:
             return _unknown(worker)
+        before = ZERO if view.barriers else view.free
         view.capacity = capacity
         view.excess = positive(used - view.granted)
         view.refresh()
-        self.remove_barrier(worker, Barrier.unknown)
+        view.barriers.discard(Barrier.unknown)
+        self.index.put(view)
+        if not view.free.fits(before):
+            self.index.version += 1
         return None
 
     def add_barrier(self, worker: str, barrier: Barrier) -> None:
@@ -127,9 +131,8 @@
         view = self.workers.get(worker)
         if view is None:
             return _unknown(worker)
-        barriers = view.barriers
-        if probe:
-            barriers = barriers - PROBE_BARRIERS
+        passed = PROBE_BARRIERS if probe else frozenset()
+        barriers = view.barriers - passed
         if barriers:
             return _barred(worker, barriers)
         short = shape.misfit(view.free)
@@ -175,12 +178,7 @@
     ) -> Booking | BookingExpired | Conflict:
         """Turn a hold into a booking that lasts, under its final key."""
         booking = self.bookings.get(key)
-        lapsed = (
-            booking is None
-            or booking.expires_at is not None
-            and booking.expires_at <= now
-        )
-        if booking is None or lapsed:
+        if booking is None or booking.has_lapsed(now):
             return BookingExpired(f'hold {key!r} has lapsed', key=key)
         final_key = key if as_key is None else as_key
         if final_key != key and final_key in self.bookings:
--- a/packages/berylspread/src/berylspread/limits/free_index.py
+++ b/packages/berylspread/src/berylspread/limits/free_index.py
@@ -5,10 +5,12 @@
 asks for surely has room; one of an equal class may have.
 """
 
-from collections.abc import Iterator
-from typing import Final, final
+import collections
+import itertools
+from collections.abc import Hashable
+from typing import Final, TypeVar, final
 
-from berylspread.limits.workers import WorkerView
+from berylspread.limits.workers import Tally, WorkerView
 from berylspread.model import Resources
 
 CPU_UNIT_MILLI: Final = 250
@@ -31,40 +33,46 @@
 class FreeIndex:
     """The workers that take new work, by class of what they have free.
 
-    ``examined`` counts the workers that were handed out as candidates and
-    ``version`` the changes that made more capacity free.  The ledgers of one
-    node share an index, so that one decision sees all their workers.
+    ``examined`` counts the workers that were looked at as candidates,
+    ``version`` the changes that made more capacity free, and ``tally`` the
+    running tasks by place.  ``by_capacity`` holds the workers that take work by
+    what they hold, which is of few kinds.  The ledgers of one node share an
+    index, so that one decision sees all their workers.
     """
 
-    __slots__ = ('buckets', 'examined', 'version')
+    __slots__ = ('buckets', 'by_capacity', 'examined', 'tally', 'version')
 
     def __init__(self) -> None:
         """Start empty."""
         self.buckets: dict[FreeClass, dict[str, WorkerView]] = {}
+        self.by_capacity: dict[Resources, dict[str, WorkerView]] = {}
+        self.tally: Tally = collections.Counter()
         self.examined = 0
         self.version = 0
 
     def put(self, view: WorkerView) -> None:
         """Add a worker, or move it to the class of what it has free now."""
-        open_for_work = not view.barriers and view.free.is_non_negative()
-        key = free_class(view.free) if open_for_work else None
-        if key == view.index_key:
+        key = None
+        if not view.barriers and view.free.is_non_negative():
+            key = free_class(view.free)
+        if key == view.index_key and view.indexed_capacity == view.capacity:
             return
         self.discard(view)
         if key is not None:
             self.buckets.setdefault(key, {})[view.worker] = view
+            alike = self.by_capacity.setdefault(view.capacity, {})
+            alike[view.worker] = view
             view.index_key = key
+            view.indexed_capacity = view.capacity
 
     def discard(self, view: WorkerView) -> None:
         """Remove a worker if it is there."""
         key = view.index_key
         if key is None:
             return
+        _remove(self.buckets, key, view.worker)
+        _remove(self.by_capacity, view.indexed_capacity, view.worker)
         view.index_key = None
-        bucket = self.buckets[key]
-        bucket.pop(view.worker)
-        if not bucket:
-            self.buckets.pop(key)
 
     def candidates(self, shape: Resources, limit: int) -> list[WorkerView]:
         """Return up to ``limit`` workers with room, the tightest classes first.
@@ -87,10 +95,18 @@
             budget -= self._examine(key, shape, budget, found)
         return found
 
-    def workers(self) -> Iterator[WorkerView]:
-        """Yield every worker that takes new work."""
-        for bucket in self.buckets.values():
-            yield from bucket.values()
+    def sample(self, shape: Resources, limit: int) -> list[WorkerView]:
+        """Return up to ``limit`` workers that could hold a shape if empty."""
+        found: list[WorkerView] = []
+        for capacity, alike in self.by_capacity.items():
+            if not shape.fits(capacity):
+                continue
+            for worker in list(itertools.islice(alike, limit - len(found))):
+                view = alike.pop(worker)
+                alike[worker] = view
+                found.append(view)
+        self.examined += len(found)
+        return found
 
     def _examine(
         self,
@@ -102,8 +118,8 @@
         if budget <= 0:
             return 0
         bucket = self.buckets[key]
-        examined = list(zip(range(budget), bucket, strict=False))
-        for _, worker in examined:
+        examined = list(itertools.islice(bucket, budget))
+        for worker in examined:
             # To the end of the line: the next decision sees other workers.
             view = bucket.pop(worker)
             bucket[worker] = view
@@ -115,3 +131,15 @@
 
 def _surely_fits(free: int, need: int) -> bool:
     return free > need or not need
+
+
+KeyT = TypeVar('KeyT', bound=Hashable)
+
+
+def _remove(
+    groups: dict[KeyT, dict[str, WorkerView]], key: KeyT, worker: str
+) -> None:
+    group = groups[key]
+    group.pop(worker)
+    if not group:
+        groups.pop(key)
--- a/packages/berylspread/src/berylspread/limits/quota.py
+++ b/packages/berylspread/src/berylspread/limits/quota.py
@@ -112,6 +112,16 @@
             self._check_grant(team, quota, shape)
         return max(granted, 0)
 
+    def take_all(self, team: str, shape: Resources, count: int) -> bool:
+        """Count all tasks of a gang as handed out, or none."""
+        quota = self.teams.get(team)
+        if quota is None:
+            return False
+        room = quota.room(shape)
+        if room is not None and room < count:
+            return False
+        return self.take(team, shape, count) == count
+
     def give_back(self, team: str, shape: Resources, count: int = 1) -> None:
         """Count handed-out tasks as ended."""
         quota = self.teams[team]
--- a/packages/berylspread/src/berylspread/limits/vectors.py
+++ b/packages/berylspread/src/berylspread/limits/vectors.py
@@ -51,6 +51,13 @@
     )
 
 
+def larger(left: Resources, right: Resources) -> Resources:
+    """Return the larger amount of each dimension."""
+    return Resources(
+        *(max(getattr(left, name), getattr(right, name)) for name in DIMENSIONS)
+    )
+
+
 def positive(amount: Resources) -> Resources:
     """Return an amount with 0 in place of what is below 0."""
     if amount.is_non_negative():
--- a/packages/berylspread/src/berylspread/limits/workers.py
+++ b/packages/berylspread/src/berylspread/limits/workers.py
@@ -2,7 +2,7 @@
 
 import collections
 import enum
-from typing import Final, final
+from typing import Final, TypeVar, final
 
 from berylspread.model import ZERO, JobKind, Resources, Vm
 
@@ -54,6 +54,9 @@
 
 NOBODY: Final = Occupant()
 
+#: Running tasks by rack or zone, and job class.
+Tally = collections.Counter[tuple[str, str]]
+
 
 @final
 class Booking:
@@ -80,6 +83,10 @@
         self.occupant = occupant
         self.expires_at = expires_at
 
+    def has_lapsed(self, now: float) -> bool:
+        """Return whether the hold was not committed in time."""
+        return self.expires_at is not None and self.expires_at <= now
+
 
 @final
 class WorkerView:
@@ -99,14 +106,17 @@
         'free',
         'granted',
         'index_key',
+        'indexed_capacity',
         'suspicion',
+        'tally',
         'unit',
         'vm',
         'worker',
     )
 
-    def __init__(self, vm: Vm, unit: str) -> None:
+    def __init__(self, vm: Vm, unit: str, tally: Tally) -> None:
         """Start without capacity, barred until the worker has reported."""
+        self.tally = tally
         self.vm = vm
         self.unit = unit
         self.worker = vm.vm_id
@@ -119,6 +129,7 @@
         self.by_class: collections.Counter[str] = collections.Counter()
         self.suspicion: float = 0
         self.index_key: tuple[int, ...] | None = None
+        self.indexed_capacity = ZERO
 
     @property
     def has_accelerators(self) -> bool:
@@ -129,19 +140,32 @@
         """Count a booking as granted."""
         self.bookings[booking.key] = booking
         self.granted += booking.shape
-        self.by_class[booking.occupant.job_class] += 1
+        self._count(booking.occupant.job_class, 1)
         self.refresh()
 
     def detach(self, booking: Booking) -> None:
         """Count a booking as free again."""
         self.bookings.pop(booking.key)
         self.granted -= booking.shape
-        job_class = booking.occupant.job_class
-        self.by_class[job_class] -= 1
-        if not self.by_class[job_class]:
-            self.by_class.pop(job_class)
+        self._count(booking.occupant.job_class, -1)
         self.refresh()
 
     def refresh(self) -> None:
         """Derive what is free; it is negative where too much is in use."""
         self.free = self.capacity - self.granted - self.excess
+
+    def _count(self, job_class: str, change: int) -> None:
+        if not job_class:
+            return
+        _add(self.by_class, job_class, change)
+        _add(self.tally, (self.vm.rack, job_class), change)
+        _add(self.tally, (self.vm.zone, job_class), change)
+
+
+KeyT = TypeVar('KeyT')
+
+
+def _add(counter: collections.Counter[KeyT], key: KeyT, change: int) -> None:
+    counter[key] += change
+    if not counter[key]:
+        counter.pop(key)
--- a/packages/berylspread/src/berylspread/placement/__init__.py
+++ b/packages/berylspread/src/berylspread/placement/__init__.py
@@ -1,1 +1,36 @@
 """Placement plug-ins: orders, filters, scorers and preemption."""
+
+from berylspread.placement.context import PlacementContext
+from berylspread.placement.demand import (
+    Decision,
+    DemandClass,
+    GangInfo,
+    Rejection,
+    TeamUse,
+)
+from berylspread.placement.explain import Explanation, explain
+from berylspread.placement.feasibility import Holding, unplaceable
+from berylspread.placement.pending import DemandQueue, PendingClass
+from berylspread.placement.pipeline import Pipeline
+from berylspread.placement.policy import PolicySection, default_policy
+from berylspread.placement.shares import DecayedUse, ShareBook
+
+__all__ = (
+    'DecayedUse',
+    'Decision',
+    'DemandClass',
+    'DemandQueue',
+    'Explanation',
+    'GangInfo',
+    'Holding',
+    'PendingClass',
+    'Pipeline',
+    'PlacementContext',
+    'PolicySection',
+    'Rejection',
+    'ShareBook',
+    'TeamUse',
+    'default_policy',
+    'explain',
+    'unplaceable',
+)
--- /dev/null
+++ b/packages/berylspread/src/berylspread/placement/earmarks.py
@@ -0,0 +1,138 @@
+"""Workers kept for large tasks and gangs that have waited long.
+
+Without them small tasks take every bit of capacity as it becomes free, and a
+large one never finds enough in one place.  Other work may still use an
+earmarked worker if it is expected to end before the earmark is due.
+"""
+
+from collections.abc import Iterable
+from typing import Final, final
+
+from berylspread.limits import Booking, WorkerView
+from berylspread.model import Resources
+from berylspread.placement.demand import DemandClass
+
+EARMARK_TTL_S: Final = 300.0
+MAX_EARMARKS: Final = 64
+
+
+def may_backfill(expected_run_s: float, now: float, due_at: float) -> bool:
+    """Return whether work of a known run time ends before ``due_at``."""
+    return 0 < expected_run_s <= due_at - now
+
+
+@final
+class Earmark:
+    """A worker kept for one class; times are loop seconds.
+
+    ``due_at`` is when the worker is expected to have room; the earmark ends at
+    ``expires_at``, so that a class that has gone holds nothing.
+    """
+
+    __slots__ = ('class_id', 'due_at', 'expires_at', 'worker')
+
+    def __init__(
+        self, worker: str, class_id: str, due_at: float, expires_at: float
+    ) -> None:
+        """Keep a worker for a class."""
+        self.worker = worker
+        self.class_id = class_id
+        self.due_at = due_at
+        self.expires_at = expires_at
+
+
+def room_at(worker: WorkerView, shape: Resources, now: float) -> float:
+    """Return the loop time at which a worker is expected to have room.
+
+    Work of unknown run time is expected to end after ``EARMARK_TTL_S``.
+    """
+    free = worker.free
+    latest = now
+    ends = sorted(
+        (_expected_end(booking, now), booking.key)
+        for booking in worker.bookings.values()
+    )
+    for ends_at, key in ends:
+        if shape.fits(free):
+            break
+        free += worker.bookings[key].shape
+        latest = ends_at
+    return latest
+
+
+def _expected_end(booking: Booking, now: float) -> float:
+    expected = booking.occupant.expected_end
+    if expected is None:
+        return now + EARMARK_TTL_S
+    return max(expected, now)
+
+
+@final
+class Earmarks:
+    """The earmarks of one owner, by worker."""
+
+    __slots__ = ('by_class', 'by_worker')
+
+    def __init__(self) -> None:
+        """Start empty."""
+        self.by_worker: dict[str, Earmark] = {}
+        self.by_class: dict[str, set[str]] = {}
+
+    def put(self, earmark: Earmark) -> None:
+        """Keep a worker for a class; it replaces an older earmark."""
+        self.drop(earmark.worker)
+        self.by_worker[earmark.worker] = earmark
+        self.by_class.setdefault(earmark.class_id, set()).add(earmark.worker)
+
+    def reserve(
+        self,
+        demand: DemandClass,
+        workers: Iterable[WorkerView],
+        now: float,
+    ) -> Earmark | None:
+        """Keep the worker that will have room first, if any is left."""
+        self.expire(now)
+        times = [
+            (room_at(worker, demand.shape, now), worker.worker)
+            for worker in workers
+            if worker.worker not in self.by_worker
+        ]
+        if not times or len(self.by_worker) >= MAX_EARMARKS:
+            return None
+        due_at, chosen = min(times)
+        earmark = Earmark(chosen, demand.class_id, due_at, now + EARMARK_TTL_S)
+        self.put(earmark)
+        return earmark
+
+    def drop(self, worker: str) -> None:
+        """End the earmark of a worker."""
+        earmark = self.by_worker.pop(worker, None)
+        if earmark is None:
+            return
+        workers = self.by_class[earmark.class_id]
+        workers.discard(worker)
+        if not workers:
+            self.by_class.pop(earmark.class_id)
+
+    def drop_class(self, class_id: str) -> None:
+        """End all earmarks of a class."""
+        for worker in self.by_class.pop(class_id, set()):
+            self.by_worker.pop(worker, None)
+
+    def expire(self, now: float) -> None:
+        """End the earmarks that have run out."""
+        for earmark in list(self.by_worker.values()):
+            if earmark.expires_at <= now:
+                self.drop(earmark.worker)
+
+    def admits(
+        self, worker: str, class_id: str, expected_run_s: float, now: float
+    ) -> bool:
+        """Return whether a class may use a worker beside its earmark."""
+        earmark = self.by_worker.get(worker)
+        return (
+            earmark is None
+            or earmark.class_id == class_id
+            or earmark.expires_at <= now
+            or may_backfill(expected_run_s, now, earmark.due_at)
+        )
--- /dev/null
+++ b/packages/berylspread/src/berylspread/placement/feasibility.py
@@ -0,0 +1,109 @@
+"""Jobs that can never run are refused with the dimension that fails."""
+
+from collections.abc import Iterable
+from typing import final
+
+from berylspread.kernel.errors import Unplaceable
+from berylspread.model import (
+    DIMENSIONS,
+    ZERO,
+    Constraints,
+    JobKind,
+    Resources,
+    Vm,
+)
+
+JOINTLY = 'combination'
+TASKS = 'tasks'
+LIMIT = 'limit'
+
+
+@final
+class Holding:
+    """A worker that the platform lists, with what it last said it holds."""
+
+    __slots__ = ('capacity', 'vm')
+
+    def __init__(self, vm: Vm, capacity: Resources) -> None:
+        """Keep both."""
+        self.vm = vm
+        self.capacity = capacity
+
+
+def unplaceable(
+    shape: Resources,
+    constraints: Constraints,
+    holdings: Iterable[Holding],
+    *,
+    kind: JobKind = JobKind.batch,
+    tasks: int = 1,
+    limit: Resources = ZERO,
+) -> Unplaceable | None:
+    """Return why work can never run on these workers, or ``None``.
+
+    A dimension of ``limit`` that is 0 is unlimited.  Without any known worker
+    that the constraints allow, only a named region or zone is refused, since a
+    node that has just started knows none.
+    """
+    together = tasks if kind is JobKind.gang else 1
+    over = _over_limit(shape * together, limit)
+    if over is not None:
+        return _refusal(f'{LIMIT}:{over}', 'the team may never use as much')
+    known = list(holdings)
+    allowed = [held for held in known if _allows(constraints, held.vm)]
+    if not allowed:
+        return _nowhere(constraints, known)
+    fitting = [held for held in allowed if shape.fits(held.capacity)]
+    if not fitting:
+        return _refusal(_misfit(shape, allowed), 'no worker holds as much')
+    places = sum(shape.times_in(held.capacity) for held in fitting)
+    if places < together:
+        return _refusal(
+            TASKS, f'at most {places} of {together} tasks run at once'
+        )
+    return None
+
+
+def _over_limit(shape: Resources, limit: Resources) -> str | None:
+    return next(
+        (
+            name
+            for name in DIMENSIONS
+            if 0 < getattr(limit, name) < getattr(shape, name)
+        ),
+        None,
+    )
+
+
+def _allows(constraints: Constraints, vm: Vm) -> bool:
+    return (
+        constraints.region in {'', vm.region}
+        and constraints.zone in {'', vm.zone}
+        and vm.vm_id not in constraints.avoid_workers
+    )
+
+
+def _nowhere(
+    constraints: Constraints, known: list[Holding]
+) -> Unplaceable | None:
+    if not known:
+        return None
+    for name in ('region', 'zone'):
+        wanted = getattr(constraints, name)
+        if wanted and all(getattr(held.vm, name) != wanted for held in known):
+            return _refusal(name, f'no worker is in {wanted!r}')
+    return _refusal('constraints', 'no worker satisfies the constraints')
+
+
+def _misfit(shape: Resources, allowed: list[Holding]) -> str:
+    largest = Resources(
+        *(
+            max(getattr(held.capacity, name) for held in allowed)
+            for name in DIMENSIONS
+        )
+    )
+    return shape.misfit(largest) or JOINTLY
+
+
+def _refusal(dimension: str, reason: str) -> Unplaceable:
+    return Unplaceable(f'{reason} ({dimension})', dimension=dimension)
--- /dev/null
+++ b/packages/berylspread/src/berylspread/placement/filters/__init__.py
@@ -0,0 +1,21 @@
+"""Filters; importing this package registers them."""
+
+from berylspread.placement.filters.accelerators import Accelerators
+from berylspread.placement.filters.avoid import AvoidWorkers
+from berylspread.placement.filters.barriers import Drain, Quarantine
+from berylspread.placement.filters.earmark import Earmarked
+from berylspread.placement.filters.fits import Fits
+from berylspread.placement.filters.health import Health
+from berylspread.placement.filters.location import Region, Zone
+
+__all__ = (
+    'Accelerators',
+    'AvoidWorkers',
+    'Drain',
+    'Earmarked',
+    'Fits',
+    'Health',
+    'Quarantine',
+    'Region',
+    'Zone',
+)
--- /dev/null
+++ b/packages/berylspread/src/berylspread/placement/filters/accelerators.py
@@ -0,0 +1,46 @@
+"""Accelerator workers are not spent on other work."""
+
+from typing import Any, final
+
+from berylspread.kernel.options import number
+from berylspread.limits import WorkerView
+from berylspread.placement.context import PlacementContext
+from berylspread.placement.demand import DemandClass
+from berylspread.placement.kernel import Filter, filters
+
+
+@final
+@filters.register
+class Accelerators(Filter):
+    """Leaves processors and memory for the accelerators that are free.
+
+    Work without accelerators may use a worker's part that its accelerators in
+    use have left over, and at most ``share`` of it while others are free.
+    """
+
+    name = 'accelerators'
+
+    share: Any = number(0, 1, default=0.5, help='part open to other work')
+
+    def applies(self, demand: DemandClass) -> bool:
+        """Return whether the class leaves accelerators unused."""
+        return not demand.shape.accelerators and not demand.is_urgent
+
+    def admits(
+        self,
+        demand: DemandClass,
+        worker: WorkerView,
+        context: PlacementContext,
+    ) -> bool:
+        """Keep processors and memory in proportion to free accelerators."""
+        held = worker.capacity
+        if not held.accelerators:
+            return True
+        kept: float = (
+            (1 - self.share) * worker.free.accelerators / held.accelerators
+        )
+        left = worker.free - demand.shape
+        return (
+            left.cpu_milli >= kept * held.cpu_milli
+            and left.memory_mib >= kept * held.memory_mib
+        )
--- /dev/null
+++ b/packages/berylspread/src/berylspread/placement/orders/composite.py
@@ -0,0 +1,56 @@
+"""The four measures as one weighted order."""
+
+from typing import Any, Final, final
+
+from berylspread.kernel.options import number
+from berylspread.placement.context import PlacementContext
+from berylspread.placement.kernel import HISTORY, MAX_WEIGHT, QueueOrder, orders
+from berylspread.placement.pending import PendingClass
+
+#: Run time assumed for work that does not tell its own.
+UNKNOWN_RUN_S: Final = 60.0
+WITHIN_TEAM: Final = 1e-6
+
+
+@final
+@orders.register
+class Composite(QueueOrder):
+    """Weighs nearness to share, waiting, packing and control cost.
+
+    Each term lies between 0 and 1.  Waiting is the waiting time's part of the
+    whole response time, so that short work does not wait long for long work,
+    and none waits for ever.  Packing puts large tasks first.  Control cost
+    prefers the home of the last decision, so that one message carries more.
+    """
+
+    name = 'composite'
+    aliases = ('weighted',)
+
+    waiting: Any = number(0, MAX_WEIGHT, default=1)
+    packing: Any = number(0, MAX_WEIGHT, default=1)
+    control_cost: Any = number(0, MAX_WEIGHT, default=0)
+    nearness: Any = number(0, MAX_WEIGHT, default=1)
+    history: Any = number(0, 1, default=HISTORY)
+
+    def key(self, pending: PendingClass, context: PlacementContext) -> float:
+        """Return the weighted sum; the terms to be served first lower it."""
+        demand = pending.demand
+        ratio = context.shares.ratio(demand.team, self.history)
+        key: float = self.nearness * (1 - 1 / (1 + ratio))
+        key -= self.waiting * _waiting(pending, context.now)
+        key -= demand.priority * WITHIN_TEAM
+        if self.packing:
+            key -= self.packing * context.size(demand)
+        if self.control_cost and demand.home == context.last_home:
+            key -= self.control_cost
+        return key
+
+
+def _waiting(pending: PendingClass, now: float) -> float:
+    run_s = pending.demand.expected_run_s or UNKNOWN_RUN_S
+    waited_s = pending.waited_s(now)
+    part = waited_s / (waited_s + run_s)
+    if pending.deadline_at is None:
+        return part
+    slack_s = max(pending.deadline_at - now - run_s, 0)
+    return max(part, run_s / (run_s + slack_s))
--- /dev/null
+++ b/packages/berylspread/src/berylspread/placement/orders/priority.py
@@ -0,0 +1,23 @@
+"""Highest priority first."""
+
+from typing import Final, final
+
+from berylspread.placement.context import PlacementContext
+from berylspread.placement.kernel import QueueOrder, orders
+from berylspread.placement.pending import PendingClass
+
+#: A step of priority outweighs any waiting time below this.
+STEP_S: Final = 1e6
+
+
+@final
+@orders.register
+class HighestPriority(QueueOrder):
+    """The highest priority; among equals the oldest."""
+
+    name = 'priority'
+
+    def key(self, pending: PendingClass, context: PlacementContext) -> float:
+        """Return the age in seconds and the priority as one number."""
+        waited_s = pending.waited_s(context.now)
+        return -pending.demand.priority * STEP_S - min(waited_s, STEP_S - 1)
--- /dev/null
+++ b/packages/berylspread/src/berylspread/placement/pending.py
@@ -0,0 +1,177 @@
+"""The pending classes at a partition owner, in order."""
+
+import heapq
+from collections.abc import Callable, Iterable
+from typing import Final, final
+
+from berylspread.placement.demand import DemandClass
+
+REORDER_EVERY_S: Final = 0.25
+
+KeyOf = Callable[['PendingClass'], float]
+
+
+@final
+class PendingClass:
+    """One class with what is left of it; times are loop seconds."""
+
+    __slots__ = (
+        'count',
+        'deadline_at',
+        'demand',
+        'is_queued',
+        'oldest_at',
+        'reasons',
+    )
+
+    def __init__(self, demand: DemandClass, now: float) -> None:
+        """Take over a home's class as of now."""
+        self.count = 0
+        self.is_queued = False
+        self.reasons: dict[str, int] = {}
+        self.replace(demand, now)
+
+    def replace(self, demand: DemandClass, now: float) -> None:
+        """Take newer figures of the same class."""
+        self.demand = demand
+        self.count = demand.count
+        self.oldest_at = now - demand.oldest_age_s
+        self.deadline_at = (
+            None
+            if demand.deadline_slack_s is None
+            else now + demand.deadline_slack_s
+        )
+
+    def waited_s(self, now: float) -> float:
+        """Return how long the oldest task has waited."""
+        return max(now - self.oldest_at, 0)
+
+
+@final
+class DemandQueue:
+    """All homes' classes, served by a heap that is corrected lazily.
+
+    Keys are computed as classes are taken and once per ``REORDER_EVERY_S``.
+    Classes that no worker takes are parked until more capacity is free.
+    Cancelled classes leave when they are met.
+    """
+
+    __slots__ = (
+        'classes',
+        'heap',
+        'ordered_at',
+        'parked',
+        'parked_version',
+        'sequence',
+    )
+
+    def __init__(self) -> None:
+        """Start empty."""
+        self.classes: dict[str, PendingClass] = {}
+        self.heap: list[tuple[bool, float, int, PendingClass]] = []
+        self.parked: list[PendingClass] = []
+        self.parked_version = -1
+        self.ordered_at: float = 0
+        self.sequence = 0
+
+    def __len__(self) -> int:
+        """Return how many classes wait."""
+        return len(self.classes)
+
+    def put(self, demand: DemandClass, now: float) -> None:
+        """Add a class, or replace its figures; a count of 0 removes it."""
+        known = self.classes.get(demand.class_id)
+        if demand.count <= 0:
+            self.remove(demand.class_id)
+        elif known is None:
+            known = PendingClass(demand, now)
+            self.classes[demand.class_id] = known
+            self._push(known, 0)
+        else:
+            known.replace(demand, now)
+
+    def replace_home(
+        self, home: str, demands: Iterable[DemandClass], now: float
+    ) -> None:
+        """Take all classes of a home; those that it leaves out are removed."""
+        fresh = list(demands)
+        kept = {demand.class_id for demand in fresh}
+        for class_id, pending in list(self.classes.items()):
+            if pending.demand.home == home and class_id not in kept:
+                self.remove(class_id)
+        for demand in fresh:
+            self.put(demand, now)
+
+    def remove(self, class_id: str) -> None:
+        """Drop a class; the heap forgets it when it is met."""
+        pending = self.classes.pop(class_id, None)
+        if pending is not None:
+            pending.count = 0
+
+    def head(self, key_of: KeyOf, now: float) -> PendingClass | None:
+        """Take the first class out of the heap, or return ``None``."""
+        if now - self.ordered_at >= REORDER_EVERY_S:
+            self._reorder(key_of, now)
+        while self.heap:
+            _, key, _, pending = heapq.heappop(self.heap)
+            pending.is_queued = False
+            if not pending.count:
+                continue
+            fresh_key = key_of(pending)
+            if (
+                not self.heap
+                or fresh_key <= key
+                or self._leads(pending, fresh_key)
+            ):
+                return pending
+            self._push(pending, fresh_key)
+        return None
+
+    def put_back(self, pending: PendingClass, key: float) -> None:
+        """Return a class that was served, if any of it is left."""
+        if pending.count > 0:
+            self._push(pending, key)
+        else:
+            self.classes.pop(pending.demand.class_id, None)
+
+    def park(self, pending: PendingClass) -> None:
+        """Set a class aside until more capacity is free."""
+        self.parked.append(pending)
+
+    def unpark(self, version: int, key_of: KeyOf) -> None:
+        """Return the parked classes if the pool's version has changed."""
+        if version == self.parked_version:
+            return
+        self.parked_version = version
+        parked = self.parked
+        self.parked = []
+        for pending in parked:
+            if pending.count > 0:
+                self._push(pending, key_of(pending))
+
+    def take_back(self, class_id: str, count: int = 1) -> None:
+        """Undo a decision that its home or worker refused."""
+        pending = self.classes.get(class_id)
+        if pending is not None:
+            pending.count += count
+
+    def _leads(self, pending: PendingClass, key: float) -> bool:
+        rank = (not pending.demand.is_urgent, key)
+        return rank <= self.heap[0][:2]
+
+    def _push(self, pending: PendingClass, key: float) -> None:
+        if pending.is_queued:
+            return
+        pending.is_queued = True
+        self.sequence += 1
+        rank = (not pending.demand.is_urgent, key, self.sequence, pending)
+        heapq.heappush(self.heap, rank)
+
+    def _reorder(self, key_of: KeyOf, now: float) -> None:
+        self.ordered_at = now
+        self.heap = [
+            (not pending.demand.is_urgent, key_of(pending), sequence, pending)
+            for _, _, sequence, pending in self.heap
+            if pending.count > 0
+        ]
+        heapq.heapify(self.heap)
--- /dev/null
+++ b/packages/berylspread/src/berylspread/placement/pipeline.py
@@ -0,0 +1,284 @@
+"""The pipeline of a decision: order, filters, scorers, choice."""
+
+import collections
+from collections.abc import Iterable, Sequence
+from typing import Final, TypeVar, final
+
+from berylspread.kernel import Registry
+from berylspread.kernel.errors import UnknownName
+from berylspread.limits import Booking, WorkerView
+from berylspread.placement import filters as filter_plugins
+from berylspread.placement import orders as order_plugins
+from berylspread.placement import preemption as preemption_plugins
+from berylspread.placement import scorers as scorer_plugins
+from berylspread.placement.context import PlacementContext
+from berylspread.placement.demand import Decision, DemandClass, Rejection
+from berylspread.placement.gang import earmarks_wanted
+from berylspread.placement.kernel import (
+    Filter,
+    PlacementPlugin,
+    Pool,
+    PreemptionPolicy,
+    QueueOrder,
+    Scorer,
+    filters,
+    orders,
+    preemptions,
+    scorers,
+)
+from berylspread.placement.pending import DemandQueue, PendingClass
+from berylspread.placement.policy import PolicySection
+
+#: Reason for a class for which the pool has no worker with room.
+NO_ROOM: Final = 'fits'
+#: Reason for a gang, which its home reserves for instead.
+GANG: Final = 'gang'
+
+#: Importing the packages registers their plug-ins.
+BUILT_IN: Final = (
+    filter_plugins,
+    order_plugins,
+    preemption_plugins,
+    scorer_plugins,
+)
+WEIGHTS: Final = ('waiting', 'packing', 'control_cost', 'nearness')
+
+PluginT = TypeVar('PluginT', bound=PlacementPlugin)
+
+
+@final
+class Pipeline:
+    """The configured plug-ins with their context.
+
+    Several plug-ins of a kind are kept in the order of the document.
+    """
+
+    __slots__ = (
+        'candidates',
+        'context',
+        'filters',
+        'order',
+        'preemption',
+        'scan',
+        'scanned',
+        'scorers',
+        'starving_s',
+        'unfit',
+    )
+
+    def __init__(
+        self,
+        order: QueueOrder,
+        chosen_filters: Sequence[Filter],
+        weighted_scorers: Sequence[tuple[float, Scorer]],
+        preemption: PreemptionPolicy,
+        policy: PolicySection,
+    ) -> None:
+        """Take the plug-ins; ``from_options`` finds them by name."""
+        self.order = order
+        self.filters = chosen_filters
+        self.scorers = weighted_scorers
+        self.preemption = preemption
+        self.candidates: int = policy.candidates
+        self.scan: int = policy.scan
+        self.starving_s: float = policy.starving_s
+        self.context = PlacementContext()
+        self.scanned = 0
+        #: Shapes and constraints without a worker at the pool's version.
+        self.unfit: set[object] = set()
+
+    @classmethod
+    def from_options(
+        cls, policy: PolicySection, configured: Iterable[PlacementPlugin] = ()
+    ) -> 'Pipeline | UnknownName':
+        """Build the pipeline that a document asks for.
+
+        ``configured`` are plug-ins with options of their own; all others have
+        their defaults.  Errors: ``UnknownName`` with the nearest known name.
+        """
+        finder = _Finder(configured)
+        order = finder.find(orders, policy.order)
+        preemption = finder.find(preemptions, policy.preemption)
+        found_filters = finder.find_all(filters, policy.filters)
+        found_scorers = finder.find_all(scorers, policy.scorers)
+        if finder.unknown is not None:
+            return finder.unknown
+        _weigh_order(order, policy)
+        weighted = [
+            (_weight(scorer, policy), scorer) for scorer in found_scorers
+        ]
+        return cls(
+            order,
+            found_filters,
+            [pair for pair in weighted if pair[0] > 0],
+            preemption,
+            policy,
+        )
+
+    def key(self, pending: PendingClass) -> float:
+        """Return the place of a class in the order."""
+        return self.order.key(pending, self.context)
+
+    def next(
+        self, demands: DemandQueue, pool: Pool, now: float
+    ) -> Decision | Rejection | None:
+        """Decide for the first class in the order that has not been tried.
+
+        A decision takes one task out of the queue and charges its team; the
+        caller books the worker, and calls ``demands.take_back`` if that or the
+        home fails.  A rejected class is parked until the pool has more free.
+        ``None`` means that nothing is left to try now.
+        """
+        self.context.now = now
+        if pool.version != demands.parked_version:
+            self.scanned = 0
+            self.unfit.clear()
+            demands.unpark(pool.version, self.key)
+        if self.scanned >= self.scan:
+            return None
+        pending = demands.head(self.key, now)
+        if pending is None:
+            return None
+        outcome = self.place(pending.demand, pool)
+        if isinstance(outcome, Rejection):
+            self.scanned += 1
+            pending.reasons = outcome.reasons
+            demands.park(pending)
+            self._earmark(pending, pool)
+            return outcome
+        self._served(demands, pending, outcome)
+        return outcome
+
+    def place(self, demand: DemandClass, pool: Pool) -> Decision | Rejection:
+        """Choose a worker for one task of a class among the candidates."""
+        if demand.gang is not None:
+            return Rejection(demand.class_id, {GANG: 0}, 0)
+        fingerprint = (demand.shape, demand.constraints, demand.priority)
+        if fingerprint in self.unfit:
+            return Rejection(demand.class_id, {NO_ROOM: 0}, 0)
+        found = pool.candidates(demand.shape, self.candidates)
+        if not found:
+            self.unfit.add(fingerprint)
+            return Rejection(demand.class_id, {NO_ROOM: 0}, 0)
+        admitted, reasons = self.screen(demand, found)
+        if not admitted:
+            return Rejection(demand.class_id, reasons, len(found))
+        best, score = self._best(demand, admitted)
+        return Decision(
+            demand.class_id,
+            demand.home,
+            demand.home_epoch,
+            best.worker,
+            best.unit,
+            demand.shape,
+            score,
+            len(found),
+        )
+
+    def screen(
+        self,
+        demand: DemandClass,
+        workers: Iterable[WorkerView],
+        skip: str = '',
+    ) -> tuple[list[WorkerView], dict[str, int]]:
+        """Return the workers that pass every filter, and counts by reason."""
+        context = self.context
+        chain = [
+            rule
+            for rule in self.filters
+            if rule.name != skip and rule.applies(demand)
+        ]
+        admitted: list[WorkerView] = []
+        reasons: collections.Counter[str] = collections.Counter()
+        for worker in workers:
+            for rule in chain:
+                if not rule.admits(demand, worker, context):
+                    reasons[rule.name] += 1
+                    break
+            else:
+                admitted.append(worker)
+        return admitted, dict(reasons)
+
+    def victims(
+        self, demand: DemandClass, workers: Sequence[WorkerView]
+    ) -> list[Booking]:
+        """Return what to preempt at one of the workers for a class."""
+        return self.preemption.victims(demand, workers, self.context)
+
+    def _earmark(self, pending: PendingClass, pool: Pool) -> None:
+        demand = pending.demand
+        context = self.context
+        if pending.waited_s(context.now) < self.starving_s:
+            return
+        kept = context.earmarks.by_class.get(demand.class_id, ())
+        if len(kept) >= earmarks_wanted(demand, context.largest):
+            return
+        sample = pool.sample(demand.shape, self.candidates)
+        able, _ = self.screen(demand, sample, skip='fits')
+        context.earmarks.reserve(demand, able, context.now)
+
+    def _best(
+        self, demand: DemandClass, admitted: list[WorkerView]
+    ) -> tuple[WorkerView, float]:
+        if len(admitted) == 1:
+            return admitted[0], 0
+        context = self.context
+        chain = [pair for pair in self.scorers if pair[1].applies(demand)]
+        best = admitted[0]
+        best_score = float('-inf')
+        for worker in admitted:
+            score = sum(
+                weight * scorer.score(demand, worker, context)
+                for weight, scorer in chain
+            )
+            if score > best_score:
+                best, best_score = worker, score
+        return best, best_score
+
+    def _served(
+        self, demands: DemandQueue, pending: PendingClass, decision: Decision
+    ) -> None:
+        demand = pending.demand
+        pending.count -= 1
+        pending.reasons = {}
+        self.context.last_home = demand.home
+        earmark = self.context.earmarks.by_worker.get(decision.worker)
+        if earmark is not None and earmark.class_id == demand.class_id:
+            self.context.earmarks.drop(decision.worker)
+        self.context.shares.charge(demand.team, decision.shape)
+        demands.put_back(pending, self.key(pending))
+
+
+@final
+class _Finder:
+    """Finds plug-ins by name and remembers the first unknown one."""
+
+    __slots__ = ('configured', 'unknown')
+
+    def __init__(self, configured: Iterable[PlacementPlugin]) -> None:
+        self.configured = {type(plugin): plugin for plugin in configured}
+        self.unknown: UnknownName | None = None
+
+    def find(self, registry: Registry[PluginT], name: str) -> PluginT:
+        found = registry.lookup(name)
+        if isinstance(found, UnknownName):
+            self.unknown = self.unknown or found
+            return next(iter(registry)).with_defaults()
+        plugin = self.configured.get(found)
+        return plugin if isinstance(plugin, found) else found.with_defaults()
+
+    def find_all(
+        self, registry: Registry[PluginT], names: Iterable[str]
+    ) -> list[PluginT]:
+        return [self.find(registry, name) for name in names]
+
+
+def _weigh_order(order: QueueOrder, policy: PolicySection) -> None:
+    for name in WEIGHTS:
+        if name in order.options():
+            setattr(order, name, getattr(policy, name))
+
+
+def _weight(scorer: Scorer, policy: PolicySection) -> float:
+    scale: float = getattr(policy, scorer.concern) if scorer.concern else 1
+    return scale * float(scorer.weight)
--- /dev/null
+++ b/packages/berylspread/src/berylspread/placement/policy.py
@@ -0,0 +1,85 @@
+"""The policy section of a document: which plug-ins decide, and their weights.
+
+[policy]
+order = composite
+waiting = 4
+nearness = 1
+scorers = best-fit fragmentation spread
+"""
+
+from typing import Any, Final, final
+
+from berylspread.kernel import Section
+from berylspread.kernel.options import integer, number, text, words
+from berylspread.placement.kernel import MAX_WEIGHT
+
+CONTROL_COST: Final = 0.2
+CANDIDATES: Final = 16
+MAX_CANDIDATES: Final = 256
+SCAN: Final = 32
+MAX_SCAN: Final = 1024
+STARVING_S: Final = 300.0
+DAY_S: Final = 86_400.0
+DEFAULT_FILTERS: Final = (
+    'fits',
+    'region',
+    'zone',
+    'avoid-workers',
+    'accelerators',
+    'health',
+    'earmarked',
+)
+DEFAULT_SCORERS: Final = (
+    'best-fit',
+    'fragmentation',
+    'save-accelerators',
+    'spread',
+    'region-affinity',
+    'health',
+)
+
+
+@final
+class PolicySection(Section):
+    """The section ``[policy]``."""
+
+    kind = 'policy'
+
+    order: Any = text(default='composite', help='queue order plug-in')
+    waiting: Any = number(0, MAX_WEIGHT, default=1, help='weight of waiting')
+    packing: Any = number(0, MAX_WEIGHT, default=1, help='weight of packing')
+    control_cost: Any = number(
+        0, MAX_WEIGHT, default=CONTROL_COST, help='weight of control cost'
+    )
+    nearness: Any = number(
+        0, MAX_WEIGHT, default=1, help='weight of nearness to share'
+    )
+    filters: Any = words(default=DEFAULT_FILTERS, help='filter plug-ins')
+    scorers: Any = words(default=DEFAULT_SCORERS, help='scorer plug-ins')
+    preemption: Any = text(default='cheapest', help='preemption plug-in')
+    candidates: Any = integer(
+        1,
+        MAX_CANDIDATES,
+        default=CANDIDATES,
+        help='most workers examined for a decision',
+    )
+    scan: Any = integer(
+        1,
+        MAX_SCAN,
+        default=SCAN,
+        help='most classes tried as capacity is freed',
+    )
+    starving_s: Any = number(
+        1,
+        DAY_S,
+        default=STARVING_S,
+        help='a worker is earmarked after this wait',
+    )
+
+
+def default_policy() -> PolicySection:
+    """Return a policy section with the default of every option."""
+    section = PolicySection()
+    for key, option in PolicySection.options().items():
+        setattr(section, key, option.default)
+    return section
--- /dev/null
+++ b/packages/berylspread/src/berylspread/placement/scorers/__init__.py
@@ -0,0 +1,17 @@
+"""Scorers; importing this package registers them."""
+
+from berylspread.placement.scorers.accelerators import SaveAccelerators
+from berylspread.placement.scorers.best_fit import BestFit
+from berylspread.placement.scorers.fragmentation import Fragmentation
+from berylspread.placement.scorers.health import HealthScore
+from berylspread.placement.scorers.region import RegionAffinity
+from berylspread.placement.scorers.spread import Spread
+
+__all__ = (
+    'BestFit',
+    'Fragmentation',
+    'HealthScore',
+    'RegionAffinity',
+    'SaveAccelerators',
+    'Spread',
+)
--- /dev/null
+++ b/packages/berylspread/src/berylspread/placement/scorers/best_fit.py
@@ -0,0 +1,32 @@
+"""Best fit over the bottleneck resource."""
+
+from typing import final
+
+from berylspread.limits import WorkerView
+from berylspread.placement.context import PlacementContext
+from berylspread.placement.demand import DemandClass
+from berylspread.placement.kernel import Scorer, scorers
+
+
+@final
+@scorers.register
+class BestFit(Scorer):
+    """The worker that is left with least of the bottleneck resource."""
+
+    name = 'best-fit'
+    aliases = ('bestfit', 'pack')
+    concern = 'packing'
+
+    def score(
+        self,
+        demand: DemandClass,
+        worker: WorkerView,
+        context: PlacementContext,
+    ) -> float:
+        """Return the part of the bottleneck resource then in use."""
+        name = context.bottleneck
+        held: int = getattr(worker.capacity, name)
+        if not held:
+            return 0
+        left: int = getattr(worker.free, name) - getattr(demand.shape, name)
+        return 1 - max(left, 0) / held
--- /dev/null
+++ b/packages/berylspread/src/berylspread/placement/shares.py
@@ -0,0 +1,73 @@
+"""The teams' shares: what each is entitled to, and what it was served."""
+
+import math
+from typing import Final, final
+
+from berylspread.model import Resources
+from berylspread.placement.demand import TeamUse
+
+USE_HALF_LIFE_S: Final = 600.0
+UNKNOWN_TEAM: Final = TeamUse('', entitled=0.0)
+
+
+@final
+class DecayedUse:
+    """A team's average use, in which use one half-life ago counts half."""
+
+    __slots__ = ('average', 'half_life_s', 'updated_at', 'use')
+
+    def __init__(
+        self, now: float, half_life_s: float = USE_HALF_LIFE_S
+    ) -> None:
+        """Start without use."""
+        self.half_life_s = half_life_s
+        self.updated_at = now
+        self.use: float = 0
+        self.average: float = 0
+
+    def observe(self, use: float, now: float) -> float:
+        """Take in the use from now on; return the average until now."""
+        elapsed_s = max(now - self.updated_at, 0)
+        kept = math.exp2(-elapsed_s / self.half_life_s)
+        self.average = self.average * kept + self.use * (1 - kept)
+        self.updated_at = now
+        self.use = use
+        return self.average
+
+
+@final
+class ShareBook:
+    """The homes' figures, plus what this owner started since.
+
+    ``total`` is the region's capacity, against which shares are counted.
+    """
+
+    __slots__ = ('started', 'teams', 'total')
+
+    def __init__(self) -> None:
+        """Start without teams."""
+        self.total = Resources()
+        self.teams: dict[str, TeamUse] = {}
+        self.started: dict[str, float] = {}
+
+    def update(self, use: TeamUse) -> None:
+        """Take a home's figures, which cover all that was started before."""
+        self.teams[use.team] = use
+        self.started.pop(use.team, None)
+
+    def charge(self, team: str, shape: Resources, count: int = 1) -> None:
+        """Count a start of this owner against a team until its next figures."""
+        share = shape.dominant_share(self.total) * count
+        self.started[team] = self.started.get(team, 0) + share
+
+    def ratio(self, team: str, history: float) -> float:
+        """Return what a team uses for each unit that it is entitled to.
+
+        ``history`` from 0 to 1 weighs decayed use against current use.  A team
+        that is entitled to nothing comes last.
+        """
+        use = self.teams.get(team, UNKNOWN_TEAM)
+        if use.entitled <= 0:
+            return math.inf
+        recent = use.current * (1 - history) + use.decayed * history
+        return (recent + self.started.get(team, 0)) / use.entitled
