--- a/packages/berylspread-standins/src/berylspread_standins/worker.py
+++ b/packages/berylspread-standins/src/berylspread_standins/worker.py
@@ -11,6 +11,7 @@
 
 from berylspread.backend.interface import (
     CallReply,
+    CallReport,
     CallRequest,
     SyncReply,
     SyncRequest,
@@ -30,7 +31,6 @@
 MEMORY_GIB: Final = 128
 SLOTS: Final = 8
 CAPACITY: Final = Resources(CORES * 1000, MEMORY_GIB * 1024, 0, SLOTS)
-CALL_SHAPE: Final = Resources(slots=1)
 USAGE_LAG_S: Final = 5.0
 #: How long the worker takes to stop, to write a checkpoint and to fail.
 STOP_S: Final = 0.1
@@ -196,6 +196,15 @@
                 run.report(offset_s, USAGE_LAG_S) for run in self.runs.values()
             ],
             refused=refused or {},
+            calls=[
+                CallReport(
+                    execution.name,
+                    execution.attempt,
+                    execution.team,
+                    execution.shape,
+                )
+                for execution in self.calls
+            ],
         )
 
     def _fence(self, unit: str, epoch: int) -> StaleEpoch | None:
@@ -322,7 +331,7 @@
             request.request_id,
             request.attempt,
             request.team,
-            CALL_SHAPE,
+            request.shape,
             is_once=not workload.idempotent,
             is_call=True,
         )
--- /dev/null
+++ b/packages/berylspread/src/berylspread/calls/registry.py
@@ -0,0 +1,58 @@
+"""The non-idempotent calls that a home has let through, by request id.
+
+An id is kept until its deadline has passed; a copy that comes later is refused
+by its deadline.  A new home does not know the ids of its predecessor, so it is
+not certain about requests that were issued before it took over.
+"""
+
+import heapq
+from typing import Final, final
+
+from berylspread.calls.messages import RegisterAsk, Registered
+from berylspread.kernel import WallClock
+from berylspread.kernel.errors import DeadlineExceeded, Overloaded
+
+#: Largest difference between the clocks of callers and nodes.
+CALLER_SKEW_S: Final = 5.0
+MAX_IDS: Final = 200_000
+
+
+@final
+class RequestRegistry:
+    """Request ids with the entry node that was first, until their deadlines."""
+
+    __slots__ = ('certain_from', 'deadlines', 'first', 'wall')
+
+    def __init__(self, wall: WallClock) -> None:
+        """Start empty, certain about requests issued from now on."""
+        self.wall = wall
+        self.certain_from = wall.time() + CALLER_SKEW_S
+        self.first: dict[str, str] = {}
+        self.deadlines: list[tuple[float, str]] = []
+
+    def register(
+        self, ask: RegisterAsk
+    ) -> Registered | DeadlineExceeded | Overloaded:
+        """Let the first copy of a request through, and no other."""
+        self._forget()
+        if ask.deadline + CALLER_SKEW_S < self.wall.time():
+            return DeadlineExceeded('the deadline has passed')
+        if ask.request_id in self.first:
+            return Registered(ask.request_id, is_first=False)
+        if ask.issued_at < self.certain_from:
+            return Registered(
+                ask.request_id, is_first=False, is_certain=False
+            )
+        if len(self.first) >= MAX_IDS:
+            return Overloaded('too many requests are registered')
+        self.first[ask.request_id] = ask.entry
+        heapq.heappush(
+            self.deadlines,
+            (ask.deadline + 2 * CALLER_SKEW_S, ask.request_id),
+        )
+        return Registered(ask.request_id, is_first=True)
+
+    def _forget(self) -> None:
+        while self.deadlines and self.deadlines[0][0] < self.wall.time():
+            _deadline, request_id = heapq.heappop(self.deadlines)
+            self.first.pop(request_id, None)
--- /dev/null
+++ b/packages/berylspread/src/berylspread/calls/request_id.py
@@ -0,0 +1,34 @@
+"""Request ids: UUIDs of version 7 (RFC 9562), which carry their time."""
+
+import os
+import uuid
+from typing import Final
+
+VERSION_7: Final = 7
+TIME_BITS: Final = 48
+RANDOM_BITS: Final = 128 - TIME_BITS
+MS_PER_S: Final = 1000
+VERSION_SHIFT: Final = 76
+VARIANT_SHIFT: Final = 62
+VARIANT: Final = 2
+RANDOM_BYTES: Final = 10
+
+
+def new_request_id(issued_at_s: float) -> str:
+    """Return an id of version 7 for a time in seconds since the epoch."""
+    stamp = int(issued_at_s * MS_PER_S) << RANDOM_BITS
+    bits = int.from_bytes(os.urandom(RANDOM_BYTES)) | stamp
+    bits &= ~(0xF << VERSION_SHIFT) & ~(0x3 << VARIANT_SHIFT)
+    bits |= VERSION_7 << VERSION_SHIFT | VARIANT << VARIANT_SHIFT
+    return str(uuid.UUID(int=bits))
+
+
+def issued_at(request_id: str) -> float | None:
+    """Return the time in an id of version 7, or ``None`` for any other id."""
+    try:
+        parsed = uuid.UUID(request_id)
+    except ValueError:
+        return None
+    if parsed.version != VERSION_7:
+        return None
+    return (parsed.int >> RANDOM_BITS) / MS_PER_S
--- /dev/null
+++ b/packages/berylspread/src/berylspread/calls/router.py
@@ -0,0 +1,286 @@
+"""Interactive calls at their entry node: a slot, a worker, a whole answer."""
+
+from typing import Final, final
+
+import msgspec
+
+from berylspread.backend import CallReply, CallRequest, Workers
+from berylspread.calls.allowance import Allowances
+from berylspread.calls.budget import RetryBudget
+from berylspread.calls.messages import (
+    CallDone,
+    CallSlot,
+    CallSlotAsk,
+    Registered,
+    RegisterAsk,
+)
+from berylspread.calls.request_id import issued_at
+from berylspread.jobs.shards import home_unit
+from berylspread.kernel import Failure, now
+from berylspread.kernel.errors import (
+    DeadlineExceeded,
+    InvalidInput,
+    NotRun,
+    OutcomeUnknown,
+    Overloaded,
+    WorkerUnreachable,
+)
+from berylspread.model import Resources
+from berylspread.partition.messages import UnitEpoch
+from berylspread.runtime import NodeContext
+from berylspread.runtime.capacities import KnownCapacity
+
+ASK_MARGIN_S: Final = 0.1
+REGISTER_TIMEOUT_S: Final = 2.0
+MAX_ATTEMPTS: Final = 4
+STALE_REPORT_S: Final = 5.0
+
+
+@final
+class CallInput(msgspec.Struct, frozen=True):
+    """A call as an entry node received it, checked against its queue.
+
+    ``timeout_s`` is the time from now to the caller's deadline.
+    """
+
+    request_id: str
+    team: str
+    queue: str
+    shape: Resources
+    timeout_s: float
+    idempotent: bool
+    body: bytes
+    content_type: str = 'application/octet-stream'
+    region: str = ''
+    traceparent: str = ''
+
+
+@final
+class Progress:
+    """One call under way at this node; ``deadline`` is loop time."""
+
+    __slots__ = ('attempt', 'avoid', 'call', 'deadline', 'sent')
+
+    def __init__(self, call: CallInput) -> None:
+        """Start the clock of the deadline."""
+        self.call = call
+        self.deadline = now() + call.timeout_s
+        self.attempt = 0
+        self.avoid: list[str] = []
+        self.sent = False
+
+    @property
+    def left_s(self) -> float:
+        """Seconds until the deadline."""
+        return self.deadline - now()
+
+
+@final
+class CallRouter:
+    """Sends calls to workers with a slot, and answers with the whole reply."""
+
+    __slots__ = ('allowances', 'budget', 'context', 'late_answers', 'workers')
+
+    def __init__(self, context: NodeContext, workers: Workers) -> None:
+        """Start without calls."""
+        self.context = context
+        self.workers = workers
+        self.allowances = Allowances(context)
+        self.budget = RetryBudget()
+        self.late_answers = 0
+
+    async def call(self, call: CallInput) -> CallReply | Failure:
+        """Run a call; a failure says whether it may have run."""
+        progress = Progress(call)
+        self.budget.earn()
+        refusal = await self.allowances.acquire(call.team, progress.deadline)
+        if refusal is not None:
+            return refusal
+        try:
+            return await self._registered(progress)
+        finally:
+            await self.allowances.release(call.team)
+
+    async def _registered(self, progress: Progress) -> CallReply | Failure:
+        if not progress.call.idempotent:
+            refusal = await self._register(progress)
+            if refusal is not None:
+                return refusal
+        outcome: CallReply | Failure = NotRun('no attempt was made')
+        for _ in range(MAX_ATTEMPTS):
+            outcome = await self._attempt(progress)
+            if not self._is_retried(progress, outcome):
+                break
+        return self._final(progress, outcome)
+
+    async def _register(self, progress: Progress) -> Failure | None:
+        call = progress.call
+        issued = issued_at(call.request_id)
+        if issued is None:
+            return InvalidInput(
+                'the id of a non-idempotent request is a UUID of version 7',
+                field='X-Request-Id',
+            )
+        unit = home_unit(self.context, call.team)
+        owner = self.context.owner(unit)
+        node, epoch = ('', 0) if owner is None else (owner[0].node, owner[1])
+        reply = await self.context.peers.ask(
+            node,
+            RegisterAsk(
+                UnitEpoch(unit, epoch),
+                call.request_id,
+                self.context.ref.node,
+                issued,
+                self.context.wall.time() + progress.left_s,
+            ),
+            Registered,
+            timeout_s=min(REGISTER_TIMEOUT_S, max(progress.left_s, 0)),
+        )
+        if isinstance(reply, Failure):
+            return NotRun('the request could not be registered')
+        if reply.is_first:
+            return None
+        return OutcomeUnknown(
+            'a copy of the request came before, or may have',
+            request_id=call.request_id,
+            is_certain=reply.is_certain,
+        )
+
+    async def _attempt(self, progress: Progress) -> CallReply | Failure:
+        progress.attempt += 1
+        chosen = self._choose_partition(progress)
+        if chosen is None:
+            return Overloaded('no partition is known in reach')
+        slot = await self._slot(progress, chosen)
+        if isinstance(slot, Failure):
+            return slot
+        started = now()
+        reply = await self._send(progress, slot)
+        failed = isinstance(reply, Failure)
+        self.context.peers.tell(
+            chosen.node,
+            CallDone(
+                unit=slot.partition.unit,
+                request_id=progress.call.request_id,
+                attempt=progress.attempt,
+                queue=progress.call.queue,
+                served_s=0.0 if failed else now() - started,
+                failed=failed,
+            ),
+        )
+        if failed:
+            progress.avoid.append(slot.worker.vm_id)
+        return reply
+
+    async def _slot(
+        self, progress: Progress, chosen: KnownCapacity
+    ) -> CallSlot | Failure:
+        call = progress.call
+        if progress.left_s <= 0:
+            return DeadlineExceeded('the deadline has passed')
+        unit = chosen.report.partition.unit
+        reply = await self.context.peers.ask(
+            chosen.node,
+            CallSlotAsk(
+                unit=unit,
+                request_id=call.request_id,
+                attempt=progress.attempt,
+                team=call.team,
+                queue=call.queue,
+                shape=call.shape,
+                wait_s=progress.left_s,
+                avoid_workers=progress.avoid,
+            ),
+            CallSlot,
+            timeout_s=progress.left_s + ASK_MARGIN_S,
+        )
+        if isinstance(reply, Failure):
+            # The answer may be under way; the slot must not stay taken.
+            self.context.peers.tell(
+                chosen.node,
+                CallDone(unit, call.request_id, progress.attempt),
+            )
+        return reply
+
+    async def _send(
+        self, progress: Progress, slot: CallSlot
+    ) -> CallReply | Failure:
+        call = progress.call
+        if progress.left_s <= 0:
+            return DeadlineExceeded('the deadline passed before the call')
+        sent_before = progress.sent
+        progress.sent = True
+        reply = await self.workers.call(
+            slot.worker,
+            CallRequest(
+                request_id=call.request_id,
+                attempt=progress.attempt,
+                team=call.team,
+                queue=call.queue,
+                unit=slot.partition.unit,
+                epoch=slot.partition.epoch,
+                timeout_s=progress.left_s,
+                body=call.body,
+                shape=call.shape,
+                content_type=call.content_type,
+                traceparent=call.traceparent,
+            ),
+        )
+        if isinstance(reply, Failure):
+            progress.sent = sent_before or bool(reply.fields.get('sent', True))
+            return reply
+        if (reply.request_id, reply.attempt) != (
+            call.request_id,
+            progress.attempt,
+        ):
+            self.late_answers += 1
+            return WorkerUnreachable('the answer is of another call', sent=True)
+        return reply
+
+    def _is_retried(
+        self, progress: Progress, outcome: CallReply | Failure
+    ) -> bool:
+        if not isinstance(outcome, Failure) or progress.left_s <= 0:
+            return False
+        if isinstance(outcome, DeadlineExceeded | Overloaded):
+            return False
+        if progress.sent and not progress.call.idempotent:
+            return False
+        return self.budget.spend()
+
+    def _final(
+        self, progress: Progress, outcome: CallReply | Failure
+    ) -> CallReply | Failure:
+        if not isinstance(outcome, Failure):
+            return outcome
+        if progress.sent:
+            return OutcomeUnknown(outcome.reason, **outcome.fields)
+        if isinstance(outcome, DeadlineExceeded | Overloaded):
+            return outcome
+        return NotRun(outcome.reason, **outcome.fields)
+
+    def _choose_partition(self, progress: Progress) -> KnownCapacity | None:
+        region = progress.call.region or self.context.region
+        near = self._usable(progress, region)
+        usable = near or self._usable(progress, '')
+        if not usable:
+            return None
+        # The better of two random choices spreads calls without herding.
+        picked = [self.context.rng.choice(usable) for _ in range(2)]
+        return max(picked, key=_room)
+
+    def _usable(
+        self, progress: Progress, region: str
+    ) -> list[KnownCapacity]:
+        oldest = now() - STALE_REPORT_S
+        return [
+            known
+            for known in self.context.capacities.partitions(region)
+            if known.received_at > oldest
+            and progress.call.shape.fits(known.report.largest)
+        ]
+
+
+def _room(known: KnownCapacity) -> tuple[int, int]:
+    return known.report.free.slots - known.report.waiting, -known.report.waiting
+
--- /dev/null
+++ b/packages/berylspread/src/berylspread/calls/slots.py
@@ -0,0 +1,178 @@
+"""The slots of one partition for interactive calls, and who waits for them."""
+
+import asyncio
+from typing import Final, final
+
+from berylspread.calls.messages import CallDone, CallSlot, CallSlotAsk
+from berylspread.kernel import Failure, now
+from berylspread.kernel.errors import DeadlineExceeded, NotOwner
+from berylspread.limits import Occupant, WorkerView
+from berylspread.model import JobKind
+from berylspread.partition.owner import PartitionOwner
+from berylspread.placement.calls import CallLine, WaitingCall
+
+#: A slot is free again this long after the call's deadline at the latest.
+HOLD_MARGIN_S: Final = 1.0
+CANDIDATES: Final = 16
+CALL_CLASS: Final = 'interactive'
+
+
+@final
+class Applicant:
+    """A call that waits, with the question that it came from."""
+
+    __slots__ = ('ask', 'call', 'granted')
+
+    def __init__(self, ask: CallSlotAsk, call: WaitingCall) -> None:
+        """Keep the question and an open answer."""
+        self.ask = ask
+        self.call = call
+        self.granted: asyncio.Future[CallSlot | Failure] = (
+            asyncio.get_running_loop().create_future()
+        )
+
+
+@final
+class CallSlots:
+    """Grants slots in the order of the waiting line."""
+
+    __slots__ = ('applicants', 'line', 'owner', 'stalled')
+
+    def __init__(self, owner: PartitionOwner) -> None:
+        """Start without calls."""
+        self.owner = owner
+        self.line = CallLine(
+            0, weight_of=owner.context.document.entitled_share
+        )
+        self.applicants: dict[str, Applicant] = {}
+        self.stalled: list[Applicant] = []
+
+    async def slot(self, ask: CallSlotAsk) -> CallSlot | Failure:
+        """Wait for a slot until the call's deadline."""
+        key = call_key(ask.request_id, ask.attempt)
+        call = WaitingCall(key, ask.team, ask.queue, now() + ask.wait_s)
+        self.line.slots = self._total_slots()
+        refusal = self.line.offer(call, now(), free_slots=self._free_slots())
+        if refusal is not None:
+            return refusal
+        applicant = Applicant(ask, call)
+        self.applicants[key] = applicant
+        self.serve()
+        try:
+            async with asyncio.timeout(ask.wait_s):
+                return await asyncio.shield(applicant.granted)
+        except TimeoutError:
+            return DeadlineExceeded('no slot became free in time')
+        finally:
+            self._leave(key)
+
+    def done(self, message: CallDone) -> None:
+        """Free the slot of a call that has ended."""
+        key = call_key(message.request_id, message.attempt)
+        self._leave(key)
+        self.owner.ledger.release(key)
+        if message.served_s:
+            self.line.times.observe(message.queue, message.served_s)
+        self.serve()
+
+    def serve(self) -> None:
+        """Grant what is free to the calls that go first."""
+        if not self.owner.tenure.is_valid(now()):
+            return
+        for late in self.line.lapse(now()):
+            self._refuse(late)
+        waiting, self.stalled = self.stalled, []
+        for applicant in waiting:
+            self._grant(applicant)
+        while not self.stalled:
+            call = self.line.next(now())
+            if call is None:
+                return
+            applicant = self.applicants[call.request_id]
+            self._grant(applicant)
+
+    def close(self) -> None:
+        """Refuse all who wait; none of their calls has run."""
+        for applicant in list(self.applicants.values()):
+            if not applicant.granted.done():
+                applicant.granted.set_result(
+                    NotOwner('the partition has another owner')
+                )
+
+    @property
+    def waiting(self) -> int:
+        """How many calls wait."""
+        return len(self.line.waiting) + len(self.stalled)
+
+    def _grant(self, applicant: Applicant) -> None:
+        if applicant.granted.done():
+            return
+        worker = self._choose(applicant.ask)
+        if worker is None:
+            self.stalled.append(applicant)
+            return
+        ask = applicant.ask
+        booked = self.owner.ledger.book(
+            worker.worker,
+            applicant.call.request_id,
+            ask.shape,
+            Occupant(
+                ask.team,
+                CALL_CLASS,
+                kind=JobKind.service,
+                started_at=now(),
+                expected_end=applicant.call.deadline_at,
+            ),
+            expires_at=applicant.call.deadline_at + HOLD_MARGIN_S,
+        )
+        if isinstance(booked, Failure):
+            self.stalled.append(applicant)
+            return
+        applicant.granted.set_result(CallSlot(self.owner.unit, worker.vm))
+
+    def _choose(self, ask: CallSlotAsk) -> WorkerView | None:
+        found = [
+            worker
+            for worker in self.owner.ledger.candidates(ask.shape, CANDIDATES)
+            if worker.unit == self.owner.unit.unit
+            and worker.worker not in ask.avoid_workers
+        ]
+        return max(
+            found,
+            key=lambda worker: (worker.free.slots, -worker.suspicion),
+            default=None,
+        )
+
+    def _refuse(self, call: WaitingCall) -> None:
+        applicant = self.applicants.get(call.request_id)
+        if applicant is not None and not applicant.granted.done():
+            applicant.granted.set_result(
+                DeadlineExceeded('the deadline can no longer be met')
+            )
+
+    def _leave(self, key: str) -> None:
+        applicant = self.applicants.pop(key, None)
+        if applicant is None:
+            return
+        self.line.cancel(key)
+        if applicant in self.stalled:
+            self.stalled.remove(applicant)
+        if not applicant.granted.done():
+            applicant.granted.cancel()
+
+    def _free_slots(self) -> int:
+        return sum(
+            max(view.free.slots, 0)
+            for view in self.owner.ledger.workers.values()
+            if not view.barriers
+        )
+
+    def _total_slots(self) -> int:
+        return sum(
+            view.capacity.slots for view in self.owner.ledger.workers.values()
+        )
+
+
+def call_key(request_id: str, attempt: int) -> str:
+    """Return the name of a call's booking."""
+    return f'call:{request_id}.{attempt}'
--- a/packages/berylspread/src/berylspread/jobs/book.py
+++ b/packages/berylspread/src/berylspread/jobs/book.py
@@ -7,7 +7,7 @@
 import xxhash
 
 from berylspread.jobs.progress import JobProgress
-from berylspread.kernel import now
+from berylspread.kernel import WallClock, now
 from berylspread.limits import QuotaLedger
 from berylspread.model import (
     Constraints,
@@ -29,6 +29,7 @@
 class ClassKey(msgspec.Struct, frozen=True, array_like=True):
     """What tasks of one demand class have in common."""
 
+    home: str
     team: str
     queue: str
     job_class: str
@@ -44,6 +45,7 @@
     def of(cls, spec: JobSpec) -> 'ClassKey':
         """Return the key of a job's tasks."""
         return cls(
+            home=spec.home,
             team=spec.team,
             queue=spec.queue,
             job_class=spec.job_class,
@@ -87,10 +89,11 @@
     ``ends`` collects the outcomes that the home has still to append to the log.
     """
 
-    __slots__ = ('classes', 'delayed', 'ends', 'jobs', 'quota')
+    __slots__ = ('classes', 'delayed', 'ends', 'jobs', 'quota', 'wall')
 
-    def __init__(self, quota: QuotaLedger) -> None:
+    def __init__(self, quota: QuotaLedger, wall: WallClock) -> None:
         """Start empty; ``quota`` counts every task that is out or unsure."""
+        self.wall = wall
         self.quota = quota
         self.jobs: dict[str, JobProgress] = {}
         self.classes: dict[str, JobClass] = {}
@@ -237,12 +240,18 @@
             shape=key.shape,
             count=pending,
             priority=key.priority,
-            waited_s=now() - oldest,
+            oldest_age_s=now() - oldest,
+            deadline_slack_s=self._slack(key),
             expected_run_s=key.expected_run_s,
             constraints=key.constraints,
             preemptible=key.preemptible,
         )
 
+    def _slack(self, key: ClassKey) -> float | None:
+        if key.deadline is None:
+            return None
+        return key.deadline - self.wall.time()
+
     def wake_delayed(self) -> None:
         """Make the retries pending whose backoff is over."""
         while self.delayed and self.delayed[0][0] <= now():
--- a/packages/berylspread/src/berylspread/jobs/gangs.py
+++ b/packages/berylspread/src/berylspread/jobs/gangs.py
@@ -140,7 +140,7 @@
 
     def _partitions(self, progress: JobProgress) -> list[tuple[str, str]]:
         region = progress.spec.constraints.region or self.home.region
-        owners = self.home.context.state.owners(PARTITION_PREFIX)
+        owners = self.home.context.owners(PARTITION_PREFIX)
         return sorted(
             (unit, owner.node)
             for unit, (owner, _epoch) in owners.items()
@@ -202,7 +202,7 @@
         self._back_off(progress)
 
     def _is_owner(self, hold: Hold) -> bool:
-        owner = self.home.context.state.owner(hold.partition.unit)
+        owner = self.home.context.owner(hold.partition.unit)
         return owner is not None and owner[1] == hold.partition.epoch
 
     def _give_up(self, progress: JobProgress, holds: list[Hold]) -> None:
--- a/packages/berylspread/src/berylspread/jobs/home.py
+++ b/packages/berylspread/src/berylspread/jobs/home.py
@@ -13,6 +13,7 @@
 from berylspread.jobs.outcomes import FLUSH_S, OutcomeWriter
 from berylspread.jobs.progress import JobProgress
 from berylspread.jobs.reconcile import PARTITION_PREFIX, Reconciler
+from berylspread.jobs.shares import TeamShares
 from berylspread.jobs.stops import Stopper
 from berylspread.kernel import Failure, now
 from berylspread.kernel.errors import LogUnavailable, NotOwner, StaleEpoch
@@ -24,7 +25,7 @@
     JobCancelled,
     TasksStarted,
 )
-from berylspread.model import JobSpec, unit_region
+from berylspread.model import ZERO, JobSpec, unit_region
 from berylspread.ownership import Tenure
 from berylspread.partition.messages import (
     DemandUpdate,
@@ -60,6 +61,7 @@
         'reconciler',
         'region',
         'sequence',
+        'shares',
         'stopper',
         'tasks',
         'tenure',
@@ -73,8 +75,9 @@
         self.unit = UnitEpoch(tenure.unit, tenure.epoch)
         self.region = unit_region(tenure.unit)
         self.quota = QuotaLedger()
-        self.book = JobBook(self.quota)
+        self.book = JobBook(self.quota, context.wall)
         self.reconciler = Reconciler(context, self.book, self.unit)
+        self.shares = TeamShares(context, self.region)
         self.outcomes = OutcomeWriter(context, self.book)
         self.stopper = Stopper(context, self.book, self.unit)
         self.gangs = GangStarter(self)
@@ -158,21 +161,13 @@
 
     def uses(self) -> list[TeamUse]:
         """Return what each team uses here against its entitled share."""
-        document = self.context.document
-        return [
-            TeamUse(
-                team=team,
-                share=document.entitled_share(team),
-                used=quota.in_use,
-            )
-            for team, quota in self.quota.teams.items()
-        ]
+        return self.shares.uses(self.quota)
 
     def partition_owners(self, classes: list[DemandClass]) -> dict[str, bool]:
         """Return the nodes to publish to, and whether they are local."""
-        spills = any(demand.waited_s > SPILL_AFTER_S for demand in classes)
+        spills = any(demand.oldest_age_s > SPILL_AFTER_S for demand in classes)
         owners: dict[str, bool] = {}
-        found = self.context.state.owners(PARTITION_PREFIX)
+        found = self.context.owners(PARTITION_PREFIX)
         for unit, (owner, _epoch) in found.items():
             local = unit_region(unit) == self.region
             if local or spills:
@@ -261,17 +256,19 @@
         return None
 
     def _load_jobs(self) -> None:
-        for job in self.context.state.jobs_of(self.unit.unit):
+        for job in self.context.state.jobs.of_unit(self.unit.unit):
             self.book.add(
                 JobProgress.recovered(
                     job.spec,
                     self._loop_time(job.spec),
                     set(job.started),
-                    dict(job.ended),
+                    job.ended,
                 )
             )
-            if job.cancelled:
-                self.book.cancel(job.spec.job_id, 'cancelled')
+            if job.cancelled is not None:
+                self.stopper.add(
+                    self.book.cancel(job.spec.job_id, job.cancelled)
+                )
         logging.info(
             'home %s has %d jobs under epoch %d',
             self.unit.unit,
@@ -280,12 +277,15 @@
         )
 
     def _load_allotments(self) -> None:
-        for team in self.context.document.teams:
-            self.quota.set_allotment(
-                team,
-                self.context.state.allotment(team, self.region),
-                self.context.document.team_limit(team),
-            )
+        allotments = self.context.state.allotments
+        for team in self.context.document.teams():
+            allotment = allotments.team(team)
+            if allotment is None:
+                self.quota.set_allotment(team, ZERO)
+            else:
+                self.quota.set_allotment(
+                    team, allotment.part(self.region), allotment.limit
+                )
 
     def _loop_time(self, spec: JobSpec) -> float:
         return now() - (self.context.wall.time() - spec.submitted_at)
--- a/packages/berylspread/src/berylspread/jobs/reconcile.py
+++ b/packages/berylspread/src/berylspread/jobs/reconcile.py
@@ -27,7 +27,7 @@
 class Reconciler:
     """Tracks which epoch of each partition the book agrees with."""
 
-    __slots__ = ('book', 'context', 'home', 'seen', 'settled', 'strays')
+    __slots__ = ('book', 'context', 'home', 'seen', 'settled', 'settled_units', 'strays')
 
     def __init__(
         self, context: NodeContext, book: JobBook, home: UnitEpoch
@@ -37,6 +37,7 @@
         self.book = book
         self.home = home
         self.seen: dict[str, int] = {}
+        self.settled_units: dict[str, int] = {}
         self.settled = False
         self.strays: set[TaskKey] = set()
 
@@ -54,11 +55,11 @@
         return self.seen.get(partition.unit) == partition.epoch
 
     def _outdated(self) -> dict[str, str]:
-        owners = self.context.state.owners(PARTITION_PREFIX)
+        owners = self.context.owners(PARTITION_PREFIX)
         return {
             unit: owner.node
             for unit, (owner, epoch) in owners.items()
-            if self.seen.get(unit) != epoch
+            if self.settled_units.get(unit) != epoch
         }
 
     async def _ask(self, node: str) -> None:
@@ -76,13 +77,14 @@
 
     def _apply(self, inventory: PartitionInventory) -> None:
         partition = inventory.partition
-        if self.seen.get(partition.unit, 0) >= partition.epoch:
+        if self.seen.get(partition.unit, 0) > partition.epoch:
             return
-        held = {task.task: task for task in inventory.tasks}
-        for task in held.values():
+        for task in inventory.tasks:
             self._adopt(task, partition)
-        self._lose_missing(partition, held)
+        self._lose_missing(inventory)
         self.seen[partition.unit] = partition.epoch
+        if inventory.settled:
+            self.settled_units[partition.unit] = partition.epoch
 
     def _adopt(self, held: HeldTask, partition: UnitEpoch) -> None:
         progress = self.book.jobs.get(held.task.job_id)
@@ -99,15 +101,15 @@
         progress.out[index].worker = held.worker
         progress.out[index].state = held.state
 
-    def _lose_missing(
-        self, partition: UnitEpoch, held: dict[TaskKey, HeldTask]
-    ) -> None:
+    def _lose_missing(self, inventory: PartitionInventory) -> None:
+        partition = inventory.partition
+        held = {task.task for task in inventory.tasks}
+        adopted = set(inventory.adopted)
         for progress in list(self.book.jobs.values()):
             for index, out in list(progress.out.items()):
                 key = progress.key(index)
                 if out.unit != partition.unit or key in held:
                     continue
-                if out.epoch < partition.epoch:
+                is_gone = inventory.settled or out.worker in adopted
+                if is_gone and out.epoch < partition.epoch:
                     self.book.lose(key, 'its partition has a new owner')
-
-
--- /dev/null
+++ b/packages/berylspread/src/berylspread/jobs/shards.py
@@ -0,0 +1,25 @@
+"""Which unit is home to a team."""
+
+import xxhash
+
+from berylspread.model import shard_unit
+from berylspread.runtime import NodeContext
+
+
+def team_shard(team: str, shards: int) -> int:
+    """Return the shard of a team among ``shards``."""
+    return xxhash.xxh64_intdigest(team.encode()) % shards
+
+
+def home_unit(context: NodeContext, team: str, region: str = '') -> str:
+    """Return the unit that is home to a team in a region, or in this one."""
+    shard = team_shard(team, context.document.limits.shards)
+    return shard_unit(region or context.region, shard)
+
+
+def shard_units(context: NodeContext, region: str) -> list[str]:
+    """Return the home units of a region."""
+    return [
+        shard_unit(region, shard)
+        for shard in range(context.document.limits.shards)
+    ]
--- /dev/null
+++ b/packages/berylspread/src/berylspread/jobs/shares.py
@@ -0,0 +1,45 @@
+"""What the teams of a home use against what they are entitled to."""
+
+from typing import final
+
+from berylspread.kernel import now
+from berylspread.limits import QuotaLedger
+from berylspread.model import ZERO, Resources
+from berylspread.placement import DecayedUse, TeamUse
+from berylspread.runtime import NodeContext
+
+
+@final
+class TeamShares:
+    """Follows the teams' dominant shares of the region's capacity."""
+
+    __slots__ = ('context', 'decayed', 'region', 'total')
+
+    def __init__(self, context: NodeContext, region: str) -> None:
+        """Start without past use."""
+        self.context = context
+        self.region = region
+        self.total = ZERO
+        self.decayed: dict[str, DecayedUse] = {}
+
+    def uses(self, quota: QuotaLedger) -> list[TeamUse]:
+        """Return the use of every team of the ledger."""
+        total = self.capacity()
+        return [
+            self._use(team, team_quota.in_use, total)
+            for team, team_quota in quota.teams.items()
+        ]
+
+    def capacity(self) -> Resources:
+        """Return what the region's workers hold, as their owners reported."""
+        return self.context.capacities.region(self.region)
+
+    def _use(self, team: str, in_use: Resources, total: Resources) -> TeamUse:
+        current = in_use.dominant_share(total)
+        past = self.decayed.setdefault(team, DecayedUse(now()))
+        return TeamUse(
+            team=team,
+            entitled=self.context.document.entitled_share(team),
+            decayed=past.observe(current, now()),
+            current=current,
+        )
--- a/packages/berylspread/src/berylspread/jobs/stops.py
+++ b/packages/berylspread/src/berylspread/jobs/stops.py
@@ -74,11 +74,11 @@
         if out is None:
             self.stopping.pop(task, None)
             return ''
-        owner = self.context.state.owner(out.unit)
+        owner = self.context.owner(out.unit)
         return owner[0].node if owner else ''
 
     def _all_nodes(self) -> set[str]:
-        owners = self.context.state.owners('workers/')
+        owners = self.context.owners('workers/')
         return {owner.node for owner, _epoch in owners.values()}
 
     def _victims(self, team: str) -> list[TaskKey]:
--- a/packages/berylspread/src/berylspread/partition/messages.py
+++ b/packages/berylspread/src/berylspread/partition/messages.py
@@ -145,10 +145,17 @@
 
 @final
 class PartitionInventory(msgspec.Struct, frozen=True):
-    """One partition's tasks; complete once every worker is accounted for."""
+    """One partition's tasks, as its owner has read them from the workers.
+
+    ``adopted`` are the workers read so far.  The inventory is ``complete`` once
+    every listed worker is read or silent for a lease, and ``settled`` once any
+    lease of the previous owner has surely lapsed, listed worker or not.
+    """
 
     partition: UnitEpoch
     complete: bool
+    settled: bool
+    adopted: list[str]
     tasks: list[HeldTask]
 
 
@@ -222,3 +229,20 @@
     home: UnitEpoch
     tasks: list[TaskKey]
     mode: str = 'stop'
+
+
+@message
+@final
+class CapacityReport(Message, frozen=True, tag=True):
+    """What a partition's workers hold, and what is free of it.
+
+    ``largest`` is the most that one worker holds, by dimension; ``waiting``
+    counts the calls that wait for a slot there.
+    """
+
+    partition: UnitEpoch
+    workers: int
+    total: Resources
+    free: Resources
+    largest: Resources
+    waiting: int = 0
--- /dev/null
+++ b/packages/berylspread/src/berylspread/partition/owner.py
@@ -0,0 +1,343 @@
+"""The owner of one rack's workers, for one tenure of its unit."""
+
+from typing import Final, final
+
+from berylspread.backend import SyncReply, Workers
+from berylspread.kernel import Failure, now
+from berylspread.limits import (
+    Barrier,
+    Booking,
+    CapacityLedger,
+    FreeIndex,
+    Occupant,
+)
+from berylspread.model import ZERO, Resources, TaskState, VmState
+from berylspread.ownership import Tenure
+from berylspread.partition.attempts import Attempt
+from berylspread.partition.demands import DemandBook
+from berylspread.partition.gang_room import GangRoom
+from berylspread.partition.messages import (
+    CapacityReport,
+    CommitAsk,
+    PartitionInventory,
+    PullReply,
+    StopTasks,
+    TaskGrant,
+    UnitEpoch,
+)
+from berylspread.partition.puller import Puller, PullTarget
+from berylspread.partition.reporter import HomeReporter
+from berylspread.partition.reports import ReportReader
+from berylspread.partition.worker_link import (
+    EXCHANGE_TIMEOUT_S,
+    LinkTiming,
+    WorkerLink,
+)
+from berylspread.placement import DemandClass
+from berylspread.runtime import NodeContext
+
+SILENT_EXCHANGES: Final = 2
+#: Nothing is granted this long after a takeover.
+SETTLE_S: Final = 0.5
+
+
+@final
+class PartitionOwner:
+    """Knows exactly what each worker of the rack was granted.
+
+    ``on_freed`` and ``on_answer`` tell the node's placer that another round may
+    find something.
+    """
+
+    __slots__ = (
+        'acquired_at',
+        'context',
+        'demands',
+        'gangs',
+        'ledger',
+        'links',
+        'placer',
+        'pullers',
+        'reader',
+        'reporter',
+        'serial',
+        'target',
+        'tenure',
+        'timing',
+        'unit',
+        'workers',
+    )
+
+    def __init__(
+        self,
+        context: NodeContext,
+        tenure: Tenure,
+        workers: Workers,
+        demands: DemandBook,
+        placer: 'PlacerHooks',
+    ) -> None:
+        """Start without links; ``follow_workers`` opens them."""
+        self.context = context
+        self.tenure = tenure
+        self.workers = workers
+        self.demands = demands
+        self.placer = placer
+        self.unit = UnitEpoch(tenure.unit, tenure.epoch)
+        self.timing = LinkTiming(context.document.timing.lease_s)
+        self.ledger = CapacityLedger(tenure.unit, placer.index)
+        self.acquired_at = now()
+        self.reader = ReportReader(self.ledger, now() + SETTLE_S)
+        self.reporter = HomeReporter(context, self.unit, demands, self._taken)
+        self.gangs = GangRoom(self.ledger)
+        self.links: dict[str, WorkerLink] = {}
+        self.pullers: dict[str, Puller] = {}
+        self.serial = 0
+        self.target = PullTarget(
+            start=self._start,
+            give_up=self._give_up,
+            answered=self._answered,
+            is_current=self._is_current,
+        )
+
+    def close(self) -> None:
+        """Stop talking to the workers; the unit has another owner."""
+        for link in self.links.values():
+            link.close()
+        for puller in self.pullers.values():
+            puller.close()
+        self.reporter.close()
+        self.ledger.close()
+
+    def follow_workers(self) -> None:
+        """Open links to listed workers and close those of workers gone."""
+        listed = {
+            vm.vm_id: vm
+            for vm in self.context.membership.workers(self.unit.unit)
+        }
+        for vm in listed.values():
+            if vm.vm_id not in self.links:
+                self.ledger.add_worker(vm)
+                self._open(WorkerLink(
+                    vm,
+                    self.tenure,
+                    self.workers,
+                    self.context.wall,
+                    self.timing,
+                ))
+            if vm.state is VmState.leaving:
+                self.ledger.bar(vm.vm_id, Barrier.leaving)
+        for vm_id, link in list(self.links.items()):
+            if vm_id not in listed:
+                self._worker_gone(link)
+        for link in self.links.values():
+            self._lapse(link)
+        self.gangs.expire()
+
+    def book(self, worker: str, demand: DemandClass) -> bool:
+        """Book room for one task of a class and ask its home for the task."""
+        self.serial += 1
+        key = f'pull:{self.unit.epoch}.{self.serial}'
+        booked = self.ledger.book(
+            worker,
+            key,
+            demand.shape,
+            Occupant(
+                demand.team,
+                demand.job_class,
+                kind=demand.kind,
+                priority=demand.priority,
+                preemptible=demand.preemptible,
+                started_at=now(),
+                expected_end=_expected_end(demand.expected_run_s),
+            ),
+        )
+        if isinstance(booked, Failure):
+            return False
+        self._puller(UnitEpoch(demand.home, demand.home_epoch)).add(
+            demand.class_id, key
+        )
+        return True
+
+    def commit(self, ask: CommitAsk) -> bool:
+        """Start the tasks of a gang in the room held for them."""
+        bookings = self.gangs.commit(ask.gang, ask.grants)
+        if bookings is None:
+            return False
+        by_key = {booking.key: booking for booking in bookings}
+        for grant in ask.grants:
+            booking = by_key.get(str(grant.task))
+            if booking is not None:
+                self._launch(ask.home.unit, grant, booking)
+        return True
+
+    def stop(self, message: StopTasks) -> None:
+        """Stop the tasks that are held here."""
+        for task in message.tasks:
+            name = str(task)
+            for link in self.links.values():
+                attempt = link.attempts.get(name)
+                if attempt is not None and not attempt.is_ended:
+                    self._stop(link, attempt, message.mode)
+
+    def inventory(self, home: str) -> PartitionInventory:
+        """Return what is held for one home."""
+        return PartitionInventory(
+            partition=self.unit,
+            complete=self.is_complete,
+            settled=now() > self._all_lapsed_at(),
+            adopted=sorted(self.reader.adopted),
+            tasks=[
+                attempt.held()
+                for link in self.links.values()
+                for attempt in link.attempts.values()
+                if attempt.home == home
+                if attempt.state is not TaskState.pending
+            ],
+        )
+
+    @property
+    def is_complete(self) -> bool:
+        """Whether every listed worker was read or lost its leases."""
+        if now() > self._all_lapsed_at():
+            return True
+        return bool(self.links) and self.links.keys() <= self.reader.adopted
+
+    def report(self, waiting: int) -> CapacityReport:
+        """Return what the workers hold and what is free."""
+        total, free, largest = ZERO, ZERO, ZERO
+        for view in self.ledger.workers.values():
+            total += view.capacity
+            free += self.ledger.free(view.worker)
+            largest = _largest(largest, view.capacity)
+        return CapacityReport(
+            self.unit, len(self.links), total, free, largest, waiting
+        )
+
+    def _all_lapsed_at(self) -> float:
+        return self.timing.lapses_at(self.acquired_at, EXCHANGE_TIMEOUT_S)
+
+    def _open(self, link: WorkerLink) -> None:
+        link.on_reply = self._replied
+        link.on_silent = self._silent
+        self.links[link.vm.vm_id] = link
+        link.run()
+
+    def _replied(self, link: WorkerLink, reply: SyncReply) -> None:
+        changed = self.reader.read(link, reply)
+        for attempt in changed:
+            self.reporter.add(attempt)
+        self.placer.freed()
+
+    def _silent(self, link: WorkerLink) -> None:
+        if link.failures >= SILENT_EXCHANGES:
+            self.ledger.bar(link.vm.vm_id, Barrier.unknown)
+        for attempt in link.attempts.values():
+            if attempt.state is TaskState.pending and not attempt.reported:
+                self.ledger.release(attempt.name)
+                self.reporter.add(attempt)
+        self._lapse(link)
+
+    def _lapse(self, link: WorkerLink) -> None:
+        for attempt in self.reader.lapse(link):
+            self.reporter.add(attempt)
+
+    def _worker_gone(self, link: WorkerLink) -> None:
+        self.ledger.bar(link.vm.vm_id, Barrier.leaving)
+        if link.attempts:
+            return
+        link.close()
+        self.links.pop(link.vm.vm_id)
+        self.ledger.remove_worker(link.vm.vm_id)
+
+    def _puller(self, home: UnitEpoch) -> Puller:
+        puller = self.pullers.get(home.unit)
+        if puller is not None and puller.home.epoch == home.epoch:
+            return puller
+        if puller is not None:
+            puller.close()
+        fresh = Puller(self.context, self.unit, home, self.target)
+        self.pullers[home.unit] = fresh
+        return fresh
+
+    def _start(
+        self, home: UnitEpoch, grant: TaskGrant, key: str | None
+    ) -> None:
+        booking = None
+        if key is not None and self._is_current(home):
+            committed = self.ledger.commit(key, now(), as_key=str(grant.task))
+            booking = None if isinstance(committed, Failure) else committed
+        if booking is None:
+            if key is not None:
+                self.ledger.release(key)
+            self._return(home.unit, grant)
+            return
+        self._launch(home.unit, grant, booking)
+
+    def _launch(
+        self, home: str, grant: TaskGrant, booking: Booking
+    ) -> None:
+        booking.occupant.kind = grant.kind
+        booking.occupant.team = grant.team
+        link = self.links.get(booking.worker)
+        if link is None:
+            self.ledger.release(booking.key)
+            self._return(home, grant)
+            return
+        link.start(Attempt(grant, home, booking.worker))
+
+    def _return(self, home: str, grant: TaskGrant) -> None:
+        attempt = Attempt(grant, home, '')
+        attempt.change(TaskState.pending, reason='no room any more')
+        self.reporter.add(attempt)
+
+    def _stop(self, link: WorkerLink, attempt: Attempt, mode: str) -> None:
+        if attempt in link.starts:
+            link.starts.remove(attempt)
+            self.ledger.release(attempt.name)
+            attempt.change(TaskState.pending, reason='stopped before its start')
+            self.reporter.add(attempt)
+            return
+        link.stop(attempt.name, mode)
+
+    def _give_up(self, key: str) -> None:
+        self.ledger.release(key)
+        self.placer.freed()
+
+    def _answered(self, home: UnitEpoch, reply: PullReply) -> None:
+        self.placer.answered(home, reply)
+
+    def _is_current(self, home: UnitEpoch) -> bool:
+        known = self.demands.homes.get(home.unit)
+        return known is not None and known.epoch == home.epoch
+
+    def _taken(self, attempt: Attempt) -> None:
+        link = self.links.get(attempt.worker)
+        if link is not None:
+            link.acknowledge(attempt.name)
+        self.placer.freed()
+
+
+class PlacerHooks:
+    """What an owner tells the placer of its node."""
+
+    index: FreeIndex
+
+    def freed(self) -> None:
+        """Take note that capacity may have become free."""
+
+    def answered(self, home: UnitEpoch, reply: PullReply) -> None:
+        """Take in the demand that came with a reply."""
+
+
+def _expected_end(expected_run_s: float) -> float | None:
+    return now() + expected_run_s if expected_run_s else None
+
+
+def _largest(left: Resources, right: Resources) -> Resources:
+    return Resources(
+        max(left.cpu_milli, right.cpu_milli),
+        max(left.memory_mib, right.memory_mib),
+        max(left.accelerators, right.accelerators),
+        max(left.slots, right.slots),
+    )
+
--- /dev/null
+++ b/packages/berylspread/src/berylspread/partition/placer.py
@@ -0,0 +1,207 @@
+"""One node's placement: it serves the demand of all homes on its partitions."""
+
+import asyncio
+from collections.abc import Callable
+from typing import Final, final
+
+from absl import logging
+
+from berylspread.backend import Workers
+from berylspread.kernel import Failure, now
+from berylspread.limits import FreeIndex
+from berylspread.ownership import Tenure
+from berylspread.partition.demands import DemandBook
+from berylspread.partition.messages import (
+    DemandUpdate,
+    PullReply,
+    UnitEpoch,
+)
+from berylspread.partition.owner import PartitionOwner, PlacerHooks
+from berylspread.placement import (
+    Decision,
+    DemandQueue,
+    Pipeline,
+    Rejection,
+    default_policy,
+)
+from berylspread.runtime import NodeContext, every
+
+FOLLOW_S: Final = 0.5
+ROUND_S: Final = 0.25
+REPORT_S: Final = 1.0
+MAX_DECISIONS: Final = 200
+
+
+@final
+class Placer(PlacerHooks):
+    """The partition owners of one node with their common demand queue."""
+
+    __slots__ = (
+        'context',
+        'demands',
+        'index',
+        'owners',
+        'pipeline',
+        'policy_version',
+        'queue',
+        'serve_calls',
+        'tasks',
+        'wake',
+        'workers',
+    )
+
+    def __init__(self, context: NodeContext, workers: Workers) -> None:
+        """Start without partitions."""
+        self.context = context
+        self.workers = workers
+        self.index = FreeIndex()
+        self.demands = DemandBook()
+        self.queue = DemandQueue()
+        self.owners: dict[str, PartitionOwner] = {}
+        self.wake = asyncio.Event()
+        self.policy_version = 0
+        self.pipeline = _pipeline(context)
+        self.serve_calls: Callable[[], None] = _no_calls
+        self.tasks: list[asyncio.Task[None]] = []
+
+    def start(self) -> None:
+        """Begin to place."""
+        self.tasks = [
+            asyncio.create_task(self._place_forever(), name='placement'),
+            asyncio.create_task(every(FOLLOW_S, self._follow, 'workers')),
+            asyncio.create_task(every(REPORT_S, self._report, 'capacity')),
+        ]
+
+    def close(self) -> None:
+        """Give every partition up without a word to its workers."""
+        for task in self.tasks:
+            task.cancel()
+        for owner in self.owners.values():
+            owner.close()
+        self.owners.clear()
+
+    def acquire(self, tenure: Tenure) -> PartitionOwner:
+        """Take a partition over."""
+        logging.info('owner of %s, epoch %d', tenure.unit, tenure.epoch)
+        owner = PartitionOwner(
+            self.context, tenure, self.workers, self.demands, self
+        )
+        self.owners[tenure.unit] = owner
+        owner.follow_workers()
+        return owner
+
+    def lose(self, tenure: Tenure) -> None:
+        """Stop acting for a partition."""
+        owner = self.owners.get(tenure.unit)
+        if owner is not None and owner.unit.epoch == tenure.epoch:
+            owner.close()
+            self.owners.pop(tenure.unit)
+
+    def owner(self, unit: str) -> PartitionOwner | None:
+        """Return the owner of a unit if this node may act for it now."""
+        owner = self.owners.get(unit)
+        if owner is None or not owner.tenure.is_valid(now()):
+            return None
+        return owner
+
+    def update(self, node: str, update: DemandUpdate) -> None:
+        """Take in a home's demand."""
+        if self.demands.update(node, update):
+            self._take_demand(update.home.unit)
+
+    def freed(self) -> None:
+        """Take note that capacity may have become free."""
+        self.wake.set()
+
+    def answered(self, home: UnitEpoch, reply: PullReply) -> None:
+        """Take in the demand that came with a reply."""
+        self.demands.refresh(home.unit, reply)
+        self._take_demand(home.unit)
+
+    def _take_demand(self, home: str) -> None:
+        known = self.demands.homes[home]
+        self.queue.replace_home(home, known.classes, now())
+        for use in known.uses:
+            self.pipeline.context.shares.update(use)
+        self.wake.set()
+
+    async def _place_forever(self) -> None:
+        while True:
+            try:
+                async with asyncio.timeout(ROUND_S):
+                    await self.wake.wait()
+            except TimeoutError:
+                pass
+            self.wake.clear()
+            try:
+                self._round()
+            except Exception:  # one faulty round must not end placement
+                logging.exception('placement round failed')
+            await asyncio.sleep(0)
+
+    def _round(self) -> None:
+        self._refresh_policy()
+        # Calls go before tasks: somebody waits for their answer.
+        self.serve_calls()
+        for _ in range(MAX_DECISIONS):
+            decision = self.pipeline.next(self.queue, self.index, now())
+            if decision is None:
+                return
+            if not isinstance(decision, Rejection):
+                self._book(decision)
+        self.wake.set()
+
+    def _book(self, decision: Decision) -> None:
+        owner = self.owner(decision.unit)
+        pending = self.queue.classes.get(decision.class_id)
+        demand = None if pending is None else pending.demand
+        if demand is None:
+            demand = self.demands.find(decision.home, decision.class_id)
+        if owner is None or demand is None:
+            self.queue.take_back(decision.class_id)
+            return
+        if not owner.book(decision.worker, demand):
+            self.queue.take_back(decision.class_id)
+
+    def _refresh_policy(self) -> None:
+        if self.context.documents.version == self.policy_version:
+            return
+        self.policy_version = self.context.documents.version
+        shares = self.pipeline.context.shares
+        self.pipeline = _pipeline(self.context)
+        self.pipeline.context.shares = shares
+
+    async def _follow(self) -> None:
+        for owner in list(self.owners.values()):
+            owner.follow_workers()
+        self.pipeline.context.largest = self.context.capacities.largest()
+        self.pipeline.context.shares.total = self.context.capacities.region(
+            self.context.region
+        )
+
+    async def _report(self) -> None:
+        reports = [
+            owner.report(0)
+            for owner in self.owners.values()
+            if owner.tenure.is_valid(now())
+        ]
+        for member in self.context.membership.members():
+            for report in reports:
+                self.context.peers.tell(member.node, report)
+
+
+def _no_calls() -> None:
+    """Stand in on a node that serves no calls."""
+
+
+def _pipeline(context: NodeContext) -> Pipeline:
+    document = context.document
+    pipeline = Pipeline.from_options(
+        document.policy, document.plugins.values()
+    )
+    if isinstance(pipeline, Failure):
+        logging.error('policy stays at the defaults: %s', pipeline.reason)
+        pipeline = Pipeline.from_options(default_policy())
+    if isinstance(pipeline, Failure):
+        raise TypeError(pipeline.reason)
+    return pipeline
--- /dev/null
+++ b/packages/berylspread/src/berylspread/partition/puller.py
@@ -0,0 +1,145 @@
+"""Pulls tasks from one home for the room that one partition has booked."""
+
+import asyncio
+import collections
+from collections.abc import Callable
+from typing import Final, final
+
+from berylspread.kernel import Failure, now
+from berylspread.partition.messages import (
+    PullAsk,
+    PullLine,
+    PullReply,
+    TaskGrant,
+    UnitEpoch,
+)
+from berylspread.runtime import NodeContext
+
+PULL_TIMEOUT_S: Final = 1.0
+ROOM_HELD_S: Final = 2.0
+RETRY_S: Final = 0.2
+LINGER_S: Final = 0.005
+MAX_LINES: Final = 64
+
+
+@final
+class PullTarget:
+    """The callbacks of the partition owner that a puller works for.
+
+    ``start`` takes a grant and the key of the room booked for it, or ``None``
+    if the room has been given up.  ``give_up`` frees room, and ``answered``
+    takes the demand in a reply.
+    """
+
+    __slots__ = ('answered', 'give_up', 'is_current', 'start')
+
+    def __init__(
+        self,
+        *,
+        start: Callable[[UnitEpoch, TaskGrant, str | None], None],
+        give_up: Callable[[str], None],
+        answered: Callable[[UnitEpoch, PullReply], None],
+        is_current: Callable[[UnitEpoch], bool],
+    ) -> None:
+        """Keep the callbacks."""
+        self.start = start
+        self.give_up = give_up
+        self.answered = answered
+        self.is_current = is_current
+
+
+@final
+class Puller:
+    """One question at a time, repeated until the home has answered it.
+
+    The home may have handed tasks out in an answer that was lost, so a question
+    is only dropped once the home or the partition has a newer epoch.
+    """
+
+    __slots__ = (
+        'booked',
+        'context',
+        'home',
+        'partition',
+        'sequence',
+        'target',
+        'task',
+    )
+
+    def __init__(
+        self,
+        context: NodeContext,
+        partition: UnitEpoch,
+        home: UnitEpoch,
+        target: PullTarget,
+    ) -> None:
+        """Start with nothing booked."""
+        self.context = context
+        self.partition = partition
+        self.home = home
+        self.target = target
+        self.sequence = 0
+        self.booked: dict[str, collections.deque[str]] = {}
+        self.task: asyncio.Task[None] | None = None
+
+    def add(self, class_id: str, key: str) -> None:
+        """Ask for one more task of a class, for the room under ``key``."""
+        self.booked.setdefault(class_id, collections.deque()).append(key)
+        if self.task is None or self.task.done():
+            self.task = asyncio.create_task(self._drain())
+
+    def close(self) -> None:
+        """Stop asking and give up all room."""
+        if self.task is not None:
+            self.task.cancel()
+        self._give_up(self.booked)
+        self.booked = {}
+
+    async def _drain(self) -> None:
+        await asyncio.sleep(LINGER_S)
+        while self.booked:
+            lines = dict(list(self.booked.items())[:MAX_LINES])
+            for class_id in lines:
+                self.booked.pop(class_id)
+            await self._pull(lines)
+
+    async def _pull(self, lines: dict[str, collections.deque[str]]) -> None:
+        self.sequence += 1
+        ask = PullAsk(
+            self.partition,
+            self.home,
+            self.sequence,
+            [PullLine(class_id, len(keys)) for class_id, keys in lines.items()],
+        )
+        held_until = now() + ROOM_HELD_S
+        while self.target.is_current(self.home):
+            reply = await self._ask(ask)
+            if not isinstance(reply, Failure):
+                self._assign(lines, reply)
+                return
+            if now() > held_until:
+                self._give_up(lines)
+            await asyncio.sleep(RETRY_S)
+        self._give_up(lines)
+
+    async def _ask(self, ask: PullAsk) -> PullReply | Failure:
+        owner = self.context.owner(self.home.unit)
+        node = owner[0].node if owner else ''
+        return await self.context.peers.ask(
+            node, ask, PullReply, timeout_s=PULL_TIMEOUT_S
+        )
+
+    def _assign(
+        self, lines: dict[str, collections.deque[str]], reply: PullReply
+    ) -> None:
+        for keys, grants in zip(lines.values(), reply.grants, strict=True):
+            for grant in grants:
+                key = keys.popleft() if keys else None
+                self.target.start(self.home, grant, key)
+        self._give_up(lines)
+        self.target.answered(self.home, reply)
+
+    def _give_up(self, lines: dict[str, collections.deque[str]]) -> None:
+        for keys in lines.values():
+            while keys:
+                self.target.give_up(keys.popleft())
--- /dev/null
+++ b/packages/berylspread/src/berylspread/partition/reporter.py
@@ -0,0 +1,105 @@
+"""Reports the attempts' changes to their homes until acknowledged."""
+
+import asyncio
+from collections.abc import Callable
+from typing import Final, final
+
+from berylspread.kernel import Failure
+from berylspread.partition.attempts import Attempt
+from berylspread.partition.demands import DemandBook
+from berylspread.partition.messages import (
+    EventsTaken,
+    TaskEvent,
+    TaskEvents,
+    UnitEpoch,
+)
+from berylspread.runtime import NodeContext
+
+REPORT_TIMEOUT_S: Final = 6.0
+RETRY_S: Final = 0.5
+MAX_EVENTS: Final = 500
+
+
+@final
+class HomeReporter:
+    """Queues the attempts to report and sends them, one home at a time.
+
+    ``on_taken`` is called with each attempt whose end the home has recorded.
+    """
+
+    __slots__ = (
+        'context',
+        'demands',
+        'on_taken',
+        'partition',
+        'queues',
+        'tasks',
+    )
+
+    def __init__(
+        self,
+        context: NodeContext,
+        partition: UnitEpoch,
+        demands: DemandBook,
+        on_taken: Callable[[Attempt], None],
+    ) -> None:
+        """Start with nothing to report."""
+        self.context = context
+        self.partition = partition
+        self.demands = demands
+        self.on_taken = on_taken
+        self.queues: dict[str, dict[str, Attempt]] = {}
+        self.tasks: dict[str, asyncio.Task[None]] = {}
+
+    def add(self, attempt: Attempt) -> None:
+        """Report an attempt's newest event; an older one is superseded."""
+        self.queues.setdefault(attempt.home, {})[attempt.name] = attempt
+        task = self.tasks.get(attempt.home)
+        if task is None or task.done():
+            self.tasks[attempt.home] = asyncio.create_task(
+                self._drain(attempt.home)
+            )
+
+    def close(self) -> None:
+        """End the reporting; a successor reports from the workers."""
+        for task in self.tasks.values():
+            task.cancel()
+        self.tasks.clear()
+
+    async def _drain(self, home: str) -> None:
+        queue = self.queues[home]
+        while queue:
+            batch = list(queue.values())[:MAX_EVENTS]
+            events = [item.event for item in batch if item.event is not None]
+            if await self._send(home, events):
+                self._taken(queue, batch, events)
+            else:
+                await asyncio.sleep(RETRY_S)
+
+    async def _send(self, home: str, events: list[TaskEvent]) -> bool:
+        owner = self.context.owner(home)
+        if owner is None:
+            return False
+        ref, epoch = owner
+        reply = await self.context.peers.ask(
+            ref.node,
+            TaskEvents(self.partition, UnitEpoch(home, epoch), events),
+            EventsTaken,
+            timeout_s=REPORT_TIMEOUT_S,
+        )
+        return not isinstance(reply, Failure)
+
+    def _taken(
+        self,
+        queue: dict[str, Attempt],
+        batch: list[Attempt],
+        events: list[TaskEvent],
+    ) -> None:
+        sent = {id(event) for event in events}
+        for attempt in batch:
+            if id(attempt.event) not in sent:
+                continue
+            queue.pop(attempt.name, None)
+            attempt.reported = True
+            if attempt.is_ended:
+                self.on_taken(attempt)
--- /dev/null
+++ b/packages/berylspread/src/berylspread/partition/reports.py
@@ -0,0 +1,192 @@
+"""What a worker's replies say of the attempts held there.
+
+A reply is compared with the attempts: those it shows run or have ended, those
+it lacks have ended or never started, and those nobody expects are adopted at a
+takeover and stopped later.
+"""
+
+from typing import Final, final
+
+from absl import logging
+
+from berylspread.backend import SyncReply, TaskReport
+from berylspread.kernel import now
+from berylspread.limits import CapacityLedger, Occupant
+from berylspread.model import TERMINAL_STATES, JobKind, TaskState
+from berylspread.partition.attempts import Attempt, home_of, task_key
+from berylspread.partition.messages import TaskGrant
+from berylspread.partition.worker_link import WorkerLink
+
+STOP: Final = 'stop'
+
+
+@final
+class ReportReader:
+    """Applies replies to attempts and bookings of one partition."""
+
+    __slots__ = ('adopted', 'late_starts', 'ledger', 'settles_at')
+
+    def __init__(self, ledger: CapacityLedger, settles_at: float) -> None:
+        """Start with no worker adopted.
+
+        Until the loop time ``settles_at`` calls may arrive that the previous
+        owner let through, so nothing is granted before.
+        """
+        self.ledger = ledger
+        self.settles_at = settles_at
+        self.adopted: set[str] = set()
+        self.late_starts = 0
+
+    def read(self, link: WorkerLink, reply: SyncReply) -> list[Attempt]:
+        """Apply a reply; return the attempts that have something to report."""
+        first = link.vm.vm_id not in self.adopted
+        self.adopted.add(link.vm.vm_id)
+        settled = now() >= self.settles_at
+        if settled:
+            self.ledger.report(link.vm.vm_id, reply.capacity)
+        shown = {report.task: report for report in reply.tasks}
+        changed = [
+            attempt
+            for report in shown.values()
+            if (attempt := self._show(link, report, first)) is not None
+        ]
+        changed.extend(self._missing(link, reply, shown))
+        self._adopt_calls(link, reply, adopts=not settled or first)
+        for attempt in changed:
+            self._settle(attempt)
+        return changed
+
+    def lapse(self, link: WorkerLink) -> list[Attempt]:
+        """Return the attempts whose leases have surely lapsed in silence."""
+        lapsed = [
+            attempt
+            for attempt in link.attempts.values()
+            if not attempt.is_ended
+            and attempt not in link.starts
+            and attempt.lapses_at < now()
+        ]
+        for attempt in lapsed:
+            attempt.change(TaskState.lost, reason='lease lapsed')
+            self._settle(attempt)
+        return lapsed
+
+    def _settle(self, attempt: Attempt) -> None:
+        if attempt.is_ended:
+            self.ledger.release(attempt.name)
+
+    def _show(
+        self, link: WorkerLink, report: TaskReport, first: bool
+    ) -> Attempt | None:
+        attempt = link.attempts.get(report.task)
+        if attempt is None:
+            return self._unexpected(link, report, first)
+        if report.attempt != attempt.grant.attempt or attempt.is_ended:
+            return None
+        attempt.confirmed = True
+        attempt.doubtful_until = None
+        if report.state is attempt.state:
+            return None
+        attempt.change(
+            report.state,
+            exit_code=report.exit_code,
+            reason=report.reason,
+            output=report.output,
+            checkpoint=report.checkpoint,
+        )
+        return attempt
+
+    def _unexpected(
+        self, link: WorkerLink, report: TaskReport, first: bool
+    ) -> Attempt | None:
+        if report.task in link.acknowledged:
+            return None
+        key = task_key(report.task)
+        if key is None or not first:
+            self._stop_late_start(link, report)
+            return None
+        grant = TaskGrant(
+            task=key,
+            attempt=report.attempt,
+            team=report.team,
+            queue='',
+            job_class=report.job_class,
+            kind=JobKind.batch,
+            shape=report.shape,
+        )
+        attempt = Attempt(grant, home_of(key.job_id), link.vm.vm_id)
+        attempt.confirmed = True
+        attempt.lapses_at = link.timing.lapses_at(now(), 0)
+        link.attempts[report.task] = attempt
+        if report.state not in TERMINAL_STATES:
+            self.ledger.adopt(
+                link.vm.vm_id,
+                report.task,
+                report.shape,
+                Occupant(report.team, report.job_class),
+            )
+        attempt.change(
+            report.state,
+            exit_code=report.exit_code,
+            reason=report.reason,
+            output=report.output,
+            checkpoint=report.checkpoint,
+        )
+        return attempt
+
+    def _stop_late_start(self, link: WorkerLink, report: TaskReport) -> None:
+        if report.state in TERMINAL_STATES:
+            link.acknowledged.add(report.task)
+            return
+        self.late_starts += 1
+        logging.warning(
+            'worker %s runs %s, which nobody expects there; stopping it',
+            link.vm.vm_id,
+            report.task,
+        )
+        link.stop(report.task, STOP)
+
+    def _missing(
+        self,
+        link: WorkerLink,
+        reply: SyncReply,
+        shown: dict[str, TaskReport],
+    ) -> list[Attempt]:
+        missing: list[Attempt] = []
+        for attempt in link.attempts.values():
+            if attempt.name in shown or attempt.is_ended:
+                continue
+            if attempt.name in reply.refused:
+                attempt.change(
+                    TaskState.pending, reason=reply.refused[attempt.name]
+                )
+                missing.append(attempt)
+            elif attempt.confirmed:
+                attempt.change(TaskState.lost, reason='gone from the worker')
+                missing.append(attempt)
+            elif _never_arrived(attempt):
+                attempt.change(TaskState.pending, reason='start not received')
+                missing.append(attempt)
+        return missing
+
+    def _adopt_calls(
+        self, link: WorkerLink, reply: SyncReply, *, adopts: bool
+    ) -> None:
+        worker = link.vm.vm_id
+        prefix = f'adopted-call:{worker}:'
+        running = {
+            f'{prefix}{call.request_id}.{call.attempt}': call
+            for call in reply.calls
+        }
+        if adopts:
+            for key, call in running.items():
+                self.ledger.adopt(worker, key, call.shape, Occupant(call.team))
+        view = self.ledger.workers.get(worker)
+        for key in list(view.bookings) if view else []:
+            if key.startswith(prefix) and key not in running:
+                self.ledger.release(key)
+
+
+def _never_arrived(attempt: Attempt) -> bool:
+    return (
+        attempt.doubtful_until is not None and attempt.doubtful_until < now()
+    )
--- a/packages/berylspread/src/berylspread/partition/worker_link.py
+++ b/packages/berylspread/src/berylspread/partition/worker_link.py
@@ -29,6 +29,8 @@
 RETRY_MIN_S: Final = 0.2
 RETRY_MAX_S: Final = 2.0
 RENEWALS_PER_LEASE: Final = 4
+YOUNG_S: Final = 1.0
+YOUNG_WAIT_S: Final = 0.2
 
 
 @final
@@ -64,6 +66,7 @@
         'failures',
         'on_reply',
         'on_silent',
+        'opened_at',
         'sequence',
         'starts',
         'stops',
@@ -96,6 +99,7 @@
         self.acknowledged: set[str] = set()
         self.sequence = 0
         self.failures = 0
+        self.opened_at = now()
         self.wake = asyncio.Event()
         self.on_reply: Callable[[WorkerLink, SyncReply], None] = _ignore_reply
         self.on_silent: Callable[[WorkerLink], None] = _ignore_silence
@@ -143,7 +147,7 @@
                     acknowledged=list(self.acknowledged),
                     lease_s=self.timing.lease_s,
                     seen=self.sequence,
-                    wait_s=self.timing.wait_s,
+                    wait_s=self._wait_s(),
                 )
             )
             if isinstance(reply, Failure):
@@ -264,6 +268,11 @@
         while not self.tenure.is_valid(now()):
             await asyncio.sleep(RETRY_MIN_S)
 
+    def _wait_s(self) -> float:
+        # A takeover needs a second report once calls under way have arrived.
+        is_young = now() < self.opened_at + YOUNG_S
+        return YOUNG_WAIT_S if is_young else self.timing.wait_s
+
     def _backoff_s(self) -> float:
         return min(RETRY_MIN_S * 2**self.failures, RETRY_MAX_S)
 
--- /dev/null
+++ b/packages/berylspread/src/berylspread/runtime/capacities.py
@@ -0,0 +1,65 @@
+"""What the partitions hold, as their owners reported it last."""
+
+from typing import final
+
+from berylspread.kernel import now
+from berylspread.model import DIMENSIONS, ZERO, Resources, unit_region
+from berylspread.partition.messages import CapacityReport
+
+
+@final
+class KnownCapacity:
+    """One partition's last report and the loop time of its receipt."""
+
+    __slots__ = ('node', 'received_at', 'report')
+
+    def __init__(self, node: str, report: CapacityReport) -> None:
+        """Stamp the report with the present time."""
+        self.node = node
+        self.report = report
+        self.received_at = now()
+
+
+@final
+class CapacityBook:
+    """The newest report of each partition, by unit."""
+
+    __slots__ = ('known',)
+
+    def __init__(self) -> None:
+        """Start without reports."""
+        self.known: dict[str, KnownCapacity] = {}
+
+    def update(self, node: str, report: CapacityReport) -> None:
+        """Take in a report unless its epoch is outdated."""
+        unit = report.partition.unit
+        known = self.known.get(unit)
+        epoch = known.report.partition.epoch if known else 0
+        if report.partition.epoch >= epoch:
+            self.known[unit] = KnownCapacity(node, report)
+
+    def region(self, region: str) -> Resources:
+        """Return what the workers of a region hold together."""
+        total = ZERO
+        for unit, known in self.known.items():
+            if unit_region(unit) == region:
+                total += known.report.total
+        return total
+
+    def partitions(self, region: str = '') -> list[KnownCapacity]:
+        """Return the partitions of one region or of all."""
+        return [
+            known
+            for unit, known in self.known.items()
+            if not region or unit_region(unit) == region
+        ]
+
+    def largest(self) -> Resources:
+        """Return the most that one worker holds, by dimension."""
+        reports = [known.report.largest for known in self.known.values()]
+        return Resources(
+            *(
+                max((getattr(each, name) for each in reports), default=0)
+                for name in DIMENSIONS
+            )
+        )
--- a/packages/berylspread/src/berylspread/runtime/context.py
+++ b/packages/berylspread/src/berylspread/runtime/context.py
@@ -1,7 +1,6 @@
 """What every part of one node shares."""
 
 import random
-from collections.abc import Awaitable, Callable
 from typing import final
 
 from berylspread.config import Document
@@ -11,6 +10,8 @@
 from berylspread.model import NodeRef
 from berylspread.ownership import Ownership
 from berylspread.peers import Peers
+from berylspread.runtime.capacities import CapacityBook
+from berylspread.runtime.documents import Documents
 
 
 @final
@@ -19,6 +20,8 @@
 
     __slots__ = (
         'appender',
+        'capacities',
+        'documents',
         'membership',
         'ownership',
         'peers',
@@ -55,11 +58,23 @@
         self.ownership = ownership
         self.wall = wall
         self.rng = rng
+        self.documents = Documents(state)
+        self.capacities = CapacityBook()
 
     @property
     def document(self) -> Document:
         """The configuration in force."""
-        return self.state.document
+        return self.documents.document
 
+    def owner(self, unit: str) -> tuple[NodeRef, int] | None:
+        """Return the last logged owner of a unit and its epoch."""
+        claim = self.state.units.claim(unit)
+        return None if claim is None else (claim.owner, claim.epoch)
 
-LoopStep = Callable[[], Awaitable[None]]
+    def owners(self, prefix: str) -> dict[str, tuple[NodeRef, int]]:
+        """Return the last logged owners of the units under a prefix."""
+        return {
+            unit: (claim.owner, claim.epoch)
+            for unit, claim in self.state.units.claims.items()
+            if unit.startswith(prefix)
+        }
--- /dev/null
+++ b/packages/berylspread/src/berylspread/runtime/documents.py
@@ -0,0 +1,45 @@
+"""The production document in force, parsed once for each version."""
+
+from typing import Final, final
+
+from absl import logging
+
+from berylspread.config import Document, parse_document
+from berylspread.kernel import Failure
+from berylspread.log import ClusterState, ConfigApplied
+
+PRODUCTION: Final = 'production'
+
+
+@final
+class Documents:
+    """Follows the log and keeps the newest document that parses."""
+
+    __slots__ = ('document', 'state', 'version')
+
+    def __init__(self, state: ClusterState) -> None:
+        """Start with an empty document; subscribe to the log."""
+        self.state = state
+        self.version = 0
+        self.document = Document(PRODUCTION)
+        state.subscribe(ConfigApplied, self._applied)
+        state.on_restore(self.refresh)
+        self.refresh()
+
+    def refresh(self) -> None:
+        """Parse the version in force if it is a new one."""
+        version = self.state.configs.in_force(PRODUCTION)
+        if version is None or version.version <= self.version:
+            return
+        parsed = parse_document(PRODUCTION, version.text)
+        self.version = version.version
+        if isinstance(parsed, Failure):
+            logging.error(
+                'document %d stays out: %s', version.version, parsed.reason
+            )
+            return
+        self.document = parsed
+
+    def _applied(self, _offset: int, record: ConfigApplied) -> None:
+        if record.environment == PRODUCTION:
+            self.refresh()
--- /dev/null
+++ b/packages/berylspread/src/berylspread/runtime/homes.py
@@ -0,0 +1,123 @@
+"""The job homes of one node, and the messages that reach them."""
+
+from typing import final
+
+from berylspread.calls.home import CallHome
+from berylspread.calls.messages import AllowanceAsk, RegisterAsk
+from berylspread.jobs.home import JobHome
+from berylspread.kernel import Failure, now
+from berylspread.kernel.errors import NotOwner, StaleEpoch
+from berylspread.log import (
+    AllotmentMoved,
+    ConfigApplied,
+    JobAccepted,
+    JobCancelled,
+)
+from berylspread.model import NodeRef
+from berylspread.ownership import Tenure
+from berylspread.partition.messages import PullAsk, TaskEvents, UnitEpoch
+from berylspread.peers import Message
+from berylspread.runtime.context import NodeContext
+
+
+@final
+class HomeRole:
+    """One tenure of a home unit."""
+
+    __slots__ = ('calls', 'jobs')
+
+    def __init__(self, context: NodeContext, tenure: Tenure) -> None:
+        """Rebuild from the log and start."""
+        self.jobs = JobHome(context, tenure)
+        self.jobs.start()
+        self.calls = CallHome(context, self.jobs.quota)
+
+
+@final
+class Homes:
+    """The homes that this node owns, by unit."""
+
+    __slots__ = ('context', 'roles')
+
+    def __init__(self, context: NodeContext) -> None:
+        """Start without homes; follow the log and serve peers."""
+        self.context = context
+        self.roles: dict[str, HomeRole] = {}
+        state = context.state
+        state.subscribe(JobAccepted, self._accepted)
+        state.subscribe(JobCancelled, self._cancelled)
+        state.subscribe(AllotmentMoved, self._allotments)
+        state.subscribe(ConfigApplied, self._allotments)
+        peers = context.peers
+        peers.handle(PullAsk, self._pull)
+        peers.handle(TaskEvents, self._events)
+        peers.handle(AllowanceAsk, self._lend)
+        peers.handle(RegisterAsk, self._register)
+
+    def acquire(self, tenure: Tenure) -> None:
+        """Take a home over."""
+        self.roles[tenure.unit] = HomeRole(self.context, tenure)
+
+    def lose(self, tenure: Tenure) -> None:
+        """Stop acting for a home."""
+        role = self.roles.get(tenure.unit)
+        if role is not None and role.jobs.unit.epoch == tenure.epoch:
+            role.jobs.close()
+            self.roles.pop(tenure.unit)
+
+    def close(self) -> None:
+        """Stop acting for every home."""
+        for role in self.roles.values():
+            role.jobs.close()
+        self.roles.clear()
+
+    def role(self, home: UnitEpoch) -> HomeRole | Failure:
+        """Return the home if this node may act for it under that epoch."""
+        role = self.roles.get(home.unit)
+        if role is None or not role.jobs.tenure.is_valid(now()):
+            return NotOwner('this node is not the home', unit=home.unit)
+        if role.jobs.unit.epoch != home.epoch:
+            return StaleEpoch('the home has another epoch', unit=home.unit)
+        return role
+
+    def _accepted(self, _offset: int, record: JobAccepted) -> None:
+        role = self.roles.get(record.spec.home)
+        if role is not None:
+            role.jobs.accepted(record.spec)
+
+    def _cancelled(self, _offset: int, record: JobCancelled) -> None:
+        for role in self.roles.values():
+            role.jobs.cancelled(record)
+
+    def _allotments(self, _offset: int, _record: object) -> None:
+        for role in self.roles.values():
+            role.jobs.allotments_changed()
+
+    async def _pull(self, source: NodeRef, ask: PullAsk) -> Message | Failure:
+        role = self.role(ask.home)
+        return role if isinstance(role, Failure) else await role.jobs.pull(ask)
+
+    async def _events(
+        self, source: NodeRef, message: TaskEvents
+    ) -> Message | Failure:
+        role = self.role(message.home)
+        if isinstance(role, Failure):
+            return role
+        return await role.jobs.events(message)
+
+    async def _lend(
+        self, source: NodeRef, ask: AllowanceAsk
+    ) -> Message | Failure:
+        role = self.role(ask.home)
+        if isinstance(role, Failure):
+            return role
+        entry = f'{source.node}.{source.incarnation}'
+        return role.calls.lend(entry, ask)
+
+    async def _register(
+        self, source: NodeRef, ask: RegisterAsk
+    ) -> Message | Failure:
+        role = self.role(ask.home)
+        return role if isinstance(role, Failure) else role.calls.register(ask)
+
+
--- /dev/null
+++ b/packages/berylspread/src/berylspread/runtime/partitions.py
@@ -0,0 +1,156 @@
+"""The partitions of one node, and the messages that reach them."""
+
+from typing import final
+
+from berylspread.backend import Workers
+from berylspread.calls.messages import CallDone, CallSlotAsk
+from berylspread.calls.slots import CallSlots
+from berylspread.kernel import Failure
+from berylspread.kernel.errors import NotOwner, StaleEpoch
+from berylspread.model import NodeRef
+from berylspread.ownership import Tenure
+from berylspread.partition.messages import (
+    CapacityReport,
+    CommitAsk,
+    CommitReply,
+    DemandUpdate,
+    InventoryAsk,
+    InventoryReply,
+    ReleaseHold,
+    ReserveAsk,
+    ReserveReply,
+    StopTasks,
+)
+from berylspread.partition.owner import PartitionOwner
+from berylspread.partition.placer import Placer
+from berylspread.peers import Message
+from berylspread.runtime.context import NodeContext
+
+
+@final
+class Partitions:
+    """The partition owners of this node behind their messages."""
+
+    __slots__ = ('calls', 'context', 'placer')
+
+    def __init__(self, context: NodeContext, workers: Workers) -> None:
+        """Start without partitions; serve peers."""
+        self.context = context
+        self.placer = Placer(context, workers)
+        self.calls: dict[str, CallSlots] = {}
+        self.placer.serve_calls = self._serve_calls
+        handlers = (
+            (DemandUpdate, self._demand),
+            (InventoryAsk, self._inventory),
+            (ReserveAsk, self._reserve),
+            (CommitAsk, self._commit),
+            (ReleaseHold, self._release),
+            (StopTasks, self._stop),
+            (CapacityReport, self._capacity),
+            (CallSlotAsk, self._slot),
+            (CallDone, self._done),
+        )
+        for message_type, handler in handlers:
+            context.peers.handle(message_type, handler)
+
+    def start(self) -> None:
+        """Begin to place."""
+        self.placer.start()
+
+    def acquire(self, tenure: Tenure) -> None:
+        """Take a partition over."""
+        owner = self.placer.acquire(tenure)
+        self.calls[tenure.unit] = CallSlots(owner)
+
+    def lose(self, tenure: Tenure) -> None:
+        """Stop acting for a partition."""
+        slots = self.calls.get(tenure.unit)
+        if slots is not None and slots.owner.unit.epoch == tenure.epoch:
+            slots.close()
+            self.calls.pop(tenure.unit)
+        self.placer.lose(tenure)
+
+    def close(self) -> None:
+        """Stop acting for every partition."""
+        for slots in self.calls.values():
+            slots.close()
+        self.calls.clear()
+        self.placer.close()
+
+    def _serve_calls(self) -> None:
+        for slots in self.calls.values():
+            slots.serve()
+
+    async def _demand(self, source: NodeRef, update: DemandUpdate) -> None:
+        self.placer.update(source.node, update)
+
+    async def _inventory(
+        self, source: NodeRef, ask: InventoryAsk
+    ) -> Message | Failure:
+        if not self.placer.demands.admits(ask.home):
+            return StaleEpoch('the home has a newer epoch', unit=ask.home.unit)
+        return InventoryReply([
+            owner.inventory(ask.home.unit)
+            for unit in list(self.placer.owners)
+            if (owner := self.placer.owner(unit)) is not None
+        ])
+
+    async def _reserve(
+        self, source: NodeRef, ask: ReserveAsk
+    ) -> Message | Failure:
+        if not self.placer.demands.admits(ask.home):
+            return StaleEpoch('the home has a newer epoch', unit=ask.home.unit)
+        owner = self._owner(ask.partition)
+        if isinstance(owner, Failure):
+            return owner
+        reserved = owner.gangs.reserve(ask, self.placer.pipeline)
+        return ReserveReply(owner.unit, ask.gang, reserved)
+
+    async def _commit(
+        self, source: NodeRef, ask: CommitAsk
+    ) -> Message | Failure:
+        if not self.placer.demands.admits(ask.home):
+            return StaleEpoch('the home has a newer epoch', unit=ask.home.unit)
+        owner = self._owner(ask.partition.unit)
+        if isinstance(owner, Failure):
+            return owner
+        if owner.unit.epoch != ask.partition.epoch:
+            return StaleEpoch('the partition has another epoch')
+        return CommitReply(ask.gang, owner.commit(ask))
+
+    async def _release(self, source: NodeRef, message: ReleaseHold) -> None:
+        owner = self._owner(message.partition)
+        if not isinstance(owner, Failure):
+            owner.gangs.release(message.gang)
+            self.placer.freed()
+
+    async def _stop(self, source: NodeRef, message: StopTasks) -> None:
+        if not self.placer.demands.admits(message.home):
+            return
+        for unit in list(self.placer.owners):
+            owner = self.placer.owner(unit)
+            if owner is not None:
+                owner.stop(message)
+
+    async def _capacity(self, source: NodeRef, report: CapacityReport) -> None:
+        self.context.capacities.update(source.node, report)
+
+    async def _slot(
+        self, source: NodeRef, ask: CallSlotAsk
+    ) -> Message | Failure:
+        owner = self._owner(ask.unit)
+        if isinstance(owner, Failure):
+            return owner
+        return await self.calls[ask.unit].slot(ask)
+
+    async def _done(self, source: NodeRef, message: CallDone) -> None:
+        slots = self.calls.get(message.unit)
+        if slots is not None:
+            slots.done(message)
+            self.placer.freed()
+
+    def _owner(self, unit: str) -> PartitionOwner | NotOwner:
+        owner = self.placer.owner(unit)
+        if owner is None:
+            return NotOwner('this node does not own the unit', unit=unit)
+        return owner
