--- /dev/null
+++ b/packages/berylspread/src/berylspread/config/keys.py
@@ -0,0 +1,63 @@
+"""Keys of the teams: making, checking, and how long to trust them.
+
+The secret has 256 random bits, so its SHA-256 digest cannot be searched for and
+a slow hash would only cost time on each request.
+"""
+
+import hashlib
+import hmac
+import secrets
+from typing import Final, final
+
+import msgspec
+
+from berylspread.kernel.errors import Unauthenticated
+from berylspread.log.folds import KeyFold
+from berylspread.log.records import KeyCreated
+
+PREFIX: Final = 'bsk'
+KEY_ID_BYTES: Final = 8
+SECRET_BYTES: Final = 32
+MAX_KEY_CHARACTERS: Final = 200
+_NO_DIGEST: Final = bytes(SECRET_BYTES)
+
+
+@final
+class NewKey(msgspec.Struct, frozen=True):
+    """A key as it is shown once, and the record that stands for it."""
+
+    text: str
+    record: KeyCreated
+
+
+def make_key(team: str, label: str, created_at: float) -> NewKey:
+    """Make a key for a team; ``created_at`` is seconds since the epoch."""
+    key_id = secrets.token_hex(KEY_ID_BYTES)
+    secret = secrets.token_hex(SECRET_BYTES)
+    return NewKey(
+        f'{PREFIX}_{key_id}_{secret}',
+        KeyCreated(key_id, team, digest_secret(secret), label, created_at),
+    )
+
+
+def digest_secret(secret: str) -> bytes:
+    """Return the digest that the log keeps of a secret."""
+    return hashlib.sha256(secret.encode()).digest()
+
+
+def check_key(keys: KeyFold, text: str) -> str | Unauthenticated:
+    """Return the team of a key, in a time that does not tell why it fails."""
+    prefix, key_id, secret = _split(text)
+    key = keys.find(key_id)
+    digest = key.digest if key else _NO_DIGEST
+    is_equal = hmac.compare_digest(digest_secret(secret), digest)
+    works = key is not None and key.withdrawn_at is None
+    if key is None or not (is_equal and works and prefix == PREFIX):
+        return Unauthenticated('the key is unknown or was withdrawn')
+    return key.team
+
+
+def _split(text: str) -> tuple[str, str, str]:
+    prefix, _, rest = text[:MAX_KEY_CHARACTERS].partition('_')
+    key_id, _, secret = rest.partition('_')
+    return prefix, key_id, secret
--- /dev/null
+++ b/packages/berylspread/src/berylspread/config/operations.py
@@ -0,0 +1,222 @@
+"""What operators do with documents and keys, for the daemon and the CLI."""
+
+import re
+from collections.abc import Mapping
+from typing import Final, final
+
+import msgspec
+
+from berylspread.config.checks import check_usage, parse_document
+from berylspread.config.document import InvalidDocument
+from berylspread.config.environments import PRODUCTION, TRIAL
+from berylspread.config.keys import NewKey, make_key
+from berylspread.config.vouching import KeyGuard
+from berylspread.kernel.clock import WallClock
+from berylspread.kernel.errors import (
+    Conflict,
+    Failure,
+    InvalidInput,
+    UnknownName,
+)
+from berylspread.kernel.registry import nearest
+from berylspread.log.appender import Appender
+from berylspread.log.folds import TeamKey, Version
+from berylspread.log.reader import LogReader
+from berylspread.log.records import ConfigApplied, KeyWithdrawn
+from berylspread.log.state import ClusterState
+from berylspread.model import Resources
+
+READ_BACK_S: Final = 5.0
+CONFIRM_S: Final = 5.0
+_ENVIRONMENT: Final = re.compile(
+    r'(^\[environment\][^\[]*?^\s*name\s*[=:]\s*)(\w+)', re.MULTILINE
+)
+
+
+@final
+class Submission(msgspec.Struct, frozen=True):
+    """A document that an operator wants in force.
+
+    ``base`` is the version that it was made from, 0 for the first document.
+    """
+
+    environment: str
+    base: int
+    text: str
+    author: str
+    note: str = ''
+
+
+@final
+class Operations:
+    """Applies documents and keys through the log."""
+
+    __slots__ = ('appender', 'guard', 'reader', 'wall')
+
+    def __init__(
+        self,
+        appender: Appender,
+        reader: LogReader,
+        guard: KeyGuard,
+        wall: WallClock,
+    ) -> None:
+        """Take the ways into and out of the log."""
+        self.appender = appender
+        self.reader = reader
+        self.guard = guard
+        self.wall = wall
+
+    async def apply(
+        self,
+        submission: Submission,
+        used: Mapping[str, Resources] | None = None,
+    ) -> Version | Failure:
+        """Put a document in force if its base still is.
+
+        Returns ``InvalidDocument`` with every error, or ``Conflict`` that names
+        the version in force and its author.  ``used`` is what each team runs;
+        a limit below it is an error.
+        """
+        problem = check_submission(submission, used or {})
+        if problem is not None:
+            return problem
+        lost = _conflict(self.reader.state, submission)
+        if lost is not None:
+            return lost
+        record = ConfigApplied(
+            submission.environment,
+            submission.base,
+            submission.text,
+            submission.author,
+            submission.note,
+            self.wall.time(),
+        )
+        offset = await self.appender.append(record)
+        if isinstance(offset, Failure):
+            return offset
+        reached = await self.reader.reached(offset, READ_BACK_S)
+        if isinstance(reached, Failure):
+            return _unread(reached, offset)
+        return _outcome(self.reader.state, record)
+
+    async def promote(
+        self, trial_version: int, base: int, author: str, note: str = ''
+    ) -> Version | Failure:
+        """Put the trial document in force in production.
+
+        Both versions are those that the operator has seen, so that nothing is
+        promoted that changed meanwhile.
+        """
+        trial = self.reader.state.configs.in_force(TRIAL)
+        if trial is None or trial.version != trial_version:
+            return _superseded(TRIAL, trial_version, trial)
+        text = _ENVIRONMENT.sub(rf'\g<1>{PRODUCTION}', trial.text, count=1)
+        note = note or f'promoted from {TRIAL} {trial_version}'
+        return await self.apply(
+            Submission(PRODUCTION, base, text, author, note)
+        )
+
+    def history(self, environment: str) -> tuple[Version, ...]:
+        """Return the versions that are kept, oldest first."""
+        return self.reader.state.configs.history(environment)
+
+    async def create_key(self, team: str, label: str = '') -> NewKey | Failure:
+        """Make a key for a team; its text is nowhere kept."""
+        teams = self.reader.state.document.teams
+        if team not in teams:
+            return UnknownName(
+                f'no team is called {team!r}',
+                key=team,
+                nearest=nearest(team, teams),
+            )
+        made = make_key(team, label, self.wall.time())
+        offset = await self.appender.append(made.record)
+        return offset if isinstance(offset, Failure) else made
+
+    async def withdraw_key(self, key_id: str) -> TeamKey | Failure:
+        """Withdraw a key; returns once it stops everywhere within the bound.
+
+        Returns ``OutcomeUnknown`` if the log has it, but no majority of nodes
+        was seen to have read it.
+        """
+        key = self.reader.state.keys.find(key_id)
+        if key is None:
+            return UnknownName(f'no key is called {key_id!r}', key=key_id)
+        offset = await self.appender.append(
+            KeyWithdrawn(key_id, self.wall.time())
+        )
+        if isinstance(offset, Failure):
+            return offset
+        confirmed = await self.guard.confirm(offset, CONFIRM_S)
+        if isinstance(confirmed, Failure):
+            return confirmed
+        return self.reader.state.keys.find(key_id) or key
+
+
+def check_submission(
+    submission: Submission, used: Mapping[str, Resources]
+) -> InvalidDocument | None:
+    """Return every error in a document that an operator submits."""
+    source = submission.environment
+    document = parse_document(source, submission.text)
+    if isinstance(document, InvalidDocument):
+        return document
+    errors = check_usage(document, used)
+    if document.environment != submission.environment:
+        errors.append(
+            InvalidInput(
+                f'{source}: [environment] name: the document is for'
+                f' {document.environment}',
+                source=source,
+                section='environment',
+                option='name',
+                allowed=submission.environment,
+            )
+        )
+    return InvalidDocument.of(source, errors) if errors else None
+
+
+def _conflict(state: ClusterState, submission: Submission) -> Conflict | None:
+    current = state.configs.in_force(submission.environment)
+    in_force = current.version if current else 0
+    if in_force == submission.base:
+        return None
+    return _superseded(submission.environment, submission.base, current)
+
+
+def _superseded(
+    environment: str, base: int, current: Version | None
+) -> Conflict:
+    return Conflict(
+        f'{environment} version {base} is not in force',
+        environment=environment,
+        base=base,
+        version=current.version if current else 0,
+        author=current.author if current else '',
+    )
+
+
+def _outcome(state: ClusterState, record: ConfigApplied) -> Version | Conflict:
+    """Tell whether the record is the one that followed its base.
+
+    Only one version can follow a base, so this needs no offset; the offset of
+    an append that was retried may be that of its second copy.
+    """
+    history = state.configs.history(record.environment)
+    winner = next(
+        (found for found in history if found.base == record.base), None
+    )
+    if winner is not None and (winner.author, winner.applied_at) == (
+        record.author,
+        record.applied_at,
+    ):
+        return winner
+    return _superseded(record.environment, record.base, winner)
+
+
+def _unread(failure: Failure, offset: int) -> Failure:
+    return type(failure)(
+        'the document is in the log, and this node has not read it yet',
+        offset=offset,
+        may_have_applied=True,
+    )
--- /dev/null
+++ b/packages/berylspread/src/berylspread/config/vouching.py
@@ -0,0 +1,183 @@
+"""Nodes vouch for the keys of others that cannot read the log."""
+
+import asyncio
+from collections.abc import Iterable
+from typing import Final, final
+
+from berylspread.config.key_trust import KeyTrust, Voucher, VouchingElectorate
+from berylspread.config.keys import check_key
+from berylspread.kernel.clock import now
+from berylspread.kernel.errors import Failure, OutcomeUnknown, Unauthenticated
+from berylspread.log.reader import LogReader
+from berylspread.membership import Liveness, Membership
+from berylspread.model import NodeRef
+from berylspread.peers import Message, Peers, message
+
+ASK_TIMEOUT_S: Final = 1.0
+ROUND_S: Final = 0.5
+#: Peers are asked once less than this part of the bound is left.
+RENEW_SHARE: Final = 0.6
+CONFIRM_ROUND_S: Final = 0.2
+
+
+@message
+class VoucherAsk(Message, frozen=True, tag=True):
+    """Asks what a node has read of the log."""
+
+
+@message
+class VoucherReply(Message, frozen=True, tag=True):
+    """What the node has read, under the electorate that it knows."""
+
+    voucher: Voucher
+    offset: int
+    electorate_version: int
+
+
+@final
+class KeyGuard:
+    """Checks keys against the state while they are trusted.
+
+    ``store_region`` names the region whose electorate confirms withdrawals.
+    """
+
+    __slots__ = (
+        'membership',
+        'peers',
+        'reader',
+        'ref',
+        'store_region',
+        'trust',
+    )
+
+    def __init__(
+        self,
+        *,
+        ref: NodeRef,
+        reader: LogReader,
+        peers: Peers,
+        membership: Membership,
+        store_region: str,
+        bound_s: float,
+    ) -> None:
+        """Serve the peers' questions; ``run`` keeps the trust up."""
+        self.ref = ref
+        self.reader = reader
+        self.peers = peers
+        self.membership = membership
+        self.store_region = store_region
+        self.trust = KeyTrust(bound_s)
+        peers.handle(VoucherAsk, self.serve)
+
+    def team_of(self, text: str) -> str | Unauthenticated:
+        """Return the team of a key that works, or why there is none."""
+        self._follow()
+        if not self.trust.is_trusted(now()):
+            return Unauthenticated(
+                'this node cannot tell whether the key was withdrawn',
+                trusted_for_s=self.trust.bound_s,
+            )
+        return check_key(self.reader.state.keys, text)
+
+    async def serve(self, sender: NodeRef, ask: VoucherAsk) -> VoucherReply:
+        """Tell a peer what this node has read."""
+        return VoucherReply(
+            self._voucher(),
+            self.reader.state.offset,
+            self._electorate().version,
+        )
+
+    async def run(self) -> None:
+        """Ask the peers whenever the trust is about to end."""
+        while True:
+            self._follow()
+            left_s = self.trust.trusted_until - now()
+            if left_s < self.trust.bound_s * RENEW_SHARE:
+                await self.renew()
+            await asyncio.sleep(ROUND_S)
+
+    async def renew(self) -> None:
+        """Ask every live peer to vouch for this node's keys."""
+        asked_at = now()
+        self._follow()
+        electorate = self._electorate()
+        replies = await self._ask(self._asked(electorate))
+        vouchers = [
+            reply.voucher
+            for reply in replies
+            if reply.electorate_version == electorate.version
+        ]
+        self.trust.take_vouchers(
+            asked_at, [self._voucher(), *vouchers], electorate
+        )
+
+    async def confirm(
+        self, offset: int, timeout_s: float
+    ) -> int | OutcomeUnknown:
+        """Wait until a majority has read a withdrawal at ``offset``.
+
+        Until then a node that the log does not reach may still accept the key.
+        """
+        try:
+            async with asyncio.timeout(timeout_s):
+                await self._until_majority_read(offset)
+        except TimeoutError:
+            return OutcomeUnknown(
+                'the withdrawal is in the log, and no majority has read it yet',
+                offset=offset,
+            )
+        return offset
+
+    async def _until_majority_read(self, offset: int) -> None:
+        while True:
+            if await self._majority_read(offset):
+                return
+            await asyncio.sleep(CONFIRM_ROUND_S)
+
+    async def _majority_read(self, offset: int) -> bool:
+        electorate = self._electorate()
+        replies = await self._ask(self._asked(electorate))
+        readers = [
+            reply.voucher.node for reply in replies if reply.offset >= offset
+        ]
+        if self.reader.state.offset >= offset:
+            readers.append(self.ref)
+        return electorate.is_majority(readers)
+
+    async def _ask(self, nodes: Iterable[str]) -> list[VoucherReply]:
+        replies = await asyncio.gather(
+            *(
+                self.peers.ask(
+                    node, VoucherAsk(), VoucherReply, timeout_s=ASK_TIMEOUT_S
+                )
+                for node in nodes
+            )
+        )
+        return [reply for reply in replies if not isinstance(reply, Failure)]
+
+    def _asked(self, electorate: VouchingElectorate) -> list[str]:
+        alive = {
+            member.node
+            for member in self.membership.members()
+            if member.liveness is not Liveness.dead
+        }
+        known = {member.node for member in electorate.members}
+        return sorted((alive | known) - {self.ref.node})
+
+    def _voucher(self) -> Voucher:
+        return Voucher(
+            self.ref,
+            self.reader.state.keys.changed_at,
+            now() - self.reader.fresh_at,
+        )
+
+    def _electorate(self) -> VouchingElectorate:
+        found = self.reader.state.units.electorate(self.store_region)
+        if found is None:
+            return VouchingElectorate()
+        return VouchingElectorate(found.version, frozenset(found.members))
+
+    def _follow(self) -> None:
+        """Take over how far this node has read."""
+        self.trust.keys_changed(self.reader.state.keys.changed_at)
+        self.trust.complete_at(self.reader.fresh_at)
--- a/packages/berylspread/src/berylspread/log/__init__.py
+++ b/packages/berylspread/src/berylspread/log/__init__.py
@@ -6,6 +6,12 @@
     AppenderSettings,
 )
 from berylspread.log.interface import Entry, LogStore, Page
+from berylspread.log.publisher import (
+    PublisherSettings,
+    SnapshotPublisher,
+    publishing_rank,
+)
+from berylspread.log.reader import LogReader, ReaderSettings, ReaderStatus
 from berylspread.log.records import (
     AllotmentMoved,
     Batch,
@@ -25,6 +31,13 @@
     decode_batch,
     encode_batch,
 )
+from berylspread.log.relay import (
+    NotRelayed,
+    RelayService,
+    RelaySettings,
+    RelaySource,
+)
+from berylspread.log.source import Fetched, LogSource, StoreSource
 from berylspread.log.state import (
     ClusterState,
     StateWire,
@@ -43,21 +56,34 @@
     'ConfigApplied',
     'ElectorateChanged',
     'Entry',
+    'Fetched',
     'JobAccepted',
     'JobCancelled',
     'JobEnded',
     'KeyCreated',
     'KeyWithdrawn',
+    'LogReader',
+    'LogSource',
     'LogStore',
+    'NotRelayed',
     'Page',
+    'PublisherSettings',
+    'ReaderSettings',
+    'ReaderStatus',
     'Record',
+    'RelayService',
+    'RelaySettings',
+    'RelaySource',
     'Release',
     'SnapshotPart',
+    'SnapshotPublisher',
     'StateWire',
+    'StoreSource',
     'TasksEnded',
     'TasksStarted',
     'decode_batch',
     'decode_state',
     'encode_batch',
     'encode_state',
+    'publishing_rank',
 )
--- a/packages/berylspread/src/berylspread/log/appender.py
+++ b/packages/berylspread/src/berylspread/log/appender.py
@@ -22,6 +22,7 @@
 )
 from berylspread.log.interface import LogStore
 from berylspread.log.records import Record
+from berylspread.log.state import ClusterState
 
 _encoder: Final = msgspec.msgpack.Encoder()
 
@@ -191,9 +192,18 @@
         batch = self.in_flight
         if batch is None or writer != self.writer:
             return
-        if sequence == batch.sequence and not batch.observed.done():
+        if sequence >= batch.sequence and not batch.observed.done():
             batch.observed.set_result(offset)
 
+    def follow(self, state: ClusterState) -> None:
+        """Let the folded state confirm what it has taken in."""
+        state.on_batch(self.observed)
+        state.on_restore(
+            lambda: self.observed(
+                self.writer, state.writers.last(self.writer), state.offset
+            )
+        )
+
     async def run(self) -> None:
         """Send batches until cancelled."""
         while True:
--- a/packages/berylspread/src/berylspread/log/folds/keys.py
+++ b/packages/berylspread/src/berylspread/log/folds/keys.py
@@ -30,16 +30,18 @@
 
     active: tuple[TeamKey, ...] = ()
     withdrawn: tuple[TeamKey, ...] = ()
+    changed_at: int = 0
 
 
 @final
 class KeyFold(Fold):
-    """Keeps keys by their id."""
+    """Keeps keys by their id; ``changed_at`` is the newest record's offset."""
 
-    __slots__ = ('active', 'withdrawn')
+    __slots__ = ('active', 'changed_at', 'withdrawn')
 
     def __init__(self) -> None:
         """Start without keys."""
+        self.changed_at = 0
         self.active: dict[str, TeamKey] = {}
         self.withdrawn: collections.OrderedDict[str, TeamKey] = (
             collections.OrderedDict()
@@ -56,6 +58,7 @@
     @applies(KeyCreated)
     def on_created(self, context: Context, record: KeyCreated) -> None:
         """Add a key; an id that was used before is ignored."""
+        self.changed_at = context.offset
         if self.find(record.key_id) is None:
             self.active[record.key_id] = TeamKey(
                 record.key_id,
@@ -68,6 +71,7 @@
     @applies(KeyWithdrawn)
     def on_withdrawn(self, context: Context, record: KeyWithdrawn) -> None:
         """Move a key to the withdrawn ones."""
+        self.changed_at = context.offset
         key = self.active.pop(record.key_id, None)
         if key is None:
             return
@@ -80,13 +84,16 @@
     def to_wire(self) -> KeysWire:
         """Return the contents for a snapshot."""
         return KeysWire(
-            tuple(self.active.values()), tuple(self.withdrawn.values())
+            tuple(self.active.values()),
+            tuple(self.withdrawn.values()),
+            self.changed_at,
         )
 
     @classmethod
     def from_wire(cls, wire: KeysWire) -> 'KeyFold':
         """Rebuild from a snapshot."""
         fold = cls()
+        fold.changed_at = wire.changed_at
         fold.active.update({key.key_id: key for key in wire.active})
         fold.withdrawn.update({key.key_id: key for key in wire.withdrawn})
         return fold
--- a/packages/berylspread/src/berylspread/log/folds/writers.py
+++ b/packages/berylspread/src/berylspread/log/folds/writers.py
@@ -30,7 +30,7 @@
 
     def is_first(self, writer: str, sequence: int) -> bool:
         """Record a batch; return whether it repeats none of its writer."""
-        if sequence <= self.sequences.get(writer, 0):
+        if sequence <= self.last(writer):
             return False
         self.sequences[writer] = sequence
         self.sequences.move_to_end(writer)
@@ -38,6 +38,10 @@
             self.sequences.popitem(last=False)
         return True
 
+    def last(self, writer: str) -> int:
+        """Return the last sequence number of a writer; 0 if unknown."""
+        return self.sequences.get(writer, 0)
+
     def to_wire(self) -> WritersWire:
         """Return the contents for a snapshot."""
         return WritersWire(tuple(self.sequences.items()))
--- /dev/null
+++ b/packages/berylspread/src/berylspread/log/publisher.py
@@ -0,0 +1,207 @@
+"""Publishes snapshots before the records that they stand for age out."""
+
+import asyncio
+from collections.abc import Callable
+from typing import Final, final
+
+import msgspec
+from absl import logging
+
+from berylspread.kernel.clock import WallClock, now
+from berylspread.kernel.errors import Failure
+from berylspread.log.appender import Appender
+from berylspread.log.interface import Entry
+from berylspread.log.reader import LogReader, ReaderStatus
+from berylspread.log.records import SnapshotPart
+from berylspread.log.rendezvous import rendezvous
+from berylspread.log.snapshot import compress_state, split_snapshot
+from berylspread.membership import Liveness, Membership
+
+#: Part of the retention after which a new snapshot is due.
+RETENTION_SHARE: Final = 0.3
+CHECK_S: Final = 1.0
+#: Extra wait of each further candidate, in case the ones before it are gone.
+RANK_DELAY_S: Final = 30.0
+PART_TIMEOUT_S: Final = 60.0
+#: Wait after a set that could not be completed.
+RETRY_S: Final = 5.0
+PERCENT: Final = 100.0
+RANK_KEY: Final = 'snapshot'
+
+#: This node's place among those that may publish; 0 publishes first.
+Rank = Callable[[], int | None]
+
+
+@final
+class PublisherSettings(msgspec.Struct, frozen=True):
+    """When a snapshot is due, and its share of the appends.
+
+    ``retention_s`` and ``retention_entries`` are what the store keeps, 0 for an
+    unknown one.  ``max_tail_entries`` bounds what a starting node reads.
+    """
+
+    retention_s: float = 86_400.0
+    retention_entries: int = 0
+    max_tail_entries: int = 20_000
+    appends_per_s: float = 100.0
+    share_percent: float = 20.0
+
+    def part_interval_s(self) -> float:
+        """Return the seconds between two parts."""
+        return PERCENT / (self.appends_per_s * self.share_percent)
+
+    def due_entries(self) -> int:
+        """Return the number of entries after which a snapshot is due."""
+        if not self.retention_entries:
+            return self.max_tail_entries
+        kept = int(self.retention_entries * RETENTION_SHARE)
+        return max(1, min(kept, self.max_tail_entries))
+
+
+@final
+class SnapshotProgress:
+    """How old the newest complete snapshot in the log is.
+
+    Its age counts from its first part; without any snapshot, from the oldest
+    entry that was read.  ``end`` is the offset of its last part.
+    """
+
+    __slots__ = ('end', 'incomplete', 'oldest_at', 'reader', 'wall')
+
+    def __init__(self, reader: LogReader, wall: WallClock) -> None:
+        """Watch the parts that the reader's state takes in."""
+        self.reader = reader
+        self.wall = wall
+        self.end = 0
+        self.oldest_at: float | None = None
+        self.incomplete: dict[str, _Parts] = {}
+        reader.on_entry(self._on_entry)
+        reader.state.subscribe(SnapshotPart, self._on_part)
+        reader.state.on_restore(self._on_restore)
+
+    def age_s(self) -> float:
+        """Return the age in seconds; 0 before the first entry."""
+        return 0.0 if self.oldest_at is None else now() - self.oldest_at
+
+    def _on_entry(self, entry: Entry) -> None:
+        if self.oldest_at is None:
+            self.oldest_at = self._appended_at()
+
+    def _on_restore(self) -> None:
+        self.end = self.reader.state.offset
+        self.oldest_at = self._appended_at()
+
+    def _on_part(self, offset: int, part: SnapshotPart) -> None:
+        found = self.incomplete.get(part.snapshot_id)
+        if found is None:
+            found = _Parts(self._appended_at())
+            self.incomplete[part.snapshot_id] = found
+        found.numbers.add(part.part)
+        if len(found.numbers) == part.parts:
+            self.incomplete.clear()
+            self.end = offset
+            self.oldest_at = found.began_at
+
+    def _appended_at(self) -> float:
+        """Return the loop time at which the newest entry was appended."""
+        log_time = self.reader.state.log_time
+        age_s = self.wall.time() - log_time if log_time else 0.0
+        return now() - max(age_s, 0.0)
+
+
+@final
+class _Parts:
+    """The numbers of the parts that were read, and when the first came."""
+
+    __slots__ = ('began_at', 'numbers')
+
+    def __init__(self, began_at: float) -> None:
+        self.began_at = began_at
+        self.numbers: set[int] = set()
+
+
+@final
+class SnapshotPublisher:
+    """Publishes this node's state when it is due and this node's turn."""
+
+    __slots__ = (
+        'appender',
+        'due_since',
+        'progress',
+        'published',
+        'rank',
+        'reader',
+        'settings',
+    )
+
+    def __init__(
+        self,
+        reader: LogReader,
+        appender: Appender,
+        rank: Rank,
+        wall: WallClock,
+        settings: PublisherSettings | None = None,
+    ) -> None:
+        """Take the reader, whose state is published, and the appender."""
+        self.reader = reader
+        self.appender = appender
+        self.rank = rank
+        self.settings = settings or PublisherSettings()
+        self.progress = SnapshotProgress(reader, wall)
+        self.due_since: float | None = None
+        self.published = 0
+
+    def is_due(self) -> bool:
+        """Return whether the newest snapshot is too old, or far behind."""
+        tail = self.reader.state.offset - self.progress.end
+        if tail >= self.settings.due_entries():
+            return True
+        bound_s = self.settings.retention_s * RETENTION_SHARE
+        return self.progress.age_s() >= bound_s
+
+    async def run(self) -> None:
+        """Check and publish until cancelled."""
+        while True:
+            await asyncio.sleep(CHECK_S)
+            if self._is_turn() and not await self.publish():
+                await asyncio.sleep(RETRY_S)
+
+    async def publish(self) -> bool:
+        """Publish the state as it is now; return whether all parts are in."""
+        wire = self.reader.state.to_wire()
+        blob = await asyncio.to_thread(compress_state, wire)
+        snapshot_id = f'{self.appender.writer}:{wire.offset}'
+        for part in split_snapshot(snapshot_id, wire.offset, blob):
+            sent_at = now()
+            offset = await self.appender.append(part, timeout_s=PART_TIMEOUT_S)
+            if isinstance(offset, Failure):
+                logging.warning('snapshot abandoned: %r', offset)
+                return False
+            pause_s = self.settings.part_interval_s() - (now() - sent_at)
+            await asyncio.sleep(max(pause_s, 0.0))
+        self.published += 1
+        self.due_since = None
+        return True
+
+    def _is_turn(self) -> bool:
+        rank = self.rank()
+        is_current = self.reader.status is ReaderStatus.current
+        if rank is None or not is_current or not self.is_due():
+            self.due_since = None
+            return False
+        if self.due_since is None:
+            self.due_since = now()
+        return now() - self.due_since >= rank * RANK_DELAY_S
+
+
+def publishing_rank(
+    membership: Membership, node: str, region: str
+) -> int | None:
+    """Return a node's place among a region's live nodes, or ``None``."""
+    alive = {
+        member.node
+        for member in membership.members(region)
+        if member.liveness is Liveness.alive
+    }
+    order = rendezvous(RANK_KEY, alive)
+    return order.index(node) if node in alive else None
--- /dev/null
+++ b/packages/berylspread/src/berylspread/log/reader.py
@@ -0,0 +1,245 @@
+"""Follows the log: start-up, tail, outages and gaps."""
+
+import asyncio
+import enum
+import random
+from collections.abc import Callable
+from typing import Final, final
+
+import msgspec
+from absl import logging
+
+from berylspread.kernel.clock import now
+from berylspread.kernel.errors import Failure, LogGap, LogUnavailable
+from berylspread.log.interface import Entry, Page
+from berylspread.log.recovery import SnapshotSearch
+from berylspread.log.source import Fetched, LogSource, page_bytes
+from berylspread.log.state import ClusterState
+
+EntryListener = Callable[[Entry], None]
+
+NEVER: Final = float('-inf')
+MIN_PAGE_ENTRIES: Final = 1
+MAX_BACKOFF_DOUBLINGS: Final = 10
+#: Weight of the newest page in the mean size of an entry.
+SIZE_WEIGHT: Final = 0.2
+
+
+@final
+class ReaderSettings(msgspec.Struct, frozen=True):
+    """Seconds, bytes and counts of one reader.
+
+    ``catch_up_bytes_s`` bounds reading while the end has not been reached.
+    """
+
+    wait_s: float = 1.0
+    min_interval_s: float = 0.05
+    backoff_s: float = 0.1
+    max_backoff_s: float = 2.0
+    page_entries: int = 256
+    page_bytes: int = 256 * 1024
+    catch_up_bytes_s: float = 2 * 1024 * 1024
+
+
+@final
+class ReaderStatus(enum.Enum):
+    """What the reader is doing."""
+
+    starting = 'starting'
+    behind = 'behind'
+    current = 'current'
+    outage = 'outage'
+    gap = 'gap'
+
+
+@final
+class LogReader:
+    """Keeps the state up to date with the log.
+
+    ``fresh_at`` is the loop time by which the state was certainly complete: the
+    start of the last read that reached the end.  ``failure`` is the failure of
+    the last read, ``LogGap`` while records are missing and no snapshot covers
+    them; the state then stays as it was.  ``first`` is the first offset that
+    the store retained at the last read.
+    """
+
+    __slots__ = (
+        'advanced',
+        'entry_bytes',
+        'failure',
+        'failures',
+        'first',
+        'fresh_at',
+        'gaps',
+        'listeners',
+        'read_at',
+        'rng',
+        'settings',
+        'source',
+        'started',
+        'state',
+        'status',
+    )
+
+    def __init__(
+        self,
+        source: LogSource,
+        state: ClusterState,
+        settings: ReaderSettings | None = None,
+        rng: random.Random | None = None,
+    ) -> None:
+        """Take the source, the state to keep, limits and jitter source."""
+        self.source = source
+        self.state = state
+        self.settings = settings or ReaderSettings()
+        self.rng = rng or random.Random()
+        self.status = ReaderStatus.starting
+        self.failure: Failure | None = None
+        self.fresh_at = NEVER
+        self.read_at = NEVER
+        self.failures = 0
+        self.first = 1
+        self.gaps = 0
+        self.entry_bytes = 1024.0
+        self.listeners: list[EntryListener] = []
+        self.advanced = asyncio.Event()
+        self.started = asyncio.Event()
+
+    def on_entry(self, listener: EntryListener) -> None:
+        """Call back with each entry after it has been applied."""
+        self.listeners.append(listener)
+
+    def is_fresh(self, bound_s: float) -> bool:
+        """Return whether the state was complete within the last seconds."""
+        return now() - self.fresh_at <= bound_s
+
+    async def reached(self, offset: int, timeout_s: float) -> int | Failure:
+        """Wait until the state covers an offset; return the state's."""
+        try:
+            async with asyncio.timeout(timeout_s):
+                while self.state.offset < offset:
+                    await self.advanced.wait()
+        except TimeoutError:
+            return LogUnavailable(
+                f'the log has not been read up to {offset}',
+                offset=self.state.offset,
+                may_have_applied=False,
+            )
+        return self.state.offset
+
+    async def run(self) -> None:
+        """Follow the log until cancelled."""
+        while not await self._recover():
+            await self._back_off()
+        self.started.set()
+        while True:
+            await self._step()
+
+    async def _step(self) -> None:
+        """Read one page and take it in."""
+        await self._pace()
+        began = now()
+        self.read_at = began
+        offset = self.state.offset + 1
+        fetched = await self.source.fetch(
+            offset, limit=self._page_entries(), wait_s=self.settings.wait_s
+        )
+        if isinstance(fetched, Failure):
+            self._fail(fetched)
+            await self._back_off()
+        elif fetched.page.first > offset:
+            await self._bridge(fetched.page.first)
+        else:
+            await self._take(fetched, began)
+
+    async def _take(self, fetched: Fetched, began: float) -> None:
+        page = fetched.page
+        self.first = page.first
+        for entry in page.entries:
+            self._apply(entry)
+        self.failures = 0
+        self.failure = None
+        if self.state.offset + 1 >= page.end:
+            self.fresh_at = max(self.fresh_at, began - fetched.age_s)
+            self.status = ReaderStatus.current
+        else:
+            self.status = ReaderStatus.behind
+        self._announce()
+        await self._slow_down(page, began)
+
+    def _apply(self, entry: Entry) -> None:
+        if entry.offset <= self.state.offset:
+            return
+        self.state.apply_entry(entry)
+        for listener in self.listeners:
+            listener(entry)
+
+    async def _bridge(self, first: int) -> None:
+        """Replace the state by a snapshot, since records are missing."""
+        self.gaps += 1
+        self._fail(
+            LogGap(
+                'records are gone that were not read yet',
+                expected=self.state.offset + 1,
+                first=first,
+            )
+        )
+        if not await self._recover():
+            await self._back_off()
+
+    async def _recover(self) -> bool:
+        """Install the newest snapshot, if it is ahead of the state."""
+        wire = await SnapshotSearch(self.source).newest()
+        if isinstance(wire, Failure):
+            self._fail(wire)
+            return False
+        if wire.offset > self.state.offset:
+            self.state.restore(wire)
+            logging.info('state restored up to offset %d', wire.offset)
+            self._announce()
+        elif self.status is ReaderStatus.gap:
+            return False
+        self.status = ReaderStatus.behind
+        self.failure = None
+        return True
+
+    def _fail(self, failure: Failure) -> None:
+        self.failures += 1
+        self.failure = failure
+        is_gap = isinstance(failure, LogGap)
+        self.status = ReaderStatus.gap if is_gap else ReaderStatus.outage
+        logging.log_every_n_seconds(
+            logging.WARNING, 'log not read: %r', 10, failure
+        )
+
+    def _announce(self) -> None:
+        self.advanced.set()
+        self.advanced = asyncio.Event()
+
+    async def _back_off(self) -> None:
+        doublings = min(self.failures, MAX_BACKOFF_DOUBLINGS)
+        ceiling = min(
+            self.settings.backoff_s * 2**doublings, self.settings.max_backoff_s
+        )
+        await asyncio.sleep(self.rng.uniform(ceiling / 2, ceiling))
+
+    async def _pace(self) -> None:
+        """Let entries gather, so that a page carries several."""
+        delay_s = self.read_at + self.settings.min_interval_s - now()
+        if delay_s > 0 and self.status is ReaderStatus.current:
+            await asyncio.sleep(delay_s)
+
+    async def _slow_down(self, page: Page, began: float) -> None:
+        """Keep to the byte budget while behind, and let others run."""
+        size = page_bytes(page)
+        if page.entries:
+            mean = size / len(page.entries)
+            self.entry_bytes += SIZE_WEIGHT * (mean - self.entry_bytes)
+        delay_s = 0.0
+        if self.status is ReaderStatus.behind:
+            delay_s = size / self.settings.catch_up_bytes_s - (now() - began)
+        await asyncio.sleep(max(delay_s, 0.0))
+
+    def _page_entries(self) -> int:
+        fitting = int(self.settings.page_bytes / max(self.entry_bytes, 1.0))
+        return max(MIN_PAGE_ENTRIES, min(fitting, self.settings.page_entries))
--- /dev/null
+++ b/packages/berylspread/src/berylspread/log/recovery.py
@@ -0,0 +1,94 @@
+"""Finding the newest complete snapshot in what the log retains."""
+
+from typing import Final, final
+
+import msgspec
+from absl import logging
+
+from berylspread.kernel.errors import Failure, LogGap
+from berylspread.log.interface import Entry
+from berylspread.log.records import SnapshotPart, decode_batch
+from berylspread.log.snapshot import SnapshotAssembler
+from berylspread.log.source import Fetched, LogSource
+from berylspread.log.state import StateWire
+
+#: Entries that one step of the search back from the end reads.
+SEARCH_STEP: Final = 256
+_TAG: Final = SnapshotPart.__name__.encode()
+
+
+@final
+class SnapshotSearch:
+    """Searches from the end of the log back to its first retained offset.
+
+    The search holds no entries but parts of snapshots, so its memory does not
+    grow with the log.
+    """
+
+    __slots__ = ('assembler', 'source')
+
+    def __init__(self, source: LogSource) -> None:
+        """Take the source to read from."""
+        self.source = source
+        self.assembler = SnapshotAssembler()
+
+    async def newest(self) -> StateWire | Failure:
+        """Return the newest complete snapshot.
+
+        If there is none, it is the empty state where the log is retained from
+        its beginning, and ``LogGap`` where it is not.
+        """
+        probe = await self.source.fetch(1, limit=1, wait_s=0)
+        if isinstance(probe, Failure):
+            return probe
+        first, stop = probe.page.first, probe.page.end
+        while stop > first:
+            start = max(first, stop - SEARCH_STEP)
+            found = await self._search(start, stop)
+            if isinstance(found, Failure | StateWire):
+                return found
+            first = max(first, found)
+            stop = start
+        if first == 1:
+            return StateWire()
+        return LogGap(
+            'the log retains no complete snapshot', expected=1, first=first
+        )
+
+    async def _search(self, start: int, stop: int) -> StateWire | Failure | int:
+        """Read one step; return a snapshot, or the first retained offset."""
+        offset, first = start, start
+        newest: StateWire | None = None
+        while offset < stop:
+            fetched = await self.source.fetch(
+                offset, limit=stop - offset, wait_s=0
+            )
+            if isinstance(fetched, Failure):
+                return fetched
+            first = fetched.page.first
+            newest = self._take(fetched, stop) or newest
+            offset = max(first, offset + max(len(fetched.page.entries), 1))
+        return newest or first
+
+    def _take(self, fetched: Fetched, stop: int) -> StateWire | None:
+        newest = None
+        for entry in fetched.page.entries:
+            if entry.offset >= stop:
+                break
+            for part in snapshot_parts(entry):
+                newest = self.assembler.add(part) or newest
+        return newest
+
+
+def snapshot_parts(entry: Entry) -> list[SnapshotPart]:
+    """Return the parts of snapshots that an entry carries."""
+    if _TAG not in entry.blob:
+        return []
+    try:
+        batch = decode_batch(entry.blob)
+    except msgspec.DecodeError:
+        logging.error('entry %d is not a batch', entry.offset)
+        return []
+    return [
+        record for record in batch.records if isinstance(record, SnapshotPart)
+    ]
--- /dev/null
+++ b/packages/berylspread/src/berylspread/log/relay.py
@@ -0,0 +1,235 @@
+"""Relays the log inside a region that does not have the store.
+
+One node reads from the store and keeps the newest entries; its neighbours read
+them from it, byte for byte and under their offsets.  Who relays follows from
+the rendezvous order of the region's live nodes, so nobody has to be elected.
+"""
+
+import collections
+from collections.abc import Callable
+from typing import Final, final
+
+import msgspec
+
+from berylspread.kernel.clock import CLOCK_DRIFT, now
+from berylspread.kernel.errors import EXIT_UNAVAILABLE, Failure, failure
+from berylspread.log.interface import Entry, Page
+from berylspread.log.reader import LogReader
+from berylspread.log.rendezvous import rendezvous
+from berylspread.log.source import Fetched, StoreSource, page_bytes
+from berylspread.membership import Liveness, Membership
+from berylspread.model import NodeRef
+from berylspread.peers import Message, Peers, message
+
+RELAY_KEY: Final = 'log-relay'
+#: Longest wait of a relay for a new entry.
+MAX_WAIT_S: Final = 5.0
+MAX_ENTRIES: Final = 512
+
+
+@failure
+class NotRelayed(Failure):
+    """The node does not read from the store, or no longer has the entries.
+
+    The field ``expired`` tells the second.
+    """
+
+    name = 'not-relayed'
+    http_status = 503
+    exit_code = EXIT_UNAVAILABLE
+
+
+@message
+class RelayAsk(Message, frozen=True, tag=True):
+    """Asks for entries from an offset on."""
+
+    offset: int
+    limit: int
+    wait_s: float
+
+
+@message
+class RelayPage(Message, frozen=True, tag=True):
+    """Entries as the relay read them.
+
+    ``age_s`` is how long ago the relay's state was certainly complete.
+    """
+
+    first: int
+    end: int
+    entries: list[Entry]
+    age_s: float
+
+
+@final
+class RelaySettings(msgspec.Struct, frozen=True):
+    """Seconds and bytes of relaying.
+
+    A node reads from the store itself after ``fallback_s`` without a relayed
+    page that is younger than ``max_age_s``, and asks a relay that failed again
+    after ``avoid_s``.
+    """
+
+    buffer_bytes: int = 1024 * 1024
+    fallback_s: float = 2.0
+    max_age_s: float = 3.0
+    avoid_s: float = 5.0
+    answer_s: float = 1.0
+
+
+@final
+class RelayService:
+    """Serves the newest entries to the region's other nodes."""
+
+    __slots__ = (
+        'buffer',
+        'buffered_bytes',
+        'is_direct',
+        'reader',
+        'served_bytes',
+        'settings',
+    )
+
+    def __init__(
+        self,
+        reader: LogReader,
+        peers: Peers,
+        is_direct: Callable[[], bool],
+        settings: RelaySettings | None = None,
+    ) -> None:
+        """Serve what the reader reads while ``is_direct`` holds."""
+        self.reader = reader
+        self.is_direct = is_direct
+        self.settings = settings or RelaySettings()
+        self.buffer: collections.deque[Entry] = collections.deque()
+        self.buffered_bytes = 0
+        self.served_bytes = 0
+        reader.on_entry(self._keep)
+        reader.state.on_restore(self._clear)
+        peers.handle(RelayAsk, self.serve)
+
+    async def serve(
+        self, sender: NodeRef, ask: RelayAsk
+    ) -> RelayPage | Failure:
+        """Answer with entries, waiting for one as the store does."""
+        if not self.is_direct():
+            return NotRelayed(
+                'this node does not read the store', expired=False
+            )
+        state = self.reader.state
+        if ask.offset > state.offset:
+            await self.reader.reached(ask.offset, min(ask.wait_s, MAX_WAIT_S))
+        end = state.offset + 1
+        kept = self.buffer[0].offset if self.buffer else end
+        if ask.offset < kept:
+            return NotRelayed('the entries are not kept', expired=True)
+        start = ask.offset - kept
+        stop = min(start + min(ask.limit, MAX_ENTRIES), len(self.buffer))
+        entries = [self.buffer[index] for index in range(start, stop)]
+        self.served_bytes += sum(len(entry.blob) for entry in entries)
+        return RelayPage(
+            self.reader.first, end, entries, now() - self.reader.fresh_at
+        )
+
+    def _keep(self, entry: Entry) -> None:
+        self.buffer.append(entry)
+        self.buffered_bytes += len(entry.blob)
+        while self.buffered_bytes > self.settings.buffer_bytes:
+            self.buffered_bytes -= len(self.buffer.popleft().blob)
+
+    def _clear(self) -> None:
+        self.buffer.clear()
+        self.buffered_bytes = 0
+
+
+@final
+class RelaySource:
+    """Reads through the region's relay, or from the store where it must.
+
+    ``node`` is this node; ``region`` is empty in the store's own region, where
+    every node reads from the store.
+    """
+
+    __slots__ = (
+        'avoided',
+        'membership',
+        'node',
+        'peers',
+        'region',
+        'relayed_at',
+        'relayed_bytes',
+        'settings',
+        'store',
+    )
+
+    def __init__(
+        self,
+        store: StoreSource,
+        peers: Peers,
+        membership: Membership,
+        node: str,
+        region: str,
+        settings: RelaySettings | None = None,
+    ) -> None:
+        """Take both ways to the log, and the view of the region's nodes."""
+        self.store = store
+        self.peers = peers
+        self.membership = membership
+        self.node = node
+        self.region = region
+        self.settings = settings or RelaySettings()
+        self.avoided: dict[str, float] = {}
+        self.relayed_at = float('-inf')
+        self.relayed_bytes = 0
+
+    def relay(self) -> str:
+        """Return the node to read from; this one if it reads the store."""
+        if not self.region:
+            return self.node
+        alive = {
+            member.node
+            for member in self.membership.members(self.region)
+            if member.liveness is Liveness.alive
+            and self.avoided.get(member.node, 0.0) <= now()
+        }
+        return rendezvous(RELAY_KEY, alive | {self.node})[0]
+
+    def is_direct(self) -> bool:
+        """Return whether this node reads from the store now."""
+        return self.relay() == self.node or self._has_fallen_back()
+
+    async def fetch(
+        self, offset: int, *, limit: int, wait_s: float
+    ) -> Fetched | Failure:
+        """Return a page from the relay, or from the store."""
+        relay = self.relay()
+        if relay == self.node:
+            return await self.store.fetch(offset, limit=limit, wait_s=wait_s)
+        page = await self.peers.ask(
+            relay,
+            RelayAsk(offset, limit, wait_s),
+            RelayPage,
+            timeout_s=wait_s + self.settings.answer_s,
+        )
+        if (
+            isinstance(page, RelayPage)
+            and page.age_s <= self.settings.max_age_s
+        ):
+            return self._relayed(page)
+        expired = isinstance(page, NotRelayed) and page.fields['expired']
+        if not expired:
+            self.avoided[relay] = now() + self.settings.avoid_s
+        if expired or self._has_fallen_back():
+            return await self.store.fetch(offset, limit=limit, wait_s=wait_s)
+        if isinstance(page, Failure):
+            return page
+        return NotRelayed('the relay is not current', expired=False)
+
+    def _relayed(self, page: RelayPage) -> Fetched:
+        self.relayed_at = now()
+        found = Page(page.first, page.end, page.entries)
+        self.relayed_bytes += page_bytes(found)
+        return Fetched(found, page.age_s * (1 + CLOCK_DRIFT))
+
+    def _has_fallen_back(self) -> bool:
+        return now() - self.relayed_at > self.settings.fallback_s
