--- a/packages/berylspread/src/berylspread/limits/__init__.py
+++ b/packages/berylspread/src/berylspread/limits/__init__.py
@@ -3,12 +3,14 @@
 from berylspread.limits.capacity import CapacityLedger
 from berylspread.limits.errors import BookingExpired, NoCapacity, WorkerBarred
 from berylspread.limits.free_index import FreeIndex
+from berylspread.limits.idle import IdleWatch
 from berylspread.limits.quota import (
     CALL_SHAPE,
     QuotaLedger,
     Slice,
     TeamQuota,
 )
+from berylspread.limits.slices import CallAllowance
 from berylspread.limits.workers import (
     NOBODY,
     Barrier,
@@ -23,8 +25,10 @@
     'Barrier',
     'Booking',
     'BookingExpired',
+    'CallAllowance',
     'CapacityLedger',
     'FreeIndex',
+    'IdleWatch',
     'NoCapacity',
     'Occupant',
     'QuotaLedger',
--- a/packages/berylspread/src/berylspread/limits/quota.py
+++ b/packages/berylspread/src/berylspread/limits/quota.py
@@ -79,9 +79,7 @@
 
     def room(self, shape: Resources) -> int | None:
         """Return how many more of a shape fit; ``None`` if unlimited."""
-        return bounded_times(
-            shape, self.in_use, self.limit, self.fleet_limit
-        )
+        return bounded_times(shape, self.in_use, self.limit, self.fleet_limit)
 
 
 @final
@@ -212,6 +210,27 @@
         quota.lent += ghost.count
         self._renew(ghost, now)
 
+    def set_aside(self, team: str, amount: Resources) -> bool:
+        """Take an amount out of use, to give it to another region.
+
+        Returns ``False`` if it is in use, or if another gift is on its way;
+        the giver appends the move only after this.
+        """
+        quota = self.teams.get(team)
+        if quota is None or quota.outgoing != ZERO:
+            return False
+        left = quota.allotment - quota.in_use - amount
+        asked = amount.is_non_negative() and amount != ZERO
+        mask = quota.fleet_limit
+        if not asked or not within(ZERO, left, mask, amount):
+            return False
+        quota.outgoing = amount
+        return True
+
+    def gift_settled(self, team: str) -> None:
+        """End a gift: the log shows the move, or it surely never will."""
+        self.teams[team].outgoing = ZERO
+
     def excess(self, team: str) -> Resources:
         """Return what a team uses above its allotment, to be preempted."""
         quota = self.teams.get(team)
--- /dev/null
+++ b/packages/berylspread/src/berylspread/limits/slices.py
@@ -0,0 +1,48 @@
+"""The entry node's side of lent slices of the call allowance."""
+
+from typing import final
+
+
+@final
+class CallAllowance:
+    """One team's slice at one entry node, as the home last granted it.
+
+    The slice is valid for ``ttl_s`` from when the question was sent, which is
+    earlier than the home counts from; a holder that was paused past it finds
+    it lapsed.  Times are loop seconds.
+    """
+
+    __slots__ = ('asked_at', 'granted', 'in_flight', 'sequence', 'valid_until')
+
+    def __init__(self) -> None:
+        """Start with nothing granted."""
+        self.granted = 0
+        self.in_flight = 0
+        self.sequence = 0
+        self.asked_at: float = 0
+        self.valid_until: float = 0
+
+    def ask(self, now: float) -> int:
+        """Start a question; return its number.  Earlier ones are given up."""
+        self.sequence += 1
+        self.asked_at = now
+        return self.sequence
+
+    def answered(self, sequence: int, offered: int, ttl_s: float) -> bool:
+        """Take in a reply; return ``False`` for one to an earlier question."""
+        if sequence != self.sequence:
+            return False
+        self.granted = offered
+        self.valid_until = self.asked_at + ttl_s
+        return True
+
+    def acquire(self, now: float) -> bool:
+        """Count a call as started, if the slice allows one more."""
+        if now >= self.valid_until or self.in_flight >= self.granted:
+            return False
+        self.in_flight += 1
+        return True
+
+    def done(self) -> None:
+        """Count a call as ended."""
+        self.in_flight -= 1
--- /dev/null
+++ b/packages/berylspread/src/berylspread/placement/outgrowth.py
@@ -0,0 +1,94 @@
+"""What to do with a task that uses more than it was granted.
+
+Processor time can be throttled, memory can not.  A task that still outgrows its
+grant after the first measure is checkpointed if it can be, else stopped; its
+neighbours are never touched.
+"""
+
+import enum
+from typing import Final, final
+
+from berylspread.model import Resources
+
+#: Use within this factor of the grant is left alone.
+TOLERANCE: Final = 1.1
+#: Time for a measure to show in reports, which lag.
+GRACE_S: Final = 10.0
+
+
+@final
+class Measure(enum.Enum):
+    """Modes of ``TaskStop``, and nothing."""
+
+    leave = 'leave'
+    throttle = 'throttle'
+    checkpoint = 'checkpoint'
+    stop = 'stop'
+
+
+@final
+class Excess(enum.Enum):
+    """Which kind of use is above the grant."""
+
+    no = 'no'
+    processor = 'processor'
+    memory = 'memory'
+
+
+#: The next measure by what was done before and what is in excess.
+STEPS: Final = {
+    (Measure.leave, Excess.processor): Measure.throttle,
+    (Measure.leave, Excess.memory): Measure.checkpoint,
+    (Measure.throttle, Excess.processor): Measure.checkpoint,
+    (Measure.throttle, Excess.memory): Measure.checkpoint,
+    (Measure.checkpoint, Excess.processor): Measure.stop,
+    (Measure.checkpoint, Excess.memory): Measure.stop,
+}
+
+
+def excess_of(used: Resources, granted: Resources) -> Excess:
+    """Return what is above the grant, memory before processors."""
+    if used.memory_mib > granted.memory_mib * TOLERANCE:
+        return Excess.memory
+    if used.cpu_milli > granted.cpu_milli * TOLERANCE:
+        return Excess.processor
+    return Excess.no
+
+
+@final
+class OutgrowthWatch:
+    """The measures taken per task of one owner's workers."""
+
+    __slots__ = ('taken',)
+
+    def __init__(self) -> None:
+        """Start without measures."""
+        self.taken: dict[str, tuple[Measure, float]] = {}
+
+    def observe(
+        self,
+        key: str,
+        used: Resources,
+        granted: Resources,
+        now: float,
+        *,
+        preemptible: bool,
+    ) -> Measure:
+        """Return the measure to take now, if any.
+
+        A task that can't be checkpointed is stopped instead.
+        """
+        last, since = self.taken.get(key, (Measure.leave, now - GRACE_S))
+        excess = excess_of(used, granted)
+        if now - since < GRACE_S:
+            return Measure.leave
+        step = STEPS.get((last, excess), Measure.leave)
+        if step is Measure.checkpoint and not preemptible:
+            step = Measure.stop
+        if step is not Measure.leave:
+            self.taken[key] = (step, now)
+        return step
+
+    def ended(self, key: str) -> None:
+        """Forget a task."""
+        self.taken.pop(key, None)
