--- a/packages/berylspread/src/berylspread/membership/heartbeats.py
+++ b/packages/berylspread/src/berylspread/membership/heartbeats.py
@@ -125,9 +125,8 @@
         if ref.node == self.ref.node:
             return self.started_at
         peer = self.table.get(ref.node)
-        if peer is not None and peer.is_replaced(ref):
-            return peer.replaced_at.get(ref.incarnation, peer.heard_at)
-        return self._gone_at(ref.node)
+        ended_at = peer.ended_at(ref) if peer else None
+        return self._gone_at(ref.node) if ended_at is None else ended_at
 
     async def run(self) -> None:
         """Keep the view up to date until cancelled."""
--- a/packages/berylspread/src/berylspread/membership/peer.py
+++ b/packages/berylspread/src/berylspread/membership/peer.py
@@ -18,6 +18,7 @@
         'heard_at',
         'node',
         'ref',
+        'ref_since',
         'region',
         'replaced_at',
         'settings',
@@ -43,6 +44,7 @@
         self.status: NodeStatus | None = None
         self.suspicion = Suspicion(settings, interval_s, now)
         self.heard_at = now
+        self.ref_since = now
         self.replaced_at: dict[int, float] = {}
 
     def listed(self, vm: Vm) -> None:
@@ -61,6 +63,8 @@
             self.suspicion = Suspicion(
                 self.settings, self.suspicion.interval_s, now
             )
+        if source != self.ref:
+            self.ref_since = now
         self.ref = source
         self.status = status
         self.address = status.address
@@ -68,9 +72,11 @@
         self.zone = status.zone
         self.heard_at = now
 
-    def is_replaced(self, ref: NodeRef) -> bool:
-        """Return whether a newer incarnation than ``ref`` was heard."""
-        return self.ref is not None and ref.incarnation < self.ref.incarnation
+    def ended_at(self, ref: NodeRef) -> float | None:
+        """Return when a newer incarnation than ``ref`` was first heard."""
+        if self.ref is None or ref.incarnation >= self.ref.incarnation:
+            return None
+        return self.replaced_at.get(ref.incarnation, self.ref_since)
 
     def member(self, now: float, *, leaving: bool, gone: bool) -> Member:
         """Return the view of this node that other parts see."""
--- a/packages/berylspread/src/berylspread/ownership/__init__.py
+++ b/packages/berylspread/src/berylspread/ownership/__init__.py
@@ -5,9 +5,19 @@
     Tenure,
     TenureListener,
 )
+from berylspread.ownership.log_ownership import RIDER_NAME, LogOwnership
+from berylspread.ownership.rules import Terms
+from berylspread.ownership.settings import OwnershipSettings
+from berylspread.ownership.view import LogAppender, LogView
 
 __all__ = (
+    'RIDER_NAME',
+    'LogAppender',
+    'LogOwnership',
+    'LogView',
     'Ownership',
+    'OwnershipSettings',
     'Tenure',
     'TenureListener',
+    'Terms',
 )
--- /dev/null
+++ b/packages/berylspread/src/berylspread/ownership/authority.py
@@ -0,0 +1,92 @@
+"""An owner's side: the promises that it holds, and until when."""
+
+import collections
+from typing import Final, final
+
+from berylspread.model import NodeRef
+from berylspread.ownership.messages import KnownElectorate, PromiseReply
+from berylspread.ownership.rules import (
+    NEVER,
+    Terms,
+    authority_until,
+    granted_until,
+)
+
+VERSIONS_KEPT: Final = 2
+
+
+@final
+class Authority:
+    """Promises by region, electorate version and member.
+
+    The promises of any one version suffice: a claimant waits until those of
+    every version before its own are over.
+    """
+
+    __slots__ = ('grants', 'known', 'terms')
+
+    def __init__(self, terms: Terms) -> None:
+        """Start without promises."""
+        self.terms = terms
+        self.known: collections.defaultdict[
+            str, dict[int, tuple[NodeRef, ...]]
+        ] = collections.defaultdict(dict)
+        self.grants: dict[tuple[str, int], dict[NodeRef, float]] = {}
+
+    def learn(self, electorate: KnownElectorate) -> bool:
+        """Take an electorate read or heard of; return whether it is newer."""
+        versions = self.known[electorate.region]
+        is_newer = electorate.version > max(versions, default=0)
+        versions.setdefault(electorate.version, electorate.members)
+        for old in sorted(versions)[:-VERSIONS_KEPT]:
+            del versions[old]
+            self.grants.pop((electorate.region, old), None)
+        return is_newer
+
+    def version(self, region: str) -> int:
+        """Return the newest version known of a region's electorate, or 0."""
+        return max(self.known[region], default=0)
+
+    def members(self, region: str) -> tuple[NodeRef, ...]:
+        """Return the newest known electorate of a region."""
+        versions = self.known[region]
+        return versions[max(versions)] if versions else ()
+
+    def regions_of(self, node: str) -> list[str]:
+        """Return the regions in whose newest electorate a node is."""
+        return [
+            region
+            for region in self.known
+            if any(ref.node == node for ref in self.members(region))
+        ]
+
+    def receive(
+        self,
+        source: NodeRef,
+        sent_at: float,
+        reply: PromiseReply,
+    ) -> None:
+        """Count the promises that answer an ask sent at a loop time."""
+        until = granted_until(sent_at, self.terms)
+        for key in reply.granted.items():
+            held = self.grants.setdefault(key, {})
+            held[source] = max(held.get(source, NEVER), until)
+
+    def until(self, region: str) -> float:
+        """Return until when this node may act on what it owns in a region."""
+        return max(
+            (
+                self._version_until(region, version, members)
+                for version, members in self.known[region].items()
+            ),
+            default=NEVER,
+        )
+
+    def _version_until(
+        self, region: str, version: int, members: tuple[NodeRef, ...]
+    ) -> float:
+        held = self.grants.get((region, version), {})
+        return authority_until(
+            [held[member] for member in members if member in held],
+            len(members),
+        )
--- /dev/null
+++ b/packages/berylspread/src/berylspread/ownership/claiming.py
@@ -0,0 +1,280 @@
+"""Claims units without a live owner, and waits until it may act."""
+
+import asyncio
+import random
+from collections.abc import Callable, Iterable
+from typing import final
+
+from absl import logging
+
+from berylspread.kernel.clock import now
+from berylspread.kernel.errors import Failure
+from berylspread.log.folds import Electorate
+from berylspread.log.records import Claim
+from berylspread.model import NodeRef, unit_region
+from berylspread.ownership.authority import Authority
+from berylspread.ownership.consents import Consents
+from berylspread.ownership.holdings import Holding, Holdings
+from berylspread.ownership.messages import (
+    SightingAsk,
+    SightingReply,
+    UnitEpoch,
+)
+from berylspread.ownership.planner import Planner
+from berylspread.ownership.rules import FOREVER, NEVER, may_act
+from berylspread.ownership.settings import OwnershipSettings
+from berylspread.ownership.states import UnitEvent, UnitState
+from berylspread.ownership.view import LogAppender, LogView
+from berylspread.peers import Peers
+
+_FREE = frozenset((UnitState.idle, UnitState.lost))
+
+
+@final
+class Claimant:
+    """Appends claims and turns won claims into tenures."""
+
+    __slots__ = (
+        'appender',
+        'authority',
+        'consents',
+        'holdings',
+        'log',
+        'peers',
+        'planner',
+        'ref',
+        'retry_at',
+        'rng',
+        'settings',
+        'won',
+    )
+
+    def __init__(
+        self,
+        ref: NodeRef,
+        peers: Peers,
+        log: LogView,
+        appender: LogAppender,
+        planner: Planner,
+        consents: Consents,
+        authority: Authority,
+        holdings: Holdings,
+        settings: OwnershipSettings,
+        rng: random.Random,
+    ) -> None:
+        """Take the parts that claims go through."""
+        self.ref = ref
+        self.peers = peers
+        self.log = log
+        self.appender = appender
+        self.planner = planner
+        self.consents = consents
+        self.authority = authority
+        self.holdings = holdings
+        self.settings = settings
+        self.rng = rng
+        self.retry_at = 0.0
+        self.won = asyncio.Event()
+
+    async def run(self, may_claim: Callable[[], Iterable[str]]) -> None:
+        """Claim in the regions that ``may_claim`` returns, until cancelled."""
+        while True:
+            for region in may_claim():
+                wanted = self._wanted(region)
+                if wanted and now() >= self.retry_at:
+                    await self._claim_after_jitter(region)
+            await asyncio.sleep(self.settings.tick_s)
+
+    async def claim(self, units: Iterable[str]) -> list[str]:
+        """Append a claim on each unit's next epoch; return those appended."""
+        claims = [self._next_claim(unit) for unit in units]
+        free = [
+            one for one in claims if self.holdings.get(one.unit).state in _FREE
+        ]
+        if not free:
+            return []
+        self._move(free, UnitEvent.claim_sent)
+        result = await self.appender.append(*free)
+        if isinstance(result, Failure):
+            logging.warning('claims not confirmed: %r', result)
+            self.retry_at = now() + self.settings.claim_backoff_s
+            self._move(free, UnitEvent.claim_failed)
+            return []
+        await self.log.wait_for(result, self.settings.ask_timeout_s)
+        self._forget_unread(free)
+        return [claim.unit for claim in free]
+
+    async def clear(self) -> None:
+        """Begin tenures as soon as waiting is over, until cancelled."""
+        while True:
+            if not self.holdings.in_state(UnitState.waiting):
+                self.won.clear()
+                await self.won.wait()
+            await self._gather()
+            self.begin_tenures()
+            await self._sleep_until_clear()
+
+    def begin_tenures(self) -> None:
+        """Begin the tenures of the claims that have waited long enough."""
+        for holding in self.holdings.in_state(UnitState.waiting):
+            refused, established = self._clear_from(holding)
+            until = self.authority.until(unit_region(holding.unit))
+            if may_act(
+                now(), refused=refused, established=established, until=until
+            ):
+                self.consents.forget(_unit_epoch(holding))
+                self.holdings.acquire(holding, until)
+
+    def _wanted(self, region: str) -> list[str]:
+        targets = self.planner.targets(region)
+        owners = self.planner.live_owners(region)
+        return [
+            unit
+            for unit, node in targets.items()
+            if node == self.ref.node
+            and unit not in owners
+            and self.holdings.get(unit).state in _FREE
+        ]
+
+    async def _claim_after_jitter(self, region: str) -> None:
+        await asyncio.sleep(self.rng.uniform(0, self.settings.claim_jitter_s))
+        seen = await self._owners_seen_by_others(region)
+        await self.claim(
+            [
+                unit
+                for unit in self._wanted(region)
+                if self._owner(unit) not in seen
+            ]
+        )
+
+    async def _owners_seen_by_others(self, region: str) -> set[NodeRef]:
+        """Return the silent owners that another member hears.
+
+        A link that is cut only here is no reason to take units away.
+        """
+        owners = {self._owner(unit) for unit in self._wanted(region)}
+        silent = tuple(
+            owner
+            for owner in owners
+            if owner is not None
+            and self.planner.fleet.roster.departed_at(owner) is None
+        )
+        if not silent:
+            return set()
+        replies = await asyncio.gather(
+            *(
+                self.peers.ask(
+                    node,
+                    SightingAsk(silent),
+                    SightingReply,
+                    timeout_s=self.settings.ask_timeout_s,
+                )
+                for node in self.planner.eligible(region)
+                if node != self.ref.node
+            )
+        )
+        return {
+            owner
+            for reply in replies
+            if isinstance(reply, SightingReply)
+            for owner in reply.live
+        }
+
+    def _owner(self, unit: str) -> NodeRef | None:
+        claim = self.log.claim(unit)
+        return claim.owner if claim and not claim.released_at else None
+
+    def _next_claim(self, unit: str) -> Claim:
+        last = self.log.claim(unit)
+        electorate = self.log.electorate(unit_region(unit))
+        return Claim(
+            unit=unit,
+            epoch=last.epoch + 1 if last else 1,
+            owner=self.ref,
+            electorate_version=electorate.version if electorate else 0,
+        )
+
+    def _move(self, claims: Iterable[Claim], event: UnitEvent) -> None:
+        for claim in claims:
+            self.holdings.get(claim.unit).move(event)
+
+    def _forget_unread(self, claims: Iterable[Claim]) -> None:
+        """Free the units whose confirmed claim has not been read in time."""
+        for claim in claims:
+            holding = self.holdings.get(claim.unit)
+            if holding.state is UnitState.claiming:
+                holding.move(UnitEvent.claim_failed)
+
+    async def _gather(self) -> None:
+        """Ask for the consents that are still missing, region by region."""
+        waiting = self.holdings.in_state(UnitState.waiting)
+        for region in sorted({unit_region(one.unit) for one in waiting}):
+            electorate = self.log.electorate(region)
+            missing = [
+                holding
+                for holding in waiting
+                if unit_region(holding.unit) == region
+                and max(self._clear_from(holding)) == FOREVER
+            ]
+            if electorate is not None and missing:
+                await self._gather_for(electorate, missing)
+
+    async def _gather_for(
+        self, electorate: Electorate, missing: list[Holding]
+    ) -> None:
+        owners = [
+            holding.previous.owner
+            for holding in missing
+            if holding.previous is not None
+        ]
+        offset = max(
+            holding.claim.offset
+            for holding in missing
+            if holding.claim is not None
+        )
+        await self.consents.gather(
+            electorate,
+            tuple(_unit_epoch(holding) for holding in missing),
+            owners,
+            max(offset, electorate.offset),
+        )
+
+    def _clear_from(self, holding: Holding) -> tuple[float, float]:
+        """Return when older owners, and older electorates, are refused."""
+        electorate = self.log.electorate(unit_region(holding.unit))
+        claimed = _unit_epoch(holding)
+        if _needs_no_consent(holding) or claimed in self.consents.stopped:
+            return NEVER, NEVER
+        if electorate is None:
+            return FOREVER, FOREVER
+        return (
+            self.consents.refused_from(claimed, electorate),
+            self.consents.established_from(electorate),
+        )
+
+    async def _sleep_until_clear(self) -> None:
+        """Sleep for a tick, or until the first wait is over if sooner."""
+        pause_s = self.settings.tick_s
+        for holding in self.holdings.in_state(UnitState.waiting):
+            ahead_s = max(self._clear_from(holding)) - now()
+            if 0 < ahead_s < pause_s:
+                pause_s = ahead_s
+        await asyncio.sleep(pause_s)
+
+
+def _needs_no_consent(holding: Holding) -> bool:
+    """Return whether no owner before the claim can act any more."""
+    claim = holding.claim
+    if claim is None or claim.epoch == 1:
+        return True
+    previous = holding.previous
+    return (
+        previous is not None
+        and previous.epoch == claim.epoch - 1
+        and bool(previous.released_at)
+    )
+
+
+def _unit_epoch(holding: Holding) -> UnitEpoch:
+    epoch = holding.claim.epoch if holding.claim else 0
+    return UnitEpoch(holding.unit, epoch)
--- /dev/null
+++ b/packages/berylspread/src/berylspread/ownership/consents.py
@@ -0,0 +1,159 @@
+"""Gathers the consents that a claimant waits for."""
+
+import asyncio
+from collections.abc import Callable, Iterable
+from typing import final
+
+from berylspread.kernel.clock import now
+from berylspread.kernel.errors import Failure
+from berylspread.log.folds import Electorate
+from berylspread.model import NodeRef
+from berylspread.ownership.fleet import Fleet
+from berylspread.ownership.messages import (
+    ConsentAsk,
+    ConsentReply,
+    UnitEpoch,
+)
+from berylspread.ownership.rules import (
+    FOREVER,
+    NEVER,
+    all_blind_from,
+    majority_refuses_from,
+    refused_from,
+)
+from berylspread.ownership.settings import OwnershipSettings
+from berylspread.ownership.view import LogView
+from berylspread.peers import Peers
+
+
+@final
+class Consents:
+    """What members have told this node about claims and electorates.
+
+    ``refusals`` keeps from when each member holds no promise to the owners
+    before a claim, ``older`` the same for the versions before an electorate.
+    """
+
+    __slots__ = (
+        'fleet',
+        'log',
+        'older',
+        'on_answer',
+        'peers',
+        'read_at',
+        'refusals',
+        'settings',
+        'stopped',
+    )
+
+    def __init__(
+        self,
+        peers: Peers,
+        log: LogView,
+        fleet: Fleet,
+        settings: OwnershipSettings,
+    ) -> None:
+        """Start with no answers."""
+        self.peers = peers
+        self.log = log
+        self.fleet = fleet
+        self.settings = settings
+        self.refusals: dict[UnitEpoch, dict[NodeRef, float]] = {}
+        self.stopped: set[UnitEpoch] = set()
+        self.older: dict[tuple[str, int], dict[NodeRef, float]] = {}
+        self.read_at: dict[tuple[str, int], float] = {}
+        self.on_answer: Callable[[], None] = _ignore
+
+    def note_read(self, electorate: Electorate) -> None:
+        """Remember when this node read an electorate."""
+        key = (electorate.region, electorate.version)
+        self.read_at.setdefault(key, now())
+
+    def forget(self, claimed: UnitEpoch) -> None:
+        """Drop the answers about a claim."""
+        self.refusals.pop(claimed, None)
+        self.stopped.discard(claimed)
+
+    def refused_from(self, claimed: UnitEpoch, electorate: Electorate) -> float:
+        """Return from when no owner before a claim has a majority."""
+        if claimed in self.stopped:
+            return NEVER
+        told = self.refusals.get(claimed, {})
+        return majority_refuses_from(
+            self._times(electorate.members, told), len(electorate.members)
+        )
+
+    def established_from(self, electorate: Electorate) -> float:
+        """Return from when no owner has a majority of an older version."""
+        if electorate.version == 1:
+            return NEVER
+        key = (electorate.region, electorate.version)
+        told = self.older.get(key, {})
+        refused = majority_refuses_from(
+            self._times(electorate.previous, told), len(electorate.previous)
+        )
+        read_at = self.read_at.get(key, FOREVER)
+        return min(refused, all_blind_from(read_at, self.settings.terms))
+
+    async def gather(
+        self,
+        electorate: Electorate,
+        claims: tuple[UnitEpoch, ...],
+        owners: Iterable[NodeRef],
+        offset: int,
+    ) -> None:
+        """Ask the members, those of the version before, and old owners."""
+        asked = {*electorate.members, *electorate.previous, *owners}
+        ask = ConsentAsk(
+            electorate.region,
+            electorate.version,
+            offset,
+            self.settings.consent_wait_s,
+            claims,
+        )
+        await asyncio.gather(
+            *(
+                self._ask(ref, ask)
+                for ref in sorted(asked)
+                if self.fleet.is_present(ref)
+            )
+        )
+
+    async def _ask(self, ref: NodeRef, ask: ConsentAsk) -> None:
+        reply = await self.peers.ask(
+            ref.node,
+            ask,
+            ConsentReply,
+            timeout_s=ask.wait_s + self.settings.ask_timeout_s,
+        )
+        if isinstance(reply, Failure) or reply.incarnation != ref.incarnation:
+            return
+        terms = self.settings.terms
+        if reply.eligible and reply.version >= ask.version:
+            told = self.older.setdefault((ask.region, ask.version), {})
+            told[ref] = refused_from(now(), reply.older_remaining_s, terms)
+        for consent in reply.consents:
+            claimed = UnitEpoch(consent.unit, consent.epoch)
+            if consent.stopped:
+                self.stopped.add(claimed)
+            if reply.eligible and reply.version == ask.version:
+                self.refusals.setdefault(claimed, {})[ref] = refused_from(
+                    now(), consent.remaining_s, terms
+                )
+        self.on_answer()
+
+    def _times(
+        self, members: Iterable[NodeRef], told: dict[NodeRef, float]
+    ) -> list[float]:
+        """Return each member's time; an ended process refuses too."""
+        return [
+            min(
+                told.get(member, FOREVER),
+                self.fleet.departed_from(member, self.settings.terms),
+            )
+            for member in members
+        ]
+
+
+def _ignore() -> None:
+    """Take no notice of an answer."""
--- /dev/null
+++ b/packages/berylspread/src/berylspread/ownership/electing.py
@@ -0,0 +1,145 @@
+"""Keeps the electorates in step with the nodes that live."""
+
+import asyncio
+from collections.abc import Callable
+from typing import final
+
+from absl import logging
+
+from berylspread.kernel.clock import now
+from berylspread.kernel.errors import Failure
+from berylspread.log.folds import Electorate
+from berylspread.log.records import ElectorateChanged
+from berylspread.model import NodeRef
+from berylspread.ownership.consents import Consents
+from berylspread.ownership.fleet import Fleet, pick_members
+from berylspread.ownership.policy import preference
+from berylspread.ownership.rules import majority
+from berylspread.ownership.settings import OwnershipSettings
+from berylspread.ownership.view import LogAppender, LogView
+
+Regions = Callable[[], list[str]]
+
+
+@final
+class Elector:
+    """Proposes the next version of an electorate.
+
+    Every node runs one; the preferred live node proposes, and the first append
+    of a version wins.  A version is appended only once the one before it is
+    established, and by a node that most of that one's members answer.
+    """
+
+    __slots__ = (
+        'appender',
+        'consents',
+        'fleet',
+        'log',
+        'ref',
+        'region',
+        'settings',
+        'wanted',
+    )
+
+    def __init__(
+        self,
+        ref: NodeRef,
+        region: str,
+        log: LogView,
+        appender: LogAppender,
+        fleet: Fleet,
+        consents: Consents,
+        settings: OwnershipSettings,
+    ) -> None:
+        """Take what to read, whom to ask and where to append."""
+        self.ref = ref
+        self.region = region
+        self.log = log
+        self.appender = appender
+        self.fleet = fleet
+        self.consents = consents
+        self.settings = settings
+        self.wanted: dict[str, tuple[tuple[NodeRef, ...], float]] = {}
+
+    async def run(self, regions: Regions) -> None:
+        """Look at the regions that this node may claim in, until cancelled."""
+        while True:
+            for region in regions():
+                await self._attend(region)
+            await asyncio.sleep(self.settings.settle_s)
+
+    async def _attend(self, region: str) -> None:
+        current = self.log.electorate(region)
+        candidates = self.fleet.alive(self.region)
+        if not self._is_proposer(region, candidates):
+            return
+        wanted = self._wanted(region, current, candidates)
+        members = current.members if current else ()
+        if not wanted or wanted == members:
+            self.wanted.pop(region, None)
+            return
+        if self._is_settled(region, wanted) and await self._may_change(current):
+            await self._change(region, current, wanted)
+
+    def _is_proposer(self, region: str, candidates: list[NodeRef]) -> bool:
+        ranked = preference(region, [ref.node for ref in candidates])
+        return ranked[:1] == [self.ref.node]
+
+    def _wanted(
+        self,
+        region: str,
+        current: Electorate | None,
+        candidates: list[NodeRef],
+    ) -> tuple[NodeRef, ...]:
+        members = current.members if current else ()
+        staying = [ref for ref in members if self._stays(ref, candidates)]
+        return pick_members(
+            region, staying, candidates, self.settings.max_members
+        )
+
+    def _stays(self, ref: NodeRef, candidates: list[NodeRef]) -> bool:
+        if ref in candidates:
+            return True
+        is_departed = self.fleet.roster.departed_at(ref) is not None
+        dead_for_s = self.fleet.dead_for(ref)
+        return not is_departed and dead_for_s < self.settings.remove_after_s
+
+    def _is_settled(self, region: str, wanted: tuple[NodeRef, ...]) -> bool:
+        seen, since = self.wanted.get(region, ((), now()))
+        if seen != wanted:
+            since = now()
+        self.wanted[region] = (wanted, since)
+        return now() - since >= self.settings.settle_s
+
+    async def _may_change(self, current: Electorate | None) -> bool:
+        if current is None:
+            return True
+        if not self._is_in_contact(current):
+            return False
+        if now() < self.consents.established_from(current):
+            await self.consents.gather(current, (), (), current.offset)
+        return now() >= self.consents.established_from(current)
+
+    def _is_in_contact(self, current: Electorate) -> bool:
+        """Return whether most members answer or have surely ended."""
+        reached = sum(
+            self.fleet.is_usable(ref)
+            or self.fleet.roster.departed_at(ref) is not None
+            for ref in current.members
+        )
+        return reached >= majority(len(current.members))
+
+    async def _change(
+        self,
+        region: str,
+        current: Electorate | None,
+        wanted: tuple[NodeRef, ...],
+    ) -> None:
+        version = current.version + 1 if current else 1
+        result = await self.appender.append(
+            ElectorateChanged(region, version, wanted)
+        )
+        if isinstance(result, Failure):
+            logging.warning('electorate of %s not changed: %r', region, result)
+        else:
+            logging.info('electorate of %s, version %d', region, version)
--- /dev/null
+++ b/packages/berylspread/src/berylspread/ownership/fleet.py
@@ -0,0 +1,126 @@
+"""The nodes of a region that may own and vote, as membership sees them."""
+
+from collections.abc import Iterable
+from typing import Protocol, final
+
+from berylspread.kernel.clock import now
+from berylspread.membership import Liveness, Member
+from berylspread.model import NodeRef
+from berylspread.ownership.policy import preference
+from berylspread.ownership.rules import FOREVER, Terms
+
+_USABLE = frozenset((Liveness.alive, Liveness.suspect))
+
+
+class Roster(Protocol):
+    """What ownership needs of membership."""
+
+    def members(self, region: str = '') -> list[Member]:
+        """Return the known entry nodes, of one region or of all."""
+
+    def member(self, node: str) -> Member | None:
+        """Return one entry node."""
+
+    def departed_at(self, ref: NodeRef) -> float | None:
+        """Return the loop time since when a process has surely ended."""
+
+    def poke(self, node: str) -> None:
+        """Send the next heartbeat to a peer at once."""
+
+
+@final
+class Fleet:
+    """Questions about nodes that ownership asks of membership."""
+
+    __slots__ = ('dead_since', 'roster', 'suspended')
+
+    def __init__(self, roster: Roster) -> None:
+        """Follow a membership."""
+        self.roster = roster
+        self.dead_since: dict[NodeRef, float] = {}
+        self.suspended: dict[NodeRef, float] = {}
+
+    def note_suspended(self, source: NodeRef, *, suspended: bool) -> None:
+        """Take an owner's word on whether it lacks authority."""
+        if suspended:
+            self.suspended.setdefault(source, now())
+        else:
+            self.suspended.pop(source, None)
+
+    def is_usable(self, ref: NodeRef) -> bool:
+        """Return whether a process lives as far as this node knows."""
+        member = self.roster.member(ref.node)
+        if member is None or member.ref != ref:
+            return False
+        return member.liveness in _USABLE
+
+    def is_present(self, ref: NodeRef) -> bool:
+        """Return whether a process answers, also one that is leaving."""
+        member = self.roster.member(ref.node)
+        return (
+            member is not None
+            and member.ref == ref
+            and member.liveness is not Liveness.dead
+        )
+
+    def is_suspended(self, ref: NodeRef, longer_than_s: float) -> bool:
+        """Return whether an owner has lacked authority for some seconds."""
+        since = self.suspended.get(ref)
+        return since is not None and now() - since > longer_than_s
+
+    def alive(self, region: str) -> list[NodeRef]:
+        """Return the processes of a region that can take work."""
+        return sorted(
+            member.ref
+            for member in self.roster.members(region)
+            if member.ref is not None
+            and member.ready
+            and member.liveness is Liveness.alive
+        )
+
+    def dead_for(self, ref: NodeRef) -> float:
+        """Return for how many seconds a process has not been usable."""
+        if self.is_usable(ref):
+            self.dead_since.pop(ref, None)
+            return 0.0
+        return now() - self.dead_since.setdefault(ref, now())
+
+    def departed_from(self, ref: NodeRef, terms: Terms) -> float:
+        """Return from when an ended process surely holds no promise."""
+        departed_at = self.roster.departed_at(ref)
+        if departed_at is None:
+            return FOREVER
+        return departed_at + terms.promise_s * (1 + terms.drift)
+
+    def caretaker(self, region: str, regions: Iterable[str]) -> str:
+        """Return the region whose nodes look after a region's units.
+
+        A region without entry nodes falls to the next one that has any, in the
+        circular order of the regions' names.
+        """
+        ordered = sorted({region, *regions})
+        start = ordered.index(region)
+        for candidate in ordered[start:] + ordered[:start]:
+            if self._has_nodes(candidate):
+                return candidate
+        return region
+
+    def _has_nodes(self, region: str) -> bool:
+        return any(
+            member.ref is None or self.roster.departed_at(member.ref) is None
+            for member in self.roster.members(region)
+        )
+
+
+def pick_members(
+    region: str,
+    current: Iterable[NodeRef],
+    candidates: Iterable[NodeRef],
+    limit: int,
+) -> tuple[NodeRef, ...]:
+    """Return an electorate: who stays, then others by rendezvous order."""
+    staying = list(current)
+    others = {ref.node: ref for ref in candidates if ref not in staying}
+    ranked = preference(region, list(others))
+    added = [others[node] for node in ranked[: max(limit - len(staying), 0)]]
+    return tuple(sorted([*staying, *added]))
--- /dev/null
+++ b/packages/berylspread/src/berylspread/ownership/granter.py
@@ -0,0 +1,189 @@
+"""A member's side: the promises that it gave and the claims it has read."""
+
+from typing import final
+
+from berylspread.kernel.clock import now
+from berylspread.log.folds import Electorate, UnitClaim
+from berylspread.model import NodeRef, unit_region
+from berylspread.ownership.messages import (
+    Consent,
+    ConsentAsk,
+    ConsentReply,
+    KnownElectorate,
+    PromiseAsk,
+    PromiseReply,
+    UnitEpoch,
+)
+from berylspread.ownership.rules import (
+    NEVER,
+    Standing,
+    Terms,
+    is_eligible,
+    may_consent,
+    may_promise,
+)
+from berylspread.ownership.view import LogView
+
+
+@final
+class Granter:
+    """Promises to owners and consents to claims, kept in memory only.
+
+    One promise covers every unit of a region that its holder owns.  Reading a
+    claim is consenting to it: from then on the older owner is refused, and
+    ``ends_at`` keeps until when the last promise to it holds.
+    """
+
+    __slots__ = (
+        'booted_at',
+        'claims',
+        'electorates',
+        'ends_at',
+        'given',
+        'log',
+        'older_end_at',
+        'ref',
+        'stopped',
+        'terms',
+    )
+
+    def __init__(self, ref: NodeRef, log: LogView, terms: Terms) -> None:
+        """Start without promises, in quarantine."""
+        self.ref = ref
+        self.log = log
+        self.terms = terms
+        self.booted_at = now()
+        self.given: dict[tuple[str, NodeRef], float] = {}
+        self.claims: dict[str, UnitClaim] = {}
+        self.electorates: dict[str, Electorate] = {}
+        self.ends_at: dict[str, float] = {}
+        self.older_end_at: dict[str, float] = {}
+        self.stopped: set[UnitEpoch] = set()
+
+    def read_claim(self, claim: UnitClaim) -> None:
+        """Refuse the owners of older epochs from now on."""
+        before = self.claims.get(claim.unit)
+        self.claims[claim.unit] = claim
+        if before is not None and before.epoch == claim.epoch:
+            return
+        ends_at = max(
+            self.ends_at.get(claim.unit, NEVER),
+            self._last_promise_ends_at(claim, before),
+        )
+        self.ends_at[claim.unit] = ends_at
+
+    def read_electorate(self, electorate: Electorate) -> None:
+        """Refuse owners that state an older version from now on."""
+        region = electorate.region
+        before = self.electorates.get(region)
+        if before is not None and before.version >= electorate.version:
+            return
+        self.electorates[region] = electorate
+        self.older_end_at[region] = max(
+            (
+                until
+                for (given_region, _owner), until in self.given.items()
+                if given_region == region
+            ),
+            default=NEVER,
+        )
+
+    def note_stopped(self, unit: str, epoch: int) -> None:
+        """Remember that this node acted under an epoch and has stopped."""
+        self.stopped.add(UnitEpoch(unit, epoch))
+
+    def promise(self, source: NodeRef, ask: PromiseAsk) -> PromiseReply:
+        """Promise the regions whose newest electorate the asker states."""
+        granted = {}
+        newer = []
+        for region, version in ask.versions.items():
+            standing = self.standing(region)
+            if may_promise(standing, version, self.terms):
+                granted[region] = version
+                self.given[region, source] = now() + self.terms.promise_s
+            elif version < standing.version:
+                newer.append(self._known(region))
+        return PromiseReply(
+            granted, tuple(newer), self._superseded(source, ask)
+        )
+
+    def consent(self, ask: ConsentAsk) -> ConsentReply:
+        """Answer a claimant from what has been read so far."""
+        standing = self.standing(ask.region)
+        consents: tuple[Consent, ...] = ()
+        if may_consent(standing, ask.version, ask.offset, self.terms):
+            consents = tuple(self._consents(ask))
+        elif standing.offset >= ask.offset:
+            consents = tuple(one for one in self._consents(ask) if one.stopped)
+        older_end_at = self.older_end_at.get(ask.region, NEVER)
+        return ConsentReply(
+            incarnation=self.ref.incarnation,
+            version=standing.version,
+            older_remaining_s=max(older_end_at - now(), 0.0),
+            eligible=is_eligible(standing, self.terms),
+            consents=consents,
+        )
+
+    def standing(self, region: str) -> Standing:
+        """Return what this member's promises for a region depend on."""
+        electorate = self.electorates.get(region)
+        return Standing(
+            booted_s=now() - self.booted_at,
+            caught_up=self.log.tail_seen_at() != NEVER,
+            blind_s=now() - self.log.tail_seen_at(),
+            version=electorate.version if electorate else 0,
+            offset=self.log.offset(),
+        )
+
+    def _consents(self, ask: ConsentAsk) -> list[Consent]:
+        return [
+            Consent(
+                claimed.unit,
+                claimed.epoch,
+                max(self.ends_at.get(claimed.unit, NEVER) - now(), 0.0),
+                UnitEpoch(claimed.unit, claimed.epoch - 1) in self.stopped,
+            )
+            for claimed in ask.claims
+            if self._has_read(claimed)
+        ]
+
+    def _has_read(self, claimed: UnitEpoch) -> bool:
+        claim = self.claims.get(claimed.unit)
+        return claim is not None and claim.epoch >= claimed.epoch
+
+    def _superseded(
+        self, source: NodeRef, ask: PromiseAsk
+    ) -> tuple[UnitEpoch, ...]:
+        if self.log.offset() <= ask.offset:
+            return ()
+        return tuple(
+            UnitEpoch(claim.unit, claim.epoch)
+            for claim in self.claims.values()
+            if claim.offset > ask.offset
+            and claim.owner != source
+            and unit_region(claim.unit) in ask.versions
+        )
+
+    def _last_promise_ends_at(
+        self, claim: UnitClaim, before: UnitClaim | None
+    ) -> float:
+        """Return when the last promise to the claim's predecessors ends."""
+        if claim.epoch == 1:
+            return NEVER
+        region = unit_region(claim.unit)
+        if before is None or before.epoch != claim.epoch - 1:
+            return max(
+                (
+                    until
+                    for (given_region, owner), until in self.given.items()
+                    if given_region == region and owner != self.ref
+                ),
+                default=NEVER,
+            )
+        if before.released_at or before.owner == self.ref:
+            return NEVER
+        return self.given.get((region, before.owner), NEVER)
+
+    def _known(self, region: str) -> KnownElectorate:
+        electorate = self.electorates[region]
+        return KnownElectorate(region, electorate.version, electorate.members)
--- /dev/null
+++ b/packages/berylspread/src/berylspread/ownership/handover.py
@@ -0,0 +1,148 @@
+"""Planned handover: the owner asks a successor to claim."""
+
+import asyncio
+import collections
+from typing import Final, final
+
+from absl import logging
+
+from berylspread.kernel.clock import now
+from berylspread.kernel.errors import Draining, Failure
+from berylspread.log.records import Release
+from berylspread.model import NodeRef, unit_region
+from berylspread.ownership.claiming import Claimant
+from berylspread.ownership.holdings import Holding, Holdings
+from berylspread.ownership.messages import (
+    HandoverAsk,
+    HandoverReply,
+    UnitEpoch,
+)
+from berylspread.ownership.planner import Planner
+from berylspread.ownership.settings import OwnershipSettings
+from berylspread.ownership.states import UnitState
+from berylspread.ownership.view import LogAppender, LogView
+from berylspread.peers import Peers
+
+LOG_FRESH_S: Final = 3.0
+
+
+@final
+class Handover:
+    """Moves units to successors without a time in which nobody may act.
+
+    The owner goes on until it reads the successor's claim; its consent to that
+    claim says that it has stopped, so that the successor need not wait.
+    """
+
+    __slots__ = (
+        'appender',
+        'claimant',
+        'holdings',
+        'is_leaving',
+        'log',
+        'peers',
+        'planner',
+        'settings',
+    )
+
+    def __init__(
+        self,
+        peers: Peers,
+        log: LogView,
+        appender: LogAppender,
+        planner: Planner,
+        claimant: Claimant,
+        holdings: Holdings,
+        settings: OwnershipSettings,
+    ) -> None:
+        """Serve the asks of other owners from now on."""
+        self.peers = peers
+        self.log = log
+        self.appender = appender
+        self.planner = planner
+        self.claimant = claimant
+        self.holdings = holdings
+        self.settings = settings
+        self.is_leaving = False
+        peers.handle(HandoverAsk, self._accept)
+
+    async def balance(self) -> None:
+        """Hand a few units over in each interval, until cancelled."""
+        while True:
+            await asyncio.sleep(self.settings.move_interval_s)
+            if not self.is_leaving:
+                await self._move(self.settings.moves_at_once)
+
+    async def release_all(self) -> None:
+        """Hand everything over; log the release of what nobody took."""
+        self.is_leaving = True
+        self.planner.excluded.add(self.claimant.ref.node)
+        deadline = now() + self.settings.release_timeout_s
+        while self._held() and now() < deadline:
+            await self._move(len(self._held()))
+            await asyncio.sleep(self.settings.tick_s)
+        await self._release(self._held())
+
+    def _held(self) -> list[Holding]:
+        return self.holdings.in_state(UnitState.holding)
+
+    async def _move(self, count: int) -> None:
+        if now() - self.log.tail_seen_at() > LOG_FRESH_S:
+            return
+        moves: collections.defaultdict[str, list[UnitEpoch]] = (
+            collections.defaultdict(list)
+        )
+        for holding in self._held():
+            target = self._target(holding.unit)
+            if target and count > 0 and holding.claim is not None:
+                count -= 1
+                moves[target].append(
+                    UnitEpoch(holding.unit, holding.claim.epoch)
+                )
+        await asyncio.gather(
+            *(self._offer(node, units) for node, units in moves.items())
+        )
+
+    def _target(self, unit: str) -> str:
+        """Return the node that should have a unit, empty if it stays."""
+        own = self.claimant.ref.node
+        region = unit_region(unit)
+        target = self.planner.targets(region).get(unit, own)
+        return '' if target == own else target
+
+    async def _offer(self, node: str, units: list[UnitEpoch]) -> None:
+        reply = await self.peers.ask(
+            node,
+            HandoverAsk(tuple(units)),
+            HandoverReply,
+            timeout_s=self.settings.ask_timeout_s + LOG_FRESH_S,
+        )
+        if isinstance(reply, Failure):
+            logging.info('%s takes no units: %r', node, reply)
+
+    async def _accept(
+        self, _source: NodeRef, body: HandoverAsk
+    ) -> HandoverReply | Draining:
+        if self.is_leaving:
+            return Draining('this node hands its own units over')
+        current = [
+            offered.unit for offered in body.units if self._is_current(offered)
+        ]
+        return HandoverReply(tuple(await self.claimant.claim(current)))
+
+    def _is_current(self, offered: UnitEpoch) -> bool:
+        claim = self.log.claim(offered.unit)
+        return claim is not None and claim.epoch == offered.epoch
+
+    async def _release(self, left: list[Holding]) -> None:
+        records = [
+            Release(holding.unit, holding.claim.epoch, holding.claim.owner)
+            for holding in left
+            if holding.claim is not None
+        ]
+        for holding in left:
+            self.holdings.begin_release(holding)
+        if records:
+            result = await self.appender.append(*records)
+            if isinstance(result, Failure):
+                logging.warning('release not confirmed: %r', result)
--- /dev/null
+++ b/packages/berylspread/src/berylspread/ownership/holdings.py
@@ -0,0 +1,147 @@
+"""The units that this node owns or is about to own."""
+
+from collections.abc import Callable, Iterator
+from typing import final
+
+from absl import logging
+
+from berylspread.kernel.clock import now
+from berylspread.kernel.invariants import check
+from berylspread.log.folds import UnitClaim
+from berylspread.model import NodeRef, unit_region
+from berylspread.ownership.interface import Tenure, TenureListener
+from berylspread.ownership.rules import NEVER
+from berylspread.ownership.states import UnitEvent, UnitState, next_state
+
+StopListener = Callable[[str, int], None]
+
+
+@final
+class Holding:
+    """One unit at this node: its state and the claim that it stands on."""
+
+    __slots__ = ('claim', 'previous', 'state', 'tenure', 'unit')
+
+    def __init__(self, unit: str) -> None:
+        """Start idle."""
+        self.unit = unit
+        self.state = UnitState.idle
+        self.claim: UnitClaim | None = None
+        self.previous: UnitClaim | None = None
+        self.tenure: Tenure | None = None
+
+    def move(self, event: UnitEvent) -> None:
+        """Take an event of the state table."""
+        self.state = next_state(self.state, event)
+
+
+@final
+class Holdings:
+    """Applies claims that were read, and keeps the tenures."""
+
+    __slots__ = (
+        'acquire_listeners',
+        'lose_listeners',
+        'ref',
+        'stop_listener',
+        'units',
+    )
+
+    def __init__(self, ref: NodeRef, stop_listener: StopListener) -> None:
+        """Own nothing; ``stop_listener`` hears of each tenure that ended."""
+        self.ref = ref
+        self.stop_listener = stop_listener
+        self.units: dict[str, Holding] = {}
+        self.acquire_listeners: list[TenureListener] = []
+        self.lose_listeners: list[TenureListener] = []
+
+    def get(self, unit: str) -> Holding:
+        """Return a unit's holding, idle if there is none yet."""
+        return self.units.setdefault(unit, Holding(unit))
+
+    def in_state(self, *states: UnitState) -> list[Holding]:
+        """Return the holdings in one of the states, by unit name."""
+        return [
+            self.units[unit]
+            for unit in sorted(self.units)
+            if self.units[unit].state in states
+        ]
+
+    def tenures(self) -> Iterator[Tenure]:
+        """Yield the tenures that have begun and not ended."""
+        for holding in self.in_state(UnitState.holding):
+            if holding.tenure is not None:
+                yield holding.tenure
+
+    def read_claim(self, claim: UnitClaim, previous: UnitClaim | None) -> None:
+        """Take a claim that won in the log."""
+        holding = self.get(claim.unit)
+        if holding.claim is not None and claim.epoch <= holding.claim.epoch:
+            return
+        self.supersede(claim.unit, claim.epoch)
+        if claim.owner != self.ref:
+            return
+        holding.claim = claim
+        holding.previous = previous
+        holding.move(UnitEvent.claim_won)
+
+    def supersede(self, unit: str, epoch: int) -> None:
+        """End what stands on an epoch older than a claim that exists."""
+        holding = self.units.get(unit)
+        if holding is None:
+            return
+        if holding.claim is not None and epoch <= holding.claim.epoch:
+            return
+        self._end_tenure(holding)
+        holding.move(UnitEvent.superseded)
+
+    def acquire(self, holding: Holding, until: float) -> None:
+        """Begin a tenure: the claimant has waited and holds promises."""
+        claim = holding.claim
+        check(
+            'a tenure begins on a won claim',
+            claim is not None and claim.owner == self.ref,
+            unit=holding.unit,
+        )
+        if claim is None:
+            return
+        holding.move(UnitEvent.cleared)
+        holding.tenure = Tenure(holding.unit, claim.epoch, until)
+        logging.info('acquired %s, epoch %d', claim.unit, claim.epoch)
+        for listener in self.acquire_listeners:
+            listener(holding.tenure)
+
+    def extend(self, region: str, until: float) -> None:
+        """Move the end of the region's tenures on."""
+        for holding in self.in_state(UnitState.holding):
+            tenure = holding.tenure
+            if tenure is None or unit_region(holding.unit) != region:
+                continue
+            check(
+                'an ended tenure is never extended',
+                tenure.valid_until > NEVER,
+                unit=holding.unit,
+                epoch=tenure.epoch,
+            )
+            tenure.valid_until = max(tenure.valid_until, until)
+
+    def begin_release(self, holding: Holding) -> None:
+        """End the tenure for good; the release is logged afterwards."""
+        self._end_tenure(holding)
+        holding.move(UnitEvent.release_sent)
+
+    def is_suspended(self) -> bool:
+        """Return whether a tenure has begun that is not valid now."""
+        time = now()
+        return any(not tenure.is_valid(time) for tenure in self.tenures())
+
+    def _end_tenure(self, holding: Holding) -> None:
+        tenure = holding.tenure
+        if tenure is None:
+            return
+        holding.tenure = None
+        tenure.valid_until = NEVER
+        logging.info('lost %s, epoch %d', tenure.unit, tenure.epoch)
+        for listener in self.lose_listeners:
+            listener(tenure)
+        self.stop_listener(tenure.unit, tenure.epoch)
--- /dev/null
+++ b/packages/berylspread/src/berylspread/ownership/log_ownership.py
@@ -0,0 +1,242 @@
+"""Ownership through claims in the log and promises of the electorate."""
+
+import asyncio
+import random
+from collections.abc import Callable, Sequence
+from typing import Final, final
+
+from berylspread.kernel.clock import now
+from berylspread.kernel.errors import NotOwner
+from berylspread.log.folds import Electorate
+from berylspread.log.records import Claim, ElectorateChanged, Release
+from berylspread.model import NodeRef
+from berylspread.ownership.authority import Authority
+from berylspread.ownership.claiming import Claimant
+from berylspread.ownership.consents import Consents
+from berylspread.ownership.electing import Elector
+from berylspread.ownership.fleet import Fleet, Roster
+from berylspread.ownership.granter import Granter
+from berylspread.ownership.handover import Handover
+from berylspread.ownership.holdings import Holdings
+from berylspread.ownership.interface import Tenure, TenureListener
+from berylspread.ownership.messages import (
+    ConsentAsk,
+    ConsentReply,
+    KnownElectorate,
+    SightingAsk,
+    SightingReply,
+)
+from berylspread.ownership.planner import Planner, Units
+from berylspread.ownership.promising import PromiseRider
+from berylspread.ownership.rules import is_eligible
+from berylspread.ownership.settings import OwnershipSettings
+from berylspread.ownership.view import LogAppender, LogView
+from berylspread.peers import Peers
+
+RIDER_NAME: Final = 'promise'
+
+Regions = Callable[[], Sequence[str]]
+
+
+@final
+class LogOwnership:
+    """Who decides for a unit, and whether this node may.
+
+    ``rider`` must be added to the heartbeats under ``RIDER_NAME``; ``run``
+    must run.  ``units`` returns the units of a region, ``regions`` all regions.
+    """
+
+    __slots__ = (
+        'authority',
+        'claimant',
+        'consents',
+        'elector',
+        'fleet',
+        'granter',
+        'handover',
+        'holdings',
+        'log',
+        'planner',
+        'ref',
+        'region',
+        'regions',
+        'rider',
+        'settings',
+    )
+
+    def __init__(
+        self,
+        ref: NodeRef,
+        region: str,
+        peers: Peers,
+        roster: Roster,
+        log: LogView,
+        appender: LogAppender,
+        units: Units,
+        regions: Regions,
+        settings: OwnershipSettings | None = None,
+        rng: random.Random | None = None,
+    ) -> None:
+        """Follow the log from where it stands; own nothing."""
+        settings = settings or OwnershipSettings()
+        self.ref = ref
+        self.region = region
+        self.log = log
+        self.regions = regions
+        self.settings = settings
+        self.fleet = Fleet(roster)
+        self.granter = Granter(ref, log, settings.terms)
+        self.authority = Authority(settings.terms)
+        self.holdings = Holdings(ref, self.granter.note_stopped)
+        self.consents = Consents(peers, log, self.fleet, settings)
+        self.planner = Planner(log, self.fleet, units, settings.terms)
+        self.rider = PromiseRider(
+            ref, self.granter, self.authority, self.holdings, self.fleet
+        )
+        self.elector = Elector(
+            ref, region, log, appender, self.fleet, self.consents, settings
+        )
+        self.claimant = Claimant(
+            ref,
+            peers,
+            log,
+            appender,
+            self.planner,
+            self.consents,
+            self.authority,
+            self.holdings,
+            settings,
+            rng or random.Random(),
+        )
+        self.handover = Handover(
+            peers,
+            log,
+            appender,
+            self.planner,
+            self.claimant,
+            self.holdings,
+            settings,
+        )
+        self.consents.on_answer = self.claimant.begin_tenures
+        self._subscribe(peers)
+
+    def tenure(self, unit: str) -> Tenure | NotOwner:
+        """Return this node's valid tenure, or who else owns the unit."""
+        holding = self.holdings.units.get(unit)
+        tenure = holding.tenure if holding else None
+        if tenure is not None and tenure.is_valid(now()):
+            return tenure
+        owner = self.owner(unit)
+        return NotOwner(
+            f'no authority over {unit}',
+            unit=unit,
+            owner=owner[0].node if owner else '',
+        )
+
+    def owner(self, unit: str) -> tuple[NodeRef, int] | None:
+        """Return the last logged owner of a unit and its epoch."""
+        claim = self.log.claim(unit)
+        return (claim.owner, claim.epoch) if claim else None
+
+    def owned(self) -> list[Tenure]:
+        """Return this node's tenures, valid or suspended."""
+        return list(self.holdings.tenures())
+
+    def on_acquire(self, listener: TenureListener) -> None:
+        """Call back once a tenure has become valid for the first time."""
+        self.holdings.acquire_listeners.append(listener)
+
+    def on_lose(self, listener: TenureListener) -> None:
+        """Call back once a tenure has ended for good."""
+        self.holdings.lose_listeners.append(listener)
+
+    async def release_all(self) -> None:
+        """Hand every unit to a successor; part of the graceful stop."""
+        await self.handover.release_all()
+
+    async def run(self) -> None:
+        """Claim, hold and hand over until cancelled."""
+        self._read_all()
+        async with asyncio.TaskGroup() as group:
+            group.create_task(self._promise_itself())
+            group.create_task(self.claimant.run(self._claimable_regions))
+            group.create_task(self.claimant.clear())
+            group.create_task(self.elector.run(self._claimable_regions))
+            group.create_task(self.handover.balance())
+
+    def _subscribe(self, peers: Peers) -> None:
+        self.log.subscribe(Claim, self._on_claim)
+        self.log.subscribe(Release, self._on_claim)
+        self.log.subscribe(ElectorateChanged, self._on_electorate)
+        self.log.on_restore(self._read_all)
+        peers.handle(ConsentAsk, self._serve_consent)
+        peers.handle(SightingAsk, self._serve_sighting)
+
+    def _on_claim(self, _offset: int, record: Claim | Release) -> None:
+        self._read_claim(record.unit)
+
+    def _read_claim(self, unit: str) -> None:
+        """Apply the newest claim; the own tenure ends before consent."""
+        claim = self.log.claim(unit)
+        if claim is None:
+            return
+        self.holdings.read_claim(claim, self.granter.claims.get(unit))
+        self.granter.read_claim(claim)
+        if claim.owner == self.ref:
+            self.claimant.won.set()
+
+    def _on_electorate(self, _offset: int, record: ElectorateChanged) -> None:
+        electorate = self.log.electorate(record.region)
+        if electorate is not None:
+            self._read_electorate(electorate)
+
+    def _read_electorate(self, electorate: Electorate) -> None:
+        self.granter.read_electorate(electorate)
+        self.consents.note_read(electorate)
+        is_newer = self.authority.learn(
+            KnownElectorate(
+                electorate.region, electorate.version, electorate.members
+            )
+        )
+        if is_newer:
+            for member in electorate.members:
+                self.fleet.roster.poke(member.node)
+
+    def _read_all(self) -> None:
+        """Take in claims and electorates that came with a snapshot."""
+        for electorate in self.log.electorates():
+            self._read_electorate(electorate)
+        for claim in self.log.claims():
+            self._read_claim(claim.unit)
+
+    async def _promise_itself(self) -> None:
+        while True:
+            self.rider.promise_itself()
+            self.claimant.begin_tenures()
+            await asyncio.sleep(self.settings.tick_s)
+
+    def _claimable_regions(self) -> list[str]:
+        """Return the regions that this node may claim in."""
+        standing = self.granter.standing(self.region)
+        eligible = is_eligible(standing, self.settings.terms)
+        if self.handover.is_leaving or not eligible:
+            return []
+        everywhere = self.regions()
+        return [
+            region
+            for region in sorted({self.region, *everywhere})
+            if self.fleet.caretaker(region, everywhere) == self.region
+        ]
+
+    async def _serve_consent(
+        self, _source: NodeRef, body: ConsentAsk
+    ) -> ConsentReply:
+        await self.log.wait_for(body.offset, body.wait_s)
+        return self.granter.consent(body)
+
+    async def _serve_sighting(
+        self, _source: NodeRef, body: SightingAsk
+    ) -> SightingReply:
+        return SightingReply(
+            tuple(owner for owner in body.owners if self.planner.is_live(owner))
+        )
--- /dev/null
+++ b/packages/berylspread/src/berylspread/ownership/planner.py
@@ -0,0 +1,90 @@
+"""Plans a region's units from the log and the live nodes."""
+
+from collections.abc import Callable, Sequence
+from typing import final
+
+from berylspread.model import NodeRef, unit_region
+from berylspread.ownership.fleet import Fleet
+from berylspread.ownership.policy import plan
+from berylspread.ownership.rules import Terms
+from berylspread.ownership.view import LogView
+
+Units = Callable[[str], Sequence[str]]
+_Key = tuple[object, ...]
+
+
+@final
+class Planner:
+    """Says which node should own each unit, the same on nodes that agree."""
+
+    __slots__ = ('cache', 'excluded', 'fleet', 'log', 'terms', 'units')
+
+    def __init__(
+        self, log: LogView, fleet: Fleet, units: Units, terms: Terms
+    ) -> None:
+        """Take the units by region."""
+        self.log = log
+        self.fleet = fleet
+        self.units = units
+        self.terms = terms
+        self.excluded: set[str] = set()
+        self.cache: dict[str, tuple[_Key, dict[str, str]]] = {}
+
+    def targets(self, region: str) -> dict[str, str]:
+        """Return the node that should own each unit of a region."""
+        nodes = self.eligible(region)
+        owners = self.live_owners(region)
+        units = list(self.units(region))
+        key = (tuple(units), tuple(nodes), tuple(sorted(owners.items())))
+        cached = self.cache.get(region)
+        if cached is not None and cached[0] == key:
+            return cached[1]
+        targets = self._plan(units, nodes, owners)
+        self.cache[region] = (key, targets)
+        return targets
+
+    def eligible(self, region: str) -> list[str]:
+        """Return the members of the electorate that can own units."""
+        electorate = self.log.electorate(region)
+        if electorate is None:
+            return []
+        return [
+            ref.node
+            for ref in electorate.members
+            if ref.node not in self.excluded and self._can_own(ref)
+        ]
+
+    def live_owners(self, region: str) -> dict[str, str]:
+        """Return the owners that live, by unit."""
+        return {
+            claim.unit: claim.owner.node
+            for claim in self.log.claims()
+            if unit_region(claim.unit) == region
+            and not claim.released_at
+            and self.is_live(claim.owner)
+        }
+
+    def is_live(self, owner: NodeRef) -> bool:
+        """Return whether an owner lives and does not lack authority."""
+        return self.fleet.is_present(owner) and not self.fleet.is_suspended(
+            owner, self.terms.promise_s
+        )
+
+    def _can_own(self, ref: NodeRef) -> bool:
+        member = self.fleet.roster.member(ref.node)
+        return (
+            member is not None
+            and member.ready
+            and self.fleet.is_usable(ref)
+            and not self.fleet.is_suspended(ref, self.terms.promise_s)
+        )
+
+    def _plan(
+        self, units: list[str], nodes: list[str], owners: dict[str, str]
+    ) -> dict[str, str]:
+        """Plan each kind of unit by itself, so that each is spread."""
+        targets: dict[str, str] = {}
+        for kind in sorted({unit.split('/')[0] for unit in units}):
+            of_kind = [unit for unit in units if unit.startswith(f'{kind}/')]
+            targets.update(plan(of_kind, nodes, owners))
+        return targets
--- /dev/null
+++ b/packages/berylspread/src/berylspread/ownership/promising.py
@@ -0,0 +1,102 @@
+"""Promises on heartbeats: asked for, given and counted."""
+
+from typing import Final, final
+
+import msgspec
+
+from berylspread.kernel.clock import now
+from berylspread.model import NodeRef
+from berylspread.ownership.authority import Authority
+from berylspread.ownership.fleet import Fleet
+from berylspread.ownership.granter import Granter
+from berylspread.ownership.holdings import Holdings
+from berylspread.ownership.messages import PromiseAsk, PromiseReply
+
+_encoder: Final = msgspec.msgpack.Encoder()
+_asks: Final = msgspec.msgpack.Decoder(PromiseAsk)
+_replies: Final = msgspec.msgpack.Decoder(PromiseReply)
+
+
+@final
+class PromiseRider:
+    """Rides on heartbeats; one promise a pair of nodes and region.
+
+    A node asks also while it owns nothing, so that it can act at once when it
+    takes a unit over.
+    """
+
+    __slots__ = (
+        'authority',
+        'fleet',
+        'granter',
+        'holdings',
+        'ref',
+    )
+
+    def __init__(
+        self,
+        ref: NodeRef,
+        granter: Granter,
+        authority: Authority,
+        holdings: Holdings,
+        fleet: Fleet,
+    ) -> None:
+        """Take both sides of this node."""
+        self.ref = ref
+        self.granter = granter
+        self.authority = authority
+        self.holdings = holdings
+        self.fleet = fleet
+
+    def ask(self, node: str) -> bytes:
+        """Return the ask for a peer's promises, empty if it is no member."""
+        versions = {
+            region: self.authority.version(region)
+            for region in self.authority.regions_of(node)
+        }
+        return _encoder.encode(self._ask(versions)) if versions else b''
+
+    def answer(self, source: NodeRef, blob: bytes) -> bytes:
+        """Return the promises for a peer, and what it should know."""
+        ask = _asks.decode(blob)
+        self.fleet.note_suspended(source, suspended=ask.suspended)
+        return _encoder.encode(self.granter.promise(source, ask))
+
+    def receive(self, source: NodeRef, sent_at: float, blob: bytes) -> None:
+        """Count a peer's promises."""
+        self._count(source, sent_at, _replies.decode(blob))
+
+    def promise_itself(self) -> None:
+        """Give this node's own promises, like those of any member."""
+        versions = {
+            region: self.authority.version(region)
+            for region in self.authority.regions_of(self.ref.node)
+        }
+        reply = self.granter.promise(self.ref, self._ask(versions))
+        self._count(self.ref, now(), reply)
+
+    def _ask(self, versions: dict[str, int]) -> PromiseAsk:
+        return PromiseAsk(
+            self.granter.log.offset(),
+            versions,
+            self.holdings.is_suspended(),
+        )
+
+    def _count(
+        self,
+        source: NodeRef,
+        sent_at: float,
+        reply: PromiseReply,
+    ) -> None:
+        for lost in reply.superseded:
+            self.holdings.supersede(lost.unit, lost.epoch)
+        for electorate in reply.newer:
+            if self.authority.learn(electorate):
+                self._poke(electorate.members)
+        self.authority.receive(source, sent_at, reply)
+        for region in reply.granted:
+            self.holdings.extend(region, self.authority.until(region))
+
+    def _poke(self, members: tuple[NodeRef, ...]) -> None:
+        for member in members:
+            self.fleet.roster.poke(member.node)
