Let the document's policy be the placement's own section

Cause: two sections were called policy, with different options. Change: the document registers placement's section; plug-ins are found in their registries, and their own sections are their options. Conclusion: one list of options.

--- a/packages/berylspread/src/berylspread/config/document.py
+++ b/packages/berylspread/src/berylspread/config/document.py
@@ -19,6 +19,7 @@
 from berylspread.kernel.errors import Failure, InvalidInput, failure
 from berylspread.kernel.options import Place, Section, read_section
 from berylspread.kernel.registry import nearest
+from berylspread.placement.kernel import PlacementPlugin
 from berylspread.model import ZERO, Resources
 
 SectionT = TypeVar('SectionT', bound=DocumentSection)
@@ -56,7 +57,7 @@
         """Start without sections; an absent unlabelled one has defaults."""
         self.source = source
         self.sections: dict[str, dict[str, DocumentSection]] = {}
-        self.plugins: dict[str, Section] = {}
+        self.plugins: dict[str, PlacementPlugin] = {}
 
     def labelled(self, cls: type[SectionT]) -> dict[str, SectionT]:
         """Return the sections of a kind by label."""
@@ -115,7 +116,7 @@
         """The regions by name."""
         return self.labelled(RegionSection)
 
-    def plugin(self, kind: str, name: str) -> Section | None:
+    def plugin(self, kind: str, name: str) -> PlacementPlugin | None:
         """Return the options of a plug-in, if the document has a section."""
         return self.plugins.get(f'{kind} {name}')
 
--- a/packages/berylspread/src/berylspread/config/policies.py
+++ b/packages/berylspread/src/berylspread/config/policies.py
@@ -1,21 +1,27 @@
-"""Checks of plug-in names, filled by the packages that have the plug-ins."""
+"""Checks of the plug-in names in a document against their registries."""
 
-from typing import Any, Final, final
+from typing import Any, Final
 
 from berylspread.config.sections import PolicySection
 from berylspread.kernel.errors import InvalidInput, UnknownName
-from berylspread.kernel.options import Place, Section
+from berylspread.kernel.options import Place
 from berylspread.kernel.registry import Registry, nearest
+from berylspread.placement.kernel import (
+    PlacementPlugin,
+    filters,
+    orders,
+    preemptions,
+    scorers,
+)
 
 
-@final
-class NoOptions(Section):
-    """The section of a plug-in that has no options."""
-
-
-#: The registry behind each option of ``[policy]`` that names plug-ins.  A
-#: plug-in class may have an attribute ``section``, its ``Section`` of options.
-policy_checks: Final[dict[str, Registry[Any]]] = {}
+#: The registry behind each option of ``[policy]`` that names plug-ins.
+policy_checks: Final[dict[str, Registry[Any]]] = {
+    'order': orders,
+    'filters': filters,
+    'scorers': scorers,
+    'preemption': preemptions,
+}
 
 
 def check_policy(place: Place, policy: PolicySection) -> list[InvalidInput]:
@@ -29,7 +35,9 @@
     return errors
 
 
-def plugin_section(place: Place, label: str) -> type[Section] | InvalidInput:
+def plugin_section(
+    place: Place, label: str
+) -> type[PlacementPlugin] | InvalidInput:
     """Return the options of the plug-in that ``KIND NAME`` names."""
     kind, _, name = label.partition(' ')
     registries = {found.kind: found for found in policy_checks.values()}
@@ -45,8 +53,8 @@
     cls = registry.lookup(name.strip())
     if isinstance(cls, UnknownName):
         return _unknown(place, 'name', cls)
-    section: type[Section] = getattr(cls, 'section', NoOptions)
-    return section
+    plugin: type[PlacementPlugin] = cls
+    return plugin
 
 
 def _names(value: str | tuple[str, ...]) -> tuple[str, ...]:
--- a/packages/berylspread/src/berylspread/config/sections.py
+++ b/packages/berylspread/src/berylspread/config/sections.py
@@ -6,6 +6,7 @@
 from berylspread.kernel import options
 from berylspread.kernel.options import Section
 from berylspread.model import Resources
+from berylspread.placement.policy import PolicySection as PlacementPolicy
 
 MILLI_PER_CORE: Final = 1000
 MIB_PER_GIB: Final = 1024
@@ -144,21 +145,12 @@
 
 
 @section
-class PolicySection(DocumentSection):
+class PolicySection(PlacementPolicy, DocumentSection):
     """The plug-ins that decide, and how the measures weigh against another."""
 
     kind = 'policy'
     labelled = False
 
-    queue_order = options.text(default='fair-share')
-    filters = options.words(default=())
-    scorers = options.words(default=())
-    preemption = options.text(default='', help='leave out for none')
-    waiting = options.number(0, 100, default=1.0)
-    packing = options.number(0, 100, default=1.0)
-    control_cost = options.number(0, 100, default=1.0)
-    nearness = options.number(0, 100, default=1.0)
-
 
 @section
 class LimitsSection(DocumentSection):
--- a/packages/berylspread/src/berylspread/jobs/home.py
+++ b/packages/berylspread/src/berylspread/jobs/home.py
@@ -278,7 +278,7 @@
 
     def _load_allotments(self) -> None:
         allotments = self.context.state.allotments
-        for team in self.context.document.teams():
+        for team in self.context.document.teams:
             allotment = allotments.team(team)
             if allotment is None:
                 self.quota.set_allotment(team, ZERO)
--- a/packages/berylspread/src/berylspread/partition/owner.py
+++ b/packages/berylspread/src/berylspread/partition/owner.py
@@ -125,7 +125,7 @@
                     self.timing,
                 ))
             if vm.state is VmState.leaving:
-                self.ledger.bar(vm.vm_id, Barrier.leaving)
+                self.ledger.add_barrier(vm.vm_id, Barrier.leaving)
         for vm_id, link in list(self.links.items()):
             if vm_id not in listed:
                 self._worker_gone(link)
@@ -230,7 +230,7 @@
 
     def _silent(self, link: WorkerLink) -> None:
         if link.failures >= SILENT_EXCHANGES:
-            self.ledger.bar(link.vm.vm_id, Barrier.unknown)
+            self.ledger.add_barrier(link.vm.vm_id, Barrier.unknown)
         for attempt in link.attempts.values():
             if attempt.state is TaskState.pending and not attempt.reported:
                 self.ledger.release(attempt.name)
@@ -242,7 +242,7 @@
             self.reporter.add(attempt)
 
     def _worker_gone(self, link: WorkerLink) -> None:
-        self.ledger.bar(link.vm.vm_id, Barrier.leaving)
+        self.ledger.add_barrier(link.vm.vm_id, Barrier.leaving)
         if link.attempts:
             return
         link.close()
--- a/packages/berylspread/src/berylspread/partition/worker_link.py
+++ b/packages/berylspread/src/berylspread/partition/worker_link.py
@@ -274,7 +274,7 @@
         return YOUNG_WAIT_S if is_young else self.timing.wait_s
 
     def _backoff_s(self) -> float:
-        return min(RETRY_MIN_S * 2**self.failures, RETRY_MAX_S)
+        return min(RETRY_MIN_S * (1 << min(self.failures, 8)), RETRY_MAX_S)
 
 
 def _ignore_reply(link: WorkerLink, reply: SyncReply) -> None:
--- a/packages/berylspread/src/berylspread/placement/policy.py
+++ b/packages/berylspread/src/berylspread/placement/policy.py
@@ -7,7 +7,7 @@
 scorers = best-fit fragmentation spread
 """
 
-from typing import Any, Final, final
+from typing import Any, Final
 
 from berylspread.kernel import Section
 from berylspread.kernel.options import integer, number, text, words
@@ -39,7 +39,6 @@
 )
 
 
-@final
 class PolicySection(Section):
     """The section ``[policy]``."""
 
