--- /dev/null
+++ b/packages/berylspread/src/berylspread/runtime/context.py
@@ -0,0 +1,80 @@
+"""What every part of one node shares."""
+
+import random
+from typing import final
+
+from berylspread.config import Document
+from berylspread.kernel import WallClock
+from berylspread.log import Appender, ClusterState
+from berylspread.membership import Membership
+from berylspread.model import NodeRef
+from berylspread.ownership import Ownership
+from berylspread.peers import Peers
+from berylspread.runtime.capacities import CapacityBook
+from berylspread.runtime.documents import Documents
+
+
+@final
+class NodeContext:
+    """The node's identity and the parts that its roles are built from."""
+
+    __slots__ = (
+        'appender',
+        'capacities',
+        'documents',
+        'membership',
+        'ownership',
+        'peers',
+        'ref',
+        'region',
+        'rng',
+        'state',
+        'wall',
+        'zone',
+    )
+
+    def __init__(
+        self,
+        *,
+        ref: NodeRef,
+        region: str,
+        zone: str,
+        state: ClusterState,
+        appender: Appender,
+        peers: Peers,
+        membership: Membership,
+        ownership: Ownership,
+        wall: WallClock,
+        rng: random.Random,
+    ) -> None:
+        """Keep the parts; the node's assembly makes them."""
+        self.ref = ref
+        self.region = region
+        self.zone = zone
+        self.state = state
+        self.appender = appender
+        self.peers = peers
+        self.membership = membership
+        self.ownership = ownership
+        self.wall = wall
+        self.rng = rng
+        self.documents = Documents(state)
+        self.capacities = CapacityBook()
+
+    @property
+    def document(self) -> Document:
+        """The configuration in force."""
+        return self.documents.document
+
+    def owner(self, unit: str) -> tuple[NodeRef, int] | None:
+        """Return the last logged owner of a unit and its epoch."""
+        claim = self.state.units.claim(unit)
+        return None if claim is None else (claim.owner, claim.epoch)
+
+    def owners(self, prefix: str) -> dict[str, tuple[NodeRef, int]]:
+        """Return the last logged owners of the units under a prefix."""
+        return {
+            unit: (claim.owner, claim.epoch)
+            for unit, claim in self.state.units.claims.items()
+            if unit.startswith(prefix)
+        }
