Assemble a node from its parts

Cause: daemon, demo and tests need the same assembly. Change: Node wires reader, appender, membership, ownership, homes, partitions and calls.

--- /dev/null
+++ b/packages/berylspread/src/berylspread/runtime/node.py
@@ -0,0 +1,297 @@
+"""A whole node, assembled from the parts that reach outside.
+
+The same assembly runs over gRPC and HTTP in the daemon and over fakes in tests.
+"""
+
+import asyncio
+import contextlib
+import random
+from typing import final
+
+import msgspec
+from absl import logging
+
+from berylspread.backend import Workers
+from berylspread.calls.router import CallRouter
+from berylspread.jobs.shards import shard_units
+from berylspread.kernel import WallClock
+from berylspread.log import (
+    Appender,
+    AppenderSettings,
+    ClusterState,
+    LogReader,
+    LogStore,
+    PublisherSettings,
+    ReaderSettings,
+    ReaderStatus,
+    RelayService,
+    RelaySource,
+    SnapshotPublisher,
+    StoreSource,
+    publishing_rank,
+)
+from berylspread.membership import (
+    HeartbeatMembership,
+    MembershipSettings,
+    NodeStatus,
+    VmDirectory,
+)
+from berylspread.model import NodeRef
+from berylspread.ownership import (
+    RIDER_NAME,
+    LogOwnership,
+    LogView,
+    OwnershipSettings,
+    Tenure,
+)
+from berylspread.peers import Peers
+from berylspread.runtime.context import NodeContext
+from berylspread.runtime.homes import Homes
+from berylspread.runtime.partitions import Partitions
+
+
+
+@final
+class NodeSettings(msgspec.Struct, frozen=True):
+    """Where a node is, and the timing of its parts.
+
+    ``store_region`` is the region of the platform's log.
+    """
+
+    address: str
+    region: str
+    zone: str
+    store_region: str
+    appender: AppenderSettings = AppenderSettings()
+    reader: ReaderSettings = ReaderSettings()
+    publisher: PublisherSettings = PublisherSettings()
+    membership: MembershipSettings = MembershipSettings()
+    ownership: OwnershipSettings = OwnershipSettings()
+
+
+@final
+class NodeParts:
+    """The parts of a node that reach outside, as the caller made them."""
+
+    __slots__ = ('directory', 'log', 'peers', 'ref', 'rng', 'wall', 'workers')
+
+    def __init__(
+        self,
+        *,
+        ref: NodeRef,
+        peers: Peers,
+        log: LogStore,
+        directory: VmDirectory,
+        workers: Workers,
+        wall: WallClock | None = None,
+        rng: random.Random | None = None,
+    ) -> None:
+        """Keep the parts."""
+        self.ref = ref
+        self.peers = peers
+        self.log = log
+        self.directory = directory
+        self.workers = workers
+        self.wall = wall or WallClock()
+        self.rng = rng or random.Random()
+
+
+@final
+class Node:
+    """One entry VM's process: reads the log, keeps its roles, serves callers."""
+
+    __slots__ = (
+        'appender',
+        'calls',
+        'context',
+        'homes',
+        'is_leaving',
+        'membership',
+        'ownership',
+        'parts',
+        'partitions',
+        'publisher',
+        'reader',
+        'relay',
+        'settings',
+        'source',
+        'state',
+        'task',
+    )
+
+    def __init__(self, parts: NodeParts, settings: NodeSettings) -> None:
+        """Assemble the node; ``start`` sets it going."""
+        self.parts = parts
+        self.settings = settings
+        self.is_leaving = False
+        self.task: asyncio.Task[None] | None = None
+        self.state = ClusterState()
+        self.membership = HeartbeatMembership(
+            parts.ref,
+            parts.peers,
+            parts.directory,
+            self.status,
+            settings.membership,
+            parts.rng,
+        )
+        self._assemble_log()
+        self._assemble_ownership()
+        self.context = NodeContext(
+            ref=parts.ref,
+            region=settings.region,
+            zone=settings.zone,
+            state=self.state,
+            appender=self.appender,
+            peers=parts.peers,
+            membership=self.membership,
+            ownership=self.ownership,
+            wall=parts.wall,
+            rng=parts.rng,
+        )
+        self.homes = Homes(self.context)
+        self.partitions = Partitions(self.context, parts.workers)
+        self.calls = CallRouter(self.context, parts.workers)
+
+    def start(self) -> None:
+        """Run until ``close``."""
+        self.task = asyncio.create_task(
+            self._run(), name=f'node {self.parts.ref.node}'
+        )
+
+    async def leave(self, drain_s: float = 0.0) -> None:
+        """Stop gracefully: not ready at first, then every unit handed over."""
+        self.is_leaving = True
+        await asyncio.sleep(drain_s)
+        await self.ownership.release_all()
+
+    async def close(self) -> None:
+        """Stop at once; nothing is told to anyone."""
+        self.homes.close()
+        self.partitions.close()
+        if self.task is not None:
+            self.task.cancel()
+            with contextlib.suppress(asyncio.CancelledError):
+                await self.task
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether the node takes new work from callers."""
+        return (
+            not self.is_leaving
+            and self.task is not None
+            and not self.task.done()
+            and self.reader.started.is_set()
+            and self.reader.status is not ReaderStatus.gap
+            and self.context.documents.version > 0
+        )
+
+    def status(self) -> NodeStatus:
+        """Return what the heartbeats tell of this node."""
+        return NodeStatus(
+            address=self.settings.address,
+            region=self.settings.region,
+            zone=self.settings.zone,
+            log_offset=self.state.offset,
+            config_version=self.context.documents.version,
+            ready=self.is_ready,
+            leaving=self.is_leaving,
+        )
+
+    def units(self, region: str) -> list[str]:
+        """Return every unit of a region that needs an owner."""
+        return [
+            *self.membership.units(region),
+            *shard_units(self.context, region),
+        ]
+
+    def regions(self) -> list[str]:
+        """Return the document's regions, or the nodes' while there is none."""
+        listed = self.context.document.regions
+        if listed:
+            return sorted(listed)
+        return sorted({member.region for member in self.membership.members()})
+
+    async def _run(self) -> None:
+        self.partitions.start()
+        try:
+            async with asyncio.TaskGroup() as group:
+                group.create_task(self.reader.run())
+                group.create_task(self.appender.run())
+                group.create_task(self.membership.run())
+                await self.reader.started.wait()
+                group.create_task(self.ownership.run())
+                group.create_task(self.publisher.run())
+        except Exception:  # reported here, since nobody awaits the task
+            logging.exception('node %s has failed', self.parts.ref.node)
+            self.homes.close()
+            self.partitions.close()
+            raise
+
+    def _assemble_log(self) -> None:
+        parts = self.parts
+        settings = self.settings
+        store = StoreSource(parts.log)
+        is_remote = settings.region != settings.store_region
+        self.source = RelaySource(
+            store,
+            parts.peers,
+            self.membership,
+            parts.ref.node,
+            settings.region if is_remote else '',
+        )
+        self.reader = LogReader(
+            self.source, self.state, settings.reader, parts.rng
+        )
+        self.relay = RelayService(
+            self.reader, parts.peers, self.source.is_direct
+        )
+        self.appender = Appender(
+            parts.log,
+            f'{parts.ref.node}.{parts.ref.incarnation}',
+            settings.appender,
+            parts.rng,
+        )
+        self.state.on_batch(self.appender.observed)
+        self.publisher = SnapshotPublisher(
+            self.reader,
+            self.appender,
+            lambda: publishing_rank(
+                self.membership, parts.ref.node, settings.store_region
+            ),
+            parts.wall,
+            settings.publisher,
+        )
+
+    def _assemble_ownership(self) -> None:
+        parts = self.parts
+        self.ownership = LogOwnership(
+            parts.ref,
+            self.settings.region,
+            parts.peers,
+            self.membership,
+            LogView(self.state, lambda: self.reader.fresh_at),
+            self.appender,
+            self.units,
+            self.regions,
+            self.settings.ownership,
+            parts.rng,
+        )
+        self.membership.add_rider(RIDER_NAME, self.ownership.rider)
+        self.ownership.on_acquire(self._acquire)
+        self.ownership.on_lose(self._lose)
+
+    def _acquire(self, tenure: Tenure) -> None:
+        if _is_partition(tenure.unit):
+            self.partitions.acquire(tenure)
+        else:
+            self.homes.acquire(tenure)
+
+    def _lose(self, tenure: Tenure) -> None:
+        if _is_partition(tenure.unit):
+            self.partitions.lose(tenure)
+        else:
+            self.homes.lose(tenure)
+
+
+def _is_partition(unit: str) -> bool:
+    return unit.startswith('workers/')
