--- a/packages/berylspread/src/berylspread/backend/interface.py
+++ b/packages/berylspread/src/berylspread/backend/interface.py
@@ -1,8 +1,8 @@
 """What a backend server offers, as this program uses it.
 
-``POST /v1/sync`` starts, renews and stops tasks in one exchange and returns what
-runs; ``POST /v1/call`` runs one interactive call.  Both carry the epoch of the
-sender's ownership as a fencing token.
+``POST /v1/sync`` starts, renews and stops tasks in one exchange and returns
+what runs; ``POST /v1/call`` runs one interactive call.  Both carry the epoch of
+the sender's ownership as a fencing token.
 """
 
 from typing import Protocol, final
--- a/packages/berylspread/src/berylspread/calls/allowance.py
+++ b/packages/berylspread/src/berylspread/calls/allowance.py
@@ -7,10 +7,17 @@
 import asyncio
 from typing import Final, final
 
-from berylspread.calls.messages import Allowance, AllowanceAsk
+from berylspread.calls.messages import (
+    Allowance,
+    AllowanceAsk,
+    HeldSlice,
+    SlicesAsk,
+    SlicesReply,
+)
 from berylspread.jobs.shards import home_unit
 from berylspread.kernel import Failure, now
-from berylspread.kernel.errors import QuotaExceeded
+from berylspread.kernel.errors import QuotaExceeded, StaleEpoch
+from berylspread.model import NodeRef
 from berylspread.partition.messages import UnitEpoch
 from berylspread.runtime import NodeContext
 
@@ -48,22 +55,29 @@
         self.changed = asyncio.Condition()
         self.task: asyncio.Task[None] | None = None
 
+    @property
+    def usable(self) -> int:
+        """How many calls the slice allows now."""
+        return self.count if now() < self.valid_until else 0
+
     @property
     def has_room(self) -> bool:
         """Whether one more call may start now."""
-        return now() < self.valid_until and self.in_flight < self.count
+        return self.in_flight < self.usable
 
 
 @final
 class Allowances:
     """Borrows slices from the homes as calls need them."""
 
-    __slots__ = ('context', 'slices')
+    __slots__ = ('context', 'fences', 'slices')
 
     def __init__(self, context: NodeContext) -> None:
         """Start with nothing borrowed."""
         self.context = context
         self.slices: dict[str, TeamSlice] = {}
+        self.fences: dict[str, int] = {}
+        context.peers.handle(SlicesAsk, self._tell_slices)
 
     def is_limited(self, team: str) -> bool:
         """Return whether the team has an upper limit on its tasks."""
@@ -90,6 +104,18 @@
         async with held.changed:
             held.changed.notify()
 
+    async def _tell_slices(
+        self, source: NodeRef, ask: SlicesAsk
+    ) -> SlicesReply:
+        unit = ask.home.unit
+        self.fences[unit] = max(self.fences.get(unit, 0), ask.home.epoch)
+        slices = [
+            HeldSlice(team, max(held.usable, held.in_flight))
+            for team, held in self.slices.items()
+            if home_unit(self.context, team) == unit
+        ]
+        return SlicesReply(self.context.ref, slices)
+
     async def _wait(
         self, team: str, held: TeamSlice, deadline: float
     ) -> Failure | None:
@@ -129,14 +155,12 @@
             return RETRY_S
         return max(held.renews_at - now(), RETRY_S)
 
-    async def _ask(
-        self, team: str, held: TeamSlice
-    ) -> Allowance | Failure:
+    async def _ask(self, team: str, held: TeamSlice) -> Allowance | Failure:
         unit = home_unit(self.context, team)
         owner = self.context.owner(unit)
         held.sequence += 1
         node, epoch = ('', 0) if owner is None else (owner[0].node, owner[1])
-        return await self.context.peers.ask(
+        reply = await self.context.peers.ask(
             node,
             AllowanceAsk(
                 UnitEpoch(unit, epoch),
@@ -148,3 +172,6 @@
             Allowance,
             timeout_s=ASK_TIMEOUT_S,
         )
+        if epoch < self.fences.get(unit, 0):
+            return StaleEpoch('the home has a newer epoch', unit=unit)
+        return reply
--- a/packages/berylspread/src/berylspread/calls/home.py
+++ b/packages/berylspread/src/berylspread/calls/home.py
@@ -1,5 +1,6 @@
 """What the home of a team does for its calls: allowances and registrations."""
 
+import asyncio
 from typing import Final, final
 
 from berylspread.calls.messages import (
@@ -7,32 +8,60 @@
     AllowanceAsk,
     RegisterAsk,
     Registered,
+    SlicesAsk,
+    SlicesReply,
 )
 from berylspread.calls.registry import RequestRegistry
 from berylspread.kernel import Failure, now
 from berylspread.kernel.errors import UnknownName
 from berylspread.limits import QuotaLedger
-from berylspread.runtime import NodeContext
+from berylspread.model import NodeRef, unit_region
+from berylspread.partition.messages import UnitEpoch
+from berylspread.runtime.context import NodeContext
 
 #: Margin of an entry node's slice against the home's reckoning.
 VALIDITY: Final = 0.9
+#: With several entry nodes, the share of a team's calls that one may borrow.
+SHARED: Final = 0.5
+ASK_TIMEOUT_S: Final = 1.0
+RETRY_S: Final = 0.5
+ANYONE: Final = 'predecessor'
 
 
 @final
 class CallHome:
-    """Lends slices of the teams' calls and lets each request through once."""
+    """Lends slices of the teams' calls and lets each request through once.
 
-    __slots__ = ('quota', 'registry')
+    What a predecessor lent is counted until each entry node has told what it
+    holds; for a lost one, until its calls have surely ended.
+    """
 
-    def __init__(self, context: NodeContext, quota: QuotaLedger) -> None:
+    __slots__ = ('context', 'home', 'quota', 'region', 'registry', 'task')
+
+    def __init__(
+        self, context: NodeContext, home: UnitEpoch, quota: QuotaLedger
+    ) -> None:
         """Count what a predecessor may have lent as lent."""
+        self.context = context
+        self.home = home
         self.quota = quota
-        self.registry = RequestRegistry(context.wall)
-        for team in quota.teams:
-            quota.restore_slices(team, now())
+        self.region = unit_region(home.unit)
+        self.registry = RequestRegistry(context.wall, home.epoch)
+        quota.longest_call_s = context.document.longest_call_s
+        self.task: asyncio.Task[None] | None = None
+        if home.epoch > 1:
+            self._assume_lent()
+            self.task = asyncio.create_task(self._ask_all())
+
+    def close(self) -> None:
+        """Stop asking."""
+        if self.task is not None:
+            self.task.cancel()
 
     def lend(self, entry: str, ask: AllowanceAsk) -> Allowance | Failure:
         """Lend an entry node a slice of a team's calls."""
+        entries = len(self.context.membership.members(self.region))
+        self.quota.max_slice_share = SHARED if entries > 1 else 1
         held = self.quota.lend(
             entry,
             ask.team,
@@ -55,3 +84,54 @@
     def register(self, ask: RegisterAsk) -> Registered | Failure:
         """Let the first copy of a non-idempotent request through."""
         return self.registry.register(ask)
+
+    def _entries(self) -> list[str]:
+        return [
+            member.node
+            for member in self.context.membership.members(self.region)
+        ]
+
+    def _assume_lent(self) -> None:
+        lapse_s = self.quota.slice_ttl_s + self.quota.longest_call_s
+        # A young node may never have heard of a node that is lost by now.
+        knows_all = self.context.uptime_s > lapse_s
+        holders = self._entries() if knows_all else [ANYONE]
+        self.quota.max_slice_share = SHARED if knows_all else 1
+        for team in self.quota.teams:
+            for holder in holders:
+                self.quota.restore_slice(team, holder, None, now())
+
+    async def _ask_all(self) -> None:
+        pending = set(self._entries())
+        while pending:
+            answered = await asyncio.gather(
+                *(self._ask(node) for node in sorted(pending))
+            )
+            pending -= {node for node in answered if node}
+            await asyncio.sleep(RETRY_S)
+        self._forget(ANYONE)
+
+    async def _ask(self, node: str) -> str:
+        reply = await self.context.peers.ask(
+            node,
+            SlicesAsk(self.home),
+            SlicesReply,
+            timeout_s=ASK_TIMEOUT_S,
+        )
+        if isinstance(reply, Failure):
+            return ''
+        self._forget(node)
+        for held in reply.slices:
+            self.quota.restore_slice(
+                held.team, entry_name(reply.holder), held.count, now()
+            )
+        return node
+
+    def _forget(self, holder: str) -> None:
+        for team in self.quota.teams:
+            self.quota.drop_slice(team, holder)
+
+
+def entry_name(ref: NodeRef) -> str:
+    """Return the name of a slice's holder: one process of an entry node."""
+    return f'{ref.node}.{ref.incarnation}'
--- a/packages/berylspread/src/berylspread/calls/messages.py
+++ b/packages/berylspread/src/berylspread/calls/messages.py
@@ -2,7 +2,9 @@
 
 from typing import final
 
-from berylspread.model import Resources, Vm
+import msgspec
+
+from berylspread.model import NodeRef, Resources, Vm
 from berylspread.partition.messages import UnitEpoch
 from berylspread.peers import Message, message
 
@@ -98,3 +100,31 @@
     request_id: str
     is_first: bool
     is_certain: bool = True
+
+
+@message
+@final
+class SlicesAsk(Message, frozen=True, tag=True):
+    """A new home asks an entry node which slices of its teams it holds.
+
+    From then on the entry node drops allowances of older epochs.
+    """
+
+    home: UnitEpoch
+
+
+@final
+class HeldSlice(msgspec.Struct, frozen=True, array_like=True):
+    """A team's slice at an entry node."""
+
+    team: str
+    count: int
+
+
+@message
+@final
+class SlicesReply(Message, frozen=True, tag=True):
+    """The slices that an entry node holds, with calls under way or valid."""
+
+    holder: NodeRef
+    slices: list[HeldSlice]
--- a/packages/berylspread/src/berylspread/calls/registry.py
+++ b/packages/berylspread/src/berylspread/calls/registry.py
@@ -23,10 +23,13 @@
 
     __slots__ = ('certain_from', 'deadlines', 'first', 'wall')
 
-    def __init__(self, wall: WallClock) -> None:
-        """Start empty, certain about requests issued from now on."""
+    def __init__(self, wall: WallClock, epoch: int = 1) -> None:
+        """Start empty, certain about requests issued from now on.
+
+        Under the first epoch there was no predecessor to know of others.
+        """
         self.wall = wall
-        self.certain_from = wall.time() + CALLER_SKEW_S
+        self.certain_from = wall.time() + CALLER_SKEW_S if epoch > 1 else 0.0
         self.first: dict[str, str] = {}
         self.deadlines: list[tuple[float, str]] = []
 
@@ -40,9 +43,7 @@
         if ask.request_id in self.first:
             return Registered(ask.request_id, is_first=False)
         if ask.issued_at < self.certain_from:
-            return Registered(
-                ask.request_id, is_first=False, is_certain=False
-            )
+            return Registered(ask.request_id, is_first=False, is_certain=False)
         if len(self.first) >= MAX_IDS:
             return Overloaded('too many requests are registered')
         self.first[ask.request_id] = ask.entry
--- a/packages/berylspread/src/berylspread/calls/request_id.py
+++ b/packages/berylspread/src/berylspread/calls/request_id.py
@@ -5,12 +5,13 @@
 from typing import Final
 
 VERSION_7: Final = 7
-TIME_BITS: Final = 48
-RANDOM_BITS: Final = 128 - TIME_BITS
+RANDOM_BITS: Final = 80
 MS_PER_S: Final = 1000
 VERSION_SHIFT: Final = 76
 VARIANT_SHIFT: Final = 62
 VARIANT: Final = 2
+VERSION_MASK: Final = 15
+VARIANT_MASK: Final = 3
 RANDOM_BYTES: Final = 10
 
 
@@ -18,7 +19,7 @@
     """Return an id of version 7 for a time in seconds since the epoch."""
     stamp = int(issued_at_s * MS_PER_S) << RANDOM_BITS
     bits = int.from_bytes(os.urandom(RANDOM_BYTES)) | stamp
-    bits &= ~(0xF << VERSION_SHIFT) & ~(0x3 << VARIANT_SHIFT)
+    bits &= ~(VERSION_MASK << VERSION_SHIFT | VARIANT_MASK << VARIANT_SHIFT)
     bits |= VERSION_7 << VERSION_SHIFT | VARIANT << VARIANT_SHIFT
     return str(uuid.UUID(int=bits))
 
--- a/packages/berylspread/src/berylspread/calls/router.py
+++ b/packages/berylspread/src/berylspread/calls/router.py
@@ -11,8 +11,8 @@
     CallDone,
     CallSlot,
     CallSlotAsk,
-    Registered,
     RegisterAsk,
+    Registered,
 )
 from berylspread.calls.request_id import issued_at
 from berylspread.jobs.shards import home_unit
@@ -269,9 +269,7 @@
         picked = [self.context.rng.choice(usable) for _ in range(2)]
         return max(picked, key=_room)
 
-    def _usable(
-        self, progress: Progress, region: str
-    ) -> list[KnownCapacity]:
+    def _usable(self, progress: Progress, region: str) -> list[KnownCapacity]:
         oldest = now() - STALE_REPORT_S
         return [
             known
@@ -283,4 +281,3 @@
 
 def _room(known: KnownCapacity) -> tuple[int, int]:
     return known.report.free.slots - known.report.waiting, -known.report.waiting
-
--- a/packages/berylspread/src/berylspread/calls/slots.py
+++ b/packages/berylspread/src/berylspread/calls/slots.py
@@ -41,9 +41,7 @@
     def __init__(self, owner: PartitionOwner) -> None:
         """Start without calls."""
         self.owner = owner
-        self.line = CallLine(
-            0, weight_of=owner.context.document.entitled_share
-        )
+        self.line = CallLine(0, weight_of=owner.context.document.entitled_share)
         self.applicants: dict[str, Applicant] = {}
         self.stalled: list[Applicant] = []
 
--- a/packages/berylspread/src/berylspread/config/document.py
+++ b/packages/berylspread/src/berylspread/config/document.py
@@ -17,10 +17,10 @@
 )
 from berylspread.config.text import RawDocument, RawSection, parse_text
 from berylspread.kernel.errors import Failure, InvalidInput, failure
-from berylspread.kernel.options import Place, Section, read_section
+from berylspread.kernel.options import Place, read_section
 from berylspread.kernel.registry import nearest
-from berylspread.placement.kernel import PlacementPlugin
 from berylspread.model import ZERO, Resources
+from berylspread.placement.kernel import PlacementPlugin
 
 SectionT = TypeVar('SectionT', bound=DocumentSection)
 PERCENT: Final = 100.0
@@ -116,6 +116,18 @@
         """The regions by name."""
         return self.labelled(RegionSection)
 
+    @property
+    def longest_call_s(self) -> float:
+        """The longest time that an interactive call may take, in seconds."""
+        return max(
+            (
+                queue.max_deadline_s
+                for queue in self.queues.values()
+                if queue.work == 'interactive'
+            ),
+            default=0.0,
+        )
+
     def plugin(self, kind: str, name: str) -> PlacementPlugin | None:
         """Return the options of a plug-in, if the document has a section."""
         return self.plugins.get(f'{kind} {name}')
--- a/packages/berylspread/src/berylspread/config/policies.py
+++ b/packages/berylspread/src/berylspread/config/policies.py
@@ -14,7 +14,6 @@
     scorers,
 )
 
-
 #: The registry behind each option of ``[policy]`` that names plug-ins.
 policy_checks: Final[dict[str, Registry[Any]]] = {
     'order': orders,
--- a/packages/berylspread/src/berylspread/jobs/book.py
+++ b/packages/berylspread/src/berylspread/jobs/book.py
@@ -120,8 +120,7 @@
         return [
             self._demand_class(job_class, home, epoch, pending)
             for job_class in self.classes.values()
-            if job_class.key.kind is not JobKind.gang
-            if (pending := job_class.pending)
+            if (pending := self._available(job_class))
         ]
 
     def take(
@@ -138,7 +137,9 @@
         waiting = (
             job for job in list(job_class.jobs.values()) for _ in job.pending
         )
-        chosen = [job for job, _ in zip(list(waiting), range(allowed))]
+        chosen = [
+            job for job, _ in zip(list(waiting), range(allowed), strict=False)
+        ]
         return [self.grant(job, unit, epoch) for job in chosen]
 
     def grant(self, progress: JobProgress, unit: str, epoch: int) -> TaskGrant:
@@ -247,6 +248,15 @@
             preemptible=key.preemptible,
         )
 
+    def _available(self, job_class: JobClass) -> int:
+        """Return how many pending tasks the team's limit lets start."""
+        if job_class.key.kind is JobKind.gang:
+            return 0
+        quota = self.quota.teams.get(job_class.key.team)
+        room = quota.room(job_class.key.shape) if quota else 0
+        pending = job_class.pending
+        return pending if room is None else min(pending, room)
+
     def _slack(self, key: ClassKey) -> float | None:
         if key.deadline is None:
             return None
@@ -333,16 +343,20 @@
         self.ends.setdefault(progress.spec.job_id, []).append(end)
 
 
-_STILL_OUT: Final = frozenset((
-    TaskState.starting,
-    TaskState.running,
-    TaskState.stopping,
-))
-_RETRIED: Final = frozenset((
-    TaskState.failed,
-    TaskState.lost,
-    TaskState.cancelled,
-))
+_STILL_OUT: Final = frozenset(
+    (
+        TaskState.starting,
+        TaskState.running,
+        TaskState.stopping,
+    )
+)
+_RETRIED: Final = frozenset(
+    (
+        TaskState.failed,
+        TaskState.lost,
+        TaskState.cancelled,
+    )
+)
 
 
 def _end_state(progress: JobProgress, state: TaskState) -> TaskState:
--- a/packages/berylspread/src/berylspread/jobs/gangs.py
+++ b/packages/berylspread/src/berylspread/jobs/gangs.py
@@ -102,9 +102,7 @@
             return
         await self._commit(progress, holds, wanted)
 
-    async def _reserve(
-        self, progress: JobProgress, wanted: int
-    ) -> list[Hold]:
+    async def _reserve(self, progress: JobProgress, wanted: int) -> list[Hold]:
         holds: list[Hold] = []
         missing = wanted
         self.tries += 1
@@ -158,9 +156,9 @@
             return
         logging.info('gang %s starts on %d partitions', spec.job_id, len(holds))
         shares = [(hold, self._grants(progress, hold)) for hold in holds]
-        logged = await self.home.log_starts([
-            grant for _hold, grants in shares for grant in grants
-        ])
+        logged = await self.home.log_starts(
+            [grant for _hold, grants in shares for grant in grants]
+        )
         if logged is not None:
             self._give_up(progress, holds)
             return
--- a/packages/berylspread/src/berylspread/jobs/home.py
+++ b/packages/berylspread/src/berylspread/jobs/home.py
@@ -99,7 +99,9 @@
             (PUBLISH_S, self.gangs.round, 'gangs'),
         )
         self.tasks = [
-            asyncio.create_task(every(period_s, step, f'{self.unit.unit} {name}'))
+            asyncio.create_task(
+                every(period_s, step, f'{self.unit.unit} {name}')
+            )
             for period_s, step, name in loops
         ]
 
@@ -197,23 +199,31 @@
             ask.sequence,
             reply,
         )
-        failed = await self.log_starts([task for line in grants for task in line])
+        failed = await self.log_starts(
+            [task for line in grants for task in line]
+        )
         if failed is not None:
             self.pulls.pop(ask.partition.unit, None)
             return failed
         return reply
 
     async def log_starts(self, grants: list[TaskGrant]) -> Failure | None:
+        """Log that tasks of non-idempotent jobs may start from now on.
+
+        If the log fails, all the grants are taken back.
+        """
         once: dict[str, list[int]] = {}
         for grant in grants:
             if not self.book.jobs[grant.task.job_id].spec.idempotent:
                 once.setdefault(grant.task.job_id, []).append(grant.task.index)
         if not once:
             return None
-        appended = await self.context.appender.append(*(
-            TasksStarted(job_id, tuple(indexes))
-            for job_id, indexes in once.items()
-        ))
+        appended = await self.context.appender.append(
+            *(
+                TasksStarted(job_id, tuple(indexes))
+                for job_id, indexes in once.items()
+            )
+        )
         if not isinstance(appended, Failure):
             return None
         for grant in grants:
--- a/packages/berylspread/src/berylspread/jobs/outcomes.py
+++ b/packages/berylspread/src/berylspread/jobs/outcomes.py
@@ -52,8 +52,10 @@
         try:
             async with asyncio.timeout(SETTLE_TIMEOUT_S), self.durable:
                 await self.durable.wait_for(
-                    lambda: self.written >= goal
-                    or not (self.waiting or self.book.ends)
+                    lambda: (
+                        self.written >= goal
+                        or not (self.waiting or self.book.ends)
+                    )
                 )
         except TimeoutError:
             return False
--- a/packages/berylspread/src/berylspread/jobs/progress.py
+++ b/packages/berylspread/src/berylspread/jobs/progress.py
@@ -11,6 +11,7 @@
     TaskKey,
     TaskState,
 )
+from berylspread.partition.messages import UnitEpoch
 
 
 @final
@@ -27,6 +28,10 @@
         self.state = TaskState.starting
         self.worker = ''
 
+    def is_before(self, partition: UnitEpoch) -> bool:
+        """Return whether an earlier owner of the partition was given it."""
+        return self.unit == partition.unit and self.epoch < partition.epoch
+
 
 @final
 class JobProgress:
--- a/packages/berylspread/src/berylspread/jobs/reconcile.py
+++ b/packages/berylspread/src/berylspread/jobs/reconcile.py
@@ -27,7 +27,15 @@
 class Reconciler:
     """Tracks which epoch of each partition the book agrees with."""
 
-    __slots__ = ('book', 'context', 'home', 'seen', 'settled', 'settled_units', 'strays')
+    __slots__ = (
+        'book',
+        'context',
+        'home',
+        'seen',
+        'settled',
+        'settled_units',
+        'strays',
+    )
 
     def __init__(
         self, context: NodeContext, book: JobBook, home: UnitEpoch
@@ -108,8 +116,6 @@
         for progress in list(self.book.jobs.values()):
             for index, out in list(progress.out.items()):
                 key = progress.key(index)
-                if out.unit != partition.unit or key in held:
-                    continue
                 is_gone = inventory.settled or out.worker in adopted
-                if is_gone and out.epoch < partition.epoch:
+                if is_gone and key not in held and out.is_before(partition):
                     self.book.lose(key, 'its partition has a new owner')
--- a/packages/berylspread/src/berylspread/kernel/__init__.py
+++ b/packages/berylspread/src/berylspread/kernel/__init__.py
@@ -7,14 +7,14 @@
     failure,
     failure_types,
 )
-from berylspread.kernel.invariants import InvariantViolation, check
+from berylspread.kernel.invariants import InvariantViolationError, check
 from berylspread.kernel.options import Option, Place, Section, parse_section
 from berylspread.kernel.registry import Plugin, Registry, nearest
 
 __all__ = (
     'CLOCK_DRIFT',
     'Failure',
-    'InvariantViolation',
+    'InvariantViolationError',
     'Option',
     'Place',
     'Plugin',
--- a/packages/berylspread/src/berylspread/kernel/errors.py
+++ b/packages/berylspread/src/berylspread/kernel/errors.py
@@ -19,7 +19,7 @@
 
 @final
 class RunState(enum.Enum):
-    """What a refusal says about the request: it did not run, ran, or may have."""
+    """What a refusal says about the request: not run, ran, or unknown."""
 
     not_run = 'not-run'
     ran = 'ran'
@@ -27,7 +27,7 @@
 
 
 class Failure:
-    """Base of every failure value; falsy, so that ``if not reply`` reads well."""
+    """Base of every failure value; it is falsy."""
 
     __slots__ = ('fields', 'reason')
 
@@ -52,15 +52,15 @@
     def __eq__(self, other: object) -> bool:
         """Compare by type, reason and fields."""
         return (
-            type(self) is type(other)
-            and isinstance(other, Failure)
+            isinstance(other, Failure)
+            and self.name == other.name
             and self.reason == other.reason
             and self.fields == other.fields
         )
 
     def __hash__(self) -> int:
         """Hash by type and reason."""
-        return hash((type(self), self.reason))
+        return hash((self.name, self.reason))
 
 
 _failures: Final[dict[str, type[Failure]]] = {}
@@ -248,7 +248,7 @@
 
 @failure
 class NotOwner(Failure):
-    """This node holds no authority over the unit; ``owner`` may name who does."""
+    """This node has no authority over the unit; ``owner`` may name who has."""
 
     name = 'not-owner'
     http_status = 503
--- a/packages/berylspread/src/berylspread/kernel/invariants.py
+++ b/packages/berylspread/src/berylspread/kernel/invariants.py
@@ -12,7 +12,7 @@
 violations: Final[collections.Counter[str]] = collections.Counter()
 
 
-class InvariantViolation(Exception):
+class InvariantViolationError(Exception):
     """An invariant of the system does not hold; a fault of this program."""
 
     def __init__(self, invariant: str, fields: dict[str, Any]) -> None:
@@ -28,4 +28,4 @@
         return
     violations[invariant] += 1
     logging.error('invariant violated: %s %r', invariant, fields)
-    raise InvariantViolation(invariant, fields)
+    raise InvariantViolationError(invariant, fields)
--- a/packages/berylspread/src/berylspread/kernel/registry.py
+++ b/packages/berylspread/src/berylspread/kernel/registry.py
@@ -10,7 +10,7 @@
 
 
 class Plugin:
-    """Base of every plug-in: class attributes describe it, options set it up."""
+    """Base of every plug-in; its class attributes describe it."""
 
     name: str = ''
     aliases: tuple[str, ...] = ()
--- a/packages/berylspread/src/berylspread/limits/quota.py
+++ b/packages/berylspread/src/berylspread/limits/quota.py
@@ -90,7 +90,7 @@
     ``longest_call_s`` how long a call may go on after that.
     """
 
-    __slots__ = ('longest_call_s', 'slice_ttl_s', 'teams')
+    __slots__ = ('longest_call_s', 'max_slice_share', 'slice_ttl_s', 'teams')
 
     def __init__(
         self,
@@ -100,6 +100,9 @@
         """Start without teams; a team that is not known has no quota."""
         self.slice_ttl_s = slice_ttl_s
         self.longest_call_s = longest_call_s
+        #: The share of a team's calls that one entry node may borrow; what a
+        #: lost node held is unknown, and the rest goes on.
+        self.max_slice_share: float = 1
         self.teams: dict[str, TeamQuota] = {}
 
     def set_allotment(
@@ -196,40 +199,27 @@
                 quota.lent -= held.count
                 quota.slices.pop(entry)
 
-    def restore_slices(self, team: str, now: float) -> None:
-        """Block all call quota that a predecessor may have lent.
+    def restore_slice(
+        self, team: str, holder: str, count: int | None, now: float
+    ) -> None:
+        """Count a slice that a predecessor may have lent to a holder.
 
-        The new home of a team can't know its predecessor's slices; it counts
-        the whole allotment of calls as lent until the last has surely lapsed.
+        A count of ``None`` is all that may have been lent: the room that is
+        left, or the largest slice if that is less.
         """
         quota = self.teams.setdefault(team, TeamQuota())
-        ghost = quota.slices.setdefault('', Slice())
-        quota.lent -= ghost.count
-        room = quota.room(CALL_SHAPE)
-        ghost.count = 0 if room is None else max(room, 0)
-        quota.lent += ghost.count
-        self._renew(ghost, now)
-
-    def set_aside(self, team: str, amount: Resources) -> bool:
-        """Take an amount out of use, to give it to another region.
+        held = quota.slices.setdefault(holder, Slice())
+        quota.lent -= held.count
+        held.count = self._largest(quota) if count is None else count
+        quota.lent += held.count
+        self._renew(held, now)
 
-        Returns ``False`` if it is in use, or if another gift is on its way;
-        the giver appends the move only after this.
-        """
+    def drop_slice(self, team: str, holder: str) -> None:
+        """Stop counting a holder's slice, which has certainly ended."""
         quota = self.teams.get(team)
-        if quota is None or quota.outgoing != ZERO:
-            return False
-        left = quota.allotment - quota.in_use - amount
-        asked = amount.is_non_negative() and amount != ZERO
-        mask = quota.fleet_limit
-        if not asked or not within(ZERO, left, mask, amount):
-            return False
-        quota.outgoing = amount
-        return True
-
-    def gift_settled(self, team: str) -> None:
-        """End a gift: the log shows the move, or it surely never will."""
-        self.teams[team].outgoing = ZERO
+        held = quota.slices.pop(holder, None) if quota else None
+        if quota is not None and held is not None:
+            quota.lent -= held.count
 
     def excess(self, team: str) -> Resources:
         """Return what a team uses above its allotment, to be preempted."""
@@ -243,11 +233,19 @@
     ) -> None:
         quota.lent -= held.count
         room = quota.room(CALL_SHAPE)
-        offer = wanted if room is None else max(min(wanted, room), 0)
+        offer = wanted if room is None else min(wanted, self._largest(quota))
         held.offered = offer
         held.count = max(offer, in_flight)
         quota.lent += held.count
 
+    def _largest(self, quota: TeamQuota) -> int:
+        """Return the largest slice that one entry node may have now."""
+        room = quota.room(CALL_SHAPE)
+        if room is None:
+            return 0
+        cap = math.ceil(quota.limit.slots * self.max_slice_share)
+        return max(min(room, cap), 0)
+
     def _renew(self, held: Slice, now: float) -> None:
         held.valid_until = now + self.slice_ttl_s
         lapse_s = (self.slice_ttl_s + self.longest_call_s) * (1 + CLOCK_DRIFT)
--- a/packages/berylspread/src/berylspread/log/records.py
+++ b/packages/berylspread/src/berylspread/log/records.py
@@ -1,9 +1,8 @@
 """The records of the log, and the batch that one append carries.
 
-Every record is a fact that must outlive the nodes.  A batch names its writer and
-the writer's sequence number; a reader drops a batch whose sequence number is not
-above the last one of that writer, since it repeats an append whose answer was
-lost.
+Every record is a fact that must outlive the nodes.  A batch names its writer
+and the writer's sequence number.  A reader drops a batch whose number is not
+above the writer's last one: it repeats an append whose answer was lost.
 """
 
 from typing import Final, final
@@ -120,7 +119,7 @@
 
 @final
 class AllotmentMoved(msgspec.Struct, frozen=True, tag=True):
-    """A region's home of a team gave part of its allotment to another region."""
+    """A region's home gave part of a team's allotment to another region."""
 
     team: str
     source_region: str
@@ -175,5 +174,5 @@
 
 
 def decode_batch(blob: bytes) -> Batch:
-    """Return the batch of an entry; raise ``msgspec.DecodeError`` if malformed."""
+    """Return an entry's batch; raise ``msgspec.DecodeError`` if malformed."""
     return _decoder.decode(blob)
--- a/packages/berylspread/src/berylspread/membership/heartbeats.py
+++ b/packages/berylspread/src/berylspread/membership/heartbeats.py
@@ -9,7 +9,7 @@
 
 from berylspread.kernel.clock import now
 from berylspread.kernel.errors import Failure
-from berylspread.kernel.invariants import InvariantViolation
+from berylspread.kernel.invariants import InvariantViolationError
 from berylspread.membership.interface import Liveness, Member, VmDirectory
 from berylspread.membership.messages import (
     Heartbeat,
@@ -221,7 +221,7 @@
             return
         try:
             rider.receive(source, sent_at, blob)
-        except InvariantViolation:
+        except InvariantViolationError:
             logging.exception('rider %s failed; heartbeats go on', name)
 
     async def _serve_heartbeat(
--- a/packages/berylspread/src/berylspread/model/work.py
+++ b/packages/berylspread/src/berylspread/model/work.py
@@ -35,13 +35,15 @@
     unknown = 'unknown'
 
 
-TERMINAL_STATES: Final = frozenset((
-    TaskState.succeeded,
-    TaskState.failed,
-    TaskState.cancelled,
-    TaskState.lost,
-    TaskState.unknown,
-))
+TERMINAL_STATES: Final = frozenset(
+    (
+        TaskState.succeeded,
+        TaskState.failed,
+        TaskState.cancelled,
+        TaskState.lost,
+        TaskState.unknown,
+    )
+)
 
 
 @final
--- a/packages/berylspread/src/berylspread/partition/attempts.py
+++ b/packages/berylspread/src/berylspread/partition/attempts.py
@@ -56,6 +56,10 @@
         """Whether the attempt certainly runs no more."""
         return self.state in TERMINAL_STATES or self.state is TaskState.pending
 
+    def is_held_for(self, home: str) -> bool:
+        """Return whether a home's inventory shows the attempt."""
+        return self.home == home and self.state is not TaskState.pending
+
     def held(self) -> HeldTask:
         """Return what an inventory says of the attempt."""
         return HeldTask(
@@ -92,5 +96,3 @@
     """Return the home unit that a job's id names."""
     region, shard, _unique = job_id.split('.', 2)
     return f'teams/{region}/{shard}'
-
-
--- a/packages/berylspread/src/berylspread/partition/demands.py
+++ b/packages/berylspread/src/berylspread/partition/demands.py
@@ -87,4 +87,6 @@
 
     def uses(self) -> dict[str, TeamUse]:
         """Return the use of every team that the homes have told of."""
-        return {use.team: use for home in self.homes.values() for use in home.uses}
+        return {
+            use.team: use for home in self.homes.values() for use in home.uses
+        }
--- a/packages/berylspread/src/berylspread/partition/gang_room.py
+++ b/packages/berylspread/src/berylspread/partition/gang_room.py
@@ -53,8 +53,9 @@
         The bookings come in the order of the grants; a repeat of a commit that
         was taken returns none.
         """
-        if gang in self.committed:
-            return [] if self.committed[gang] else None
+        before = self.committed.get(gang)
+        if before is not None:
+            return [] if before else None
         keys = self.holds.pop(gang, [])
         standing = [key for key in keys if self._stands(key)]
         if len(standing) < len(grants):
@@ -87,9 +88,7 @@
             return False
         return booking.expires_at is None or booking.expires_at > now()
 
-    def _workers(
-        self, ask: ReserveAsk, pipeline: Pipeline
-    ) -> list[WorkerView]:
+    def _workers(self, ask: ReserveAsk, pipeline: Pipeline) -> list[WorkerView]:
         demand = gang_demand(ask)
         admitted, _reasons = pipeline.screen(
             demand,
--- a/packages/berylspread/src/berylspread/partition/owner.py
+++ b/packages/berylspread/src/berylspread/partition/owner.py
@@ -117,13 +117,15 @@
         for vm in listed.values():
             if vm.vm_id not in self.links:
                 self.ledger.add_worker(vm)
-                self._open(WorkerLink(
-                    vm,
-                    self.tenure,
-                    self.workers,
-                    self.context.wall,
-                    self.timing,
-                ))
+                self._open(
+                    WorkerLink(
+                        vm,
+                        self.tenure,
+                        self.workers,
+                        self.context.wall,
+                        self.timing,
+                    )
+                )
             if vm.state is VmState.leaving:
                 self.ledger.add_barrier(vm.vm_id, Barrier.leaving)
         for vm_id, link in list(self.links.items()):
@@ -190,8 +192,7 @@
                 attempt.held()
                 for link in self.links.values()
                 for attempt in link.attempts.values()
-                if attempt.home == home
-                if attempt.state is not TaskState.pending
+                if attempt.is_held_for(home)
             ],
         )
 
@@ -273,9 +274,7 @@
             return
         self._launch(home.unit, grant, booking)
 
-    def _launch(
-        self, home: str, grant: TaskGrant, booking: Booking
-    ) -> None:
+    def _launch(self, home: str, grant: TaskGrant, booking: Booking) -> None:
         booking.occupant.kind = grant.kind
         booking.occupant.team = grant.team
         link = self.links.get(booking.worker)
@@ -340,4 +339,3 @@
         max(left.accelerators, right.accelerators),
         max(left.slots, right.slots),
     )
-
--- a/packages/berylspread/src/berylspread/partition/placer.py
+++ b/packages/berylspread/src/berylspread/partition/placer.py
@@ -135,7 +135,7 @@
             self.wake.clear()
             try:
                 self._round()
-            except Exception:  # one faulty round must not end placement
+            except Exception:  # noqa: BLE001 - placement must go on
                 logging.exception('placement round failed')
             await asyncio.sleep(0)
 
@@ -196,9 +196,7 @@
 
 def _pipeline(context: NodeContext) -> Pipeline:
     document = context.document
-    pipeline = Pipeline.from_options(
-        document.policy, document.plugins.values()
-    )
+    pipeline = Pipeline.from_options(document.policy, document.plugins.values())
     if isinstance(pipeline, Failure):
         logging.error('policy stays at the defaults: %s', pipeline.reason)
         pipeline = Pipeline.from_options(default_policy())
--- a/packages/berylspread/src/berylspread/partition/reports.py
+++ b/packages/berylspread/src/berylspread/partition/reports.py
@@ -155,16 +155,9 @@
         for attempt in link.attempts.values():
             if attempt.name in shown or attempt.is_ended:
                 continue
-            if attempt.name in reply.refused:
-                attempt.change(
-                    TaskState.pending, reason=reply.refused[attempt.name]
-                )
-                missing.append(attempt)
-            elif attempt.confirmed:
-                attempt.change(TaskState.lost, reason='gone from the worker')
-                missing.append(attempt)
-            elif _never_arrived(attempt):
-                attempt.change(TaskState.pending, reason='start not received')
+            fate = _fate(attempt, reply.refused.get(attempt.name))
+            if fate is not None:
+                attempt.change(fate[0], reason=fate[1])
                 missing.append(attempt)
         return missing
 
@@ -186,7 +179,18 @@
                 self.ledger.release(key)
 
 
+def _fate(
+    attempt: Attempt, refusal: str | None
+) -> tuple[TaskState, str] | None:
+    """Return what has become of an attempt that the worker does not show."""
+    if refusal is not None:
+        return TaskState.pending, refusal
+    if attempt.confirmed:
+        return TaskState.lost, 'gone from the worker'
+    if _never_arrived(attempt):
+        return TaskState.pending, 'start not received'
+    return None
+
+
 def _never_arrived(attempt: Attempt) -> bool:
-    return (
-        attempt.doubtful_until is not None and attempt.doubtful_until < now()
-    )
+    return attempt.doubtful_until is not None and attempt.doubtful_until < now()
--- a/packages/berylspread/src/berylspread/partition/worker_link.py
+++ b/packages/berylspread/src/berylspread/partition/worker_link.py
@@ -56,8 +56,8 @@
 class WorkerLink:
     """One worker as its partition owner talks to it.
 
-    ``on_reply`` is called with each reply that is not outdated, and ``on_silent``
-    after each exchange that failed.
+    ``on_reply`` is called with each reply that is not outdated, and
+    ``on_silent`` after each exchange that failed.
     """
 
     __slots__ = (
@@ -173,7 +173,9 @@
             START_WINDOW_S, self.tenure.valid_until - sent_at
         )
         for attempt in starts:
-            attempt.doubtful_until = sent_at + EXCHANGE_TIMEOUT_S + START_WINDOW_S
+            attempt.doubtful_until = (
+                sent_at + EXCHANGE_TIMEOUT_S + START_WINDOW_S
+            )
         reply = await self._exchange(
             SyncRequest(
                 unit=self.tenure.unit,
@@ -265,7 +267,7 @@
         )
 
     async def _wait_for_authority(self) -> None:
-        while not self.tenure.is_valid(now()):
+        while not self.tenure.is_valid(now()):  # noqa: ASYNC110
             await asyncio.sleep(RETRY_MIN_S)
 
     def _wait_s(self) -> float:
--- a/packages/berylspread/src/berylspread/runtime/__init__.py
+++ b/packages/berylspread/src/berylspread/runtime/__init__.py
@@ -1,4 +1,4 @@
-"""What the roles of one node share, and periodic tasks."""
+"""What the roles of one node share, periodic tasks, and the whole node."""
 
 from berylspread.runtime.context import NodeContext
 from berylspread.runtime.loops import every
--- a/packages/berylspread/src/berylspread/runtime/context.py
+++ b/packages/berylspread/src/berylspread/runtime/context.py
@@ -4,7 +4,7 @@
 from typing import final
 
 from berylspread.config import Document
-from berylspread.kernel import WallClock
+from berylspread.kernel import WallClock, now
 from berylspread.log import Appender, ClusterState
 from berylspread.membership import Membership
 from berylspread.model import NodeRef
@@ -28,6 +28,7 @@
         'ref',
         'region',
         'rng',
+        'started_at',
         'state',
         'wall',
         'zone',
@@ -58,6 +59,7 @@
         self.ownership = ownership
         self.wall = wall
         self.rng = rng
+        self.started_at = now()
         self.documents = Documents(state)
         self.capacities = CapacityBook()
 
@@ -66,6 +68,11 @@
         """The configuration in force."""
         return self.documents.document
 
+    @property
+    def uptime_s(self) -> float:
+        """Seconds since this process started."""
+        return now() - self.started_at
+
     def owner(self, unit: str) -> tuple[NodeRef, int] | None:
         """Return the last logged owner of a unit and its epoch."""
         claim = self.state.units.claim(unit)
--- a/packages/berylspread/src/berylspread/runtime/homes.py
+++ b/packages/berylspread/src/berylspread/runtime/homes.py
@@ -2,7 +2,7 @@
 
 from typing import final
 
-from berylspread.calls.home import CallHome
+from berylspread.calls.home import CallHome, entry_name
 from berylspread.calls.messages import AllowanceAsk, RegisterAsk
 from berylspread.jobs.home import JobHome
 from berylspread.kernel import Failure, now
@@ -30,7 +30,12 @@
         """Rebuild from the log and start."""
         self.jobs = JobHome(context, tenure)
         self.jobs.start()
-        self.calls = CallHome(context, self.jobs.quota)
+        self.calls = CallHome(context, self.jobs.unit, self.jobs.quota)
+
+    def close(self) -> None:
+        """Stop acting; the unit has another owner."""
+        self.jobs.close()
+        self.calls.close()
 
 
 @final
@@ -62,13 +67,13 @@
         """Stop acting for a home."""
         role = self.roles.get(tenure.unit)
         if role is not None and role.jobs.unit.epoch == tenure.epoch:
-            role.jobs.close()
+            role.close()
             self.roles.pop(tenure.unit)
 
     def close(self) -> None:
         """Stop acting for every home."""
         for role in self.roles.values():
-            role.jobs.close()
+            role.close()
         self.roles.clear()
 
     def role(self, home: UnitEpoch) -> HomeRole | Failure:
@@ -111,13 +116,10 @@
         role = self.role(ask.home)
         if isinstance(role, Failure):
             return role
-        entry = f'{source.node}.{source.incarnation}'
-        return role.calls.lend(entry, ask)
+        return role.calls.lend(entry_name(source), ask)
 
     async def _register(
         self, source: NodeRef, ask: RegisterAsk
     ) -> Message | Failure:
         role = self.role(ask.home)
         return role if isinstance(role, Failure) else role.calls.register(ask)
-
-
--- a/packages/berylspread/src/berylspread/runtime/loops.py
+++ b/packages/berylspread/src/berylspread/runtime/loops.py
@@ -16,6 +16,6 @@
     while True:
         try:
             await step()
-        except Exception:  # one faulty round must not end the role
+        except Exception:  # noqa: BLE001 - one bad round must not end the role
             logging.exception('round of %s failed', name)
         await asyncio.sleep(period_s)
--- a/packages/berylspread/src/berylspread/runtime/node.py
+++ b/packages/berylspread/src/berylspread/runtime/node.py
@@ -50,7 +50,6 @@
 from berylspread.runtime.partitions import Partitions
 
 
-
 @final
 class NodeSettings(msgspec.Struct, frozen=True):
     """Where a node is, and the timing of its parts.
@@ -98,7 +97,7 @@
 
 @final
 class Node:
-    """One entry VM's process: reads the log, keeps its roles, serves callers."""
+    """One entry VM's process, from the log's reader to the callers' calls."""
 
     __slots__ = (
         'appender',
@@ -108,8 +107,8 @@
         'is_leaving',
         'membership',
         'ownership',
-        'parts',
         'partitions',
+        'parts',
         'publisher',
         'reader',
         'relay',
@@ -176,14 +175,11 @@
     @property
     def is_ready(self) -> bool:
         """Whether the node takes new work from callers."""
-        return (
-            not self.is_leaving
-            and self.task is not None
-            and not self.task.done()
-            and self.reader.started.is_set()
-            and self.reader.status is not ReaderStatus.gap
-            and self.context.documents.version > 0
-        )
+        if self.is_leaving or self.task is None or self.task.done():
+            return False
+        has_state = self.reader.started.is_set()
+        is_whole = self.reader.status is not ReaderStatus.gap
+        return has_state and is_whole and self.context.documents.version > 0
 
     def status(self) -> NodeStatus:
         """Return what the heartbeats tell of this node."""
@@ -204,6 +200,12 @@
             *shard_units(self.context, region),
         ]
 
+    def all_units(self) -> list[str]:
+        """Return every unit of every region."""
+        return [
+            unit for region in self.regions() for unit in self.units(region)
+        ]
+
     def regions(self) -> list[str]:
         """Return the document's regions, or the nodes' while there is none."""
         listed = self.context.document.regions
--- a/packages/berylspread/src/berylspread/runtime/partitions.py
+++ b/packages/berylspread/src/berylspread/runtime/partitions.py
@@ -89,11 +89,13 @@
     ) -> Message | Failure:
         if not self.placer.demands.admits(ask.home):
             return StaleEpoch('the home has a newer epoch', unit=ask.home.unit)
-        return InventoryReply([
-            owner.inventory(ask.home.unit)
-            for unit in list(self.placer.owners)
-            if (owner := self.placer.owner(unit)) is not None
-        ])
+        return InventoryReply(
+            [
+                owner.inventory(ask.home.unit)
+                for unit in list(self.placer.owners)
+                if (owner := self.placer.owner(unit)) is not None
+            ]
+        )
 
     async def _reserve(
         self, source: NodeRef, ask: ReserveAsk
