Check the ledgers by random steps

Cause: the ledgers' invariants must hold under lost, late and crossed messages. Conclusion: a lost reply, a dead or paused holder, a lowered limit, a gift and a handover are covered.

--- /dev/null
+++ b/features/limits/quota_machine.py
@@ -0,0 +1,209 @@
+"""Random steps over the quota ledger and its borrowers.
+
+The observer counts the tasks that run and the calls in flight, and knows
+nothing of the ledger.  Messages are lost, late and crossed; holders die and
+pause; the limit is lowered; the ledger is handed over.
+"""
+
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+
+from berylspread.kernel.errors import StaleEpoch
+from berylspread.limits import CallAllowance, QuotaLedger
+from berylspread.model import Resources
+
+TEAM = 'proofs'
+TASK = Resources(cpu_milli=500, slots=1)
+ENTRIES = ('e0', 'e1', 'e2')
+LONGEST_CALL_S = 30.0
+SLICE_TTL_S = 10.0
+LIMIT = 12
+
+entries = st.sampled_from(ENTRIES)
+
+
+class Entry:
+    """An entry node with its allowance and its calls' ends."""
+
+    def __init__(self):
+        """Start without calls."""
+        self.allowance = CallAllowance()
+        self.ends = []
+        self.replies = []
+        self.questions = []
+
+
+class QuotaMachine(RuleBasedStateMachine):
+    """One team of one home with three entry nodes."""
+
+    steps = 0
+
+    def __init__(self) -> None:
+        """Start with the whole limit."""
+        super().__init__()
+        self.now = 0.0
+        self.limit = LIMIT
+        self.tasks = 0
+        self.incarnations = dict.fromkeys(ENTRIES, 0)
+        self.entries = {self.borrower(name): Entry() for name in ENTRIES}
+        self.ledger = self.new_ledger()
+        # Slices lent under a higher limit may be used until then.
+        self.lowered_until = 0.0
+
+    def borrower(self, name):
+        return f'{name}#{self.incarnations[name]}'
+
+    def entry(self, name):
+        return self.entries[self.borrower(name)]
+
+    def new_ledger(self):
+        ledger = QuotaLedger(SLICE_TTL_S, LONGEST_CALL_S)
+        ledger.set_allotment(
+            TEAM, Resources(slots=self.limit), Resources(slots=LIMIT)
+        )
+        return ledger
+
+    @rule(count=st.integers(1, 6))
+    def take(self, count):
+        before = self.in_use()
+        granted = self.ledger.take(TEAM, TASK, count)
+        assert 0 <= granted <= count
+        self.tasks += granted
+        assert granted == 0 or before + granted <= self.limit
+
+    @rule(count=st.integers(1, 4))
+    def take_gang(self, count):
+        if self.ledger.take_all(TEAM, TASK, count):
+            self.tasks += count
+            assert self.in_use() <= self.limit
+
+    @rule(count=st.integers(1, 4))
+    def give_back(self, count):
+        ended = min(count, self.tasks)
+        self.tasks -= ended
+        self.ledger.give_back(TEAM, TASK, ended)
+
+    @rule(name=entries, wanted=st.integers(0, 8))
+    def ask(self, name, wanted):
+        entry = self.entry(name)
+        sequence = entry.allowance.ask(self.now, wanted)
+        holds = entry.allowance.holds(self.now)
+        entry.questions.append((self.ledger, sequence, wanted, holds))
+
+    @rule(name=entries, which=st.integers(0, 3), again=st.booleans())
+    def deliver_question(self, name, which, again):
+        entry = self.entry(name)
+        if not entry.questions:
+            return
+        place = which % len(entry.questions)
+        home, sequence, wanted, holds = entry.questions[place]
+        if not again:
+            entry.questions.pop(place)
+        if home is not self.ledger:
+            return
+        answer = home.lend(
+            self.borrower(name),
+            TEAM,
+            wanted,
+            self.now,
+            sequence=sequence,
+            holds=holds,
+        )
+        if isinstance(answer, StaleEpoch):
+            return
+        entry.replies.append((sequence, answer.offered))
+
+    @rule(name=entries, which=st.integers(0, 3), lost=st.booleans())
+    def deliver_reply(self, name, which, lost):
+        entry = self.entry(name)
+        if not entry.replies:
+            return
+        sequence, offered = entry.replies.pop(which % len(entry.replies))
+        if not lost:
+            entry.allowance.answered(sequence, offered, SLICE_TTL_S)
+
+    @rule(name=entries, count=st.integers(1, 4), run_s=st.integers(1, 30))
+    def start_calls(self, name, count, run_s):
+        entry = self.entry(name)
+        for _ in range(count):
+            if entry.allowance.acquire(self.now):
+                entry.ends.append(self.now + run_s)
+
+    @rule(name=entries)
+    def die(self, name):
+        """Its calls run on at the workers; the node forgets everything.
+
+        The new incarnation is another borrower.
+        """
+        self.entry(name).allowance.valid_until = 0
+        self.incarnations[name] += 1
+        self.entries[self.borrower(name)] = Entry()
+
+    @rule(elapsed_s=st.integers(1, 45))
+    def advance(self, elapsed_s):
+        self.now += elapsed_s
+        for entry in self.entries.values():
+            running = [end for end in entry.ends if end > self.now]
+            entry.allowance.in_flight -= len(entry.ends) - len(running)
+            entry.ends = running
+        self.ledger.expire_all(self.now)
+
+    @rule(limit=st.integers(0, LIMIT))
+    def change_limit(self, limit):
+        if limit < self.limit:
+            self.lowered_until = self.now + self.ledger.lapse_s
+        self.limit = limit
+        self.ledger.set_allotment(
+            TEAM, Resources(slots=limit), Resources(slots=LIMIT)
+        )
+        excess = self.ledger.excess(TEAM).slots
+        assert excess == max(self.in_use() - limit, 0)
+
+    @rule(amount=st.integers(1, 6), lands=st.booleans())
+    def give_away(self, amount, lands):
+        before = self.in_use()
+        if not self.ledger.set_aside(TEAM, Resources(slots=amount)):
+            return
+        assert before + amount <= self.limit
+        assert self.ledger.take(TEAM, TASK, LIMIT) + before <= (
+            self.limit - amount
+        )
+        self.tasks = self.used()
+        if lands:
+            self.limit -= amount
+            self.ledger.set_allotment(
+                TEAM, Resources(slots=self.limit), Resources(slots=LIMIT)
+            )
+        self.ledger.gift_settled(TEAM)
+
+    @rule()
+    def hand_over(self):
+        """The new home knows the tasks from the workers, and no slice."""
+        self.ledger = self.new_ledger()
+        self.ledger.restore(TEAM, TASK, self.tasks)
+        self.ledger.await_slices(TEAM, self.entries, self.now)
+
+    def in_use(self):
+        quota = self.ledger.teams[TEAM]
+        return quota.in_use.slots
+
+    def used(self):
+        quota = self.ledger.teams[TEAM]
+        return quota.used.slots
+
+    def running(self):
+        calls = sum(len(entry.ends) for entry in self.entries.values())
+        return calls + self.tasks
+
+    @invariant()
+    def nothing_over_the_limit(self):
+        type(self).steps += 1
+        ceiling = LIMIT if self.now < self.lowered_until else self.limit
+        # Tasks above a lowered limit are preempted; no call joins them.
+        assert self.running() <= max(ceiling, self.tasks)
+
+    @invariant()
+    def ledger_counts_what_runs(self):
+        quota = self.ledger.teams[TEAM]
+        if not quota.awaited:
+            assert self.running() <= quota.in_use.slots
--- a/packages/berylspread/src/berylspread/limits/quota.py
+++ b/packages/berylspread/src/berylspread/limits/quota.py
@@ -6,7 +6,7 @@
 using it.
 """
 
-import math
+from collections.abc import Iterable
 from typing import Final, final
 
 from berylspread.kernel import CLOCK_DRIFT, check
@@ -46,11 +46,14 @@
 
     A dimension that is 0 in ``fleet_limit`` is unlimited; an allotment of 0 in
     a limited dimension gives nothing.  ``outgoing`` is the part that is being
-    given to another region: it is out of use already.
+    given to another region: it is out of use already.  ``awaited`` are the
+    entry nodes whose slices from a predecessor are not known yet.
     """
 
     __slots__ = (
         'allotment',
+        'awaited',
+        'awaited_until',
         'fleet_limit',
         'lent',
         'outgoing',
@@ -65,6 +68,8 @@
         self.outgoing = ZERO
         self.used = ZERO
         self.lent = 0
+        self.awaited: set[str] = set()
+        self.awaited_until: float = 0
         self.slices: dict[str, Slice] = {}
 
     @property
@@ -79,6 +84,8 @@
 
     def room(self, shape: Resources) -> int | None:
         """Return how many more of a shape fit; ``None`` if unlimited."""
+        if self.awaited and shape.slots and self.fleet_limit.slots:
+            return 0
         return bounded_times(shape, self.in_use, self.limit, self.fleet_limit)
 
 
@@ -165,14 +172,15 @@
         now: float,
         *,
         sequence: int,
-        in_flight: int = 0,
+        holds: int = 0,
     ) -> Slice | StaleEpoch | None:
         """Lend an entry node a slice of the team's calls; ``None`` if unknown.
 
-        ``wanted`` is the whole slice that the node wants, ``in_flight`` what it
-        uses as it asks.  A node has one question open at a time, numbers them,
-        and drops a reply to any but its last; so an older question that arrives
-        late is refused, and a repeated one gets the same answer.
+        ``wanted`` is the whole slice that the node wants, ``holds`` what it
+        goes on using until it has the reply.  A node has one question open at
+        a time, numbers them, and drops a reply to any but its last; so an
+        older question that arrives late is refused, and a repeated one gets
+        the same answer.
         """
         quota = self.teams.get(team)
         if quota is None:
@@ -182,33 +190,41 @@
         if sequence < held.sequence:
             return StaleEpoch('an older question for a slice', entry=entry)
         if sequence > held.sequence:
-            self._offer(quota, held, wanted, in_flight)
+            quota.awaited.discard(entry)
+            self._offer(quota, held, wanted, holds)
             held.sequence = sequence
-            self._renew(held, now)
+            held.valid_until = now + self.slice_ttl_s
+            held.counts_until = now + self.lapse_s
             self._check_slice(team, quota)
         return held
 
     def expire(self, team: str, now: float) -> None:
         """Drop the slices whose holders have surely stopped using them."""
         quota = self.teams[team]
+        if quota.awaited_until <= now:
+            quota.awaited.clear()
         for entry, held in list(quota.slices.items()):
             if held.counts_until <= now:
                 quota.lent -= held.count
                 quota.slices.pop(entry)
 
-    def restore_slices(self, team: str, now: float) -> None:
-        """Block all call quota that a predecessor may have lent.
+    def expire_all(self, now: float) -> None:
+        """Drop all teams' lapsed slices; the home calls this each second."""
+        for team in self.teams:
+            self.expire(team, now)
+
+    def await_slices(
+        self, team: str, entries: Iterable[str], now: float
+    ) -> None:
+        """Grant no calls until these nodes have told what they still hold.
 
-        The new home of a team can't know its predecessor's slices; it counts
-        the whole allotment of calls as lent until the last has surely lapsed.
+        A new home can't know what its predecessor lent.  Each node tells with
+        its next question; one that does not is waited for until its slice has
+        surely lapsed.
         """
         quota = self.teams.setdefault(team, TeamQuota())
-        ghost = quota.slices.setdefault('', Slice())
-        quota.lent -= ghost.count
-        room = quota.room(CALL_SHAPE)
-        ghost.count = 0 if room is None else max(room, 0)
-        quota.lent += ghost.count
-        self._renew(ghost, now)
+        quota.awaited = set(entries)
+        quota.awaited_until = now + self.lapse_s
 
     def set_aside(self, team: str, amount: Resources) -> bool:
         """Take an amount out of use, to give it to another region.
@@ -239,19 +255,26 @@
         return over(quota.in_use, quota.limit, quota.fleet_limit)
 
     def _offer(
-        self, quota: TeamQuota, held: Slice, wanted: int, in_flight: int
+        self, quota: TeamQuota, held: Slice, wanted: int, holds: int
     ) -> None:
         quota.lent -= held.count
         room = quota.room(CALL_SHAPE)
-        offer = wanted if room is None else max(min(wanted, room), 0)
-        held.offered = offer
-        held.count = max(offer, in_flight)
+        held.offered = wanted if room is None else min(wanted, room)
+        granted = quota.in_use + CALL_SHAPE * held.offered
+        check(
+            'slices-within-allotment',
+            not held.offered
+            or within(granted, quota.limit, quota.fleet_limit, CALL_SHAPE),
+            granted=granted,
+            allotment=quota.allotment,
+        )
+        held.count = max(held.offered, holds)
         quota.lent += held.count
 
-    def _renew(self, held: Slice, now: float) -> None:
-        held.valid_until = now + self.slice_ttl_s
-        lapse_s = (self.slice_ttl_s + self.longest_call_s) * (1 + CLOCK_DRIFT)
-        held.counts_until = now + math.ceil(lapse_s)
+    @property
+    def lapse_s(self) -> float:
+        """Return how long a slice counts after its last renewal."""
+        return (self.slice_ttl_s + self.longest_call_s) * (1 + CLOCK_DRIFT)
 
     def _check_grant(
         self, team: str, quota: TeamQuota, shape: Resources
--- a/packages/berylspread/src/berylspread/limits/slices.py
+++ b/packages/berylspread/src/berylspread/limits/slices.py
@@ -22,12 +22,22 @@
         self.asked_at: float = 0
         self.valid_until: float = 0
 
-    def ask(self, now: float) -> int:
-        """Start a question; return its number.  Earlier ones are given up."""
+    def ask(self, now: float, wanted: int) -> int:
+        """Start a question; return its number.  Earlier ones are given up.
+
+        What is held above ``wanted`` is given up at once.
+        """
         self.sequence += 1
         self.asked_at = now
+        self.granted = min(self.granted, wanted)
         return self.sequence
 
+    def holds(self, now: float) -> int:
+        """Return what may be used until the reply, for the question."""
+        if now >= self.valid_until:
+            return self.in_flight
+        return max(self.granted, self.in_flight)
+
     def answered(self, sequence: int, offered: int, ttl_s: float) -> bool:
         """Take in a reply; return ``False`` for one to an earlier question."""
         if sequence != self.sequence:
