--- a/packages/berylspread/src/berylspread/calls/home.py
+++ b/packages/berylspread/src/berylspread/calls/home.py
@@ -21,7 +21,7 @@
 
 #: Margin of an entry node's slice against the home's reckoning.
 VALIDITY: Final = 0.9
-#: With several entry nodes, the share of a team's calls that one may borrow.
+#: The share of a team's calls that one may borrow.
 SHARED: Final = 0.5
 ASK_TIMEOUT_S: Final = 1.0
 RETRY_S: Final = 0.5
@@ -60,15 +60,15 @@
 
     def lend(self, entry: str, ask: AllowanceAsk) -> Allowance | Failure:
         """Lend an entry node a slice of a team's calls."""
-        entries = len(self.context.membership.members(self.region))
-        self.quota.max_slice_share = SHARED if entries > 1 else 1
+        if ask.team in self.quota.teams:
+            self.quota.teams[ask.team].max_slice_share = SHARED
         held = self.quota.lend(
             entry,
             ask.team,
             ask.wanted,
             now(),
             sequence=ask.sequence,
-            in_flight=ask.in_flight,
+            holds=ask.holds,
         )
         if held is None:
             return UnknownName(f'no team is called {ask.team!r}', key=ask.team)
@@ -96,10 +96,9 @@
         # A young node may never have heard of a node that is lost by now.
         knows_all = self.context.uptime_s > lapse_s
         holders = self._entries() if knows_all else [ANYONE]
-        self.quota.max_slice_share = SHARED if knows_all else 1
-        for team in self.quota.teams:
-            for holder in holders:
-                self.quota.restore_slice(team, holder, None, now())
+        for team, quota in self.quota.teams.items():
+            quota.max_slice_share = SHARED if knows_all else 1
+            self.quota.await_slices(team, holders, now())
 
     async def _ask_all(self) -> None:
         pending = set(self._entries())
@@ -109,7 +108,6 @@
             )
             pending -= {node for node in answered if node}
             await asyncio.sleep(RETRY_S)
-        self._forget(ANYONE)
 
     async def _ask(self, node: str) -> str:
         reply = await self.context.peers.ask(
@@ -120,17 +118,13 @@
         )
         if isinstance(reply, Failure):
             return ''
-        self._forget(node)
-        for held in reply.slices:
-            self.quota.restore_slice(
-                held.team, entry_name(reply.holder), held.count, now()
+        held = {slice_.team: slice_.count for slice_ in reply.slices}
+        for team in self.quota.teams:
+            self.quota.told(
+                team, node, entry_name(reply.holder), held.get(team, 0), now()
             )
         return node
 
-    def _forget(self, holder: str) -> None:
-        for team in self.quota.teams:
-            self.quota.drop_slice(team, holder)
-
 
 def entry_name(ref: NodeRef) -> str:
     """Return the name of a slice's holder: one process of an entry node."""
--- a/packages/berylspread/src/berylspread/calls/messages.py
+++ b/packages/berylspread/src/berylspread/calls/messages.py
@@ -58,7 +58,7 @@
     home: UnitEpoch
     team: str
     wanted: int
-    in_flight: int
+    holds: int
     sequence: int
 
 
--- a/packages/berylspread/src/berylspread/limits/quota.py
+++ b/packages/berylspread/src/berylspread/limits/quota.py
@@ -7,6 +7,7 @@
 """
 
 import math
+from collections.abc import Iterable
 from typing import Final, final
 
 from berylspread.kernel import CLOCK_DRIFT, check
@@ -46,13 +47,18 @@
 
     A dimension that is 0 in ``fleet_limit`` is unlimited; an allotment of 0 in
     a limited dimension gives nothing.  ``outgoing`` is the part that is being
-    given to another region: it is out of use already.
+    given to another region: it is out of use already.  ``awaited`` are the
+    entry nodes whose slices from a predecessor are not known yet: each counts
+    as a largest slice, which is ``max_slice_share`` of the allotment.
     """
 
     __slots__ = (
         'allotment',
+        'awaited',
+        'awaited_until',
         'fleet_limit',
         'lent',
+        'max_slice_share',
         'outgoing',
         'slices',
         'used',
@@ -65,6 +71,9 @@
         self.outgoing = ZERO
         self.used = ZERO
         self.lent = 0
+        self.awaited: set[str] = set()
+        self.awaited_until: float = 0
+        self.max_slice_share: float = 1
         self.slices: dict[str, Slice] = {}
 
     @property
@@ -79,7 +88,15 @@
 
     def room(self, shape: Resources) -> int | None:
         """Return how many more of a shape fit; ``None`` if unlimited."""
-        return bounded_times(shape, self.in_use, self.limit, self.fleet_limit)
+        unknown = CALL_SHAPE * (self.largest_slice * len(self.awaited))
+        return bounded_times(
+            shape, self.in_use + unknown, self.limit, self.fleet_limit
+        )
+
+    @property
+    def largest_slice(self) -> int:
+        """The most calls that one entry node may hold, or have held."""
+        return math.ceil(self.allotment.slots * self.max_slice_share)
 
 
 @final
@@ -90,7 +107,7 @@
     ``longest_call_s`` how long a call may go on after that.
     """
 
-    __slots__ = ('longest_call_s', 'max_slice_share', 'slice_ttl_s', 'teams')
+    __slots__ = ('longest_call_s', 'slice_ttl_s', 'teams')
 
     def __init__(
         self,
@@ -100,9 +117,6 @@
         """Start without teams; a team that is not known has no quota."""
         self.slice_ttl_s = slice_ttl_s
         self.longest_call_s = longest_call_s
-        #: The share of a team's calls that one entry node may borrow; what a
-        #: lost node held is unknown, and the rest goes on.
-        self.max_slice_share: float = 1
         self.teams: dict[str, TeamQuota] = {}
 
     def set_allotment(
@@ -168,14 +182,15 @@
         now: float,
         *,
         sequence: int,
-        in_flight: int = 0,
+        holds: int = 0,
     ) -> Slice | StaleEpoch | None:
         """Lend an entry node a slice of the team's calls; ``None`` if unknown.
 
-        ``wanted`` is the whole slice that the node wants, ``in_flight`` what it
-        uses as it asks.  A node has one question open at a time, numbers them,
-        and drops a reply to any but its last; so an older question that arrives
-        late is refused, and a repeated one gets the same answer.
+        ``wanted`` is the whole slice that the node wants, ``holds`` what it
+        goes on using until it has the reply.  A node has one question open at
+        a time, numbers them, and drops a reply to any but its last; so an
+        older question that arrives late is refused, and a repeated one gets
+        the same answer.
         """
         quota = self.teams.get(team)
         if quota is None:
@@ -185,41 +200,74 @@
         if sequence < held.sequence:
             return StaleEpoch('an older question for a slice', entry=entry)
         if sequence > held.sequence:
-            self._offer(quota, held, wanted, in_flight)
+            quota.awaited.discard(entry)
+            self._offer(quota, held, wanted, holds)
             held.sequence = sequence
-            self._renew(held, now)
+            held.valid_until = now + self.slice_ttl_s
+            held.counts_until = now + self.lapse_s
             self._check_slice(team, quota)
         return held
 
     def expire(self, team: str, now: float) -> None:
         """Drop the slices whose holders have surely stopped using them."""
         quota = self.teams[team]
+        if quota.awaited_until <= now:
+            quota.awaited.clear()
         for entry, held in list(quota.slices.items()):
             if held.counts_until <= now:
                 quota.lent -= held.count
                 quota.slices.pop(entry)
 
-    def restore_slice(
-        self, team: str, holder: str, count: int | None, now: float
+    def expire_all(self, now: float) -> None:
+        """Drop all teams' lapsed slices; the home calls this each second."""
+        for team in self.teams:
+            self.expire(team, now)
+
+    def await_slices(
+        self, team: str, entries: Iterable[str], now: float
     ) -> None:
-        """Count a slice that a predecessor may have lent to a holder.
+        """Count a largest slice for each node until it tells what it holds.
 
-        A count of ``None`` is all that may have been lent: the room that is
-        left, or the largest slice if that is less.
+        A new home can't know what its predecessor lent.  Each node tells when
+        asked or with its next question; one that does not is counted until its
+        slice has surely lapsed.
         """
         quota = self.teams.setdefault(team, TeamQuota())
-        held = quota.slices.setdefault(holder, Slice())
-        quota.lent -= held.count
-        held.count = self._largest(quota) if count is None else count
-        quota.lent += held.count
-        self._renew(held, now)
+        quota.awaited = set(entries)
+        quota.awaited_until = now + self.lapse_s
 
-    def drop_slice(self, team: str, holder: str) -> None:
-        """Stop counting a holder's slice, which has certainly ended."""
+    def told(
+        self, team: str, entry: str, borrower: str, holds: int, now: float
+    ) -> None:
+        """Take in what an awaited entry node holds, under its borrower name."""
+        quota = self.teams[team]
+        quota.awaited.discard(entry)
+        held = quota.slices.setdefault(borrower, Slice())
+        quota.lent += holds - held.count
+        held.count = holds
+        held.counts_until = now + self.lapse_s
+        self._check_slice(team, quota)
+
+    def set_aside(self, team: str, amount: Resources) -> bool:
+        """Take an amount out of use, to give it to another region.
+
+        Returns ``False`` if it is in use, or if another gift is on its way;
+        the giver appends the move only after this.
+        """
         quota = self.teams.get(team)
-        held = quota.slices.pop(holder, None) if quota else None
-        if quota is not None and held is not None:
-            quota.lent -= held.count
+        if quota is None or quota.outgoing != ZERO:
+            return False
+        left = quota.allotment - quota.in_use - amount
+        asked = amount.is_non_negative() and amount != ZERO
+        mask = quota.fleet_limit
+        if not asked or not within(ZERO, left, mask, amount):
+            return False
+        quota.outgoing = amount
+        return True
+
+    def gift_settled(self, team: str) -> None:
+        """End a gift: the log shows the move, or it surely never will."""
+        self.teams[team].outgoing = ZERO
 
     def excess(self, team: str) -> Resources:
         """Return what a team uses above its allotment, to be preempted."""
@@ -229,27 +277,28 @@
         return over(quota.in_use, quota.limit, quota.fleet_limit)
 
     def _offer(
-        self, quota: TeamQuota, held: Slice, wanted: int, in_flight: int
+        self, quota: TeamQuota, held: Slice, wanted: int, holds: int
     ) -> None:
         quota.lent -= held.count
         room = quota.room(CALL_SHAPE)
-        offer = wanted if room is None else min(wanted, self._largest(quota))
-        held.offered = offer
-        held.count = max(offer, in_flight)
+        held.offered = wanted
+        if room is not None:
+            held.offered = min(wanted, room, quota.largest_slice)
+        granted = quota.in_use + CALL_SHAPE * held.offered
+        check(
+            'slices-within-allotment',
+            not held.offered
+            or within(granted, quota.limit, quota.fleet_limit, CALL_SHAPE),
+            granted=granted,
+            allotment=quota.allotment,
+        )
+        held.count = max(held.offered, holds)
         quota.lent += held.count
 
-    def _largest(self, quota: TeamQuota) -> int:
-        """Return the largest slice that one entry node may have now."""
-        room = quota.room(CALL_SHAPE)
-        if room is None:
-            return 0
-        cap = math.ceil(quota.limit.slots * self.max_slice_share)
-        return max(min(room, cap), 0)
-
-    def _renew(self, held: Slice, now: float) -> None:
-        held.valid_until = now + self.slice_ttl_s
-        lapse_s = (self.slice_ttl_s + self.longest_call_s) * (1 + CLOCK_DRIFT)
-        held.counts_until = now + math.ceil(lapse_s)
+    @property
+    def lapse_s(self) -> float:
+        """Return how long a slice counts after its last renewal."""
+        return (self.slice_ttl_s + self.longest_call_s) * (1 + CLOCK_DRIFT)
 
     def _check_grant(
         self, team: str, quota: TeamQuota, shape: Resources
