--- a/features/log/steps/allotment_steps.py
+++ b/features/log/steps/allotment_steps.py
@@ -5,8 +5,14 @@
 from hypothesis import given as property_given
 from hypothesis import strategies as st
 
-from berylspread.log import AllotmentMoved, ClusterState, ConfigApplied, Entry
-from berylspread.log import Batch, encode_batch
+from berylspread.log import (
+    AllotmentMoved,
+    Batch,
+    ClusterState,
+    ConfigApplied,
+    Entry,
+    encode_batch,
+)
 from berylspread.model import Resources
 
 TEAM = 'proofs'
--- a/features/log/steps/appender_steps.py
+++ b/features/log/steps/appender_steps.py
@@ -103,10 +103,12 @@
 ):
     async with World() as world:
         appender = await start(context, world, interval_s)
-        await asyncio.gather(*(
-            call(context, appender, number, over_s * number / count)
-            for number in range(count)
-        ))
+        await asyncio.gather(
+            *(
+                call(context, appender, number, over_s * number / count)
+                for number in range(count)
+            )
+        )
         await asyncio.sleep(getattr(context, 'settle_s', 100.0))
 
 
--- a/features/log/world.py
+++ b/features/log/world.py
@@ -40,6 +40,10 @@
         error: BaseException | None,
         trace: TracebackType | None,
     ) -> None:
+        await self.end()
+
+    async def end(self) -> None:
+        """Cancel what runs, and raise what ended by itself."""
         failed = [task for task in self.tasks if task.done()]
         for task in self.tasks:
             task.cancel()
