--- a/packages/berylspread/src/berylspread/config/checks.py
+++ b/packages/berylspread/src/berylspread/config/checks.py
@@ -49,6 +49,8 @@
     """Return a checked document, or every error that was found in it."""
     errors: list[InvalidInput] = []
     document = read_document(source, text, errors)
+    if not document.is_readable:
+        return InvalidDocument.of(source, errors)
     for check in _checks:
         errors.extend(check(document))
     return InvalidDocument.of(source, errors) if errors else document
--- a/packages/berylspread/src/berylspread/config/document.py
+++ b/packages/berylspread/src/berylspread/config/document.py
@@ -48,13 +48,17 @@
 
 @final
 class Document:
-    """The sections of one document, by kind and label."""
+    """The sections of one document, by kind and label.
 
-    __slots__ = ('plugins', 'sections', 'source')
+    ``is_readable`` is false if its text is not INI at all.
+    """
+
+    __slots__ = ('is_readable', 'plugins', 'sections', 'source')
 
     def __init__(self, source: str) -> None:
         """Start without sections; an absent unlabelled one has defaults."""
         self.source = source
+        self.is_readable = True
         self.sections: dict[str, dict[str, DocumentSection]] = {}
         self.plugins: dict[str, Section] = {}
 
@@ -150,6 +154,7 @@
     raw = parse_text(source, text)
     if isinstance(raw, InvalidInput):
         errors.append(raw)
+        document.is_readable = False
         return document
     for found in raw.sections:
         _read_one(document, found, errors)
