--- a/packages/berylspread-standins/src/berylspread_standins/http_apps.py
+++ b/packages/berylspread-standins/src/berylspread_standins/http_apps.py
@@ -19,9 +19,9 @@
 )
 from berylspread.backend.interface import CallRequest, SyncRequest
 from berylspread.kernel import errors
-from berylspread.kernel.errors import Failure, Overloaded
+from berylspread.kernel.errors import Failure, InvalidInput, Overloaded
 from berylspread.log.http_client import Appended
-from berylspread.model import Vm
+from berylspread.model import Resources, Vm
 from berylspread_standins.log_service import LogService
 from berylspread_standins.worker import Worker
 
@@ -117,9 +117,18 @@
         route_handlers=handlers,
         state=State(fields, deep_copy=False),
         openapi_config=None,
+        exception_handlers={
+            KeyError: _malformed,
+            ValueError: _malformed,
+            msgspec.DecodeError: _malformed,
+        },
     )
 
 
+def _malformed(_: HttpRequest, error: Exception) -> Response[bytes]:
+    return _failed(InvalidInput(f'{type(error).__name__}: {error}'))
+
+
 def _worker(request: HttpRequest, state: State) -> Worker:
     _, port = request.scope['server'] or ('', 0)
     worker: Worker = state.workers[port]
@@ -142,11 +151,16 @@
         epoch=int(headers['X-Epoch']),
         timeout_s=float(headers['X-Timeout-S']),
         body=body,
+        shape=_shape(headers.get('X-Shape', '')),
         content_type=headers.get('Content-Type', RAW_TYPE),
         traceparent=headers.get('traceparent', ''),
     )
 
 
+def _shape(raw: str) -> Resources:
+    return Resources(*(int(amount) for amount in raw.split(',') if amount))
+
+
 def _json(content: Any) -> Response[bytes]:
     return Response(msgspec.json.encode(content), media_type=JSON_TYPE)
 
--- a/packages/berylspread-standins/src/berylspread_standins/local_workers.py
+++ b/packages/berylspread-standins/src/berylspread_standins/local_workers.py
@@ -111,7 +111,6 @@
         serve: Callable[[Worker], Awaitable[ReplyT | Failure]],
         timeout_s: float,
     ) -> ReplyT | Failure:
-        await self.gate.wait()
         sent = vm.address in self.connected or self._is_reachable(vm)
         answer = await exchange(
             self._serve(vm, request, serve), timeout_s=timeout_s
@@ -129,6 +128,8 @@
         request: SyncRequest | CallRequest,
         serve: Callable[[Worker], Awaitable[ReplyT | Failure]],
     ) -> ReplyT | Failure | None:
+        # What a paused node was about to send goes out when it resumes.
+        await self.gate.wait()
         worker = self.fleet.get(vm.address)
         if worker is None or not await self._travel(vm, request, inbound=True):
             return None
--- a/packages/berylspread-standins/src/berylspread_standins/log_service.py
+++ b/packages/berylspread-standins/src/berylspread_standins/log_service.py
@@ -216,7 +216,6 @@
 
     async def append(self, blob: bytes) -> int | Failure:
         """Append one entry, or return ``LogUnavailable``."""
-        await self.gate.wait()
         answer = await exchange(self._append(blob), timeout_s=self.timeout_s)
         await self.gate.wait()
         if answer is None:
@@ -227,7 +226,6 @@
         self, offset: int, *, limit: int, wait_s: float
     ) -> Page | Failure:
         """Read a page, or return ``LogUnavailable``."""
-        await self.gate.wait()
         answer = await exchange(
             self._read(offset, limit, wait_s),
             timeout_s=self.timeout_s + wait_s,
@@ -238,6 +236,8 @@
         return answer
 
     async def _append(self, blob: bytes) -> int | Failure | None:
+        # What a paused node was about to send goes out when it resumes.
+        await self.gate.wait()
         if not await self._travel(len(blob), inbound=True, purpose='append'):
             return None
         if self._happens(self.faults.duplicate):
@@ -252,6 +252,7 @@
     async def _read(
         self, offset: int, limit: int, wait_s: float
     ) -> Page | Failure | None:
+        await self.gate.wait()
         if not await self._travel(0, inbound=True, purpose='read'):
             return None
         answer = await self.service.read(offset, limit=limit, wait_s=wait_s)
--- a/packages/berylspread-standins/src/berylspread_standins/peer_network.py
+++ b/packages/berylspread-standins/src/berylspread_standins/peer_network.py
@@ -148,8 +148,8 @@
         timeout_s: float,
     ) -> MessageT | Failure:
         """Send a message and wait for its reply, or ``PeerUnreachable``."""
-        await self.gate.wait()
         if node == self.ref.node:
+            await self.gate.wait()
             reply = await self._handle(self.ref, body)
         else:
             reply = await self._ask(node, body, timeout_s)
@@ -164,8 +164,6 @@
         """Send a message without a reply; it may be lost."""
         if node == self.ref.node:
             detach(self._handle(self.ref, body))
-        elif self.gate.is_paused:
-            detach(self._tell_later(node, body))
         else:
             self._send(self._target(node), body)
 
@@ -184,10 +182,6 @@
             del self.asks[number]
         return future.result() if future.done() else None
 
-    async def _tell_later(self, node: str, body: Message) -> None:
-        await self.gate.wait()
-        self._send(self._target(node), body)
-
     async def _receive(self, envelope: Envelope) -> None:
         await self.gate.wait()
         if self.is_stopped:
@@ -201,7 +195,6 @@
                 future.set_result(body)
             return
         reply = await self._handle(envelope.source, body)
-        await self.gate.wait()
         if envelope.ask and reply is not None:
             self._send(envelope.source, reply, ask=envelope.ask, is_reply=True)
 
@@ -233,9 +226,16 @@
             return
         wire = errors.to_wire(body) if isinstance(body, Failure) else body
         type_name, blob = self.peer_network.codec.encode(wire)
-        self.peer_network.send(
-            Envelope(self.ref, target, type_name, blob, ask, is_reply)
-        )
+        envelope = Envelope(self.ref, target, type_name, blob, ask, is_reply)
+        if self.gate.is_paused:
+            detach(self._send_later(envelope))
+        else:
+            self.peer_network.send(envelope)
+
+    async def _send_later(self, envelope: Envelope) -> None:
+        await self.gate.wait()
+        if not self.is_stopped:
+            self.peer_network.send(envelope)
 
     def _target(self, node: str) -> NodeRef:
         incarnation = self.peer_network.incarnations.get(node, 0)
--- a/packages/berylspread-standins/src/berylspread_standins/vm_list.py
+++ b/packages/berylspread-standins/src/berylspread_standins/vm_list.py
@@ -126,7 +126,6 @@
 
     async def fetch(self) -> Sequence[Vm] | Failure:
         """Return the listed VMs, or ``VmListUnavailable``."""
-        await self.gate.wait()
         answer = await exchange(self._fetch(), timeout_s=self.timeout_s)
         await self.gate.wait()
         if answer is None:
@@ -134,6 +133,7 @@
         return answer
 
     async def _fetch(self) -> Sequence[Vm] | Failure | None:
+        await self.gate.wait()
         if self.is_cut:
             return None
         await asyncio.sleep(self.delay_s)
--- a/packages/berylspread-standins/src/berylspread_standins/worker.py
+++ b/packages/berylspread-standins/src/berylspread_standins/worker.py
@@ -129,7 +129,7 @@
         self.faults = WorkerFaults()
         self.gate = Gate()
         self.runs: dict[str, Run] = {}
-        self.calls: set[Execution] = set()
+        self.calls: list[Execution] = []
         self.ended_attempts: collections.OrderedDict[str, tuple[int, float]] = (
             collections.OrderedDict()
         )
@@ -158,7 +158,7 @@
             return stale
         workload = parse_workload(request.body)
         execution = self._call_execution(request, workload)
-        self.calls.add(execution)
+        self.calls.append(execution)
         self.observer.started(execution)
         try:
             status = await self._serve(request, workload)
@@ -354,7 +354,7 @@
 
     def _end_call(self, execution: Execution) -> None:
         if execution in self.calls:
-            self.calls.discard(execution)
+            self.calls.remove(execution)
             self.observer.ended(execution)
 
 
--- a/packages/berylspread/src/berylspread/backend/http_client.py
+++ b/packages/berylspread/src/berylspread/backend/http_client.py
@@ -19,7 +19,7 @@
 )
 from berylspread.kernel import errors
 from berylspread.kernel.errors import Failure, WireFailure, WorkerUnreachable
-from berylspread.model import Vm
+from berylspread.model import DIMENSIONS, Resources, Vm
 
 SYNC_PATH: Final = '/v1/sync'
 CALL_PATH: Final = '/v1/call'
@@ -173,6 +173,7 @@
         'X-Unit': _quote(request.unit),
         'X-Epoch': str(request.epoch),
         'X-Timeout-S': f'{request.timeout_s:.3f}',
+        'X-Shape': ','.join(str(amount) for amount in _amounts(request.shape)),
         'Content-Type': _quote(request.content_type, ' "'),
     }
     if request.traceparent:
@@ -180,5 +181,9 @@
     return headers
 
 
+def _amounts(shape: Resources) -> list[int]:
+    return [getattr(shape, name) for name in DIMENSIONS]
+
+
 def _quote(raw: str, also_safe: str = '') -> str:
     return quote(raw, safe=HEADER_SAFE + also_safe)
