--- a/packages/berylspread-standins/src/berylspread_standins/local_workers.py
+++ b/packages/berylspread-standins/src/berylspread_standins/local_workers.py
@@ -94,13 +94,10 @@
 
     async def call(self, vm: Vm, request: CallRequest) -> CallReply | Failure:
         """Run a call, or return ``WorkerUnreachable`` with ``sent``."""
-        worker = self.fleet.get(vm.address)
-        if worker is not None and len(worker.calls) >= worker.connections:
-            return WorkerUnreachable('connections in use', sent=False)
         return await self._exchange(
             vm,
             request,
-            lambda worker: worker.call(request),
+            lambda worker: _call(worker, request),
             request.timeout_s,
         )
 
@@ -176,6 +173,12 @@
         return probability > 0 and self.rng.random() < probability
 
 
+async def _call(worker: Worker, request: CallRequest) -> CallReply | Failure:
+    if len(worker.calls) >= worker.connections:
+        return WorkerUnreachable('connections in use', sent=False)
+    return await worker.call(request)
+
+
 def _endpoint(vm: Vm) -> Endpoint:
     return Endpoint(vm.vm_id, vm.region, vm.zone)
 
