--- a/features/standins/steps/network_steps.py
+++ b/features/standins/steps/network_steps.py
@@ -125,7 +125,8 @@
         context.nodes = Nodes()
         context.fault(context.nodes)
         started_at = now()
-        context.answer = await context.nodes.peers.nodes[asker].ask(
+        node = context.nodes.peers.nodes[asker]
+        context.answer = await node.ask(
             asked, Number(number=number), Echo, timeout_s=2
         )
         context.elapsed_s = now() - started_at
--- a/packages/berylspread-standins/src/berylspread_standins/faults/network_faults.py
+++ b/packages/berylspread-standins/src/berylspread_standins/faults/network_faults.py
@@ -25,13 +25,14 @@
     name = 'one-way-cut'
 
     async def inject(self, world: World, rng: random.Random) -> None:
-        """Cut from a node to another node or a worker."""
-        source = pick(world.nodes, rng)
+        """Cut between a node and another node or a worker, one way."""
+        node = pick(world.nodes, rng)
         workers = [worker.vm.vm_id for worker in world.workers.values()]
-        target = pick([*world.nodes, *workers], rng)
-        if source is None or target is None or source == target:
+        others = [name for name in (*world.nodes, *workers) if name != node]
+        other = pick(others, rng)
+        if node is None or other is None:
             return
-        ends = [source, target]
+        ends = [node, other]
         rng.shuffle(ends)
         world.network.cut(*ends)
         try:
--- a/packages/berylspread-standins/src/berylspread_standins/faults/worker_faults.py
+++ b/packages/berylspread-standins/src/berylspread_standins/faults/worker_faults.py
@@ -179,8 +179,13 @@
                 healed.clock_rate = 1.0
 
 
-def replace_worker(world: World, old: Worker) -> Worker:
-    """Put a new VM with a new identity at the address of a lost one."""
+def replace_worker(world: World, old: Worker) -> None:
+    """Put a new VM with a new identity at the address of a lost one.
+
+    Nothing happens if another fault has replaced it already.
+    """
+    if world.workers.get(old.vm.address) is not old:
+        return
     base, _, _ = old.vm.vm_id.partition('+')
     vm: Vm = msgspec.structs.replace(
         old.vm, vm_id=f'{base}+{next(_replacements)}', state=VmState.live
@@ -194,7 +199,6 @@
     )
     world.workers[vm.address] = new
     world.vms.put(vm)
-    return new
 
 
 def _pick_worker(world: World, rng: random.Random) -> Worker | None:
