Add the entry's operations on jobs, queues and the fleet

Callers and operators need the same operations whatever protocol carries them, and the router, the homes and the HTTP interface need common views.

Views, access by team key or operator token, submission with names that make a repeat harmless, checks of jobs that could never run, queries that ask the job's home and fall back to the log, and the help desk's tickets.

--- a/packages/berylspread/src/berylspread/entry/__init__.py
+++ b/packages/berylspread/src/berylspread/entry/__init__.py
@@ -1,1 +1,1 @@
-"""What an entry node does for callers and operators, behind its HTTP interface."""
+"""What an entry node does for callers and operators, apart from HTTP."""
--- /dev/null
+++ b/packages/berylspread/src/berylspread/entry/access.py
@@ -0,0 +1,154 @@
+"""Who a caller is, and which queues it may use."""
+
+import hashlib
+import hmac
+from typing import Final, Protocol, final
+
+from berylspread.config import QueueSection
+from berylspread.kernel.errors import (
+    Failure,
+    Forbidden,
+    Unauthenticated,
+    UnknownName,
+)
+from berylspread.kernel.registry import nearest
+from berylspread.runtime import NodeContext
+
+BEARER: Final = 'bearer '
+
+
+@final
+class Caller:
+    """A team that a key names, or nobody on queues that are open to all."""
+
+    __slots__ = ('team',)
+
+    def __init__(self, team: str = '') -> None:
+        """Keep the team; empty is nobody."""
+        self.team = team
+
+    @property
+    def is_known(self) -> bool:
+        """Whether a key came with the request."""
+        return bool(self.team)
+
+
+NOBODY: Final = Caller()
+
+
+class KeyReader(Protocol):
+    """Knows the teams' keys, as ``berylspread.config.vouching.KeyGuard``."""
+
+    def team_of(self, text: str) -> str | Unauthenticated:
+        """Return the team of a key that works, or why there is none."""
+
+    def is_trusted(self) -> bool:
+        """Return whether no withdrawal can have been missed."""
+
+
+@final
+class Access:
+    """Checks keys and queues against the log's state."""
+
+    __slots__ = ('context', 'keys')
+
+    def __init__(self, context: NodeContext, keys: KeyReader) -> None:
+        """Take the node's parts and its knowledge of keys."""
+        self.context = context
+        self.keys = keys
+
+    def caller(self, authorization: str) -> Caller | Failure:
+        """Return the caller that an ``Authorization`` header names.
+
+        A request without the header comes from nobody.
+        """
+        if not authorization:
+            return NOBODY
+        text = bearer_text(authorization)
+        if isinstance(text, Failure):
+            return text
+        team = self.keys.team_of(text)
+        return team if isinstance(team, Failure) else Caller(team)
+
+    def team_caller(self, authorization: str) -> Caller | Failure:
+        """Return the caller; a key is required."""
+        caller = self.caller(authorization)
+        if isinstance(caller, Failure) or caller.is_known:
+            return caller
+        return Unauthenticated('a key is required: Authorization: Bearer KEY')
+
+    def queue(
+        self, authorization: str, name: str
+    ) -> tuple[Caller, QueueSection] | Failure:
+        """Return the caller and a queue that it may use.
+
+        An open queue takes work from anybody, also while keys are not trusted;
+        a key that is wrong is refused there too.
+        """
+        queue = self.context.document.queue(name)
+        caller = self.caller(authorization)
+        if queue is not None and queue.open:
+            if isinstance(caller, Failure) and not self.keys.is_trusted():
+                caller = NOBODY
+            return caller if isinstance(caller, Failure) else (caller, queue)
+        if isinstance(caller, Failure):
+            return caller
+        if not caller.is_known:
+            return Unauthenticated(
+                'a key is required: Authorization: Bearer KEY', queue=name
+            )
+        if queue is None:
+            return self._unknown(name, caller)
+        if queue.team != caller.team:
+            return Forbidden(
+                'the key is of another team than the queue',
+                queue=name,
+                team=caller.team,
+            )
+        return caller, queue
+
+    def _unknown(self, name: str, caller: Caller) -> UnknownName:
+        usable = [
+            label
+            for label, queue in self.context.document.queues.items()
+            if queue.open or queue.team == caller.team
+        ]
+        return UnknownName(
+            f'no queue is called {name!r}',
+            kind='queue',
+            key=name,
+            nearest=nearest(name, usable),
+        )
+
+
+@final
+class OperatorAccess:
+    """Checks the operators' tokens against digests from the settings."""
+
+    __slots__ = ('digests',)
+
+    def __init__(self, digests: tuple[str, ...]) -> None:
+        """Take SHA-256 digests in hexadecimal; without any, all are refused."""
+        self.digests = tuple(digest.lower() for digest in digests)
+
+    def check(self, authorization: str) -> Failure | None:
+        """Return why the token in the header is refused, or ``None``."""
+        text = bearer_text(authorization)
+        if isinstance(text, Failure):
+            return text
+        digest = hashlib.sha256(text.encode()).hexdigest()
+        # Every digest is compared, so that the time does not tell which.
+        matches = [hmac.compare_digest(digest, known) for known in self.digests]
+        if any(matches):
+            return None
+        return Unauthenticated("the operator's token is unknown")
+
+
+def bearer_text(authorization: str) -> str | Unauthenticated:
+    """Return the text of a bearer token."""
+    scheme, text = authorization[: len(BEARER)], authorization[len(BEARER) :]
+    if scheme.lower() != BEARER or not text.strip():
+        return Unauthenticated(
+            'malformed header, give Authorization: Bearer KEY'
+        )
+    return text.strip()
--- /dev/null
+++ b/packages/berylspread/src/berylspread/entry/jobs.py
@@ -0,0 +1,315 @@
+"""Status, listing, results and cancellation of jobs.
+
+The job's home knows most; where it does not answer, the log's fold tells what
+is certain.
+"""
+
+import asyncio
+import heapq
+from collections.abc import Iterable
+from typing import Final, Protocol, final
+
+from msgspec import structs
+
+from berylspread.entry.access import Caller
+from berylspread.entry.failures import JobNotEnded
+from berylspread.entry.messages import JobsAsk, JobsReply, WhyAsk, WhyReply
+from berylspread.entry.views import (
+    CancelView,
+    JobPage,
+    JobResult,
+    JobView,
+    WhyView,
+)
+from berylspread.kernel.errors import (
+    Failure,
+    Forbidden,
+    InvalidInput,
+    UnknownName,
+)
+from berylspread.log import JobCancelled
+from berylspread.log.folds.jobs import EndedJob, JobFold, JobState
+from berylspread.model import JobSpec, NodeRef
+from berylspread.runtime import NodeContext
+
+ASK_TIMEOUT_S: Final = 1.0
+MAX_PAGE: Final = 500
+DEFAULT_PAGE: Final = 50
+LIVE_STATES: Final = ('pending', 'running')
+
+
+class Describer(Protocol):
+    """What the homes of this node know of their jobs."""
+
+    def describe(self, job_id: str) -> JobView | Failure:
+        """Return a job of a home on this node."""
+
+    def why(self, job_id: str) -> WhyView | Failure:
+        """Return why tasks of a job wait."""
+
+
+@final
+class JobServer:
+    """Answers other nodes' questions about the homes of this node."""
+
+    __slots__ = ('describer',)
+
+    def __init__(self, context: NodeContext, describer: Describer) -> None:
+        """Serve both kinds of questions."""
+        self.describer = describer
+        context.peers.handle(JobsAsk, self.jobs)
+        context.peers.handle(WhyAsk, self.why)
+
+    async def jobs(self, source: NodeRef, ask: JobsAsk) -> JobsReply:
+        """Return the asked jobs that are here."""
+        found = (self.describer.describe(job_id) for job_id in ask.job_ids)
+        return JobsReply([view for view in found if isinstance(view, JobView)])
+
+    async def why(self, source: NodeRef, ask: WhyAsk) -> WhyReply | Failure:
+        """Return why tasks of a job wait."""
+        why = self.describer.why(ask.job_id)
+        return why if isinstance(why, Failure) else WhyReply(why)
+
+
+@final
+class JobQueries:
+    """What callers ask of jobs; a caller sees its own team's.
+
+    ``caller`` is ``None`` for an operator, who sees all.
+    """
+
+    __slots__ = ('context',)
+
+    def __init__(self, context: NodeContext) -> None:
+        """Take the node's parts."""
+        self.context = context
+
+    @property
+    def fold(self) -> JobFold:
+        """The jobs as the log tells them."""
+        return self.context.state.jobs
+
+    async def status(
+        self, caller: Caller | None, job_id: str
+    ) -> JobView | Failure:
+        """Return one job as its home sees it, or as the log does."""
+        spec = self.find(caller, job_id)
+        if isinstance(spec, Failure):
+            return spec
+        views = await self._refreshed([self._folded(job_id)])
+        return views[0]
+
+    async def page(
+        self,
+        caller: Caller | None,
+        *,
+        cursor: str = '',
+        limit: int = DEFAULT_PAGE,
+        queue: str = '',
+        state: str = '',
+    ) -> JobPage | Failure:
+        """Return jobs after the cursor, in order of submission.
+
+        ``state`` is a terminal state, ``active`` or empty for all.
+        """
+        after = _read_cursor(cursor)
+        if isinstance(after, Failure):
+            return after
+        if not 1 <= limit <= MAX_PAGE:
+            return InvalidInput(
+                f'limit is {limit}, not from 1 to {MAX_PAGE}', field='limit'
+            )
+        chosen = heapq.nsmallest(
+            limit + 1,
+            (
+                _place(spec)
+                for spec in self._specs(state)
+                if _is_wanted(spec, caller, queue) and _place(spec) > after
+            ),
+        )
+        views = [self._folded(job_id) for _at, job_id in chosen[:limit]]
+        more = len(chosen) > limit
+        return JobPage(
+            await self._refreshed(views),
+            _write_cursor(chosen[limit - 1]) if more else '',
+        )
+
+    def result(self, caller: Caller | None, job_id: str) -> JobResult | Failure:
+        """Return how an ended job's tasks ended."""
+        spec = self.find(caller, job_id)
+        if isinstance(spec, Failure):
+            return spec
+        ended = self.fold.ended.get(job_id)
+        if ended is None:
+            return JobNotEnded('the job has not ended', job_id=job_id)
+        return JobResult(
+            job_id,
+            ended.state.value,
+            ended.counts,
+            list(ended.ends),
+            ended.reason,
+        )
+
+    async def cancel(
+        self, caller: Caller | None, job_id: str, reason: str = ''
+    ) -> CancelView | Failure:
+        """Cancel a job; its tasks stop soon after this returns.
+
+        A job that has ended stays as it is, and the answer says where.
+        """
+        spec = self.find(caller, job_id)
+        if isinstance(spec, Failure):
+            return spec
+        ended = self.fold.ended.get(job_id)
+        if ended is not None:
+            return CancelView(job_id, ended.offset)
+        offset = await self.context.appender.append(
+            JobCancelled(job_id, reason or 'cancelled by its team')
+        )
+        if isinstance(offset, Failure):
+            return offset
+        return CancelView(job_id, offset)
+
+    async def why(
+        self, caller: Caller | None, job_id: str
+    ) -> WhyView | Failure:
+        """Return why tasks of a job wait, asked of the job's home."""
+        spec = self.find(caller, job_id)
+        if isinstance(spec, Failure):
+            return spec
+        ended = self.fold.ended.get(job_id)
+        if ended is not None:
+            return WhyView(job_id, ended.state.value, [])
+        owner = self.context.state.owner(spec.home)
+        if owner is None:
+            return UnknownName(
+                f'no node owns {spec.home!r} yet', kind='home', key=spec.home
+            )
+        ref, _epoch = owner
+        reply = await self.context.peers.ask(
+            ref.node, WhyAsk(job_id), WhyReply, timeout_s=ASK_TIMEOUT_S
+        )
+        return reply if isinstance(reply, Failure) else reply.why
+
+    def find(self, caller: Caller | None, job_id: str) -> JobSpec | Failure:
+        """Return a job's spec if the caller may see it."""
+        found = self._known(job_id)
+        if found is None:
+            return UnknownName(
+                f'no job is called {job_id!r}', kind='job', key=job_id
+            )
+        if caller is not None and caller.team != found.spec.team:
+            return Forbidden('the job is of another team', job_id=job_id)
+        return found.spec
+
+    def _known(self, job_id: str) -> JobState | EndedJob | None:
+        jobs = self.fold
+        return jobs.active.get(job_id) or jobs.ended.get(job_id)
+
+    def _specs(self, state: str) -> Iterable[JobSpec]:
+        jobs = self.fold
+        if state in {'', 'active', *LIVE_STATES}:
+            yield from (job.spec for job in jobs.active.values())
+        if state != 'active':
+            yield from (
+                job.spec
+                for job in jobs.ended.values()
+                if state in {'', job.state.value}
+            )
+
+    def _folded(self, job_id: str) -> JobView:
+        jobs = self.fold
+        active = jobs.active.get(job_id)
+        if active is not None:
+            return _active_view(active, self.context.wall.time())
+        return _ended_view(jobs.ended[job_id])
+
+    async def _refreshed(self, views: list[JobView]) -> list[JobView]:
+        """Replace the views of active jobs by what their homes answer."""
+        by_node: dict[str, list[str]] = {}
+        for view in views:
+            owner = self.context.state.owner(view.home)
+            if view.ended_at is None and owner is not None:
+                ref, _epoch = owner
+                by_node.setdefault(ref.node, []).append(view.job_id)
+        replies = await asyncio.gather(
+            *(
+                self.context.peers.ask(
+                    node, JobsAsk(job_ids), JobsReply, timeout_s=ASK_TIMEOUT_S
+                )
+                for node, job_ids in by_node.items()
+            )
+        )
+        fresh = {
+            answered.job_id: answered
+            for reply in replies
+            if isinstance(reply, JobsReply)
+            for answered in reply.jobs
+        }
+        return [fresh.get(known.job_id, known) for known in views]
+
+
+def base_view(
+    spec: JobSpec, state: str, tasks: dict[str, int], now: float
+) -> JobView:
+    """Return the view of a job that has not ended at ``now``."""
+    return JobView(
+        job_id=spec.job_id,
+        team=spec.team,
+        queue=spec.queue,
+        kind=spec.kind,
+        state=state,
+        tasks=tasks,
+        shape=spec.shape,
+        submitted_at=spec.submitted_at,
+        home=spec.home,
+        priority=spec.priority,
+        deadline=spec.deadline,
+        waited_s=max(now - spec.submitted_at, 0.0),
+        source='log',
+    )
+
+
+def _active_view(job: JobState, now: float) -> JobView:
+    counts = job.counts()
+    rest = job.spec.tasks - sum(counts.values())
+    view = base_view(job.spec, 'active', {**counts, 'active': rest}, now)
+    if job.cancelled is None:
+        return view
+    return _replace(view, cancelled=True, reason=job.cancelled)
+
+
+def _ended_view(job: EndedJob) -> JobView:
+    view = base_view(job.spec, job.state.value, job.counts, job.ended_at)
+    return _replace(view, ended_at=job.ended_at, reason=job.reason)
+
+
+def _replace(view: JobView, **changes: object) -> JobView:
+    return structs.replace(view, **changes)
+
+
+def _is_wanted(spec: JobSpec, caller: Caller | None, queue: str) -> bool:
+    is_own = caller is None or caller.team == spec.team
+    return is_own and queue in {'', spec.queue}
+
+
+def _place(spec: JobSpec) -> tuple[float, str]:
+    return spec.submitted_at, spec.job_id
+
+
+def _write_cursor(place: tuple[float, str]) -> str:
+    submitted_at, job_id = place
+    return f'{submitted_at!r}~{job_id}'
+
+
+def _read_cursor(cursor: str) -> tuple[float, str] | InvalidInput:
+    if not cursor:
+        return float('-inf'), ''
+    at, separator, job_id = cursor.partition('~')
+    try:
+        submitted_at = float(at)
+    except ValueError:
+        separator = ''
+    if not separator:
+        return InvalidInput(f'malformed cursor {cursor!r}', field='cursor')
+    return submitted_at, job_id
--- /dev/null
+++ b/packages/berylspread/src/berylspread/entry/submission.py
@@ -0,0 +1,271 @@
+"""Accepts jobs: checks, a name that makes repeats harmless, one append.
+
+A job with a request id has a name that follows from team and request id, so a
+repeat at any entry node is the same job.
+"""
+
+import uuid
+from typing import Final, TypeVar, final
+
+import msgspec
+import xxhash
+
+from berylspread.config import QueueSection
+from berylspread.config.sections import (
+    MAX_CORES,
+    MAX_DEVICES,
+    MAX_GIB,
+    MIB_PER_GIB,
+    MILLI_PER_CORE,
+)
+from berylspread.entry.access import Caller
+from berylspread.entry.failures import RequestReused
+from berylspread.entry.feasibility import find_obstacle
+from berylspread.entry.views import JobAcceptedView, JobInput
+from berylspread.kernel.errors import (
+    DeadlineExceeded,
+    Failure,
+    InvalidInput,
+    LogUnavailable,
+    NotRun,
+)
+from berylspread.log import JobAccepted
+from berylspread.model import JobKind, JobSpec, Resources, shard_unit
+from berylspread.runtime import NodeContext
+
+ValueT = TypeVar('ValueT')
+
+HEXADECIMAL: Final = 16
+MAX_PRIORITY: Final = 100
+MAX_ATTEMPTS: Final = 100
+MAX_TEXT: Final = 200
+MAX_RUN_S: Final = 31_536_000.0
+BYTES_PER_KIB: Final = 1024
+
+#: The least and the largest value of each number that may be given.
+RANGES: Final[tuple[tuple[str, float, float], ...]] = (
+    ('cpu', 0, MAX_CORES),
+    ('memory_gib', 0, MAX_GIB),
+    ('accelerators', 0, MAX_DEVICES),
+    ('slots', 0, MAX_DEVICES),
+    ('priority', 0, MAX_PRIORITY),
+    ('max_attempts', 1, MAX_ATTEMPTS),
+    ('expected_run_s', 0, MAX_RUN_S),
+)
+
+JOB_KINDS: Final = {
+    'batch': JobKind.batch,
+    'gang': JobKind.gang,
+    'service': JobKind.service,
+}
+
+
+@final
+class Submission:
+    """Turns what a caller submits into an accepted job."""
+
+    __slots__ = ('context',)
+
+    def __init__(self, context: NodeContext) -> None:
+        """Take the node's parts."""
+        self.context = context
+
+    async def submit(
+        self, caller: Caller, queue: QueueSection, job: JobInput
+    ) -> JobAcceptedView | Failure:
+        """Accept a job on a queue that the caller may use.
+
+        The job is in the log when this returns a view.  ``LogUnavailable``
+        leaves open whether it is; a repeat with the field ``request_id`` tells.
+        """
+        spec = self.make_spec(caller, queue, job)
+        if isinstance(spec, Failure):
+            return spec
+        obstacle = find_obstacle(self.context, spec)
+        if obstacle is not None:
+            return obstacle
+        return await self.accept(spec)
+
+    async def accept(self, spec: JobSpec) -> JobAcceptedView | Failure:
+        """Append a job unless it is accepted already."""
+        known = self._known(spec)
+        if known is not None:
+            return known
+        offset = await self.context.appender.append(JobAccepted(spec))
+        if isinstance(offset, Failure):
+            return _refused(offset, spec)
+        return JobAcceptedView(spec.job_id, spec.request_id, offset)
+
+    def make_spec(
+        self, caller: Caller, queue: QueueSection, job: JobInput
+    ) -> JobSpec | Failure:
+        """Check the input against the queue and fill in its defaults."""
+        problem = self._problem(queue, job)
+        if problem is not None:
+            return problem
+        deadline = self._deadline(job)
+        request_id = job.request_id or uuid.uuid4().hex
+        digest = _digest(caller.team, request_id)
+        region = self._region(queue, job, digest)
+        shard = self._shard(caller.team)
+        return JobSpec(
+            job_id=f'{region}.{shard}.{digest}',
+            team=caller.team,
+            queue=queue.label,
+            kind=JOB_KINDS[queue.work],
+            tasks=job.tasks,
+            shape=_shape(queue, job),
+            home=shard_unit(region, shard),
+            submitted_at=self.context.wall.time(),
+            priority=_given(job.priority, queue.priority),
+            deadline=deadline,
+            idempotent=_given(job.idempotent, queue.idempotent),
+            preemptible=_given(job.preemptible, queue.preemptible),
+            expected_run_s=job.expected_run_s,
+            max_attempts=_given(job.max_attempts, queue.max_attempts),
+            job_class=job.job_class or queue.label,
+            payload=job.payload,
+            request_id=request_id,
+            constraints=job.constraints,
+        )
+
+    def _problem(self, queue: QueueSection, job: JobInput) -> Failure | None:
+        if queue.work not in JOB_KINDS:
+            return _invalid(
+                'queue', f'queue {queue.label!r} takes calls, not jobs'
+            )
+        if job.kind not in {None, JOB_KINDS[queue.work]}:
+            return _invalid(
+                'kind', f'queue {queue.label!r} takes {queue.work} jobs'
+            )
+        ranges = (('tasks', 1, queue.max_tasks), *RANGES)
+        for field, minimum, maximum in ranges:
+            value = getattr(job, field)
+            if value is not None and not minimum <= value <= maximum:
+                return _invalid(
+                    field,
+                    f'{field} is {value:g},'
+                    f' not from {minimum:g} to {maximum:g}',
+                )
+        if len(job.payload.encode()) > queue.max_body_kib * BYTES_PER_KIB:
+            return _invalid(
+                'payload', f'the payload is over {queue.max_body_kib} KiB'
+            )
+        return _long_text(job) or self._deadline_problem(queue, job)
+
+    def _deadline_problem(
+        self, queue: QueueSection, job: JobInput
+    ) -> Failure | None:
+        if job.deadline is not None and job.deadline_s is not None:
+            return _invalid('deadline_s', 'give deadline or deadline_s')
+        deadline = self._deadline(job)
+        if deadline is None:
+            return None
+        left_s = deadline - self.context.wall.time()
+        if left_s <= 0:
+            return DeadlineExceeded(
+                'the deadline is in the past', deadline=deadline
+            )
+        if left_s > queue.max_deadline_s:
+            return _invalid(
+                'deadline',
+                f'the queue allows at most {queue.max_deadline_s:g} s',
+            )
+        return None
+
+    def _deadline(self, job: JobInput) -> float | None:
+        if job.deadline_s is not None:
+            return self.context.wall.time() + job.deadline_s
+        return job.deadline
+
+    def _region(self, queue: QueueSection, job: JobInput, digest: str) -> str:
+        named = job.constraints.region or queue.region
+        if named:
+            return named
+        if not job.request_id:
+            return self.context.region
+        # A repeat at an entry node of another region must find the same home.
+        weights = {
+            name: section.weight
+            for name, section in sorted(self.context.document.regions.items())
+        }
+        point = int(digest, HEXADECIMAL) % (sum(weights.values()) or 1)
+        for name, weight in weights.items():
+            point -= weight
+            if point < 0:
+                return name
+        return self.context.region
+
+    def _shard(self, team: str) -> int:
+        shards: int = self.context.document.limits.shards
+        return xxhash.xxh64_intdigest(team.encode()) % shards
+
+    def _known(self, spec: JobSpec) -> JobAcceptedView | Failure | None:
+        jobs = self.context.state.jobs
+        active = jobs.active.get(spec.job_id)
+        if active is not None:
+            return _repeat(active.spec, spec, active.accepted_at)
+        ended = jobs.ended.get(spec.job_id)
+        if ended is not None:
+            return _repeat(ended.spec, spec, ended.offset)
+        return None
+
+
+def _repeat(
+    known: JobSpec, spec: JobSpec, offset: int
+) -> JobAcceptedView | Failure:
+    if _identity(known) == _identity(spec):
+        return JobAcceptedView(spec.job_id, spec.request_id, offset)
+    return RequestReused(
+        'the request id belongs to another job of the team',
+        job_id=known.job_id,
+        request_id=spec.request_id,
+    )
+
+
+def _identity(spec: JobSpec) -> JobSpec:
+    """Leave out what differs between repeats or is forgotten at the end."""
+    return msgspec.structs.replace(
+        spec, submitted_at=0.0, deadline=None, payload=''
+    )
+
+
+def _refused(failed: Failure, spec: JobSpec) -> Failure:
+    fields = {
+        **failed.fields,
+        'request_id': spec.request_id,
+        'job_id': spec.job_id,
+    }
+    if isinstance(failed, LogUnavailable) and not failed.fields.get(
+        'may_have_applied', True
+    ):
+        return NotRun(failed.reason, **fields)
+    return type(failed)(failed.reason, **fields)
+
+
+def _shape(queue: QueueSection, job: JobInput) -> Resources:
+    return Resources(
+        round(_given(job.cpu, queue.cpu) * MILLI_PER_CORE),
+        round(_given(job.memory_gib, queue.memory_gib) * MIB_PER_GIB),
+        _given(job.accelerators, queue.accelerators),
+        _given(job.slots, queue.slots),
+    )
+
+
+def _given(value: ValueT | None, default: ValueT) -> ValueT:
+    return default if value is None else value
+
+
+def _digest(team: str, request_id: str) -> str:
+    return xxhash.xxh3_128_hexdigest(f'{team}\0{request_id}'.encode())
+
+
+def _long_text(job: JobInput) -> Failure | None:
+    for field in ('job_class', 'request_id'):
+        if len(getattr(job, field)) > MAX_TEXT:
+            return _invalid(field, f'{field} is over {MAX_TEXT} characters')
+    return None
+
+
+def _invalid(field: str, reason: str) -> InvalidInput:
+    return InvalidInput(reason, field=field)
--- /dev/null
+++ b/packages/berylspread/src/berylspread/entry/tickets.py
@@ -0,0 +1,117 @@
+"""The help desk: a ticket for each outcome that a user would complain about.
+
+Tickets that follow from the log are the same on every node; the others are
+known to the node that saw them.
+"""
+
+import collections
+import enum
+from typing import Any, Final, final
+
+from opentelemetry import metrics, trace
+
+from berylspread.entry.messages import TicketsAsk, TicketsReply
+from berylspread.entry.views import TicketView
+from berylspread.log import JobEnded, TasksEnded
+from berylspread.log.folds.jobs import EndedJob
+from berylspread.model import JobSpec, NodeRef, TaskState
+from berylspread.runtime import NodeContext
+
+MAX_TICKETS: Final = 500
+
+
+@final
+class Category(enum.Enum):
+    """What went wrong, in the field's terms."""
+
+    deadline_missed = 'deadline-missed'
+    lost_task = 'lost-task'
+    duplicate_execution = 'duplicate-execution'
+    unstaffed_singleton = 'unstaffed-singleton'
+
+
+LOST_STATES: Final = frozenset((TaskState.lost, TaskState.unknown))
+
+_meter: Final = metrics.get_meter('berylspread.entry')
+_opened: Final = _meter.create_counter(
+    'berylspread_tickets_opened', description='tickets opened, by category'
+)
+
+
+@final
+class TicketDesk:
+    """The newest tickets of this node, one for each category and subject."""
+
+    __slots__ = ('context', 'opened', 'tickets')
+
+    def __init__(self, context: NodeContext) -> None:
+        """Follow the log and answer other nodes."""
+        self.context = context
+        self.tickets: collections.OrderedDict[str, TicketView] = (
+            collections.OrderedDict()
+        )
+        self.opened: collections.Counter[str] = collections.Counter()
+        context.state.subscribe(TasksEnded, self._tasks_ended)
+        context.state.subscribe(JobEnded, self._job_ended)
+        context.peers.handle(TicketsAsk, self._serve)
+
+    def open(self, category: Category, subject: str, **detail: Any) -> None:
+        """Open a ticket with the current trace; a repeat changes nothing."""
+        ticket = f'{category.value}/{subject}'
+        if ticket in self.tickets:
+            return
+        self.tickets[ticket] = TicketView(
+            ticket=ticket,
+            category=category.value,
+            subject=subject,
+            detail=detail,
+            opened_at=self.context.wall.time(),
+            node=self.context.ref.node,
+            trace_id=_trace_id(),
+        )
+        if len(self.tickets) > MAX_TICKETS:
+            self.tickets.popitem(last=False)
+        self.opened[category.value] += 1
+        _opened.add(1, {'category': category.value})
+
+    def newest_first(self) -> list[TicketView]:
+        """Return this node's tickets."""
+        return list(reversed(self.tickets.values()))
+
+    async def _serve(self, source: NodeRef, ask: TicketsAsk) -> TicketsReply:
+        return TicketsReply(self.newest_first(), dict(self.opened))
+
+    def _tasks_ended(self, offset: int, record: TasksEnded) -> None:
+        for end in record.ends:
+            if end.state in LOST_STATES:
+                self.open(
+                    Category.lost_task,
+                    f'{record.job_id}/{end.index}',
+                    state=end.state.value,
+                    reason=end.reason,
+                    offset=offset,
+                )
+
+    def _job_ended(self, offset: int, record: JobEnded) -> None:
+        jobs = self.context.state.jobs
+        ended = jobs.ended.get(record.job_id)
+        if ended is None or not _is_late(ended, ended.spec):
+            return
+        self.open(
+            Category.deadline_missed,
+            record.job_id,
+            deadline=ended.spec.deadline,
+            ended_at=ended.ended_at,
+            offset=offset,
+        )
+
+
+def _is_late(ended: EndedJob, spec: JobSpec) -> bool:
+    if spec.deadline is None or ended.state is TaskState.cancelled:
+        return False
+    return ended.ended_at > spec.deadline
+
+
+def _trace_id() -> str:
+    found = trace.get_current_span().get_span_context()
+    return trace.format_trace_id(found.trace_id) if found.is_valid else ''
--- /dev/null
+++ b/packages/berylspread/src/berylspread/entry/views.py
@@ -0,0 +1,313 @@
+"""What callers submit and what they are shown, as it travels in JSON."""
+
+from typing import Any, final
+
+import msgspec
+
+from berylspread.model import Constraints, JobKind, Resources, TaskEnd
+
+NO_TEAM = ''
+
+
+@final
+class CallInput(msgspec.Struct, frozen=True):
+    """An interactive call that passed the entry's checks.
+
+    ``team`` is the key's team, empty for a caller without a key on a queue that
+    is open to all; ``deadline`` is seconds since the epoch.
+    """
+
+    team: str
+    queue: str
+    request_id: str
+    deadline: float
+    body: bytes
+    idempotent: bool = True
+    content_type: str = 'application/octet-stream'
+
+
+@final
+class JobInput(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """A job as a caller submits it; an absent shape is the queue's.
+
+    ``deadline`` is seconds since the epoch, ``deadline_s`` seconds from now; at
+    most one of them is given.  A repeat with the same ``request_id`` is the
+    same job.
+    """
+
+    queue: str
+    tasks: int = 1
+    kind: JobKind | None = None
+    cpu: float | None = None
+    memory_gib: float | None = None
+    accelerators: int | None = None
+    slots: int | None = None
+    priority: int | None = None
+    deadline: float | None = None
+    deadline_s: float | None = None
+    idempotent: bool | None = None
+    preemptible: bool | None = None
+    expected_run_s: float = 0.0
+    max_attempts: int | None = None
+    job_class: str = ''
+    payload: str = ''
+    request_id: str = ''
+    constraints: Constraints = Constraints()
+
+
+@final
+class JobAcceptedView(msgspec.Struct, frozen=True):
+    """The answer to a submission: the job is in the log."""
+
+    job_id: str
+    request_id: str
+    offset: int
+
+
+@final
+class JobView(msgspec.Struct, frozen=True):
+    """A job; ``tasks`` counts them by state, ``waited_s`` since submission.
+
+    ``state`` is ``pending``, ``running`` or the job's terminal state.
+    ``source`` is ``home``; where no home answers it is ``log``, and a job that
+    has not ended is ``active``.
+    """
+
+    job_id: str
+    team: str
+    queue: str
+    kind: JobKind
+    state: str
+    tasks: dict[str, int]
+    shape: Resources
+    submitted_at: float
+    home: str = ''
+    priority: int = 0
+    deadline: float | None = None
+    ended_at: float | None = None
+    reason: str = ''
+    waited_s: float = 0.0
+    cancelled: bool = False
+    workers: list[str] = []
+    source: str = 'home'
+
+
+@final
+class JobPage(msgspec.Struct, frozen=True):
+    """Jobs in order of submission; ``cursor`` asks for the next page."""
+
+    jobs: list[JobView]
+    cursor: str = ''
+
+
+@final
+class JobResult(msgspec.Struct, frozen=True):
+    """How an ended job's tasks ended; ``ends`` holds the first few."""
+
+    job_id: str
+    state: str
+    tasks: dict[str, int]
+    ends: list[TaskEnd]
+    reason: str = ''
+
+
+@final
+class CancelView(msgspec.Struct, frozen=True):
+    """The answer to a cancellation: it is in the log."""
+
+    job_id: str
+    offset: int
+
+
+@final
+class WhyLine(msgspec.Struct, frozen=True):
+    """One reason that holds tasks back, and how many."""
+
+    reason: str
+    tasks: int
+    detail: dict[str, Any] = {}
+
+
+@final
+class WhyView(msgspec.Struct, frozen=True):
+    """Why tasks of a job are pending."""
+
+    job_id: str
+    state: str
+    lines: list[WhyLine]
+
+
+@final
+class NodeView(msgspec.Struct, frozen=True):
+    """An entry node as this node sees it; ``answered`` if it was just asked."""
+
+    node: str
+    region: str
+    zone: str
+    address: str
+    liveness: str
+    incarnation: int = 0
+    answered: bool = False
+    ready: bool = False
+    log_offset: int = 0
+    versions: dict[str, int] = {}
+    units: list[str] = []
+    violations: dict[str, int] = {}
+
+
+@final
+class StatusView(msgspec.Struct, frozen=True):
+    """The whole system in short."""
+
+    environment: str
+    version: int
+    nodes: int
+    nodes_ready: int
+    workers: int
+    jobs: dict[str, int]
+    units: int
+    units_unowned: int
+    tickets: int
+    violations: dict[str, int]
+
+
+@final
+class WorkerView(msgspec.Struct, frozen=True):
+    """A worker as the platform lists it, and who decides for it."""
+
+    worker: str
+    region: str
+    zone: str
+    rack: str
+    state: str
+    address: str
+    owner: str = ''
+    epoch: int = 0
+
+
+@final
+class TeamView(msgspec.Struct, frozen=True):
+    """A team's share of the fleet from 0 to 1, its limit and its jobs.
+
+    ``keys`` counts the keys that work.
+    """
+
+    team: str
+    organisation: str
+    share: float
+    limit: Resources
+    jobs: int = 0
+    keys: int = 0
+
+
+@final
+class QueueView(msgspec.Struct, frozen=True):
+    """A queue as the document in force defines it, and its jobs."""
+
+    queue: str
+    team: str
+    open: bool
+    kind: str
+    region: str
+    shape: Resources
+    jobs: int = 0
+
+
+@final
+class TicketView(msgspec.Struct, frozen=True):
+    """A ticket of the help desk; ``opened_at`` is seconds since the epoch."""
+
+    ticket: str
+    category: str
+    subject: str
+    detail: dict[str, Any]
+    opened_at: float
+    node: str
+    trace_id: str = ''
+
+
+@final
+class KeyView(msgspec.Struct, frozen=True):
+    """A key without its secret; times are seconds since the epoch."""
+
+    key_id: str
+    team: str
+    label: str
+    created_at: float
+    withdrawn_at: float | None = None
+
+
+@final
+class NewKeyView(msgspec.Struct, frozen=True):
+    """A new key; ``secret`` is shown this once and stored nowhere."""
+
+    key_id: str
+    team: str
+    secret: str
+    offset: int
+
+
+@final
+class ConfigView(msgspec.Struct, frozen=True):
+    """The document in force in one environment; version 0 is none."""
+
+    environment: str
+    version: int
+    text: str = ''
+    author: str = ''
+    note: str = ''
+    applied_at: float = 0.0
+
+
+@final
+class ConfigInput(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """A document to check or apply, made from the version ``base``."""
+
+    text: str
+    base: int = 0
+    author: str = ''
+    note: str = ''
+
+
+@final
+class ChangeView(msgspec.Struct, frozen=True):
+    """An option that differs between two documents."""
+
+    section: str
+    option: str
+    before: str | None
+    after: str | None
+
+
+@final
+class CheckView(msgspec.Struct, frozen=True):
+    """A document that passed its checks, and what looks wrong in it."""
+
+    environment: str
+    sections: int
+    warnings: list[str]
+
+
+@final
+class AppliedView(msgspec.Struct, frozen=True):
+    """A document in force: its version is the offset of its entry."""
+
+    environment: str
+    version: int
+
+
+@final
+class NodeVersionView(msgspec.Struct, frozen=True):
+    """The version in force on one node; -1 if the node did not answer."""
+
+    node: str
+    version: int
+    log_offset: int
+
+
+@final
+class DrainView(msgspec.Struct, frozen=True):
+    """The answer to a drain request: it is in the log."""
+
+    vm: str
+    offset: int
--- /dev/null
+++ b/packages/berylspread/src/berylspread/jobs/describe.py
@@ -0,0 +1,130 @@
+"""What a node's homes tell of their jobs, and why tasks wait."""
+
+from collections.abc import Iterator, Mapping
+from typing import Final, final
+
+from msgspec import structs
+
+from berylspread.entry.jobs import base_view
+from berylspread.entry.views import JobView, WhyLine, WhyView
+from berylspread.jobs.home import JobHome
+from berylspread.jobs.progress import JobProgress
+from berylspread.kernel import Failure, now
+from berylspread.kernel.errors import NotOwner, UnknownName
+from berylspread.model import JobKind, shard_unit
+
+JOB_ID_PARTS: Final = 3
+RUNNING: Final = frozenset(('starting', 'running', 'stopping'))
+
+
+@final
+class HomeDescriber:
+    """Finds a job's home among the homes of this node, by unit."""
+
+    __slots__ = ('homes',)
+
+    def __init__(self, homes: Mapping[str, JobHome]) -> None:
+        """Take the homes; the mapping follows the node's tenures."""
+        self.homes = homes
+
+    def describe(self, job_id: str) -> JobView | Failure:
+        """Return a job as its home sees it now."""
+        found = self._find(job_id)
+        if isinstance(found, Failure):
+            return found
+        home, progress = found
+        return describe(progress, home.context.wall.time())
+
+    def why(self, job_id: str) -> WhyView | Failure:
+        """Return why tasks of a job wait."""
+        found = self._find(job_id)
+        if isinstance(found, Failure):
+            return found
+        home, progress = found
+        state = describe(progress, home.context.wall.time()).state
+        return WhyView(job_id, state, list(explain(home, progress)))
+
+    def _find(self, job_id: str) -> tuple[JobHome, JobProgress] | Failure:
+        unit = home_of(job_id)
+        home = self.homes.get(unit)
+        if home is None:
+            return NotOwner('this node is not the home', unit=unit)
+        progress = home.book.jobs.get(job_id)
+        if progress is None:
+            return UnknownName(
+                'the home has no such job', kind='job', key=job_id
+            )
+        return home, progress
+
+
+def home_of(job_id: str) -> str:
+    """Return the unit that a job's name gives as its home, or nothing."""
+    parts = job_id.rsplit('.', JOB_ID_PARTS - 1)
+    if len(parts) != JOB_ID_PARTS or not parts[1].isdigit():
+        return ''
+    return shard_unit(parts[0], int(parts[1]))
+
+
+def describe(progress: JobProgress, wall_time: float) -> JobView:
+    """Return the view of a job at its home."""
+    counts = progress.counts()
+    view = base_view(progress.spec, _state(progress, counts), counts, wall_time)
+    workers = {handed.worker for handed in progress.out.values()} - {''}
+    return structs.replace(
+        view,
+        cancelled=progress.cancelled,
+        workers=sorted(workers),
+        source='home',
+    )
+
+
+def explain(home: JobHome, progress: JobProgress) -> Iterator[WhyLine]:
+    """Yield each reason that holds back tasks of a job."""
+    if not home.tenure.is_valid(now()):
+        yield WhyLine('the home has no authority now', len(progress.pending))
+    if progress.unsure:
+        yield WhyLine(
+            'the home waits for the inventories of the partitions',
+            len(progress.unsure),
+        )
+    retries = _backing_off(home, progress)
+    if retries:
+        yield WhyLine('the tasks wait to be tried again', retries)
+    if progress.pending:
+        yield _pending_line(home, progress)
+
+
+def _pending_line(home: JobHome, progress: JobProgress) -> WhyLine:
+    spec = progress.spec
+    waiting = len(progress.pending)
+    quota = home.quota.teams.get(spec.team)
+    if quota is None:
+        return WhyLine(
+            'the team has no quota in the region', waiting, {'team': spec.team}
+        )
+    room = quota.room(spec.shape)
+    needed = waiting if spec.kind is JobKind.gang else 1
+    if room is not None and room < needed:
+        return WhyLine(
+            'the team is at its upper limit in the region',
+            waiting,
+            {'team': spec.team, 'room': max(room, 0), 'region': home.region},
+        )
+    if not home.partition_owners([]):
+        return WhyLine('no partition of the region has an owner', waiting)
+    if spec.kind is JobKind.gang:
+        return WhyLine('no room for all tasks of the gang at once', waiting)
+    return WhyLine('no worker has room for another task', waiting)
+
+
+def _backing_off(home: JobHome, progress: JobProgress) -> int:
+    return sum(
+        job_id == progress.spec.job_id
+        for _due, job_id, _index in home.book.delayed
+    )
+
+
+def _state(progress: JobProgress, counts: dict[str, int]) -> str:
+    if progress.is_ended:
+        return progress.summary_state().value
+    return 'running' if RUNNING & counts.keys() else 'pending'
