Add the HTTP interface, configuration, keys and drains

Callers and operators had no way in.

The daemon's litestar application over the entry service: calls, jobs, configuration, keys, fleet views, health and metrics; every refusal is a problem with run_state; bodies are bounded in length and time. A drain is a record of its own, folded beside the others, and marks a VM as leaving in the platform's list.

--- /dev/null
+++ b/packages/berylspread-daemon/src/berylspread_daemon/http/__init__.py
@@ -0,0 +1,5 @@
+"""The HTTP interface for callers, operators and the balancer."""
+
+from berylspread_daemon.http.app import build_app
+
+__all__ = ('build_app',)
--- /dev/null
+++ b/packages/berylspread-daemon/src/berylspread_daemon/http/calls.py
@@ -0,0 +1,97 @@
+"""Interactive calls over HTTP."""
+
+from typing import Annotated, Any, Final
+
+from litestar import Controller, Request, Response, post
+from litestar.params import Parameter
+from litestar.status_codes import HTTP_200_OK
+
+from berylspread.calls.router import CallInput
+from berylspread.entry.calls import CallOptions
+from berylspread.entry.service import EntryService
+from berylspread_daemon.http.bodies import read_body
+from berylspread_daemon.http.problems import RefusedError, refuse, unwrap
+
+REQUEST_ID: Final = 'X-Request-Id'
+BYTES_PER_KIB: Final = 1024
+OCTETS: Final = 'application/octet-stream'
+
+
+class CallController(Controller):
+    """A body in, the backend server's whole answer out."""
+
+    path = '/v1/queues'
+    tags = ('calls',)
+    request_max_body_size = None
+
+    @post(
+        '/{queue:str}/call',
+        status_code=HTTP_200_OK,
+        summary='Run an interactive call',
+        description=(
+            'The body goes to one backend server, whose status, body and'
+            ' content type come back. `X-Deadline-S` is seconds from now,'
+            ' `X-Deadline` seconds since the epoch. A call that is not'
+            ' idempotent has a UUID of version 7 as `X-Request-Id`.'
+        ),
+    )
+    async def call(
+        self,
+        request: Request[Any, Any, Any],
+        queue: str,
+        entry: EntryService,
+        authorization: Annotated[str, Parameter(header='Authorization')] = '',
+        request_id: Annotated[str, Parameter(header=REQUEST_ID)] = '',
+        deadline_s: Annotated[
+            float | None, Parameter(header='X-Deadline-S')
+        ] = None,
+        deadline: Annotated[
+            float | None, Parameter(header='X-Deadline')
+        ] = None,
+        idempotent: Annotated[
+            bool | None, Parameter(header='X-Idempotent')
+        ] = None,
+    ) -> Response[bytes]:
+        """Run one call."""
+        options = CallOptions(
+            request_id=request_id,
+            deadline=deadline,
+            deadline_s=deadline_s,
+            idempotent=idempotent,
+            content_type=request.headers.get('Content-Type', OCTETS),
+        )
+        call, limit = _prepare(entry, authorization, queue, options)
+        try:
+            return await _run(request, entry, call, limit)
+        except RefusedError as refused:
+            response = refuse(refused.failure)
+        response.headers[REQUEST_ID] = call.request_id
+        return response
+
+
+def _prepare(
+    entry: EntryService, authorization: str, name: str, options: CallOptions
+) -> tuple[CallInput, int]:
+    caller, queue = unwrap(entry.access.queue(authorization, name))
+    call = unwrap(entry.calls.prepare(caller, queue, options))
+    return call, queue.max_body_kib * BYTES_PER_KIB
+
+
+async def _run(
+    request: Request[Any, Any, Any],
+    entry: EntryService,
+    call: CallInput,
+    limit: int,
+) -> Response[bytes]:
+    body = unwrap(await read_body(request, limit))
+    reply = unwrap(await entry.calls.run(call, body))
+    return Response(
+        reply.body,
+        status_code=reply.status,
+        media_type=reply.content_type,
+        headers={
+            REQUEST_ID: call.request_id,
+            'X-Attempt': str(reply.attempt),
+            'X-Run-State': 'ran',
+        },
+    )
--- /dev/null
+++ b/packages/berylspread-daemon/src/berylspread_daemon/http/health.py
@@ -0,0 +1,49 @@
+"""Health, readiness and metrics over HTTP; none needs a key."""
+
+import msgspec
+from litestar import Controller, Response, get
+from litestar.status_codes import HTTP_200_OK, HTTP_503_SERVICE_UNAVAILABLE
+from prometheus_client import CONTENT_TYPE_LATEST, generate_latest
+
+from berylspread.entry.service import EntryService
+
+
+class HealthView(msgspec.Struct, frozen=True):
+    """Whether the node runs, and whether callers may be sent to it."""
+
+    node: str
+    ready: bool
+    log_offset: int
+
+
+class HealthController(Controller):
+    """What the balancer and the metrics' scraper ask for."""
+
+    path = '/'
+    tags = ('health',)
+
+    @get('/healthz', summary='Tell that the process answers')
+    async def health(self, entry: EntryService) -> HealthView:
+        """Answer as long as the event loop turns."""
+        return _view(entry)
+
+    @get('/readyz', summary='Tell whether callers may be sent here')
+    async def ready(self, entry: EntryService) -> Response[HealthView]:
+        """Answer 503 until the node is ready and once it drains."""
+        return Response(
+            _view(entry),
+            status_code=HTTP_200_OK
+            if entry.is_ready
+            else HTTP_503_SERVICE_UNAVAILABLE,
+        )
+
+    @get('/metrics', summary='Return the metrics', media_type='text/plain')
+    async def metrics(self) -> Response[bytes]:
+        """Return the metrics in the text format of Prometheus."""
+        return Response(generate_latest(), media_type=CONTENT_TYPE_LATEST)
+
+
+def _view(entry: EntryService) -> HealthView:
+    return HealthView(
+        entry.context.ref.node, entry.is_ready, entry.context.state.offset
+    )
--- /dev/null
+++ b/packages/berylspread-daemon/src/berylspread_daemon/http/jobs.py
@@ -0,0 +1,102 @@
+"""Batch jobs, gangs and services over HTTP."""
+
+from typing import Annotated
+
+from litestar import Controller, delete, get, post
+from litestar.params import Parameter
+from litestar.status_codes import HTTP_200_OK, HTTP_202_ACCEPTED
+
+from berylspread.entry.access import Caller
+from berylspread.entry.jobs import DEFAULT_PAGE
+from berylspread.entry.service import EntryService
+from berylspread.entry.views import (
+    CancelView,
+    JobAcceptedView,
+    JobInput,
+    JobPage,
+    JobResult,
+    JobView,
+    WhyView,
+)
+from berylspread_daemon.http.problems import unwrap
+
+Authorization = Annotated[str, Parameter(header='Authorization')]
+
+
+def provide_caller(
+    entry: EntryService, authorization: Authorization = ''
+) -> Caller | None:
+    """Return the team of the key, or ``None`` for an operator's token."""
+    if entry.operators.check(authorization) is None:
+        return None
+    return unwrap(entry.access.team_caller(authorization))
+
+
+class JobController(Controller):
+    """Jobs of the caller's team; an operator sees those of all teams."""
+
+    path = '/v1/jobs'
+    tags = ('jobs',)
+
+    @post('/', status_code=HTTP_202_ACCEPTED, summary='Submit a job')
+    async def submit(
+        self,
+        data: JobInput,
+        entry: EntryService,
+        authorization: Authorization = '',
+    ) -> JobAcceptedView:
+        """Accept a job once it is in the platform's log.
+
+        A repeat with the same `request_id` is the same job.
+        """
+        caller, queue = unwrap(entry.access.queue(authorization, data.queue))
+        return unwrap(await entry.submission.submit(caller, queue, data))
+
+    @get('/', summary='List jobs in order of submission')
+    async def list(
+        self,
+        entry: EntryService,
+        caller: Caller | None,
+        cursor: str = '',
+        limit: int = DEFAULT_PAGE,
+        queue: str = '',
+        state: str = '',
+    ) -> JobPage:
+        """Return a page; its `cursor` asks for the next one."""
+        return unwrap(
+            await entry.jobs.page(
+                caller, cursor=cursor, limit=limit, queue=queue, state=state
+            )
+        )
+
+    @get('/{job_id:str}', summary='Show a job')
+    async def show(
+        self, entry: EntryService, caller: Caller | None, job_id: str
+    ) -> JobView:
+        """Return the job as its home sees it."""
+        return unwrap(await entry.jobs.status(caller, job_id))
+
+    @delete('/{job_id:str}', status_code=HTTP_200_OK, summary='Cancel a job')
+    async def cancel(
+        self,
+        entry: EntryService,
+        caller: Caller | None,
+        job_id: str,
+        reason: str = '',
+    ) -> CancelView:
+        """Cancel a job; a job that has ended stays as it is."""
+        return unwrap(await entry.jobs.cancel(caller, job_id, reason))
+
+    @get('/{job_id:str}/result', summary='Show how the tasks ended')
+    async def result(
+        self, entry: EntryService, caller: Caller | None, job_id: str
+    ) -> JobResult:
+        """Return the outcome of an ended job."""
+        return unwrap(entry.jobs.result(caller, job_id))
+
+    @get('/{job_id:str}/why', summary='Explain why tasks wait')
+    async def why(
+        self, entry: EntryService, caller: Caller | None, job_id: str
+    ) -> WhyView:
+        """Return the reasons that hold back tasks of the job."""
+        return unwrap(await entry.jobs.why(caller, job_id))
--- /dev/null
+++ b/packages/berylspread-daemon/src/berylspread_daemon/http/problems.py
@@ -0,0 +1,126 @@
+"""Refusals as problem details (RFC 9457)."""
+
+from http import HTTPStatus
+from typing import Any, Final, TypeVar, final
+
+import msgspec
+from absl import logging
+from litestar import Request, Response
+from litestar.exceptions import HTTPException
+
+from berylspread.entry.failures import BodyTooLarge
+from berylspread.kernel.errors import (
+    Failure,
+    Internal,
+    InvalidInput,
+    Unauthenticated,
+    UnknownName,
+)
+
+PROBLEM_TYPE: Final = 'application/problem+json'
+TYPE_PREFIX: Final = 'urn:berylspread:problem:'
+RETRY_AFTER_S: Final = 1
+
+ResultT = TypeVar('ResultT')
+
+
+@final
+class Problem(msgspec.Struct, frozen=True):
+    """The body of every refusal; ``run_state`` is certain unless unknown."""
+
+    type: str
+    title: str
+    status: int
+    detail: str
+    run_state: str
+    fields: dict[str, Any] = {}
+
+
+class RefusedError(Exception):
+    """Carries a failure from a handler to the exception handler."""
+
+    def __init__(self, failure: Failure) -> None:
+        """Keep the failure."""
+        super().__init__(failure.reason)
+        self.failure = failure
+
+
+def unwrap(result: ResultT | Failure) -> ResultT:
+    """Return a result, or raise ``RefusedError`` with the failure."""
+    if isinstance(result, Failure):
+        raise RefusedError(result)
+    return result
+
+
+def problem(failure: Failure) -> Problem:
+    """Return the problem details of a failure."""
+    return Problem(
+        type=TYPE_PREFIX + failure.name,
+        title=failure.name.replace('-', ' '),
+        status=failure.http_status,
+        detail=failure.reason,
+        run_state=failure.run_state.value,
+        fields=failure.fields,
+    )
+
+
+def refuse(failure: Failure) -> Response[bytes]:
+    """Return the response to a failure."""
+    return Response(
+        msgspec.json.encode(problem(failure), enc_hook=repr),
+        status_code=failure.http_status,
+        media_type=PROBLEM_TYPE,
+        headers=_headers(failure),
+    )
+
+
+def _headers(failure: Failure) -> dict[str, str]:
+    headers = dict(_STATUS_HEADERS.get(failure.http_status, {}))
+    if isinstance(failure, Unauthenticated):
+        headers['WWW-Authenticate'] = 'Bearer'
+    return headers
+
+
+def on_refused(
+    request: Request[Any, Any, Any], error: RefusedError
+) -> Response[bytes]:
+    """Answer a failure that a handler met."""
+    return refuse(error.failure)
+
+
+def on_http_error(
+    request: Request[Any, Any, Any], error: HTTPException
+) -> Response[bytes]:
+    """Answer what litestar refused: a path, a method or malformed input."""
+    fields = {'path': request.url.path}
+    if error.status_code == HTTPStatus.NOT_FOUND:
+        return refuse(UnknownName('no such path', kind='path', **fields))
+    if error.status_code == HTTPStatus.REQUEST_ENTITY_TOO_LARGE:
+        return refuse(BodyTooLarge('the body is too large', **fields))
+    if error.status_code >= HTTPStatus.INTERNAL_SERVER_ERROR:
+        return on_fault(request, error)
+    failure = InvalidInput(error.detail, errors=error.extra, **fields)
+    response = refuse(failure)
+    response.status_code = error.status_code
+    return response
+
+
+def on_fault(
+    request: Request[Any, Any, Any], error: Exception
+) -> Response[bytes]:
+    """Answer a fault of this program; the log has the details."""
+    logging.error('%s failed', request.url.path, exc_info=error)
+    return refuse(Internal('a fault of this node; its log has the details'))
+
+
+_STATUS_HEADERS: Final[dict[int, dict[str, str]]] = {
+    HTTPStatus.REQUEST_TIMEOUT: {'Connection': 'close'},
+    HTTPStatus.REQUEST_ENTITY_TOO_LARGE: {'Connection': 'close'},
+    HTTPStatus.TOO_MANY_REQUESTS: {'Retry-After': str(RETRY_AFTER_S)},
+    HTTPStatus.SERVICE_UNAVAILABLE: {'Retry-After': str(RETRY_AFTER_S)},
+}
+EXCEPTION_HANDLERS: Final[dict[int | type[Exception], Any]] = {
+    RefusedError: on_refused,
+    HTTPException: on_http_error,
+    Exception: on_fault,
+}
--- a/packages/berylspread/src/berylspread/entry/access.py
+++ b/packages/berylspread/src/berylspread/entry/access.py
@@ -2,9 +2,11 @@
 
 import hashlib
 import hmac
-from typing import Final, Protocol, final
+from typing import Final, final
 
 from berylspread.config import QueueSection
+from berylspread.config.vouching import KeyGuard
+from berylspread.kernel import now
 from berylspread.kernel.errors import (
     Failure,
     Forbidden,
@@ -36,23 +38,13 @@
 NOBODY: Final = Caller()
 
 
-class KeyReader(Protocol):
-    """Knows the teams' keys, as ``berylspread.config.vouching.KeyGuard``."""
-
-    def team_of(self, text: str) -> str | Unauthenticated:
-        """Return the team of a key that works, or why there is none."""
-
-    def is_trusted(self) -> bool:
-        """Return whether no withdrawal can have been missed."""
-
-
 @final
 class Access:
     """Checks keys and queues against the log's state."""
 
     __slots__ = ('context', 'keys')
 
-    def __init__(self, context: NodeContext, keys: KeyReader) -> None:
+    def __init__(self, context: NodeContext, keys: KeyGuard) -> None:
         """Take the node's parts and its knowledge of keys."""
         self.context = context
         self.keys = keys
@@ -88,7 +80,7 @@
         queue = self.context.document.queue(name)
         caller = self.caller(authorization)
         if queue is not None and queue.open:
-            if isinstance(caller, Failure) and not self.keys.is_trusted():
+            if isinstance(caller, Failure) and not self._are_keys_trusted():
                 caller = NOBODY
             return caller if isinstance(caller, Failure) else (caller, queue)
         if isinstance(caller, Failure):
@@ -107,6 +99,9 @@
             )
         return caller, queue
 
+    def _are_keys_trusted(self) -> bool:
+        return self.keys.trust.is_trusted(now())
+
     def _unknown(self, name: str, caller: Caller) -> UnknownName:
         usable = [
             label
--- /dev/null
+++ b/packages/berylspread/src/berylspread/entry/administration.py
@@ -0,0 +1,259 @@
+"""What operators change: documents and keys."""
+
+import collections
+from typing import Final, final
+
+from berylspread.config import Document, diff, parse_document, warnings
+from berylspread.config.environments import ENVIRONMENTS
+from berylspread.config.evaluation import Demand, evaluate
+from berylspread.config.operations import (
+    Operations,
+    Submission,
+    check_submission,
+)
+from berylspread.entry.fleet import FleetViews
+from berylspread.entry.views import (
+    AppliedView,
+    ChangeView,
+    CheckView,
+    ConfigInput,
+    ConfigView,
+    DiffView,
+    KeyView,
+    NewKeyView,
+    NodeVersionView,
+    PromoteInput,
+)
+from berylspread.kernel.errors import Failure, UnknownName
+from berylspread.kernel.registry import nearest
+from berylspread.log.folds import TeamKey, Version
+from berylspread.model import JobSpec, Resources
+from berylspread.runtime import NodeContext
+
+UNANSWERED: Final = -1
+
+
+@final
+class ConfigAdministration:
+    """Checks, compares, applies and promotes documents."""
+
+    __slots__ = ('context', 'fleet', 'operations')
+
+    def __init__(
+        self, context: NodeContext, operations: Operations, fleet: FleetViews
+    ) -> None:
+        """Take the operations on the log and the view of the fleet."""
+        self.context = context
+        self.operations = operations
+        self.fleet = fleet
+
+    def current(self, environment: str) -> ConfigView | Failure:
+        """Return the document in force; version 0 if there is none."""
+        unknown = _unknown_environment(environment)
+        if unknown is not None:
+            return unknown
+        version = self.context.state.configs.in_force(environment)
+        if version is None:
+            return ConfigView(environment, 0)
+        return _config_view(environment, version)
+
+    async def check(
+        self, environment: str, document: ConfigInput
+    ) -> CheckView | Failure:
+        """Return what looks wrong in a document that could be applied."""
+        unknown = _unknown_environment(environment)
+        if unknown is not None:
+            return unknown
+        problem = check_submission(
+            _submission(environment, document), await self._used(document)
+        )
+        if problem is not None:
+            return problem
+        parsed = parse_document(environment, document.text)
+        if isinstance(parsed, Failure):
+            return parsed
+        return CheckView(
+            environment,
+            sum(len(labels) for labels in parsed.sections.values()),
+            [f'[{found.section}] {found.reason}' for found in warnings(parsed)],
+        )
+
+    def compare(
+        self, environment: str, document: ConfigInput
+    ) -> DiffView | Failure:
+        """Return what differs from the document in force, and its effects.
+
+        The effects are worked out on the jobs that the log still has.
+        """
+        current = self.current(environment)
+        if isinstance(current, Failure):
+            return current
+        changes = diff(current.text, document.text)
+        if isinstance(changes, Failure):
+            return changes
+        after = parse_document(environment, document.text)
+        if isinstance(after, Failure):
+            return after
+        before = parse_document(environment, current.text)
+        if isinstance(before, Failure):
+            before = Document(environment)
+        return DiffView(
+            environment,
+            current.version,
+            [
+                ChangeView(
+                    change.section, change.option, change.before, change.after
+                )
+                for change in changes
+            ],
+            evaluate(before, after, self._recorded()),
+        )
+
+    async def apply(
+        self, environment: str, document: ConfigInput
+    ) -> AppliedView | Failure:
+        """Put a document in force if its base still is."""
+        unknown = _unknown_environment(environment)
+        if unknown is not None:
+            return unknown
+        version = await self.operations.apply(
+            _submission(environment, document), await self._used(document)
+        )
+        if isinstance(version, Failure):
+            return version
+        return AppliedView(environment, version.version)
+
+    async def promote(self, order: PromoteInput) -> AppliedView | Failure:
+        """Put the trial document in force in production."""
+        version = await self.operations.promote(
+            order.trial_version, order.base, order.author, order.note
+        )
+        if isinstance(version, Failure):
+            return version
+        return AppliedView('production', version.version)
+
+    def history(self, environment: str) -> list[ConfigView] | Failure:
+        """Return the versions that are kept, oldest first, without texts."""
+        unknown = _unknown_environment(environment)
+        if unknown is not None:
+            return unknown
+        return [
+            _config_view(environment, version, with_text=False)
+            for version in self.operations.history(environment)
+        ]
+
+    async def in_force(
+        self, environment: str
+    ) -> list[NodeVersionView] | Failure:
+        """Return the version in force on each node."""
+        unknown = _unknown_environment(environment)
+        if unknown is not None:
+            return unknown
+        return [
+            NodeVersionView(
+                node.node,
+                node.versions.get(environment, 0)
+                if node.answered
+                else UNANSWERED,
+                node.log_offset,
+            )
+            for node in await self.fleet.nodes()
+        ]
+
+    async def _used(self, document: ConfigInput) -> dict[str, Resources]:
+        return {} if document.force else await self.fleet.used()
+
+    def _recorded(self) -> list[Demand]:
+        jobs = self.context.state.jobs
+        peaks: collections.Counter[tuple[str, str, Resources]] = (
+            collections.Counter()
+        )
+        submitted: collections.Counter[tuple[str, str, Resources]] = (
+            collections.Counter()
+        )
+        for active in jobs.active.values():
+            peaks[_demand_key(active.spec)] += active.spec.tasks
+            submitted[_demand_key(active.spec)] += 1
+        for ended in jobs.ended.values():
+            submitted[_demand_key(ended.spec)] += 1
+        return [
+            Demand(team, queue, shape, peaks[team, queue, shape], count)
+            for (team, queue, shape), count in submitted.items()
+        ]
+
+
+@final
+class KeyAdministration:
+    """Creates, lists and withdraws the teams' keys."""
+
+    __slots__ = ('context', 'operations')
+
+    def __init__(self, context: NodeContext, operations: Operations) -> None:
+        """Take the operations on the log."""
+        self.context = context
+        self.operations = operations
+
+    async def create(self, team: str, label: str = '') -> NewKeyView | Failure:
+        """Create a key; its secret is in the answer and nowhere else."""
+        made = await self.operations.create_key(team, label)
+        if isinstance(made, Failure):
+            return made
+        return NewKeyView(made.record.key_id, team, made.text)
+
+    def list(self, team: str = '') -> list[KeyView]:
+        """Return the keys of a team or of all, withdrawn ones last."""
+        keys = self.context.state.keys
+        return [
+            _key_view(key)
+            for key in (*keys.active.values(), *keys.withdrawn.values())
+            if team in {'', key.team}
+        ]
+
+    async def withdraw(self, key_id: str) -> KeyView | Failure:
+        """Withdraw a key; returns once it has stopped everywhere."""
+        key = await self.operations.withdraw_key(key_id)
+        return key if isinstance(key, Failure) else _key_view(key)
+
+
+def _key_view(key: TeamKey) -> KeyView:
+    return KeyView(
+        key.key_id, key.team, key.label, key.created_at, key.withdrawn_at
+    )
+
+
+def _demand_key(spec: JobSpec) -> tuple[str, str, Resources]:
+    return spec.team, spec.queue, spec.shape
+
+
+def _submission(environment: str, document: ConfigInput) -> Submission:
+    return Submission(
+        environment,
+        document.base,
+        document.text,
+        document.author,
+        document.note,
+    )
+
+
+def _config_view(
+    environment: str, version: Version, *, with_text: bool = True
+) -> ConfigView:
+    return ConfigView(
+        environment,
+        version.version,
+        version.text if with_text else '',
+        version.author,
+        version.note,
+        version.applied_at,
+    )
+
+
+def _unknown_environment(environment: str) -> UnknownName | None:
+    if environment in ENVIRONMENTS:
+        return None
+    return UnknownName(
+        f'no environment is called {environment!r}',
+        kind='environment',
+        key=environment,
+        nearest=nearest(environment, ENVIRONMENTS),
+    )
--- /dev/null
+++ b/packages/berylspread/src/berylspread/entry/calls.py
@@ -0,0 +1,132 @@
+"""Interactive calls: checks before the router, tickets after it."""
+
+from typing import Final, Protocol, final
+
+import msgspec
+
+from berylspread.backend import CallReply
+from berylspread.calls.request_id import issued_at, new_request_id
+from berylspread.calls.router import CallInput
+from berylspread.config import QueueSection
+from berylspread.entry.access import Caller
+from berylspread.entry.tickets import Category, TicketDesk
+from berylspread.kernel.errors import DeadlineExceeded, Failure, InvalidInput
+from berylspread.runtime import NodeContext
+
+INTERACTIVE: Final = 'interactive'
+MAX_REQUEST_ID: Final = 200
+
+
+class CallRouting(Protocol):
+    """Runs checked calls, as ``berylspread.calls.router.CallRouter``."""
+
+    async def call(self, call: CallInput) -> CallReply | Failure:
+        """Return the whole answer, or a failure that tells what is known."""
+
+
+@final
+class CallOptions(msgspec.Struct, frozen=True):
+    """What a caller says of a call beside its body.
+
+    ``deadline`` is seconds since the epoch, ``deadline_s`` seconds from the
+    arrival of the request; with neither, the queue's default holds.
+    """
+
+    request_id: str = ''
+    deadline: float | None = None
+    deadline_s: float | None = None
+    idempotent: bool | None = None
+    content_type: str = 'application/octet-stream'
+    traceparent: str = ''
+
+
+@final
+class CallEntry:
+    """Takes calls on the queues of kind ``interactive``."""
+
+    __slots__ = ('context', 'router', 'tickets')
+
+    def __init__(
+        self, context: NodeContext, router: CallRouting, tickets: TicketDesk
+    ) -> None:
+        """Take the node's parts, the router and the help desk."""
+        self.context = context
+        self.router = router
+        self.tickets = tickets
+
+    def prepare(
+        self, caller: Caller, queue: QueueSection, options: CallOptions
+    ) -> CallInput | Failure:
+        """Check the options and return a call that lacks only its body."""
+        if queue.work != INTERACTIVE:
+            return InvalidInput(
+                f'queue {queue.label!r} takes jobs, not calls', field='queue'
+            )
+        if len(options.request_id) > MAX_REQUEST_ID:
+            return InvalidInput(
+                f'the id is over {MAX_REQUEST_ID} characters',
+                field='X-Request-Id',
+            )
+        timeout_s = self._timeout_s(queue, options)
+        if isinstance(timeout_s, Failure):
+            return timeout_s
+        idempotent = options.idempotent
+        call = CallInput(
+            request_id=options.request_id or self._new_id(),
+            team=caller.team,
+            queue=queue.label,
+            shape=queue.shape(),
+            timeout_s=timeout_s,
+            idempotent=queue.idempotent if idempotent is None else idempotent,
+            body=b'',
+            content_type=options.content_type,
+            region=queue.region,
+            traceparent=options.traceparent,
+        )
+        return _id_problem(call) or call
+
+    async def run(self, call: CallInput, body: bytes) -> CallReply | Failure:
+        """Run a prepared call; a deadline missed on the way opens a ticket."""
+        reply = await self.router.call(msgspec.structs.replace(call, body=body))
+        if isinstance(reply, DeadlineExceeded):
+            self.tickets.open(
+                Category.deadline_missed,
+                call.request_id,
+                queue=call.queue,
+                team=call.team,
+                timeout_s=call.timeout_s,
+            )
+        return reply
+
+    def _new_id(self) -> str:
+        return new_request_id(self.context.wall.time())
+
+    def _timeout_s(
+        self, queue: QueueSection, options: CallOptions
+    ) -> float | Failure:
+        if options.deadline is not None and options.deadline_s is not None:
+            return InvalidInput(
+                'give X-Deadline or X-Deadline-S', field='X-Deadline-S'
+            )
+        timeout_s = queue.default_deadline_s
+        if options.deadline_s is not None:
+            timeout_s = options.deadline_s
+        if options.deadline is not None:
+            timeout_s = options.deadline - self.context.wall.time()
+        if timeout_s <= 0:
+            return DeadlineExceeded('the deadline is in the past')
+        if timeout_s > queue.max_deadline_s:
+            return InvalidInput(
+                f'the queue allows at most {queue.max_deadline_s:g} s',
+                field='X-Deadline-S',
+            )
+        return float(timeout_s)
+
+
+def _id_problem(call: CallInput) -> InvalidInput | None:
+    if call.idempotent or issued_at(call.request_id) is not None:
+        return None
+    return InvalidInput(
+        'the id of a non-idempotent request is a UUID of version 7',
+        field='X-Request-Id',
+    )
--- a/packages/berylspread/src/berylspread/entry/fleet.py
+++ b/packages/berylspread/src/berylspread/entry/fleet.py
@@ -25,7 +25,7 @@
 from berylspread.kernel.invariants import violations
 from berylspread.log.folds.jobs import JobFold
 from berylspread.membership import Liveness, Member
-from berylspread.model import NodeRef, Vm, partition_unit
+from berylspread.model import ZERO, NodeRef, Resources, Vm, partition_unit
 from berylspread.peers import Message
 from berylspread.runtime import NodeContext
 
@@ -39,14 +39,18 @@
 class StatusServer:
     """Answers how this node is."""
 
-    __slots__ = ('context', 'is_ready')
+    __slots__ = ('context', 'is_ready', 'used')
 
     def __init__(
-        self, context: NodeContext, is_ready: Callable[[], bool]
+        self,
+        context: NodeContext,
+        is_ready: Callable[[], bool],
+        used: Callable[[], dict[str, Resources]],
     ) -> None:
-        """Answer other nodes from now on."""
+        """Answer other nodes; ``used`` is what the homes here count by team."""
         self.context = context
         self.is_ready = is_ready
+        self.used = used
         context.peers.handle(StatusAsk, self.serve)
 
     async def serve(self, source: NodeRef, ask: StatusAsk) -> StatusReply:
@@ -64,6 +68,7 @@
                 tenure.unit for tenure in self.context.ownership.owned()
             ),
             violations=dict(violations),
+            used=self.used(),
         )
 
 
@@ -131,6 +136,18 @@
             found.values(), key=lambda ticket: ticket.opened_at, reverse=True
         )
 
+    async def used(self) -> dict[str, Resources]:
+        """Return what each team runs, as far as the homes answer."""
+        replies = await self._ask_all(
+            self.context.membership.members(), StatusAsk(), StatusReply
+        )
+        total: dict[str, Resources] = {}
+        for reply in replies:
+            if isinstance(reply, StatusReply):
+                for team, amount in reply.used.items():
+                    total[team] = total.get(team, ZERO) + amount
+        return total
+
     def workers(self) -> list[WorkerView]:
         """Return every listed worker and who decides for it."""
         listed = sorted(
@@ -184,7 +201,7 @@
         )
 
     def _worker_view(self, vm: Vm) -> WorkerView:
-        owner = self.context.state.owner(partition_unit(vm.region, vm.rack))
+        owner = self.context.owner(partition_unit(vm.region, vm.rack))
         return WorkerView(
             worker=vm.vm_id,
             region=vm.region,
--- a/packages/berylspread/src/berylspread/entry/jobs.py
+++ b/packages/berylspread/src/berylspread/entry/jobs.py
@@ -180,7 +180,7 @@
         ended = self.fold.ended.get(job_id)
         if ended is not None:
             return WhyView(job_id, ended.state.value, [])
-        owner = self.context.state.owner(spec.home)
+        owner = self.context.owner(spec.home)
         if owner is None:
             return UnknownName(
                 f'no node owns {spec.home!r} yet', kind='home', key=spec.home
@@ -228,7 +228,7 @@
         """Replace the views of active jobs by what their homes answer."""
         by_node: dict[str, list[str]] = {}
         for view in views:
-            owner = self.context.state.owner(view.home)
+            owner = self.context.owner(view.home)
             if view.ended_at is None and owner is not None:
                 ref, _epoch = owner
                 by_node.setdefault(ref.node, []).append(view.job_id)
--- a/packages/berylspread/src/berylspread/entry/messages.py
+++ b/packages/berylspread/src/berylspread/entry/messages.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from berylspread.entry.views import JobView, TicketView, WhyView
+from berylspread.model import Resources
 from berylspread.peers import Message, message
 
 
@@ -49,13 +50,17 @@
 @message
 @final
 class StatusReply(Message, frozen=True, tag=True):
-    """A node's own state; ``versions`` are those in force by environment."""
+    """A node's own state; ``versions`` are those in force by environment.
+
+    ``used`` is what each team runs, as the homes on the node count it.
+    """
 
     ready: bool
     log_offset: int
     versions: dict[str, int]
     units: list[str]
     violations: dict[str, int]
+    used: dict[str, Resources] = {}
 
 
 @message
--- /dev/null
+++ b/packages/berylspread/src/berylspread/entry/service.py
@@ -0,0 +1,76 @@
+"""Everything that an entry node offers, behind whatever protocol."""
+
+from collections.abc import Callable
+from typing import final
+
+from berylspread.config.operations import Operations
+from berylspread.config.vouching import KeyGuard
+from berylspread.entry.access import Access, OperatorAccess
+from berylspread.entry.administration import (
+    ConfigAdministration,
+    KeyAdministration,
+)
+from berylspread.entry.calls import CallEntry, CallRouting
+from berylspread.entry.drains import Drains
+from berylspread.entry.fleet import FleetViews, StatusServer
+from berylspread.entry.jobs import Describer, JobQueries, JobServer
+from berylspread.entry.submission import Submission
+from berylspread.entry.tickets import TicketDesk
+from berylspread.model import Resources
+from berylspread.runtime import NodeContext
+
+
+@final
+class EntryService:
+    """The callers' and operators' operations of one node."""
+
+    __slots__ = (
+        'access',
+        'calls',
+        'config',
+        'context',
+        'drains',
+        'fleet',
+        'job_server',
+        'jobs',
+        'keys',
+        'operators',
+        'status_server',
+        'submission',
+        'tickets',
+    )
+
+    def __init__(
+        self,
+        context: NodeContext,
+        *,
+        router: CallRouting,
+        guard: KeyGuard,
+        operations: Operations,
+        describer: Describer,
+        used: Callable[[], dict[str, Resources]],
+        is_ready: Callable[[], bool],
+        operator_digests: tuple[str, ...] = (),
+    ) -> None:
+        """Build the operations and serve the other nodes' questions.
+
+        ``used`` tells what each team runs as the homes on this node count it.
+        """
+        self.context = context
+        self.access = Access(context, guard)
+        self.operators = OperatorAccess(operator_digests)
+        self.tickets = TicketDesk(context)
+        self.calls = CallEntry(context, router, self.tickets)
+        self.submission = Submission(context)
+        self.jobs = JobQueries(context)
+        self.fleet = FleetViews(context)
+        self.config = ConfigAdministration(context, operations, self.fleet)
+        self.drains = Drains(context)
+        self.keys = KeyAdministration(context, operations)
+        self.job_server = JobServer(context, describer)
+        self.status_server = StatusServer(context, is_ready, used)
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether the balancer may send callers here."""
+        return self.status_server.is_ready()
--- a/packages/berylspread/src/berylspread/entry/submission.py
+++ b/packages/berylspread/src/berylspread/entry/submission.py
@@ -22,6 +22,7 @@
 from berylspread.entry.failures import RequestReused
 from berylspread.entry.feasibility import find_obstacle
 from berylspread.entry.views import JobAcceptedView, JobInput
+from berylspread.jobs.shards import team_shard
 from berylspread.kernel.errors import (
     DeadlineExceeded,
     Failure,
@@ -107,7 +108,7 @@
         request_id = job.request_id or uuid.uuid4().hex
         digest = _digest(caller.team, request_id)
         region = self._region(queue, job, digest)
-        shard = self._shard(caller.team)
+        shard = team_shard(caller.team, self.context.document.limits.shards)
         return JobSpec(
             job_id=f'{region}.{shard}.{digest}',
             team=caller.team,
@@ -196,10 +197,6 @@
                 return name
         return self.context.region
 
-    def _shard(self, team: str) -> int:
-        shards: int = self.context.document.limits.shards
-        return xxhash.xxh64_intdigest(team.encode()) % shards
-
     def _known(self, spec: JobSpec) -> JobAcceptedView | Failure | None:
         jobs = self.context.state.jobs
         active = jobs.active.get(spec.job_id)
--- a/packages/berylspread/src/berylspread/entry/views.py
+++ b/packages/berylspread/src/berylspread/entry/views.py
@@ -4,27 +4,9 @@
 
 import msgspec
 
+from berylspread.config.evaluation import Evaluation
 from berylspread.model import Constraints, JobKind, Resources, TaskEnd
 
-NO_TEAM = ''
-
-
-@final
-class CallInput(msgspec.Struct, frozen=True):
-    """An interactive call that passed the entry's checks.
-
-    ``team`` is the key's team, empty for a caller without a key on a queue that
-    is open to all; ``deadline`` is seconds since the epoch.
-    """
-
-    team: str
-    queue: str
-    request_id: str
-    deadline: float
-    body: bytes
-    idempotent: bool = True
-    content_type: str = 'application/octet-stream'
-
 
 @final
 class JobInput(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -244,7 +226,6 @@
     key_id: str
     team: str
     secret: str
-    offset: int
 
 
 @final
@@ -261,12 +242,27 @@
 
 @final
 class ConfigInput(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
-    """A document to check or apply, made from the version ``base``."""
+    """A document to check or apply, made from the version ``base``.
+
+    With ``force`` a limit may be below what a team runs; the excess is then
+    preempted.
+    """
 
     text: str
     base: int = 0
     author: str = ''
     note: str = ''
+    force: bool = False
+
+
+@final
+class PromoteInput(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Promote this trial version over this production version."""
+
+    trial_version: int
+    base: int
+    author: str = ''
+    note: str = ''
 
 
 @final
@@ -279,6 +275,16 @@
     after: str | None
 
 
+@final
+class DiffView(msgspec.Struct, frozen=True):
+    """What a document changes against the version in force."""
+
+    environment: str
+    version: int
+    changes: list[ChangeView]
+    effects: Evaluation
+
+
 @final
 class CheckView(msgspec.Struct, frozen=True):
     """A document that passed its checks, and what looks wrong in it."""
--- a/packages/berylspread/src/berylspread/jobs/describe.py
+++ b/packages/berylspread/src/berylspread/jobs/describe.py
@@ -1,6 +1,6 @@
 """What a node's homes tell of their jobs, and why tasks wait."""
 
-from collections.abc import Iterator, Mapping
+from collections.abc import Callable, Iterable, Iterator
 from typing import Final, final
 
 from msgspec import structs
@@ -11,21 +11,30 @@
 from berylspread.jobs.progress import JobProgress
 from berylspread.kernel import Failure, now
 from berylspread.kernel.errors import NotOwner, UnknownName
-from berylspread.model import JobKind, shard_unit
+from berylspread.model import ZERO, JobKind, Resources, shard_unit
 
 JOB_ID_PARTS: Final = 3
 RUNNING: Final = frozenset(('starting', 'running', 'stopping'))
 
 
+def used_by_team(homes: Iterable[JobHome]) -> dict[str, Resources]:
+    """Return what each team runs, as these homes count it."""
+    total: dict[str, Resources] = {}
+    for home in homes:
+        for team, quota in home.quota.teams.items():
+            total[team] = total.get(team, ZERO) + quota.used
+    return {team: used for team, used in total.items() if used != ZERO}
+
+
 @final
 class HomeDescriber:
-    """Finds a job's home among the homes of this node, by unit."""
+    """Describes jobs; ``home`` finds a home of this node by its unit."""
 
-    __slots__ = ('homes',)
+    __slots__ = ('home',)
 
-    def __init__(self, homes: Mapping[str, JobHome]) -> None:
-        """Take the homes; the mapping follows the node's tenures."""
-        self.homes = homes
+    def __init__(self, home: Callable[[str], JobHome | None]) -> None:
+        """Take the search among the node's homes."""
+        self.home = home
 
     def describe(self, job_id: str) -> JobView | Failure:
         """Return a job as its home sees it now."""
@@ -46,7 +55,7 @@
 
     def _find(self, job_id: str) -> tuple[JobHome, JobProgress] | Failure:
         unit = home_of(job_id)
-        home = self.homes.get(unit)
+        home = self.home(unit)
         if home is None:
             return NotOwner('this node is not the home', unit=unit)
         progress = home.book.jobs.get(job_id)
--- a/packages/berylspread/src/berylspread/log/folds/__init__.py
+++ b/packages/berylspread/src/berylspread/log/folds/__init__.py
@@ -7,6 +7,7 @@
 )
 from berylspread.log.folds.base import Context, Fold, applies
 from berylspread.log.folds.configs import ConfigFold, ConfigsWire, Version
+from berylspread.log.folds.drains import DrainFold, DrainsWire
 from berylspread.log.folds.index_set import IndexSet
 from berylspread.log.folds.jobs import EndedJob, JobFold, JobState, JobsWire
 from berylspread.log.folds.keys import KeyFold, KeysWire, TeamKey
@@ -24,6 +25,8 @@
     'ConfigFold',
     'ConfigsWire',
     'Context',
+    'DrainFold',
+    'DrainsWire',
     'Electorate',
     'EndedJob',
     'Fold',
--- a/packages/berylspread/src/berylspread/log/records.py
+++ b/packages/berylspread/src/berylspread/log/records.py
@@ -128,6 +128,15 @@
     amount: Resources
 
 
+@final
+class DrainRequested(msgspec.Struct, frozen=True, tag=True):
+    """An operator wants a VM to take no new work, or lets it stay."""
+
+    vm: str
+    undo: bool = False
+    requested_at: float = 0.0
+
+
 @final
 class SnapshotPart(msgspec.Struct, frozen=True, tag=True):
     """A part of the state after all entries up to and including ``covers``."""
@@ -152,6 +161,7 @@
     | TasksEnded
     | JobEnded
     | AllotmentMoved
+    | DrainRequested
     | SnapshotPart
 )
 
--- a/packages/berylspread/src/berylspread/log/state.py
+++ b/packages/berylspread/src/berylspread/log/state.py
@@ -16,6 +16,8 @@
     ConfigFold,
     ConfigsWire,
     Context,
+    DrainFold,
+    DrainsWire,
     Fold,
     JobFold,
     JobState,
@@ -52,13 +54,14 @@
     units: UnitsWire = UnitsWire()
     jobs: JobsWire = JobsWire()
     allotments: AllotmentsWire = AllotmentsWire()
+    drains: DrainsWire = DrainsWire()
 
 
 _decoder: Final = msgspec.msgpack.Decoder(StateWire)
 
 
 @final
-class ClusterState:
+class ClusterState:  # noqa: WPS230
     """The folds, and the offset of the last entry that they took in.
 
     ``log_time`` is the latest time of append, in seconds since the epoch by the
@@ -69,6 +72,7 @@
         'allotments',
         'batch_listeners',
         'configs',
+        'drains',
         'duplicates',
         'handlers',
         'jobs',
@@ -207,6 +211,7 @@
             self.units.to_wire(),
             self.jobs.to_wire(),
             self.allotments.to_wire(),
+            self.drains.to_wire(),
         )
 
     def _install(self, wire: StateWire) -> None:
@@ -218,9 +223,17 @@
         self.units = UnitFold.from_wire(wire.units)
         self.jobs = JobFold.from_wire(wire.jobs)
         self.allotments = AllotmentFold.from_wire(wire.allotments, self.configs)
+        self.drains = DrainFold.from_wire(wire.drains)
         self.handlers = _handlers(
-            # The allotments follow the document in force, so they come later.
-            (self.configs, self.keys, self.units, self.jobs, self.allotments)
+            (
+                self.configs,
+                self.keys,
+                self.units,
+                self.jobs,
+                # The allotments follow the document in force.
+                self.allotments,
+                self.drains,
+            )
         )
 
     def _decode(self, entry: Entry) -> Batch | None:
