--- a/packages/berylspread/src/berylspread/log/records.py
+++ b/packages/berylspread/src/berylspread/log/records.py
@@ -127,6 +127,15 @@
     amount: Resources
 
 
+@final
+class DrainRequested(msgspec.Struct, frozen=True, tag=True):
+    """An operator wants a VM to take no new work, or lets it stay."""
+
+    vm: str
+    undo: bool = False
+    requested_at: float = 0.0
+
+
 @final
 class SnapshotPart(msgspec.Struct, frozen=True, tag=True):
     """A part of the state after all entries up to and including ``covers``."""
@@ -151,6 +160,7 @@
     | TasksEnded
     | JobEnded
     | AllotmentMoved
+    | DrainRequested
     | SnapshotPart
 )
 
