Check plug-in options against the real registries in the features

Cause: the policy's registries are fixed now; the scenario filled its own. Change: the scenario uses the registered spread scorer and its range.

--- a/features/config/document.feature
+++ b/features/config/document.feature
@@ -71,16 +71,14 @@
       | [environment]/name = trial/name = trial |
 
   Scenario: Plug-ins are checked against their registry
-    Given a registry of scorers with "spread" that has the option "weight"
-    And the example "suryadi"
+    Given the example "suryadi"
     When in [policy] the option "scorers" is set to "spread, sprad"
     Then the only error is in [policy] scorers with nearest "spread"
 
   Scenario: The options of a plug-in are checked
-    Given a registry of scorers with "spread" that has the option "weight"
-    And the example "suryadi"
+    Given the example "suryadi"
     When the section [plugin scorer spread] is added with "weight" as "heavy"
-    Then the only error is in [plugin scorer spread] weight with allowed "a number from 0 to 10"
+    Then the only error is in [plugin scorer spread] weight with allowed "a number from 0 to 100.0"
 
   Scenario: A shape that no worker holds is a warning
     Given the example "suryadi"
