--- a/packages/berylspread-standins/src/berylspread_standins/cluster.py
+++ b/packages/berylspread-standins/src/berylspread_standins/cluster.py
@@ -260,7 +260,7 @@
             run_s=run_s, idempotent=section.idempotent, checkpointable=True
         )
         home = home_unit(entry.context, section.team, section.region)
-        unique = new_request_id(self.wall.time()).replace('-', '')
+        unique = self.new_request_id().replace('-', '')
         _teams, region, shard = home.split('/')
         spec = JobSpec(
             job_id=f'{region}.{shard}.{unique}',
@@ -288,6 +288,7 @@
         run_s: float = 0.05,
         node: str = '',
         timeout_s: float | None = None,
+        request_id: str = '',
     ) -> CallReply | Failure:
         """Run an interactive call through a node."""
         entry = self.node(node)
@@ -297,7 +298,7 @@
         workload = Workload(run_s=run_s, idempotent=section.idempotent)
         return await entry.calls.call(
             CallInput(
-                request_id=new_request_id(self.wall.time()),
+                request_id=request_id or self.new_request_id(),
                 team=section.team,
                 queue=queue,
                 shape=section.shape(),
@@ -308,6 +309,10 @@
             )
         )
 
+    def new_request_id(self) -> str:
+        """Return a request id of the present time."""
+        return new_request_id(self.wall.time(), self.rng.randbytes(10))
+
     async def cancel_jobs(self, share: float, rng: random.Random) -> None:
         """Cancel a share of the jobs that have not ended."""
         entry = self.node()
--- a/packages/berylspread-standins/src/berylspread_standins/faults/base.py
+++ b/packages/berylspread-standins/src/berylspread_standins/faults/base.py
@@ -25,7 +25,10 @@
 
     endpoint: Endpoint
     gate: Gate
-    is_running: bool
+
+    @property
+    def is_running(self) -> bool:
+        """Return whether a process runs on the VM."""
 
     async def kill(self) -> None:
         """Lose the process without a word."""
--- a/packages/berylspread-standins/src/berylspread_standins/observer.py
+++ b/packages/berylspread-standins/src/berylspread_standins/observer.py
@@ -76,6 +76,7 @@
     __slots__ = (
         'capacities',
         'counts',
+        'executed',
         'executed_once',
         'grace_s',
         'high_water',
@@ -104,6 +105,7 @@
         self.running: dict[str, list[Execution]] = {}
         self.executed_once: dict[str, Execution] = {}
         self.high_water: dict[str, Resources] = {}
+        self.executed: set[str] = set()
         self.violations: list[Violation] = []
         self.counts: collections.Counter[str] = collections.Counter()
 
@@ -116,6 +118,7 @@
         self.counts['calls' if run.is_call else 'tasks'] += 1
         self._check_single(run)
         self._check_once(run)
+        self.executed.add(run.name)
         self.running.setdefault(run.name, []).append(run)
         self._add(self.workers, run.worker, run.shape)
         self._add(self.teams, run.team, run.shape)
