Let unknown slices lapse at a home without calls

Change: the home expires slices with each reconciliation; watchers count as restartable in the load, since a watcher must be staffed again. Conclusion: node pauses still leave units without an owner.

--- a/packages/berylspread-standins/src/berylspread_standins/cluster.py
+++ b/packages/berylspread-standins/src/berylspread_standins/cluster.py
@@ -36,6 +36,7 @@
 ENTRY_PORT: Final = 7000
 READY_POLL_S: Final = 0.1
 PRODUCTION: Final = 'production'
+SERVICE: Final = 'service'
 
 
 @final
@@ -257,7 +258,9 @@
         if section is None:
             raise KeyError(queue)
         workload = Workload(
-            run_s=run_s, idempotent=section.idempotent, checkpointable=True
+            run_s=run_s,
+            idempotent=section.idempotent or section.work == SERVICE,
+            checkpointable=True,
         )
         home = home_unit(entry.context, section.team, section.region)
         unique = self.new_request_id().replace('-', '')
--- a/packages/berylspread/src/berylspread/jobs/home.py
+++ b/packages/berylspread/src/berylspread/jobs/home.py
@@ -250,6 +250,7 @@
     async def _reconcile(self) -> None:
         if not self.tenure.is_valid(now()):
             return
+        self.quota.expire_all(now())
         await self.reconciler.round()
         self.stopper.add_strays(self.reconciler.strays)
         self.stopper.add_excess(self.quota)
