Add the daemon: settings, telemetry and a graceful stop

berylspreadd had no settings and no main program.

Settings are read from INI with every error at once; each names file, section, option and range. The daemon assembles the node, serves HTTP by uvicorn in its own loop, and at SIGTERM or SIGINT turns not ready, finishes what is in flight and hands its units over. Logs are JSON lines with trace ids, spans join by W3C trace context, metrics are scraped at /metrics.

--- a/packages/berylspread-daemon/src/berylspread_daemon/http/app.py
+++ b/packages/berylspread-daemon/src/berylspread_daemon/http/app.py
@@ -1,7 +1,7 @@
 """The litestar application of one node."""
 
-from functools import partial
-from typing import Any, Final
+from collections.abc import Callable
+from typing import Final
 
 from litestar import Litestar
 from litestar.datastructures import State
@@ -16,11 +16,13 @@
 
 from berylspread.entry.service import EntryService
 from berylspread_daemon.http.admin import AdminController, ConfigController
+from berylspread_daemon.http.admission import MAX_IN_FLIGHT, Admission
 from berylspread_daemon.http.bodies import BODY_TIMEOUT_S, BodyGuard
 from berylspread_daemon.http.calls import CallController
 from berylspread_daemon.http.health import HealthController
 from berylspread_daemon.http.jobs import JobController, provide_caller
 from berylspread_daemon.http.problems import EXCEPTION_HANDLERS
+from berylspread_daemon.http.tracing import RequestTracing
 
 MAX_JSON_BYTES: Final = 4 * 1024 * 1024
 API_VERSION: Final = '1'
@@ -30,7 +32,8 @@
     entry: EntryService,
     *,
     body_timeout_s: float = BODY_TIMEOUT_S,
-    middleware: tuple[Any, ...] = (),
+    max_in_flight: int = MAX_IN_FLIGHT,
+    is_leaving: Callable[[], bool] = bool,
 ) -> Litestar:
     """Return the application; ``/schema`` describes its interface."""
     return Litestar(
@@ -42,12 +45,15 @@
             HealthController,
         ],
         dependencies={
-            'entry': Provide(partial(_same, entry), sync_to_thread=False),
+            'entry': Provide(provide_entry, sync_to_thread=False),
             'caller': Provide(provide_caller, sync_to_thread=False),
         },
         exception_handlers=EXCEPTION_HANDLERS,
         middleware=[
-            *middleware,
+            RequestTracing,
+            DefineMiddleware(
+                Admission, is_leaving=is_leaving, max_in_flight=max_in_flight
+            ),
             DefineMiddleware(BodyGuard, timeout_s=body_timeout_s),
         ],
         openapi_config=OpenAPIConfig(
@@ -66,5 +72,7 @@
     )
 
 
-def _same(entry: EntryService) -> EntryService:
+def provide_entry(state: State) -> EntryService:
+    """Return the entry service from the application's state."""
+    entry: EntryService = state['entry']
     return entry
--- a/packages/berylspread-daemon/src/berylspread_daemon/http/jobs.py
+++ b/packages/berylspread-daemon/src/berylspread_daemon/http/jobs.py
@@ -60,12 +60,12 @@
         cursor: str = '',
         limit: int = DEFAULT_PAGE,
         queue: str = '',
-        state: str = '',
+        job_state: Annotated[str, Parameter(query='state')] = '',
     ) -> JobPage:
         """Return a page; its `cursor` asks for the next one."""
         return unwrap(
             await entry.jobs.page(
-                caller, cursor=cursor, limit=limit, queue=queue, state=state
+                caller, cursor=cursor, limit=limit, queue=queue, state=job_state
             )
         )
 
--- /dev/null
+++ b/packages/berylspread-daemon/src/berylspread_daemon/main.py
@@ -0,0 +1,68 @@
+"""``berylspreadd``: the daemon of an entry VM."""
+
+import asyncio
+import sys
+import time
+from pathlib import Path
+from typing import Final
+
+import fire
+import uvloop
+
+from berylspread.kernel.errors import Failure
+from berylspread_daemon.daemon import Daemon
+from berylspread_daemon.settings import Settings, load_settings
+from berylspread_daemon.telemetry import start_telemetry, stop_telemetry
+
+MS_PER_S: Final = 1000
+
+
+def run(settings: str) -> None:
+    """Serve callers and operators, and own a part of the decisions.
+
+    SIGTERM and SIGINT stop gracefully: not ready first, then the requests in
+    flight are finished and every unit is handed over.
+
+    Args:
+        settings: The INI file with this node's settings.
+
+    """
+    loaded = load_settings(Path(str(settings)))
+    if isinstance(loaded, Failure):
+        _fail(loaded)
+        return
+    problem = start_telemetry(loaded)
+    if problem is not None:
+        _fail(problem)
+    # Each start is a new incarnation; the clock is all that a VM keeps.
+    incarnation = int(time.time() * MS_PER_S)
+    try:
+        with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+            runner.run(_serve(loaded, incarnation))
+    finally:
+        stop_telemetry()
+
+
+async def _serve(settings: Settings, incarnation: int) -> None:
+    await Daemon(settings, incarnation).run()
+
+
+def main() -> None:
+    """Run the command line."""
+    fire.Fire(run, name='berylspreadd')
+
+
+def _fail(failure: Failure) -> None:
+    for error in failure.fields.get('errors', [{'reason': failure.reason}]):
+        sys.stderr.write(f'berylspreadd: {failure.name}: {_line(error)}\n')
+    sys.exit(failure.exit_code)
+
+
+def _line(error: dict[str, object]) -> str:
+    suggestion = error.get('nearest')
+    hint = f'; did you mean {suggestion!r}?' if suggestion else ''
+    return f'{error["reason"]}{hint}'
+
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/packages/berylspread/src/berylspread/entry/assembly.py
@@ -0,0 +1,76 @@
+"""The entry service of an assembled node."""
+
+import asyncio
+from typing import Final, final
+
+from berylspread.config.operations import Operations
+from berylspread.config.vouching import KeyGuard
+from berylspread.entry.drains import DrainedDirectory
+from berylspread.entry.service import EntryService
+from berylspread.jobs.describe import HomeDescriber, used_by_team
+from berylspread.jobs.home import JobHome
+from berylspread.model import Resources
+from berylspread.runtime.node import Node
+
+KEY_TRUST_S: Final = 5.0
+
+
+@final
+class NodeEntry:
+    """What callers and operators reach on a node."""
+
+    __slots__ = ('guard', 'node', 'service', 'task')
+
+    def __init__(
+        self,
+        node: Node,
+        *,
+        operator_digests: tuple[str, ...] = (),
+        key_trust_s: float = KEY_TRUST_S,
+    ) -> None:
+        """Build the service on a node that has not been started."""
+        self.node = node
+        self.task: asyncio.Task[None] | None = None
+        context = node.context
+        node.membership.directory = DrainedDirectory(
+            node.membership.directory, node.state
+        )
+        self.guard = KeyGuard(
+            ref=context.ref,
+            reader=node.reader,
+            peers=context.peers,
+            membership=context.membership,
+            store_region=node.settings.store_region,
+            bound_s=key_trust_s,
+        )
+        self.service = EntryService(
+            context,
+            router=node.calls,
+            guard=self.guard,
+            operations=Operations(
+                node.appender, node.reader, self.guard, context.wall
+            ),
+            describer=HomeDescriber(self._home),
+            used=self._used,
+            is_ready=lambda: node.is_ready,
+            operator_digests=operator_digests,
+        )
+
+    def start(self) -> None:
+        """Keep the trust in the keys up until ``close``."""
+        self.task = asyncio.create_task(self.guard.run(), name='key guard')
+
+    async def close(self) -> None:
+        """Stop; the node itself goes on."""
+        if self.task is not None:
+            self.task.cancel()
+            await asyncio.wait((self.task,))
+
+    def _home(self, unit: str) -> JobHome | None:
+        role = self.node.homes.roles.get(unit)
+        return role.jobs if role else None
+
+    def _used(self) -> dict[str, Resources]:
+        return used_by_team(
+            role.jobs for role in self.node.homes.roles.values()
+        )
