Add the command line and spans for backend servers

Operators and callers had no command, and a trace ended at the entry node.

TracedWorkers opens a span for each call and start and hands its trace context to the backend server.

--- /dev/null
+++ b/packages/berylspread-cli/src/berylspread_cli/commands/__init__.py
@@ -0,0 +1,14 @@
+"""The command groups, a module each."""
+
+from berylspread_cli.commands.calls import read_body, run_call
+from berylspread_cli.commands.config import ConfigCommands
+from berylspread_cli.commands.jobs import JobCommands
+from berylspread_cli.commands.keys import KeyCommands
+
+__all__ = (
+    'ConfigCommands',
+    'JobCommands',
+    'KeyCommands',
+    'read_body',
+    'run_call',
+)
--- /dev/null
+++ b/packages/berylspread-cli/src/berylspread_cli/main.py
@@ -0,0 +1,168 @@
+"""``berylspread``: the operators' and callers' command.
+
+Exit codes: 0 done, 1 an error at the node or from the backend server, 2 wrong
+input or usage, 3 refused, 4 conflict, 5 unavailable, 6 outcome unknown.
+"""
+
+import argparse
+import os
+from collections.abc import Sequence
+from typing import Final
+
+import fire
+
+from berylspread_cli.client import Client
+from berylspread_cli.commands import (
+    ConfigCommands,
+    JobCommands,
+    KeyCommands,
+    read_body,
+    run_call,
+)
+from berylspread_cli.output import show
+from berylspread_cli.texts import texts
+
+ADDRESS: Final = 'BERYLSPREAD_ADDRESS'
+KEY: Final = 'BERYLSPREAD_KEY'
+DEFAULT_ADDRESS: Final = '127.0.0.1:8080'
+TIMEOUT_S: Final = 30.0
+
+
+class Commands:
+    """Run work on a berylspread fleet, and operate it.
+
+    Three flags go with every command: --address=IP:PORT, or a URL, of an entry
+    node, by default BERYLSPREAD_ADDRESS; --key=KEY, a team's key or an
+    operator's token, by default BERYLSPREAD_KEY, which keeps it out of the list
+    of processes; --timeout_s=SECONDS, the longest wait for an answer.
+
+    Exit codes: 0 done, 1 an error at the node or from the backend server,
+    2 wrong input or usage, 3 refused, 4 conflict, 5 unavailable, 6 outcome
+    unknown.  Failures are printed as [RUN-STATE] NAME: REASON (FIELDS), where
+    the run state is not-run, ran or unknown.
+    """
+
+    def __init__(self, client: Client) -> None:
+        """Take the client."""
+        self._client = client
+        self.config = ConfigCommands(client)
+        self.keys = KeyCommands(client)
+        self.jobs = JobCommands(client)
+
+    @texts('queue', 'body', 'file', 'request_id')
+    def call(
+        self,
+        queue: str,
+        body: str = '',
+        *,
+        file: str = '',
+        deadline_s: float | None = None,
+        idempotent: bool | None = None,
+        request_id: str = '',
+        json: bool = False,
+    ) -> None:
+        """Run an interactive call and print the whole answer.
+
+        Args:
+            queue: A queue of kind interactive.
+            body: The request's body.
+            file: A file to read the body from; ``-`` is the standard input.
+            deadline_s: Seconds from now; by default the queue's.
+            idempotent: Whether it may be run again; by default the queue's.
+            request_id: A UUID of version 7; a new one by default.
+            json: Print a JSON object with the status and the body.
+
+        """
+        run_call(
+            self._client,
+            queue,
+            read_body(file, body),
+            deadline_s=deadline_s,
+            idempotent=idempotent,
+            request_id=request_id,
+            as_json=json,
+        )
+
+    def status(self, *, json: bool = False) -> None:
+        """Show the whole system in short."""
+        show(self._client.get('/v1/admin/status'), as_json=json)
+
+    def nodes(self, *, json: bool = False) -> None:
+        """List the entry nodes."""
+        show(
+            self._client.get('/v1/admin/nodes'),
+            (
+                'node',
+                'region',
+                'zone',
+                'liveness',
+                'ready',
+                'log_offset',
+                'versions',
+                'units',
+            ),
+            as_json=json,
+        )
+
+    def workers(self, *, json: bool = False) -> None:
+        """List the workers."""
+        show(
+            self._client.get('/v1/admin/workers'),
+            ('worker', 'region', 'zone', 'rack', 'state', 'owner', 'epoch'),
+            as_json=json,
+        )
+
+    def teams(self, *, json: bool = False) -> None:
+        """List the teams with their shares and limits."""
+        show(
+            self._client.get('/v1/admin/teams'),
+            ('team', 'organisation', 'share', 'limit', 'jobs', 'keys'),
+            as_json=json,
+        )
+
+    def queues(self, *, json: bool = False) -> None:
+        """List the queues."""
+        show(
+            self._client.get('/v1/admin/queues'),
+            ('queue', 'team', 'open', 'kind', 'region', 'shape', 'jobs'),
+            as_json=json,
+        )
+
+    def tickets(self, *, json: bool = False) -> None:
+        """List the tickets of the help desk, newest first."""
+        show(
+            self._client.get('/v1/admin/tickets'),
+            ('category', 'subject', 'opened_at', 'node', 'trace_id', 'detail'),
+            as_json=json,
+        )
+
+    @texts('vm')
+    def drain(self, vm: str, *, undo: bool = False, json: bool = False) -> None:
+        """Give a VM no new work, or with --undo let it take work again."""
+        found = self._client.post('/v1/admin/drain', {'vm': vm, 'undo': undo})
+        show(found, as_json=json)
+
+
+def main(arguments: Sequence[str] | None = None) -> None:
+    """Run the command line; the process's own by default."""
+    given, rest = _parser().parse_known_args(arguments)
+    client = Client(given.address, given.key, given.timeout_s)
+    fire.Fire(Commands(client), command=rest, name='berylspread')
+
+
+def _parser() -> argparse.ArgumentParser:
+    parser = argparse.ArgumentParser(
+        prog='berylspread', add_help=False, allow_abbrev=False
+    )
+    parser.add_argument(
+        '--address', default=os.environ.get(ADDRESS, DEFAULT_ADDRESS)
+    )
+    parser.add_argument('--key', default=os.environ.get(KEY, ''))
+    parser.add_argument(
+        '--timeout_s', '--timeout-s', type=float, default=TIMEOUT_S
+    )
+    return parser
+
+
+if __name__ == '__main__':
+    main()
--- a/packages/berylspread-daemon/src/berylspread_daemon/daemon.py
+++ b/packages/berylspread-daemon/src/berylspread_daemon/daemon.py
@@ -7,6 +7,7 @@
 from absl import logging
 
 from berylspread.backend.http_client import HttpWorkers
+from berylspread.backend.traced import TracedWorkers
 from berylspread.entry.assembly import NodeEntry
 from berylspread.log import AppenderSettings, PublisherSettings
 from berylspread.log.http_client import HttpLog
@@ -57,7 +58,7 @@
             peers=self.peers,
             log=self.log,
             directory=self.directory,
-            workers=self.workers,
+            workers=TracedWorkers(self.workers),
         )
         self.node = Node(parts, node_settings(settings))
         self.entry = NodeEntry(
