--- a/packages/berylspread/src/berylspread/calls/allowance.py
+++ b/packages/berylspread/src/berylspread/calls/allowance.py
@@ -7,10 +7,18 @@
 import asyncio
 from typing import Final, final
 
-from berylspread.calls.messages import Allowance, AllowanceAsk
+from berylspread.calls.messages import (
+    Allowance,
+    AllowanceAsk,
+    HeldSlice,
+    SlicesAsk,
+    SlicesReply,
+)
 from berylspread.jobs.shards import home_unit
 from berylspread.kernel import Failure, now
-from berylspread.kernel.errors import QuotaExceeded
+from berylspread.kernel.errors import QuotaExceeded, StaleEpoch
+from berylspread.limits.slices import CallAllowance
+from berylspread.model import NodeRef
 from berylspread.partition.messages import UnitEpoch
 from berylspread.runtime import NodeContext
 
@@ -24,46 +32,36 @@
 
 @final
 class TeamSlice:
-    """One team's slice at this node."""
-
-    __slots__ = (
-        'changed',
-        'count',
-        'in_flight',
-        'renews_at',
-        'sequence',
-        'task',
-        'valid_until',
-        'waiting',
-    )
+    """One team's slice at this node, and who waits for a part of it."""
+
+    __slots__ = ('allowance', 'changed', 'renews_at', 'task', 'waiting')
 
     def __init__(self) -> None:
         """Start with nothing borrowed."""
-        self.count = 0
-        self.in_flight = 0
+        self.allowance = CallAllowance()
         self.waiting = 0
-        self.sequence = 0
-        self.valid_until = float('-inf')
         self.renews_at = float('-inf')
         self.changed = asyncio.Condition()
         self.task: asyncio.Task[None] | None = None
 
     @property
-    def has_room(self) -> bool:
-        """Whether one more call may start now."""
-        return now() < self.valid_until and self.in_flight < self.count
+    def wanted(self) -> int:
+        """How many calls the slice should allow."""
+        return self.allowance.in_flight + self.waiting + SPARE
 
 
 @final
 class Allowances:
     """Borrows slices from the homes as calls need them."""
 
-    __slots__ = ('context', 'slices')
+    __slots__ = ('context', 'fences', 'slices')
 
     def __init__(self, context: NodeContext) -> None:
         """Start with nothing borrowed."""
         self.context = context
         self.slices: dict[str, TeamSlice] = {}
+        self.fences: dict[str, int] = {}
+        context.peers.handle(SlicesAsk, self._tell_slices)
 
     def is_limited(self, team: str) -> bool:
         """Return whether the team has an upper limit on its tasks."""
@@ -84,42 +82,52 @@
     async def release(self, team: str) -> None:
         """Give one unit back to this node's slice."""
         held = self.slices.get(team)
-        if held is None or not held.in_flight:
+        if held is None:
             return
-        held.in_flight -= 1
+        held.allowance.done()
         async with held.changed:
             held.changed.notify()
 
+    async def _tell_slices(
+        self, source: NodeRef, ask: SlicesAsk
+    ) -> SlicesReply:
+        unit = ask.home.unit
+        self.fences[unit] = max(self.fences.get(unit, 0), ask.home.epoch)
+        slices = [
+            HeldSlice(team, held.allowance.holds(now()))
+            for team, held in self.slices.items()
+            if home_unit(self.context, team) == unit
+        ]
+        return SlicesReply(self.context.ref, slices)
+
     async def _wait(
         self, team: str, held: TeamSlice, deadline: float
     ) -> Failure | None:
         self._borrow(team, held)
         try:
             async with asyncio.timeout_at(deadline), held.changed:
-                await held.changed.wait_for(lambda: held.has_room)
+                await held.changed.wait_for(
+                    lambda: held.allowance.acquire(now())
+                )
         except TimeoutError:
             return QuotaExceeded(
                 f'team {team!r} is at its upper limit', team=team
             )
-        held.in_flight += 1
         return None
 
     def _borrow(self, team: str, held: TeamSlice) -> None:
-        if held.has_room and now() < held.renews_at:
-            return
         if held.task is None or held.task.done():
             held.task = asyncio.create_task(self._renew(team, held))
 
     async def _renew(self, team: str, held: TeamSlice) -> None:
-        while held.waiting or held.in_flight:
-            sent_at = now()
+        while held.waiting or held.allowance.in_flight:
             reply = await self._ask(team, held)
             if isinstance(reply, Failure):
                 await asyncio.sleep(RETRY_S)
                 continue
-            held.count = reply.count
-            held.valid_until = sent_at + reply.valid_s
-            held.renews_at = sent_at + reply.valid_s * RENEW_AT
+            allowance = held.allowance
+            allowance.answered(reply.sequence, reply.count, reply.valid_s)
+            held.renews_at = allowance.asked_at + reply.valid_s * RENEW_AT
             async with held.changed:
                 held.changed.notify_all()
             await asyncio.sleep(self._pause_s(held))
@@ -129,22 +137,23 @@
             return RETRY_S
         return max(held.renews_at - now(), RETRY_S)
 
-    async def _ask(
-        self, team: str, held: TeamSlice
-    ) -> Allowance | Failure:
+    async def _ask(self, team: str, held: TeamSlice) -> Allowance | Failure:
         unit = home_unit(self.context, team)
         owner = self.context.owner(unit)
-        held.sequence += 1
         node, epoch = ('', 0) if owner is None else (owner[0].node, owner[1])
-        return await self.context.peers.ask(
+        sequence = held.allowance.ask(now(), held.wanted)
+        reply = await self.context.peers.ask(
             node,
             AllowanceAsk(
                 UnitEpoch(unit, epoch),
                 team,
-                held.in_flight + held.waiting + SPARE,
-                held.in_flight,
-                held.sequence,
+                held.wanted,
+                held.allowance.holds(now()),
+                sequence,
             ),
             Allowance,
             timeout_s=ASK_TIMEOUT_S,
         )
+        if epoch < self.fences.get(unit, 0):
+            return StaleEpoch('the home has a newer epoch', unit=unit)
+        return reply
--- a/packages/berylspread/src/berylspread/config/document.py
+++ b/packages/berylspread/src/berylspread/config/document.py
@@ -17,10 +17,10 @@
 )
 from berylspread.config.text import RawDocument, RawSection, parse_text
 from berylspread.kernel.errors import Failure, InvalidInput, failure
-from berylspread.kernel.options import Place, Section, read_section
+from berylspread.kernel.options import Place, read_section
 from berylspread.kernel.registry import nearest
-from berylspread.placement.kernel import PlacementPlugin
 from berylspread.model import ZERO, Resources
+from berylspread.placement.kernel import PlacementPlugin
 
 SectionT = TypeVar('SectionT', bound=DocumentSection)
 PERCENT: Final = 100.0
@@ -49,13 +49,17 @@
 
 @final
 class Document:
-    """The sections of one document, by kind and label."""
+    """The sections of one document, by kind and label.
+
+    ``is_readable`` is false if its text is not INI at all.
+    """
 
-    __slots__ = ('plugins', 'sections', 'source')
+    __slots__ = ('is_readable', 'plugins', 'sections', 'source')
 
     def __init__(self, source: str) -> None:
         """Start without sections; an absent unlabelled one has defaults."""
         self.source = source
+        self.is_readable = True
         self.sections: dict[str, dict[str, DocumentSection]] = {}
         self.plugins: dict[str, PlacementPlugin] = {}
 
@@ -116,6 +120,18 @@
         """The regions by name."""
         return self.labelled(RegionSection)
 
+    @property
+    def longest_call_s(self) -> float:
+        """The longest time that an interactive call may take, in seconds."""
+        return max(
+            (
+                queue.max_deadline_s
+                for queue in self.queues.values()
+                if queue.work == 'interactive'
+            ),
+            default=0.0,
+        )
+
     def plugin(self, kind: str, name: str) -> PlacementPlugin | None:
         """Return the options of a plug-in, if the document has a section."""
         return self.plugins.get(f'{kind} {name}')
@@ -151,6 +167,7 @@
     raw = parse_text(source, text)
     if isinstance(raw, InvalidInput):
         errors.append(raw)
+        document.is_readable = False
         return document
     for found in raw.sections:
         _read_one(document, found, errors)
