Return refusals that a falsy failure hid; observe the node's counts

The checks are now asked one after the other for a value that is not None. The daemon also offers the node's own counts as OpenTelemetry metrics.

--- /dev/null
+++ b/packages/berylspread-daemon/src/berylspread_daemon/metrics.py
@@ -0,0 +1,92 @@
+"""What a node counts anyway, as OpenTelemetry metrics.
+
+Each is read when the metrics are collected and costs nothing between.
+"""
+
+from collections.abc import Callable, Iterable, Mapping
+from typing import Final
+
+from opentelemetry import metrics
+from opentelemetry.metrics import CallbackOptions, Observation
+
+from berylspread.entry.service import EntryService
+from berylspread.kernel.invariants import violations
+from berylspread.peers import GrpcPeers
+from berylspread.runtime.node import Node
+
+PREFIX: Final = 'berylspread_'
+
+Read = Callable[[], float]
+ReadEach = Callable[[], Mapping[str, float]]
+Callback = Callable[[CallbackOptions], Iterable[Observation]]
+
+
+def observe(node: Node, peers: GrpcPeers, entry: EntryService) -> None:
+    """Register the node's counts and levels with the meter."""
+    meter = metrics.get_meter('berylspread.node')
+    for name, read in _counts(node).items():
+        meter.create_observable_counter(PREFIX + name, [_single(read)])
+    for name, read in _levels(node).items():
+        meter.create_observable_gauge(PREFIX + name, [_single(read)])
+    for name, (label, read_each) in _labelled(peers, entry).items():
+        meter.create_observable_counter(
+            PREFIX + name, [_each(label, read_each)]
+        )
+
+
+def _counts(node: Node) -> dict[str, Read]:
+    counts = node.appender.counts
+    return {
+        'log_appends': lambda: counts.appends,
+        'log_append_retries': lambda: counts.retries,
+        'log_append_timeouts': lambda: counts.timeouts,
+        'log_records': lambda: counts.records,
+        'log_appended_bytes': lambda: counts.sent_bytes,
+        'log_reads': lambda: node.source.store.reads,
+        'log_read_bytes': lambda: node.source.store.read_bytes,
+        'log_gaps': lambda: node.reader.gaps,
+        'log_duplicates': lambda: node.state.duplicates,
+        'calls_late_answers': lambda: node.calls.late_answers,
+    }
+
+
+def _levels(node: Node) -> dict[str, Read]:
+    return {
+        'log_offset': lambda: node.state.offset,
+        'config_version': lambda: node.context.documents.version,
+        'units_owned': lambda: len(node.ownership.owned()),
+        'jobs_active': lambda: len(node.state.jobs.active),
+        'ready': lambda: float(node.is_ready),
+    }
+
+
+def _labelled(
+    peers: GrpcPeers, entry: EntryService
+) -> dict[str, tuple[str, ReadEach]]:
+    counters = peers.counters
+    return {
+        'peer_sent_messages': ('type', lambda: counters.sent_messages),
+        'peer_sent_bytes': ('type', lambda: counters.sent_bytes),
+        'peer_received_messages': ('type', lambda: counters.received_messages),
+        'peer_received_bytes': ('type', lambda: counters.received_bytes),
+        'peer_dropped': ('reason', lambda: counters.dropped),
+        'invariant_violations': ('invariant', lambda: violations),
+        'tickets_opened': ('category', lambda: entry.tickets.opened),
+    }
+
+
+def _single(read: Read) -> Callback:
+    def callback(options: CallbackOptions) -> Iterable[Observation]:
+        return [Observation(read())]
+
+    return callback
+
+
+def _each(label: str, read: ReadEach) -> Callback:
+    def callback(options: CallbackOptions) -> Iterable[Observation]:
+        return [
+            Observation(amount, {label: name})
+            for name, amount in read().items()
+        ]
+
+    return callback
--- a/packages/berylspread/src/berylspread/entry/calls.py
+++ b/packages/berylspread/src/berylspread/entry/calls.py
@@ -83,7 +83,8 @@
             region=queue.region,
             traceparent=options.traceparent,
         )
-        return _id_problem(call) or call
+        problem = _id_problem(call)
+        return call if problem is None else problem
 
     async def run(self, call: CallInput, body: bytes) -> CallReply | Failure:
         """Run a prepared call; a deadline missed on the way opens a ticket."""
--- a/packages/berylspread/src/berylspread/entry/feasibility.py
+++ b/packages/berylspread/src/berylspread/entry/feasibility.py
@@ -1,13 +1,13 @@
 """Tells jobs that could never run, before they are accepted."""
 
 from collections.abc import Iterable
+from typing import Final
 
 from berylspread.config import WorkerClassSection, ZoneSection
 from berylspread.kernel.errors import Failure, UnknownName, Unplaceable
 from berylspread.kernel.registry import nearest
 from berylspread.model import (
     DIMENSIONS,
-    Constraints,
     JobKind,
     JobSpec,
     Resources,
@@ -20,17 +20,13 @@
 
     A document without worker classes leaves the shape unchecked.
     """
-    return (
-        _unknown_place(context, spec.constraints)
-        or _too_large(context, spec)
-        or _over_limit(context, spec)
-    )
+    obstacles = (check(context, spec) for check in CHECKS)
+    return next((found for found in obstacles if found is not None), None)
 
 
-def _unknown_place(
-    context: NodeContext, constraints: Constraints
-) -> Failure | None:
+def _unknown_place(context: NodeContext, spec: JobSpec) -> Failure | None:
     document = context.document
+    constraints = spec.constraints
     places = (
         ('region', constraints.region, document.regions),
         ('zone', constraints.zone, document.labelled(ZoneSection)),
@@ -125,3 +121,6 @@
         None,
     )
     return everywhere or misfits[0]
+
+
+CHECKS: Final = (_unknown_place, _too_large, _over_limit)
--- a/packages/berylspread/src/berylspread/entry/submission.py
+++ b/packages/berylspread/src/berylspread/entry/submission.py
@@ -152,7 +152,10 @@
             return _invalid(
                 'payload', f'the payload is over {queue.max_body_kib} KiB'
             )
-        return _long_text(job) or self._deadline_problem(queue, job)
+        too_long = _long_text(job)
+        if too_long is not None:
+            return too_long
+        return self._deadline_problem(queue, job)
 
     def _deadline_problem(
         self, queue: QueueSection, job: JobInput
--- a/packages/berylspread/src/berylspread/entry/tickets.py
+++ b/packages/berylspread/src/berylspread/entry/tickets.py
@@ -8,7 +8,7 @@
 import enum
 from typing import Any, Final, final
 
-from opentelemetry import metrics, trace
+from opentelemetry import trace
 
 from berylspread.entry.messages import TicketsAsk, TicketsReply
 from berylspread.entry.views import TicketView
@@ -32,11 +32,6 @@
 
 LOST_STATES: Final = frozenset((TaskState.lost, TaskState.unknown))
 
-_meter: Final = metrics.get_meter('berylspread.entry')
-_opened: Final = _meter.create_counter(
-    'berylspread_tickets_opened', description='tickets opened, by category'
-)
-
 
 @final
 class TicketDesk:
@@ -72,7 +67,6 @@
         if len(self.tickets) > MAX_TICKETS:
             self.tickets.popitem(last=False)
         self.opened[category.value] += 1
-        _opened.add(1, {'category': category.value})
 
     def newest_first(self) -> list[TicketView]:
         """Return this node's tickets."""
