--- a/Makefile
+++ b/Makefile
@@ -47,7 +47,7 @@
 	@touch $@
 
 demo: $(STAMP)
-	$(PY) -m berylspread_standins.demo $(if $(filter 1,$(JSON)),--json)
+	$(PY) -m berylspread_standins.demo $(if $(filter 1,$(JSON)),--json_line)
 
 test: $(STAMP)
 	@$(PY) tools/run_features.py --jobs $(JOBS) $(FEATURES)
--- a/packages/berylspread-standins/src/berylspread_standins/observer.py
+++ b/packages/berylspread-standins/src/berylspread_standins/observer.py
@@ -81,6 +81,8 @@
         'grace_s',
         'high_water',
         'limits',
+        'ran_at',
+        'ran_by',
         'running',
         'teams',
         'violations',
@@ -105,7 +107,10 @@
         self.running: dict[str, list[Execution]] = {}
         self.executed_once: dict[str, Execution] = {}
         self.high_water: dict[str, Resources] = {}
-        self.executed: set[str] = set()
+        self.ran_at: collections.Counter[str] = collections.Counter()
+        self.ran_by: collections.Counter[str] = collections.Counter()
+        #: Loop time of the first start, by name.
+        self.executed: dict[str, float] = {}
         self.violations: list[Violation] = []
         self.counts: collections.Counter[str] = collections.Counter()
 
@@ -118,7 +123,9 @@
         self.counts['calls' if run.is_call else 'tasks'] += 1
         self._check_single(run)
         self._check_once(run)
-        self.executed.add(run.name)
+        self.ran_at[run.worker] += 1
+        self.ran_by[run.team] += 1
+        self.executed.setdefault(run.name, now())
         self.running.setdefault(run.name, []).append(run)
         self._add(self.workers, run.worker, run.shape)
         self._add(self.teams, run.team, run.shape)
--- a/packages/berylspread-standins/src/berylspread_standins/servers.py
+++ b/packages/berylspread-standins/src/berylspread_standins/servers.py
@@ -54,7 +54,15 @@
 class StandinServers:
     """The servers of one process, and what they serve."""
 
-    __slots__ = ('log', 'observer', 'options', 'service', 'vms', 'workers')
+    __slots__ = (
+        'entries',
+        'log',
+        'observer',
+        'options',
+        'service',
+        'vms',
+        'workers',
+    )
 
     def __init__(
         self, options: ServerOptions, *, retention: Retention | None = None
@@ -63,6 +71,7 @@
         wall = WallClock()
         self.options = options
         self.observer = Observer()
+        self.entries: list[Vm] = []
         self.service = LogService(retention=retention, wall=wall)
         served: dict[int, Worker] = {}
         self.log = HttpServer(log_app(self.service), (options.log_port,))
@@ -87,11 +96,12 @@
         )
 
     def listed(self) -> list[Vm]:
-        """Return the workers and the VMs in the file."""
+        """Return the workers, the entry VMs, and the VMs in the file."""
         found = [
             _worker_vm(index, address, self.options.rack_zones)
             for index, address in enumerate(self.workers.addresses)
         ]
+        found += self.entries
         if self.options.vms_file:
             found += _read_vms(Path(self.options.vms_file))
         return found
--- a/packages/berylspread-standins/src/berylspread_standins/serving.py
+++ b/packages/berylspread-standins/src/berylspread_standins/serving.py
@@ -48,7 +48,8 @@
             lifespan='off',
             ws='none',
             log_config=None,
-            log_level='warning',
+            # Long polls end by cancellation at a stop, which is no error.
+            log_level='critical',
             access_log=False,
             timeout_keep_alive=KEEPALIVE_S,
             timeout_graceful_shutdown=STOP_TIMEOUT_S,
--- a/packages/berylspread/src/berylspread/calls/allowance.py
+++ b/packages/berylspread/src/berylspread/calls/allowance.py
@@ -34,12 +34,22 @@
 class TeamSlice:
     """One team's slice at this node, and who waits for a part of it."""
 
-    __slots__ = ('allowance', 'changed', 'renews_at', 'task', 'waiting')
+    __slots__ = (
+        'allowance',
+        'asked',
+        'changed',
+        'needed',
+        'renews_at',
+        'task',
+        'waiting',
+    )
 
     def __init__(self) -> None:
         """Start with nothing borrowed."""
         self.allowance = CallAllowance()
         self.waiting = 0
+        self.asked = 0
+        self.needed = asyncio.Event()
         self.renews_at = float('-inf')
         self.changed = asyncio.Condition()
         self.task: asyncio.Task[None] | None = None
@@ -116,6 +126,8 @@
         return None
 
     def _borrow(self, team: str, held: TeamSlice) -> None:
+        if not held.allowance.has_room(now()):
+            held.needed.set()
         if held.task is None or held.task.done():
             held.task = asyncio.create_task(self._renew(team, held))
 
@@ -130,24 +142,36 @@
             held.renews_at = allowance.asked_at + reply.valid_s * RENEW_AT
             async with held.changed:
                 held.changed.notify_all()
-            await asyncio.sleep(self._pause_s(held))
+            await self._pause(held, is_short=reply.count < held.asked)
 
-    def _pause_s(self, held: TeamSlice) -> float:
+    async def _pause(self, held: TeamSlice, *, is_short: bool) -> None:
+        """Wait for the next renewal, or until more calls come."""
+        if is_short:
+            await asyncio.sleep(RETRY_S)
+            return
+        # Notified waiters take their units before this task goes on.
+        await asyncio.sleep(0)
+        held.needed.clear()
         if held.waiting:
-            return RETRY_S
-        return max(held.renews_at - now(), RETRY_S)
+            return
+        try:
+            async with asyncio.timeout(max(held.renews_at - now(), RETRY_S)):
+                await held.needed.wait()
+        except TimeoutError:
+            return
 
     async def _ask(self, team: str, held: TeamSlice) -> Allowance | Failure:
         unit = home_unit(self.context, team)
         owner = self.context.owner(unit)
         node, epoch = ('', 0) if owner is None else (owner[0].node, owner[1])
-        sequence = held.allowance.ask(now(), held.wanted)
+        held.asked = held.wanted
+        sequence = held.allowance.ask(now(), held.asked)
         reply = await self.context.peers.ask(
             node,
             AllowanceAsk(
                 UnitEpoch(unit, epoch),
                 team,
-                held.wanted,
+                held.asked,
                 held.allowance.holds(now()),
                 sequence,
             ),
--- a/packages/berylspread/src/berylspread/limits/slices.py
+++ b/packages/berylspread/src/berylspread/limits/slices.py
@@ -46,9 +46,13 @@
         self.valid_until = self.asked_at + ttl_s
         return True
 
+    def has_room(self, now: float) -> bool:
+        """Return whether the slice allows one more call."""
+        return now < self.valid_until and self.in_flight < self.granted
+
     def acquire(self, now: float) -> bool:
         """Count a call as started, if the slice allows one more."""
-        if now >= self.valid_until or self.in_flight >= self.granted:
+        if not self.has_room(now):
             return False
         self.in_flight += 1
         return True
--- a/packages/berylspread/src/berylspread/ownership/handover.py
+++ b/packages/berylspread/src/berylspread/ownership/handover.py
@@ -78,11 +78,14 @@
         self.is_leaving = True
         self.planner.excluded.add(self.claimant.ref.node)
         deadline = now() + self.settings.release_timeout_s
-        while self._held() and now() < deadline:
+        while self._has_successors() and now() < deadline:
             await self._move(len(self._held()))
             await asyncio.sleep(self.settings.tick_s)
         await self._release(self._held())
 
+    def _has_successors(self) -> bool:
+        return any(self._target(holding.unit) for holding in self._held())
+
     def _held(self) -> list[Holding]:
         return self.holdings.in_state(UnitState.holding)
 
--- a/packages/berylspread/src/berylspread/peers/link.py
+++ b/packages/berylspread/src/berylspread/peers/link.py
@@ -167,7 +167,9 @@
                 logging.INFO, 'stream to %s broke: %r', 10, self.node, error
             )
         except asyncio.CancelledError:
-            if self.call is None or not self.call.cancelled():
+            # The call's own end looks like a cancellation of this task.
+            task = asyncio.current_task()
+            if task is not None and task.cancelling():
                 raise
         finally:
             self.call = None
