--- /dev/null
+++ b/packages/berylspread/src/berylspread/calls/allowance.py
@@ -0,0 +1,159 @@
+"""The slices of the teams' calls that an entry node has borrowed.
+
+A team without a limit on tasks needs none.  A slice ends ``valid_s`` after the
+question for it was sent; calls under it may go on, the home counts them.
+"""
+
+import asyncio
+from typing import Final, final
+
+from berylspread.calls.messages import (
+    Allowance,
+    AllowanceAsk,
+    HeldSlice,
+    SlicesAsk,
+    SlicesReply,
+)
+from berylspread.jobs.shards import home_unit
+from berylspread.kernel import Failure, now
+from berylspread.kernel.errors import QuotaExceeded, StaleEpoch
+from berylspread.limits.slices import CallAllowance
+from berylspread.model import NodeRef
+from berylspread.partition.messages import UnitEpoch
+from berylspread.runtime import NodeContext
+
+ASK_TIMEOUT_S: Final = 1.0
+RETRY_S: Final = 0.1
+#: Share of the validity after which a slice in use is renewed.
+RENEW_AT: Final = 0.5
+#: Spare calls asked for beside those in sight.
+SPARE: Final = 2
+
+
+@final
+class TeamSlice:
+    """One team's slice at this node, and who waits for a part of it."""
+
+    __slots__ = ('allowance', 'changed', 'renews_at', 'task', 'waiting')
+
+    def __init__(self) -> None:
+        """Start with nothing borrowed."""
+        self.allowance = CallAllowance()
+        self.waiting = 0
+        self.renews_at = float('-inf')
+        self.changed = asyncio.Condition()
+        self.task: asyncio.Task[None] | None = None
+
+    @property
+    def wanted(self) -> int:
+        """How many calls the slice should allow."""
+        return self.allowance.in_flight + self.waiting + SPARE
+
+
+@final
+class Allowances:
+    """Borrows slices from the homes as calls need them."""
+
+    __slots__ = ('context', 'fences', 'slices')
+
+    def __init__(self, context: NodeContext) -> None:
+        """Start with nothing borrowed."""
+        self.context = context
+        self.slices: dict[str, TeamSlice] = {}
+        self.fences: dict[str, int] = {}
+        context.peers.handle(SlicesAsk, self._tell_slices)
+
+    def is_limited(self, team: str) -> bool:
+        """Return whether the team has an upper limit on its tasks."""
+        allotment = self.context.state.allotments.team(team)
+        return allotment is not None and allotment.limit.slots > 0
+
+    async def acquire(self, team: str, deadline: float) -> Failure | None:
+        """Take one unit, waiting until a loop time; ``None`` means taken."""
+        if not self.is_limited(team):
+            return None
+        held = self.slices.setdefault(team, TeamSlice())
+        held.waiting += 1
+        try:
+            return await self._wait(team, held, deadline)
+        finally:
+            held.waiting -= 1
+
+    async def release(self, team: str) -> None:
+        """Give one unit back to this node's slice."""
+        held = self.slices.get(team)
+        if held is None:
+            return
+        held.allowance.done()
+        async with held.changed:
+            held.changed.notify()
+
+    async def _tell_slices(
+        self, source: NodeRef, ask: SlicesAsk
+    ) -> SlicesReply:
+        unit = ask.home.unit
+        self.fences[unit] = max(self.fences.get(unit, 0), ask.home.epoch)
+        slices = [
+            HeldSlice(team, held.allowance.holds(now()))
+            for team, held in self.slices.items()
+            if home_unit(self.context, team) == unit
+        ]
+        return SlicesReply(self.context.ref, slices)
+
+    async def _wait(
+        self, team: str, held: TeamSlice, deadline: float
+    ) -> Failure | None:
+        self._borrow(team, held)
+        try:
+            async with asyncio.timeout_at(deadline), held.changed:
+                await held.changed.wait_for(
+                    lambda: held.allowance.acquire(now())
+                )
+        except TimeoutError:
+            return QuotaExceeded(
+                f'team {team!r} is at its upper limit', team=team
+            )
+        return None
+
+    def _borrow(self, team: str, held: TeamSlice) -> None:
+        if held.task is None or held.task.done():
+            held.task = asyncio.create_task(self._renew(team, held))
+
+    async def _renew(self, team: str, held: TeamSlice) -> None:
+        while held.waiting or held.allowance.in_flight:
+            reply = await self._ask(team, held)
+            if isinstance(reply, Failure):
+                await asyncio.sleep(RETRY_S)
+                continue
+            allowance = held.allowance
+            allowance.answered(reply.sequence, reply.count, reply.valid_s)
+            held.renews_at = allowance.asked_at + reply.valid_s * RENEW_AT
+            async with held.changed:
+                held.changed.notify_all()
+            await asyncio.sleep(self._pause_s(held))
+
+    def _pause_s(self, held: TeamSlice) -> float:
+        if held.waiting:
+            return RETRY_S
+        return max(held.renews_at - now(), RETRY_S)
+
+    async def _ask(self, team: str, held: TeamSlice) -> Allowance | Failure:
+        unit = home_unit(self.context, team)
+        owner = self.context.owner(unit)
+        node, epoch = ('', 0) if owner is None else (owner[0].node, owner[1])
+        sequence = held.allowance.ask(now(), held.wanted)
+        reply = await self.context.peers.ask(
+            node,
+            AllowanceAsk(
+                UnitEpoch(unit, epoch),
+                team,
+                held.wanted,
+                held.allowance.holds(now()),
+                sequence,
+            ),
+            Allowance,
+            timeout_s=ASK_TIMEOUT_S,
+        )
+        if epoch < self.fences.get(unit, 0):
+            return StaleEpoch('the home has a newer epoch', unit=unit)
+        return reply
--- a/packages/berylspread/src/berylspread/jobs/book.py
+++ b/packages/berylspread/src/berylspread/jobs/book.py
@@ -7,7 +7,7 @@
 import xxhash
 
 from berylspread.jobs.progress import JobProgress
-from berylspread.kernel import now
+from berylspread.kernel import WallClock, now
 from berylspread.limits import QuotaLedger
 from berylspread.model import (
     Constraints,
@@ -29,6 +29,7 @@
 class ClassKey(msgspec.Struct, frozen=True, array_like=True):
     """What tasks of one demand class have in common."""
 
+    home: str
     team: str
     queue: str
     job_class: str
@@ -44,6 +45,7 @@
     def of(cls, spec: JobSpec) -> 'ClassKey':
         """Return the key of a job's tasks."""
         return cls(
+            home=spec.home,
             team=spec.team,
             queue=spec.queue,
             job_class=spec.job_class,
@@ -87,10 +89,11 @@
     ``ends`` collects the outcomes that the home has still to append to the log.
     """
 
-    __slots__ = ('classes', 'delayed', 'ends', 'jobs', 'quota')
+    __slots__ = ('classes', 'delayed', 'ends', 'jobs', 'quota', 'wall')
 
-    def __init__(self, quota: QuotaLedger) -> None:
+    def __init__(self, quota: QuotaLedger, wall: WallClock) -> None:
         """Start empty; ``quota`` counts every task that is out or unsure."""
+        self.wall = wall
         self.quota = quota
         self.jobs: dict[str, JobProgress] = {}
         self.classes: dict[str, JobClass] = {}
@@ -117,8 +120,7 @@
         return [
             self._demand_class(job_class, home, epoch, pending)
             for job_class in self.classes.values()
-            if job_class.key.kind is not JobKind.gang
-            if (pending := job_class.pending)
+            if (pending := self._available(job_class))
         ]
 
     def take(
@@ -135,7 +137,9 @@
         waiting = (
             job for job in list(job_class.jobs.values()) for _ in job.pending
         )
-        chosen = [job for job, _ in zip(list(waiting), range(allowed))]
+        chosen = [
+            job for job, _ in zip(list(waiting), range(allowed), strict=False)
+        ]
         return [self.grant(job, unit, epoch) for job in chosen]
 
     def grant(self, progress: JobProgress, unit: str, epoch: int) -> TaskGrant:
@@ -237,12 +241,27 @@
             shape=key.shape,
             count=pending,
             priority=key.priority,
-            waited_s=now() - oldest,
+            oldest_age_s=now() - oldest,
+            deadline_slack_s=self._slack(key),
             expected_run_s=key.expected_run_s,
             constraints=key.constraints,
             preemptible=key.preemptible,
         )
 
+    def _available(self, job_class: JobClass) -> int:
+        """Return how many pending tasks the team's limit lets start."""
+        if job_class.key.kind is JobKind.gang:
+            return 0
+        quota = self.quota.teams.get(job_class.key.team)
+        room = quota.room(job_class.key.shape) if quota else 0
+        pending = job_class.pending
+        return pending if room is None else min(pending, room)
+
+    def _slack(self, key: ClassKey) -> float | None:
+        if key.deadline is None:
+            return None
+        return key.deadline - self.wall.time()
+
     def wake_delayed(self) -> None:
         """Make the retries pending whose backoff is over."""
         while self.delayed and self.delayed[0][0] <= now():
@@ -324,16 +343,20 @@
         self.ends.setdefault(progress.spec.job_id, []).append(end)
 
 
-_STILL_OUT: Final = frozenset((
-    TaskState.starting,
-    TaskState.running,
-    TaskState.stopping,
-))
-_RETRIED: Final = frozenset((
-    TaskState.failed,
-    TaskState.lost,
-    TaskState.cancelled,
-))
+_STILL_OUT: Final = frozenset(
+    (
+        TaskState.starting,
+        TaskState.running,
+        TaskState.stopping,
+    )
+)
+_RETRIED: Final = frozenset(
+    (
+        TaskState.failed,
+        TaskState.lost,
+        TaskState.cancelled,
+    )
+)
 
 
 def _end_state(progress: JobProgress, state: TaskState) -> TaskState:
--- a/packages/berylspread/src/berylspread/limits/quota.py
+++ b/packages/berylspread/src/berylspread/limits/quota.py
@@ -6,6 +6,7 @@
 using it.
 """
 
+import math
 from collections.abc import Iterable
 from typing import Final, final
 
@@ -47,7 +48,8 @@
     A dimension that is 0 in ``fleet_limit`` is unlimited; an allotment of 0 in
     a limited dimension gives nothing.  ``outgoing`` is the part that is being
     given to another region: it is out of use already.  ``awaited`` are the
-    entry nodes whose slices from a predecessor are not known yet.
+    entry nodes whose slices from a predecessor are not known yet: each counts
+    as a largest slice, which is ``max_slice_share`` of the allotment.
     """
 
     __slots__ = (
@@ -56,6 +58,7 @@
         'awaited_until',
         'fleet_limit',
         'lent',
+        'max_slice_share',
         'outgoing',
         'slices',
         'used',
@@ -70,6 +73,7 @@
         self.lent = 0
         self.awaited: set[str] = set()
         self.awaited_until: float = 0
+        self.max_slice_share: float = 1
         self.slices: dict[str, Slice] = {}
 
     @property
@@ -84,9 +88,15 @@
 
     def room(self, shape: Resources) -> int | None:
         """Return how many more of a shape fit; ``None`` if unlimited."""
-        if self.awaited and shape.slots and self.fleet_limit.slots:
-            return 0
-        return bounded_times(shape, self.in_use, self.limit, self.fleet_limit)
+        unknown = CALL_SHAPE * (self.largest_slice * len(self.awaited))
+        return bounded_times(
+            shape, self.in_use + unknown, self.limit, self.fleet_limit
+        )
+
+    @property
+    def largest_slice(self) -> int:
+        """The most calls that one entry node may hold, or have held."""
+        return math.ceil(self.allotment.slots * self.max_slice_share)
 
 
 @final
@@ -216,16 +226,28 @@
     def await_slices(
         self, team: str, entries: Iterable[str], now: float
     ) -> None:
-        """Grant no calls until these nodes have told what they still hold.
+        """Count a largest slice for each node until it tells what it holds.
 
-        A new home can't know what its predecessor lent.  Each node tells with
-        its next question; one that does not is waited for until its slice has
-        surely lapsed.
+        A new home can't know what its predecessor lent.  Each node tells when
+        asked or with its next question; one that does not is counted until its
+        slice has surely lapsed.
         """
         quota = self.teams.setdefault(team, TeamQuota())
         quota.awaited = set(entries)
         quota.awaited_until = now + self.lapse_s
 
+    def told(
+        self, team: str, entry: str, borrower: str, holds: int, now: float
+    ) -> None:
+        """Take in what an awaited entry node holds, under its borrower name."""
+        quota = self.teams[team]
+        quota.awaited.discard(entry)
+        held = quota.slices.setdefault(borrower, Slice())
+        quota.lent += holds - held.count
+        held.count = holds
+        held.counts_until = now + self.lapse_s
+        self._check_slice(team, quota)
+
     def set_aside(self, team: str, amount: Resources) -> bool:
         """Take an amount out of use, to give it to another region.
 
@@ -259,7 +281,9 @@
     ) -> None:
         quota.lent -= held.count
         room = quota.room(CALL_SHAPE)
-        held.offered = wanted if room is None else min(wanted, room)
+        held.offered = wanted
+        if room is not None:
+            held.offered = min(wanted, room, quota.largest_slice)
         granted = quota.in_use + CALL_SHAPE * held.offered
         check(
             'slices-within-allotment',
--- a/packages/berylspread/src/berylspread/log/appender.py
+++ b/packages/berylspread/src/berylspread/log/appender.py
@@ -22,6 +22,7 @@
 )
 from berylspread.log.interface import LogStore
 from berylspread.log.records import Record
+from berylspread.log.state import ClusterState
 
 _encoder: Final = msgspec.msgpack.Encoder()
 
@@ -161,6 +162,9 @@
     ) -> int | Failure:
         """Append records that take effect together; return their offset.
 
+        A state that covers the offset holds the records.  If the store took the
+        append in twice, it may be the offset of the second copy.
+
         Returns ``LogUnavailable`` after ``timeout_s`` seconds, with the field
         ``may_have_applied``: false if the records were never sent, and then
         they never will be.  Returns ``Overloaded`` if too much waits, and
@@ -191,9 +195,18 @@
         batch = self.in_flight
         if batch is None or writer != self.writer:
             return
-        if sequence == batch.sequence and not batch.observed.done():
+        if sequence >= batch.sequence and not batch.observed.done():
             batch.observed.set_result(offset)
 
+    def follow(self, state: ClusterState) -> None:
+        """Let the folded state confirm what it has taken in."""
+        state.on_batch(self.observed)
+        state.on_restore(
+            lambda: self.observed(
+                self.writer, state.writers.last(self.writer), state.offset
+            )
+        )
+
     async def run(self) -> None:
         """Send batches until cancelled."""
         while True:
