--- a/features/config/steps/document_steps.py
+++ b/features/config/steps/document_steps.py
@@ -1,9 +1,5 @@
 """Steps for documents."""
 
-import configparser
-import io
-from pathlib import Path
-
 from behave import given, then, when
 from behave.runner import Context
 from hypothesis import given as property_given
@@ -23,36 +19,11 @@
 from berylspread.kernel import Plugin, Registry, Section
 from berylspread.kernel.options import number
 from berylspread.model import Resources
+from features.config.editor import EXAMPLES, Editor
 
-EXAMPLES = Path(__file__).resolve().parents[3] / 'examples'
 MEASURES = ('waiting', 'packing', 'control_cost', 'nearness')
 
 
-class Editor:
-    """A document's text that steps edit."""
-
-    def __init__(self, text: str) -> None:
-        self.original = text
-        self.parser = configparser.ConfigParser(
-            interpolation=None, default_section=''
-        )
-        self.parser.read_string(text)
-
-    def text(self) -> str:
-        target = io.StringIO()
-        self.parser.write(target)
-        return target.getvalue()
-
-    def parse(self) -> Document | InvalidDocument:
-        return parse_document('document', self.text())
-
-    def errors(self) -> list[dict]:
-        found = self.parse()
-        return (
-            found.fields['errors'] if isinstance(found, InvalidDocument) else []
-        )
-
-
 @given('the example "{name}"')
 def step_example(context: Context, name: str):
     text = (EXAMPLES / f'{name}.ini').read_text(encoding='utf-8')
--- a/packages/berylspread/src/berylspread/config/evaluation.py
+++ b/packages/berylspread/src/berylspread/config/evaluation.py
@@ -15,7 +15,8 @@
     """Recorded demand of one team on one queue.
 
     ``shape`` is what one task or call takes, ``peak`` how many ran or waited at
-    one time, and ``submitted`` how many came.  ``team`` is empty for callers
+    one time, ``waiting`` how many of them only waited, and ``submitted`` how
+    many came.  ``team`` is empty for callers
     without a key.
     """
 
@@ -23,6 +24,7 @@
     queue: str
     shape: Resources
     peak: int
+    waiting: int
     submitted: int
 
 
@@ -126,7 +128,7 @@
 
 
 def _waiting(queue: QueueSection, demand: Demand) -> str:
-    if demand.peak > queue.max_waiting:
+    if demand.waiting > queue.max_waiting:
         return 'more than max_waiting at one time'
     return ''
 
--- a/packages/berylspread/src/berylspread/config/vouching.py
+++ b/packages/berylspread/src/berylspread/config/vouching.py
@@ -97,7 +97,7 @@
             await asyncio.sleep(ROUND_S)
 
     async def renew(self) -> None:
-        """Ask every live peer to vouch for this node's keys."""
+        """Ask the peers to vouch for this node's keys."""
         asked_at = now()
         self._follow()
         electorate = self._electorate()
@@ -156,13 +156,13 @@
         return [reply for reply in replies if not isinstance(reply, Failure)]
 
     def _asked(self, electorate: VouchingElectorate) -> list[str]:
-        alive = {
+        """Return the electorate, or every node before there is one."""
+        known = {member.node for member in electorate.members} or {
             member.node
             for member in self.membership.members()
             if member.liveness is not Liveness.dead
         }
-        known = {member.node for member in electorate.members}
-        return sorted((alive | known) - {self.ref.node})
+        return sorted(known - {self.ref.node})
 
     def _voucher(self) -> Voucher:
         return Voucher(
