--- a/packages/berylspread-standins/src/berylspread_standins/worker.py
+++ b/packages/berylspread-standins/src/berylspread_standins/worker.py
@@ -11,6 +11,7 @@
 
 from berylspread.backend.interface import (
     CallReply,
+    CallReport,
     CallRequest,
     SyncReply,
     SyncRequest,
@@ -23,14 +24,13 @@
 from berylspread_standins.gate import Gate
 from berylspread_standins.observer import Execution, Observer
 from berylspread_standins.run import THROTTLED_RATE, Ending, Run
-from berylspread_standins.workload import Workload, parse_workload
+from berylspread_standins.workload import Workload, distort, parse_workload
 
 CONNECTIONS: Final = 64
 CORES: Final = 32
 MEMORY_GIB: Final = 128
 SLOTS: Final = 8
 CAPACITY: Final = Resources(CORES * 1000, MEMORY_GIB * 1024, 0, SLOTS)
-CALL_SHAPE: Final = Resources(slots=1)
 USAGE_LAG_S: Final = 5.0
 #: How long the worker takes to stop, to write a checkpoint and to fail.
 STOP_S: Final = 0.1
@@ -62,7 +62,14 @@
 class WorkerFaults:
     """What is wrong with a worker."""
 
-    __slots__ = ('fails_all', 'is_unreachable', 'lose_answer', 'slow_s')
+    __slots__ = (
+        'fails_all',
+        'is_unreachable',
+        'lose_answer',
+        'run_factor',
+        'slow_s',
+        'use_factor',
+    )
 
     def __init__(self) -> None:
         """Start without faults."""
@@ -73,6 +80,10 @@
         self.lose_answer = 0.0
         #: Added to each answer.
         self.slow_s = 0.0
+        #: Tasks started from now on run for this many times their run time,
+        #: and use this many times what they declare.
+        self.run_factor = 1.0
+        self.use_factor = 1.0
 
 
 @final
@@ -118,7 +129,7 @@
         self.faults = WorkerFaults()
         self.gate = Gate()
         self.runs: dict[str, Run] = {}
-        self.calls: set[Execution] = set()
+        self.calls: list[Execution] = []
         self.ended_attempts: collections.OrderedDict[str, tuple[int, float]] = (
             collections.OrderedDict()
         )
@@ -147,7 +158,7 @@
             return stale
         workload = parse_workload(request.body)
         execution = self._call_execution(request, workload)
-        self.calls.add(execution)
+        self.calls.append(execution)
         self.observer.started(execution)
         try:
             status = await self._serve(request, workload)
@@ -196,6 +207,15 @@
                 run.report(offset_s, USAGE_LAG_S) for run in self.runs.values()
             ],
             refused=refused or {},
+            calls=[
+                CallReport(
+                    execution.name,
+                    execution.attempt,
+                    execution.team,
+                    execution.shape,
+                )
+                for execution in self.calls
+            ],
         )
 
     def _fence(self, unit: str, epoch: int) -> StaleEpoch | None:
@@ -206,12 +226,12 @@
         return StaleEpoch('older epoch', unit=unit, epoch=epoch, newest=highest)
 
     def _obey(self, request: SyncRequest) -> dict[str, str]:
-        for ended in request.acknowledged:
-            if ended in self.runs and self.runs[ended].is_over:
-                self.runs.pop(ended)
-        for renewed in request.renew:
-            if renewed in self.runs:
-                self.runs[renewed].renew(request.lease_s / self.clock_rate)
+        for run in _known(self.runs, request.acknowledged):
+            if run.is_over:
+                self.runs.pop(run.start.task)
+        lease_s = request.lease_s / self.clock_rate
+        for run in _known(self.runs, request.renew):
+            run.renew(lease_s)
         for stop in request.stops:
             self._stop(stop)
         return {
@@ -231,7 +251,12 @@
             return 'already-running'
         if self._has_ended(start):
             return 'already-ended'
-        workload = parse_workload(start.payload)
+        workload = distort(
+            parse_workload(start.payload),
+            start.shape,
+            run_factor=self.faults.run_factor,
+            use_factor=self.faults.use_factor,
+        )
         execution = Execution(
             self.vm.vm_id,
             start.task,
@@ -322,12 +347,16 @@
             request.request_id,
             request.attempt,
             request.team,
-            CALL_SHAPE,
+            request.shape,
             is_once=not workload.idempotent,
             is_call=True,
         )
 
     def _end_call(self, execution: Execution) -> None:
         if execution in self.calls:
-            self.calls.discard(execution)
+            self.calls.remove(execution)
             self.observer.ended(execution)
+
+
+def _known(runs: dict[str, Run], tasks: list[str]) -> list[Run]:
+    return [runs[task] for task in tasks if task in runs]
--- /dev/null
+++ b/packages/berylspread/src/berylspread/calls/home.py
@@ -0,0 +1,131 @@
+"""What the home of a team does for its calls: allowances and registrations."""
+
+import asyncio
+from typing import Final, final
+
+from berylspread.calls.messages import (
+    Allowance,
+    AllowanceAsk,
+    RegisterAsk,
+    Registered,
+    SlicesAsk,
+    SlicesReply,
+)
+from berylspread.calls.registry import RequestRegistry
+from berylspread.kernel import Failure, now
+from berylspread.kernel.errors import UnknownName
+from berylspread.limits import QuotaLedger
+from berylspread.model import NodeRef, unit_region
+from berylspread.partition.messages import UnitEpoch
+from berylspread.runtime.context import NodeContext
+
+#: Margin of an entry node's slice against the home's reckoning.
+VALIDITY: Final = 0.9
+#: The share of a team's calls that one may borrow.
+SHARED: Final = 0.5
+ASK_TIMEOUT_S: Final = 1.0
+RETRY_S: Final = 0.5
+ANYONE: Final = 'predecessor'
+
+
+@final
+class CallHome:
+    """Lends slices of the teams' calls and lets each request through once.
+
+    What a predecessor lent is counted until each entry node has told what it
+    holds; for a lost one, until its calls have surely ended.
+    """
+
+    __slots__ = ('context', 'home', 'quota', 'region', 'registry', 'task')
+
+    def __init__(
+        self, context: NodeContext, home: UnitEpoch, quota: QuotaLedger
+    ) -> None:
+        """Count what a predecessor may have lent as lent."""
+        self.context = context
+        self.home = home
+        self.quota = quota
+        self.region = unit_region(home.unit)
+        self.registry = RequestRegistry(context.wall, home.epoch)
+        quota.longest_call_s = context.document.longest_call_s
+        self.task: asyncio.Task[None] | None = None
+        if home.epoch > 1:
+            self._assume_lent()
+            self.task = asyncio.create_task(self._ask_all())
+
+    def close(self) -> None:
+        """Stop asking."""
+        if self.task is not None:
+            self.task.cancel()
+
+    def lend(self, entry: str, ask: AllowanceAsk) -> Allowance | Failure:
+        """Lend an entry node a slice of a team's calls."""
+        if ask.team in self.quota.teams:
+            self.quota.teams[ask.team].max_slice_share = SHARED
+        held = self.quota.lend(
+            entry,
+            ask.team,
+            ask.wanted,
+            now(),
+            sequence=ask.sequence,
+            holds=ask.holds,
+        )
+        if held is None:
+            return UnknownName(f'no team is called {ask.team!r}', key=ask.team)
+        if isinstance(held, Failure):
+            return held
+        return Allowance(
+            ask.team,
+            held.offered,
+            self.quota.slice_ttl_s * VALIDITY,
+            ask.sequence,
+        )
+
+    def register(self, ask: RegisterAsk) -> Registered | Failure:
+        """Let the first copy of a non-idempotent request through."""
+        return self.registry.register(ask)
+
+    def _entries(self) -> list[str]:
+        return [
+            member.node
+            for member in self.context.membership.members(self.region)
+        ]
+
+    def _assume_lent(self) -> None:
+        lapse_s = self.quota.slice_ttl_s + self.quota.longest_call_s
+        # A young node may never have heard of a node that is lost by now.
+        knows_all = self.context.uptime_s > lapse_s
+        holders = self._entries() if knows_all else [ANYONE]
+        for team, quota in self.quota.teams.items():
+            quota.max_slice_share = SHARED if knows_all else 1
+            self.quota.await_slices(team, holders, now())
+
+    async def _ask_all(self) -> None:
+        pending = set(self._entries())
+        while pending:
+            answered = await asyncio.gather(
+                *(self._ask(node) for node in sorted(pending))
+            )
+            pending -= {node for node in answered if node}
+            await asyncio.sleep(RETRY_S)
+
+    async def _ask(self, node: str) -> str:
+        reply = await self.context.peers.ask(
+            node,
+            SlicesAsk(self.home),
+            SlicesReply,
+            timeout_s=ASK_TIMEOUT_S,
+        )
+        if isinstance(reply, Failure):
+            return ''
+        held = {slice_.team: slice_.count for slice_ in reply.slices}
+        for team in self.quota.teams:
+            self.quota.told(
+                team, node, entry_name(reply.holder), held.get(team, 0), now()
+            )
+        return node
+
+
+def entry_name(ref: NodeRef) -> str:
+    """Return the name of a slice's holder: one process of an entry node."""
+    return f'{ref.node}.{ref.incarnation}'
--- a/packages/berylspread/src/berylspread/config/document.py
+++ b/packages/berylspread/src/berylspread/config/document.py
@@ -17,9 +17,10 @@
 )
 from berylspread.config.text import RawDocument, RawSection, parse_text
 from berylspread.kernel.errors import Failure, InvalidInput, failure
-from berylspread.kernel.options import Place, Section, read_section
+from berylspread.kernel.options import Place, read_section
 from berylspread.kernel.registry import nearest
 from berylspread.model import ZERO, Resources
+from berylspread.placement.kernel import PlacementPlugin
 
 SectionT = TypeVar('SectionT', bound=DocumentSection)
 PERCENT: Final = 100.0
@@ -60,7 +61,7 @@
         self.source = source
         self.is_readable = True
         self.sections: dict[str, dict[str, DocumentSection]] = {}
-        self.plugins: dict[str, Section] = {}
+        self.plugins: dict[str, PlacementPlugin] = {}
 
     def labelled(self, cls: type[SectionT]) -> dict[str, SectionT]:
         """Return the sections of a kind by label."""
@@ -119,7 +120,19 @@
         """The regions by name."""
         return self.labelled(RegionSection)
 
-    def plugin(self, kind: str, name: str) -> Section | None:
+    @property
+    def longest_call_s(self) -> float:
+        """The longest time that an interactive call may take, in seconds."""
+        return max(
+            (
+                queue.max_deadline_s
+                for queue in self.queues.values()
+                if queue.work == 'interactive'
+            ),
+            default=0.0,
+        )
+
+    def plugin(self, kind: str, name: str) -> PlacementPlugin | None:
         """Return the options of a plug-in, if the document has a section."""
         return self.plugins.get(f'{kind} {name}')
 
--- a/packages/berylspread/src/berylspread/jobs/gangs.py
+++ b/packages/berylspread/src/berylspread/jobs/gangs.py
@@ -102,9 +102,7 @@
             return
         await self._commit(progress, holds, wanted)
 
-    async def _reserve(
-        self, progress: JobProgress, wanted: int
-    ) -> list[Hold]:
+    async def _reserve(self, progress: JobProgress, wanted: int) -> list[Hold]:
         holds: list[Hold] = []
         missing = wanted
         self.tries += 1
@@ -140,7 +138,7 @@
 
     def _partitions(self, progress: JobProgress) -> list[tuple[str, str]]:
         region = progress.spec.constraints.region or self.home.region
-        owners = self.home.context.state.owners(PARTITION_PREFIX)
+        owners = self.home.context.owners(PARTITION_PREFIX)
         return sorted(
             (unit, owner.node)
             for unit, (owner, _epoch) in owners.items()
@@ -158,9 +156,9 @@
             return
         logging.info('gang %s starts on %d partitions', spec.job_id, len(holds))
         shares = [(hold, self._grants(progress, hold)) for hold in holds]
-        logged = await self.home.log_starts([
-            grant for _hold, grants in shares for grant in grants
-        ])
+        logged = await self.home.log_starts(
+            [grant for _hold, grants in shares for grant in grants]
+        )
         if logged is not None:
             self._give_up(progress, holds)
             return
@@ -202,7 +200,7 @@
         self._back_off(progress)
 
     def _is_owner(self, hold: Hold) -> bool:
-        owner = self.home.context.state.owner(hold.partition.unit)
+        owner = self.home.context.owner(hold.partition.unit)
         return owner is not None and owner[1] == hold.partition.epoch
 
     def _give_up(self, progress: JobProgress, holds: list[Hold]) -> None:
