Satisfy the style guide in log/, config/ and their features

Change: named bounds, one walk up the tree of organisations for shares and for cycles, plain single items in steps.

--- a/features/config/steps/key_steps.py
+++ b/features/config/steps/key_steps.py
@@ -194,7 +194,7 @@
     others = [
         name for name in fleet.names if name[0] == 'a' and name not in cut
     ]
-    for name in [*cut, 'b']:
+    for name in (*cut, 'b'):
         fleet.cut(name, ['log', *others])
 
 
@@ -381,8 +381,7 @@
     context.texts = {
         'the key': text,
         'the withdrawn key': withdrawn.text,
-        'the key with another secret': text[:-1]
-        + ('0' if text[-1] != '0' else '1'),
+        'the key with another secret': text[:30] + other[30:],
         'the key with another id': other[:20] + text[20:],
         'the key with another prefix': text.replace('bsk', 'bsx'),
         'the key followed by a space': f'{text} ',
--- a/features/config/steps/operation_steps.py
+++ b/features/config/steps/operation_steps.py
@@ -67,14 +67,16 @@
         self.edits = 0
         self.length = 0
 
-    def text(self, environment: str = PRODUCTION, **options: str) -> str:
+    def text(
+        self, environment: str = PRODUCTION, edit: tuple[str, ...] = ()
+    ) -> str:
         """Return a document that differs from every other one."""
         self.edits += 1
         editor = Editor(EXAMPLE)
         editor.parser['environment']['name'] = environment
         editor.parser['environment']['description'] = f'edit {self.edits}'
-        for place, value in options.items():
-            section, _, option = place.rpartition('.')
+        if edit:
+            section, option, value = edit
             editor.parser[section][option] = value
         return editor.text()
 
@@ -149,7 +151,7 @@
 def step_loser(context: Context):
     desk = context.desk
     winner = winner_of(desk)
-    (lost,) = [told for name, told in desk.told.items() if name != winner]
+    lost = next(told for name, told in desk.told.items() if name != winner)
     assert isinstance(lost, Conflict), lost
     assert lost.fields['author'] == winner
     assert lost.fields['version'] == desk.told[winner].version
@@ -209,7 +211,7 @@
 @when('"{operator}" applies a document with an unknown team in a queue')
 def step_invalid(context: Context, operator: str):
     async def happen(desk: Desk):
-        text = desk.text(**{'queue proof.team': 'nobody'})
+        text = desk.text(edit=('queue proof', 'team', 'nobody'))
         await desk.apply(operator, 1, text)
 
     play(context, happen)
@@ -226,7 +228,7 @@
 @when('"{operator}" lowers the limit of "proofs" to 100 tasks while 120 run')
 def step_lower(context: Context, operator: str):
     async def happen(desk: Desk):
-        text = desk.text(**{'team proofs.limit_tasks': '100'})
+        text = desk.text(edit=('team proofs', 'limit_tasks', '100'))
         used = {'proofs': Resources(slots=120)}
         await desk.apply(operator, 1, text, used=used)
 
@@ -244,7 +246,7 @@
 @when('"{operator}" applies a trial document and promotes it')
 def step_promote(context: Context, operator: str):
     async def happen(desk: Desk):
-        text = desk.text(TRIAL, **{'team proofs.limit_tasks': '170'})
+        text = desk.text(TRIAL, edit=('team proofs', 'limit_tasks', '170'))
         trial = await desk.apply(operator, 0, text, TRIAL)
         operations = desk.nodes[operator].operations
         desk.told[operator] = await operations.promote(
--- a/features/log/steps/reader_steps.py
+++ b/features/log/steps/reader_steps.py
@@ -453,6 +453,10 @@
     play(context, begin)
 
 
+def first_rank() -> int:
+    return 0
+
+
 @when('it is published with {share:d} percent of {rate:d} appends a second')
 def step_publish_share(context: Context, share: int, rate: int):
     async def happen(following: Following):
@@ -463,7 +467,7 @@
         publisher = SnapshotPublisher(
             reader,
             appender,
-            lambda: 0,
+            first_rank,
             following.world.wall,
             PublisherSettings(appends_per_s=rate, share_percent=share),
         )
--- a/features/log/steps/state_steps.py
+++ b/features/log/steps/state_steps.py
@@ -221,7 +221,7 @@
 
 @then("the job's ended tasks are {index:d} as {state}")
 def step_ended(context: Context, index: int, state: str):
-    (job,) = context.log.fold().jobs_of('teams/a/0')
+    job = context.log.fold().jobs.active['j1']
     assert job.ended == {index: TaskState(state)}, job.ended
 
 
--- a/packages/berylspread/src/berylspread/config/checks.py
+++ b/packages/berylspread/src/berylspread/config/checks.py
@@ -83,9 +83,8 @@
 @document_check
 def check_cycles(document: Document) -> Iterator[InvalidInput]:
     """No organisation is its own ancestor."""
-    organisations = document.labelled(OrganisationSection)
-    for label in organisations:
-        if _reaches_itself(label, organisations):
+    for label in document.labelled(OrganisationSection):
+        if _is_own_ancestor(document, label):
             yield _error(
                 document,
                 f'organisation {label}',
@@ -198,18 +197,9 @@
     return ', '.join(sorted(name for name in found if name))
 
 
-def _reaches_itself(
-    label: str, organisations: Mapping[str, OrganisationSection]
-) -> bool:
-    name = organisations[label].parent
-    for _ in range(len(organisations)):
-        if name == label:
-            return True
-        above = organisations.get(name)
-        if above is None:
-            return False
-        name = above.parent
-    return False
+def _is_own_ancestor(document: Document, label: str) -> bool:
+    above = document.ancestors(label)
+    return above[-1].parent == label
 
 
 def _error(
--- a/packages/berylspread/src/berylspread/config/document.py
+++ b/packages/berylspread/src/berylspread/config/document.py
@@ -144,17 +144,20 @@
         found = self.team(team)
         if found is None:
             return 0.0
-        organisations = self.labelled(OrganisationSection)
         share = (found.share or 0.0) / PERCENT
-        name = found.organisation
-        for _ in range(len(organisations)):
-            organisation = organisations.get(name)
-            if organisation is None:
-                break
+        for organisation in self.ancestors(found.organisation):
             share *= (organisation.share or 0.0) / PERCENT
-            name = organisation.parent
         return share
 
+    def ancestors(self, name: str) -> list[OrganisationSection]:
+        """Return an organisation and those above it; each at most once."""
+        organisations = self.labelled(OrganisationSection)
+        found: dict[str, OrganisationSection] = {}
+        while name in organisations and name not in found:
+            found[name] = organisations[name]
+            name = organisations[name].parent
+        return list(found.values())
+
 
 def read_document(
     source: str, text: str, errors: list[InvalidInput]
--- a/packages/berylspread/src/berylspread/config/key_trust.py
+++ b/packages/berylspread/src/berylspread/config/key_trust.py
@@ -21,6 +21,7 @@
 from berylspread.model import NodeRef
 
 NEVER: Final = float('-inf')
+MAX_WITHOUT_LOG_S: Final = 14_400.0
 
 
 @final
@@ -65,7 +66,7 @@
     )
 
     def __init__(
-        self, bound_s: float, max_without_log_s: float = 4 * 3600.0
+        self, bound_s: float, max_without_log_s: float = MAX_WITHOUT_LOG_S
     ) -> None:
         """Trust keys for ``bound_s`` seconds after they were complete."""
         self.bound_s = bound_s
--- a/packages/berylspread/src/berylspread/log/appender.py
+++ b/packages/berylspread/src/berylspread/log/appender.py
@@ -24,6 +24,9 @@
 from berylspread.log.records import Record
 from berylspread.log.state import ClusterState
 
+MAX_BATCH_BYTES: Final = 262_144
+MAX_WAITING_BYTES: Final = 4_194_304
+MAX_BACKOFF_DOUBLINGS: Final = 10
 _encoder: Final = msgspec.msgpack.Encoder()
 
 
@@ -40,8 +43,8 @@
     backoff_s: float = 0.1
     max_backoff_s: float = 2.0
     read_back_s: float = 1.0
-    max_batch_bytes: int = 256 * 1024
-    max_waiting_bytes: int = 4 * 1024 * 1024
+    max_batch_bytes: int = MAX_BATCH_BYTES
+    max_waiting_bytes: int = MAX_WAITING_BYTES
     max_waiting_calls: int = 10_000
 
 
@@ -328,7 +331,8 @@
     def _backoff_s(self, attempts: int) -> float:
         limits = self.settings
         ceiling = min(
-            limits.backoff_s * 2 ** min(attempts, 20), limits.max_backoff_s
+            limits.backoff_s * 2 ** min(attempts, MAX_BACKOFF_DOUBLINGS),
+            limits.max_backoff_s,
         )
         return self.rng.uniform(ceiling / 2, ceiling)
 
--- a/packages/berylspread/src/berylspread/log/folds/jobs.py
+++ b/packages/berylspread/src/berylspread/log/folds/jobs.py
@@ -19,7 +19,7 @@
 #: Ended jobs that status queries can still see.
 KEPT_ENDED: Final = 2000
 #: Seconds of log time for which an ended job is kept at most.
-KEPT_ENDED_S: Final = 24 * 3600.0
+KEPT_ENDED_S: Final = 86_400.0
 #: Ends of a job's tasks that are kept whole, the first ones that come.
 KEPT_ENDS: Final = 8
 
--- a/packages/berylspread/src/berylspread/log/reader.py
+++ b/packages/berylspread/src/berylspread/log/reader.py
@@ -21,6 +21,9 @@
 
 NEVER: Final = float('-inf')
 MIN_PAGE_ENTRIES: Final = 1
+PAGE_ENTRIES: Final = 256
+PAGE_BYTES: Final = 262_144
+CATCH_UP_BYTES_S: Final = 2_097_152.0
 MAX_BACKOFF_DOUBLINGS: Final = 10
 #: Weight of the newest page in the mean size of an entry.
 SIZE_WEIGHT: Final = 0.2
@@ -37,9 +40,9 @@
     min_interval_s: float = 0.2
     backoff_s: float = 0.1
     max_backoff_s: float = 2.0
-    page_entries: int = 256
-    page_bytes: int = 256 * 1024
-    catch_up_bytes_s: float = 2 * 1024 * 1024
+    page_entries: int = PAGE_ENTRIES
+    page_bytes: int = PAGE_BYTES
+    catch_up_bytes_s: float = CATCH_UP_BYTES_S
 
 
 @final
--- a/packages/berylspread/src/berylspread/log/snapshot.py
+++ b/packages/berylspread/src/berylspread/log/snapshot.py
@@ -12,7 +12,7 @@
 from berylspread.log.state import StateWire, decode_state, encode_state
 
 #: Bytes of state in one part; with its header it fits into one append.
-PART_BYTES: Final = 192 * 1024
+PART_BYTES: Final = 196_608
 COMPRESSION_LEVEL: Final = 1
 #: Incomplete sets that are kept while their parts come in.
 MAX_INCOMPLETE: Final = 8
