Keep recorded demand without a waiting count valid

Cause: a field added before the last one broke a caller of Demand. Change: the number of waiting tasks comes last and defaults to 0.

--- a/features/config/steps/operation_steps.py
+++ b/features/config/steps/operation_steps.py
@@ -326,7 +326,7 @@
 @given('recorded demand of {peak:d} tasks of "{team}" on "{queue}"')
 def step_demand(context: Context, peak: int, team: str, queue: str):
     shape = Resources(2000, 4096, 0, 1)
-    context.demand = [Demand(team, queue, shape, peak, peak, 10 * peak)]
+    context.demand = [Demand(team, queue, shape, peak, 10 * peak, peak)]
 
 
 @when('the trial document has {option} = {value} in [{section}]')
--- a/packages/berylspread/src/berylspread/config/evaluation.py
+++ b/packages/berylspread/src/berylspread/config/evaluation.py
@@ -15,8 +15,8 @@
     """Recorded demand of one team on one queue.
 
     ``shape`` is what one task or call takes, ``peak`` how many ran or waited at
-    one time, ``waiting`` how many of them only waited, and ``submitted`` how
-    many came.  ``team`` is empty for callers
+    one time, ``submitted`` how many came, and ``waiting`` how many of the peak
+    only waited.  ``team`` is empty for callers
     without a key.
     """
 
@@ -24,8 +24,8 @@
     queue: str
     shape: Resources
     peak: int
-    waiting: int
     submitted: int
+    waiting: int = 0
 
 
 @final
