--- a/features/config/steps/document_steps.py
+++ b/features/config/steps/document_steps.py
@@ -1,8 +1,6 @@
 """Steps for documents."""
 
-import configparser
-import io
-from pathlib import Path
+import math
 
 from behave import given, then, when
 from behave.runner import Context
@@ -23,36 +21,11 @@
 from berylspread.kernel import Plugin, Registry, Section
 from berylspread.kernel.options import number
 from berylspread.model import Resources
+from features.config.editor import EXAMPLES, Editor
 
-EXAMPLES = Path(__file__).resolve().parents[3] / 'examples'
 MEASURES = ('waiting', 'packing', 'control_cost', 'nearness')
 
 
-class Editor:
-    """A document's text that steps edit."""
-
-    def __init__(self, text: str) -> None:
-        self.original = text
-        self.parser = configparser.ConfigParser(
-            interpolation=None, default_section=''
-        )
-        self.parser.read_string(text)
-
-    def text(self) -> str:
-        target = io.StringIO()
-        self.parser.write(target)
-        return target.getvalue()
-
-    def parse(self) -> Document | InvalidDocument:
-        return parse_document('document', self.text())
-
-    def errors(self) -> list[dict]:
-        found = self.parse()
-        return (
-            found.fields['errors'] if isinstance(found, InvalidDocument) else []
-        )
-
-
 @given('the example "{name}"')
 def step_example(context: Context, name: str):
     text = (EXAMPLES / f'{name}.ini').read_text(encoding='utf-8')
@@ -102,7 +75,7 @@
 def step_share(context: Context, team: str, share: float):
     document = context.editor.parse()
     assert isinstance(document, Document), document
-    assert abs(document.entitled_share(team) - share) < 1e-9
+    assert math.isclose(document.entitled_share(team), share)
 
 
 @then('its policy weighs "{measure}" most')
@@ -180,7 +153,8 @@
 def step_warning(context: Context, section: str, dimension: str):
     document = context.editor.parse()
     assert isinstance(document, Document), document
-    (found,) = warnings(document)
+    assert len(warnings(document)) == 1
+    found = warnings(document)[0]
     assert found.section == section
     assert dimension in found.reason
 
@@ -190,7 +164,9 @@
     context: Context, tasks: int, team: str, section: str, option: str
 ):
     document = context.editor.parse()
-    (error,) = check_usage(document, {team: Resources(slots=tasks)})
+    errors = check_usage(document, {team: Resources(slots=tasks)})
+    assert len(errors) == 1
+    error = errors[0]
     assert error.fields['section'] == section
     assert error.fields['option'] == option
 
