Show what the client of backend servers makes of each answer

Cause: late, crossed, short and lost answers must not reach a caller as its own, and "not sent" must be true. Change: features over loopback against a scripted server and the sample worker; a pool with a request in flight is no longer closed to make room, and a malformed address is a failure value. The check of a call that waits for a connection in vain raced, since six calls shared one deadline; now the waiting call's is the shortest, and the check is as strict. Conclusion: the client returns values only, and they say what was sent.

--- /dev/null
+++ b/features/backend/http_workers.feature
@@ -0,0 +1,68 @@
+Feature: Calls and syncs reach backend servers over HTTP
+
+  Scenario Outline: What a backend server answers to a call
+    Given a backend server that <behaviour>
+    When a call is sent to it
+    Then the call's result is "<result>"
+
+    Examples:
+      | behaviour                          | result                         |
+      | answers                            | answer 200 whole               |
+      | answers with status 500            | answer 500 whole               |
+      | answers in chunks                  | answer 200 whole               |
+      | answers to another request         | answer-mismatch                |
+      | answers to another attempt         | answer-mismatch                |
+      | answers without an id              | answer-mismatch                |
+      | answers without a length           | answer-mismatch                |
+      | answers with a short body          | worker-unreachable, sent       |
+      | closes without an answer           | worker-unreachable, sent       |
+      | says nothing                       | worker-unreachable, sent       |
+      | says something that is not HTTP    | worker-unreachable, sent       |
+      | refuses an old epoch               | stale-epoch                    |
+      | refuses in a way of its own        | worker-unreachable, sent       |
+      | does not listen                    | worker-unreachable, not sent   |
+      | has a malformed address            | worker-unreachable, not sent   |
+
+  Scenario Outline: What a backend server answers to a sync
+    Given a backend server that <behaviour>
+    When a sync is sent to it
+    Then the sync's result is "<result>"
+
+    Examples:
+      | behaviour                          | result                         |
+      | reports                            | report                         |
+      | reports as another worker          | answer-mismatch                |
+      | answers                            | answer-mismatch                |
+      | refuses an old epoch               | stale-epoch                    |
+      | closes without an answer           | worker-unreachable, sent       |
+      | does not listen                    | worker-unreachable, not sent   |
+
+  Scenario: A node keeps to its share of a backend server's connections
+    Given a backend server that answers after a moment
+    When 40 calls are sent to it at once with a share of 7
+    Then all 40 are answered whole
+    And the server saw 5 connections at most at once
+
+  Scenario: A call that waits for a connection in vain was not sent
+    Given a backend server that says nothing
+    When 6 calls, the last the least patient, are sent with a share of 7
+    Then 5 results are "worker-unreachable, sent"
+    And 1 result is "worker-unreachable, not sent"
+
+  Scenario: A call keeps its connection for the next
+    Given a backend server that answers
+    When 10 calls are sent to it in turn
+    Then the server saw 1 connection in all
+
+  Scenario: Any text is safe as a name in a call
+    Given worker stand-ins over HTTP
+    When a call with the id "id é ☃ % \n" and the team "a, b: c" is sent
+    Then the worker ran it for that id and team, in that shape
+
+  Scenario: The sample worker speaks the protocol
+    Given the sample worker over HTTP
+    When it is sent a task of 0.3 s and one of 60 s, with a lease of 0.5 s
+    And a call with the body "hello"
+    Then it reports the first as succeeded and the second as cancelled
+    And it forgets both once that is acknowledged
+    And it has answered "hello"
--- a/features/standins/steps/fault_steps.py
+++ b/features/standins/steps/fault_steps.py
@@ -1,6 +1,7 @@
 """Steps for fault kinds, in a world without a scheduler."""
 
 import asyncio
+import itertools
 import random
 from collections.abc import Callable, Iterable
 
@@ -194,9 +195,8 @@
 @when('each pair of faults overlaps in a small world')
 def when_pairs(context: Context) -> None:
     context.worlds = [
-        run_virtual(inject([first, second], seed, step=step))
-        for seed, first in enumerate(faults)
-        for second in faults
+        run_virtual(inject(pair, seed, step=step))
+        for seed, pair in enumerate(itertools.product(faults, faults))
         for step in (0, 1)
     ]
 
--- a/packages/berylspread/src/berylspread/backend/http_client.py
+++ b/packages/berylspread/src/berylspread/backend/http_client.py
@@ -37,18 +37,32 @@
 SYNC_CONNECTIONS: Final = 2
 CONNECTIONS: Final = WORKER_CONNECTIONS // SHARING_NODES
 SYNC_TIMEOUT_S: Final = 5.0
-#: Pools of the least recently used backend servers are closed beyond this.
+#: Beyond this the least recently used idle pool gives way to a new one.
 MAX_POOLS: Final = 256
 #: ASCII characters that stay as they are in a header.
 HEADER_SAFE: Final = "!#$&'()*+,/:;<=>?@[]^`{|}"
 
 
 @final
-class WorkerPools(msgspec.Struct, frozen=True):
+class WorkerPools:
     """One backend server's pools, apart so that calls cannot starve syncs."""
 
-    syncs: Pool
-    calls: Pool
+    __slots__ = ('calls', 'syncs')
+
+    def __init__(self, address: str, call_connections: int) -> None:
+        """Connect on demand to ``address``, an ``IP:port``."""
+        self.syncs = Pool(address, SYNC_CONNECTIONS)
+        self.calls = Pool(address, call_connections)
+
+    @property
+    def is_busy(self) -> bool:
+        """Return whether a request is in flight."""
+        return bool(self.syncs.in_flight or self.calls.in_flight)
+
+    async def close(self) -> None:
+        """Close the connections."""
+        await self.syncs.close()
+        await self.calls.close()
 
 
 @final
@@ -137,25 +151,30 @@
     async def close(self) -> None:
         """Close all connections."""
         while self.pools:
-            await self._close_oldest()
+            _, pools = self.pools.popitem()
+            await pools.close()
 
     async def _pools(self, vm: Vm) -> WorkerPools:
         found = self.pools.get(vm.address)
         if found is None:
-            found = WorkerPools(
-                syncs=Pool(vm.address, SYNC_CONNECTIONS),
-                calls=Pool(vm.address, self.call_connections),
-            )
+            await self._close_unused()
+            found = WorkerPools(vm.address, self.call_connections)
             self.pools[vm.address] = found
         self.pools.move_to_end(vm.address)
-        while len(self.pools) > MAX_POOLS:
-            await self._close_oldest()
         return found
 
-    async def _close_oldest(self) -> None:
-        _, pools = self.pools.popitem(last=False)
-        await pools.syncs.close()
-        await pools.calls.close()
+    async def _close_unused(self) -> None:
+        """Close the least recently used pool if there are many."""
+        if len(self.pools) < MAX_POOLS:
+            return
+        idle = (
+            address
+            for address, pools in self.pools.items()
+            if not pools.is_busy
+        )
+        oldest = next(idle, None)
+        if oldest is not None:
+            await self.pools.pop(oldest).close()
 
     def _refused(self, answer: Answer) -> Failure:
         try:
--- a/packages/berylspread/src/berylspread/backend/http_pool.py
+++ b/packages/berylspread/src/berylspread/backend/http_pool.py
@@ -55,12 +55,12 @@
 class Pool:
     """At most ``connections`` connections to one address."""
 
-    __slots__ = ('base', 'transport', 'urls')
+    __slots__ = ('address', 'in_flight', 'transport')
 
     def __init__(self, address: str, connections: int) -> None:
         """Connect on demand to ``address``, an ``IP:port``."""
-        self.base = httpx.URL(f'http://{address}')
-        self.urls: dict[str, httpx.URL] = {}
+        self.address = address
+        self.in_flight = 0
         self.transport = httpx.AsyncHTTPTransport(
             verify=False,
             trust_env=False,
@@ -81,28 +81,24 @@
     ) -> Answer | WorkerUnreachable | AnswerMismatch:
         """Send a request and return the whole answer, or why there is none."""
         tracer = SentTracer()
-        request = httpx.Request(
-            'POST',
-            self._url(path),
-            headers=headers,
-            content=body,
-            extensions={
-                'trace': tracer,
-                'timeout': {
-                    'connect': min(CONNECT_TIMEOUT_S, timeout_s),
-                    'pool': timeout_s,
-                    'read': timeout_s,
-                    'write': timeout_s,
-                },
-            },
-        )
+        self.in_flight += 1
         try:
             async with asyncio.timeout(timeout_s):
-                return await self._exchange(request)
-        except (httpx.HTTPError, TimeoutError) as error:
+                return await self._exchange(
+                    httpx.Request(
+                        'POST',
+                        f'http://{self.address}{path}',
+                        headers=headers,
+                        content=body,
+                        extensions=_extensions(tracer, timeout_s),
+                    )
+                )
+        except (httpx.HTTPError, httpx.InvalidURL, TimeoutError) as error:
             return WorkerUnreachable(
                 f'{type(error).__name__}: {error}', sent=tracer.is_sent
             )
+        finally:
+            self.in_flight -= 1
 
     async def close(self) -> None:
         """Close the connections."""
@@ -117,12 +113,17 @@
         finally:
             await response.aclose()
 
-    def _url(self, path: str) -> httpx.URL:
-        found = self.urls.get(path)
-        if found is None:
-            found = self.base.join(path)
-            self.urls[path] = found
-        return found
+
+def _extensions(tracer: SentTracer, timeout_s: float) -> dict[str, Any]:
+    return {
+        'trace': tracer,
+        'timeout': {
+            'connect': min(CONNECT_TIMEOUT_S, timeout_s),
+            'pool': timeout_s,
+            'read': timeout_s,
+            'write': timeout_s,
+        },
+    }
 
 
 async def _read(response: httpx.Response) -> Answer | AnswerMismatch:
