--- a/features/backend/steps/http_workers_steps.py
+++ b/features/backend/steps/http_workers_steps.py
@@ -29,6 +29,7 @@
 
 TIMEOUT_S = 0.3
 PATIENT_S = 10.0
+PATIENCE_S = (0.6, 0.6, 0.6, 0.6, 0.6, TIMEOUT_S)
 SHAPE = Resources(1500, 64, 0, 1)
 SAMPLE = 'examples/sample_worker.py'
 
--- a/packages/berylspread-standins/src/berylspread_standins/serving.py
+++ b/packages/berylspread-standins/src/berylspread_standins/serving.py
@@ -39,10 +39,10 @@
 class HttpServer:
     """One app on one or more loopback ports."""
 
-    __slots__ = ('server', 'sockets', 'task')
+    __slots__ = ('ports', 'server', 'sockets', 'task')
 
     def __init__(self, app: Litestar, ports: Sequence[int] = (0,)) -> None:
-        """Bind the ports at once; port 0 takes any free one."""
+        """Bind the ports at once; 0 takes any free one, told by ``ports``."""
         config = uvicorn.Config(
             app,
             lifespan='off',
@@ -55,6 +55,7 @@
         )
         self.server = LoopServer(config)
         self.sockets = [_bind(port) for port in ports]
+        self.ports = [bound.getsockname()[1] for bound in self.sockets]
         self.task: asyncio.Task[None] | None = None
 
     @property
@@ -62,11 +63,6 @@
         """Return ``IP:port`` of each port."""
         return [f'{LOOPBACK}:{port}' for port in self.ports]
 
-    @property
-    def ports(self) -> list[int]:
-        """Return the bound ports."""
-        return [bound.getsockname()[1] for bound in self.sockets]
-
     async def start(self) -> None:
         """Serve, and return once connections are accepted."""
         self.task = asyncio.create_task(self.server.serve(self.sockets))
