Resume the gate that was paused

Cause: a node that is killed in its pause starts again with another gate. Change: the fault keeps the gate that it paused; one list in a step is named. Conclusion: a pause ends with its own incarnation.

--- a/features/backend/steps/http_workers_steps.py
+++ b/features/backend/steps/http_workers_steps.py
@@ -125,9 +125,7 @@
     async def talk(workers: HttpWorkers, vm: Vm) -> list[Any]:
         calls = [
             workers.call(vm, call(number, timeout_s=timeout_s))
-            for number, timeout_s in enumerate(
-                [2 * TIMEOUT_S] * 5 + [TIMEOUT_S]
-            )
+            for number, timeout_s in enumerate(PATIENCE_S)
         ]
         return list(await asyncio.gather(*calls))
 
--- a/packages/berylspread-standins/src/berylspread_standins/faults/node_faults.py
+++ b/packages/berylspread-standins/src/berylspread_standins/faults/node_faults.py
@@ -39,11 +39,13 @@
         node = pick(_running(world), rng)
         if node is None:
             return
-        node.gate.pause()
+        # A node that starts again meanwhile has another gate.
+        gate = node.gate
+        gate.pause()
         try:
             await self.hold(rng)
         finally:
-            node.gate.resume()
+            gate.resume()
 
 
 @faults.register
