--- a/features/backend/http_workers.feature
+++ b/features/backend/http_workers.feature
@@ -39,13 +39,13 @@
 
   Scenario: A node keeps to its share of a backend server's connections
     Given a backend server that answers after a moment
-    When 40 calls are sent to it at once with a share of 7
+    When 40 calls are sent to it at once with a share of 5
     Then all 40 are answered whole
     And the server saw 5 connections at most at once
 
   Scenario: A call that waits for a connection in vain was not sent
     Given a backend server that says nothing
-    When 6 calls, the last the least patient, are sent with a share of 7
+    When 6 calls, the last the least patient, are sent with a share of 5
     Then 5 results are "worker-unreachable, sent"
     And 1 result is "worker-unreachable, not sent"
 
--- a/features/backend/steps/http_workers_steps.py
+++ b/features/backend/steps/http_workers_steps.py
@@ -70,14 +70,14 @@
 def converse(
     context: Context,
     talk: Callable[[HttpWorkers, Vm], Awaitable[list[Any]]],
-    connections: int = 7,
+    connections: int = 5,
 ) -> None:
     """Start the scripted server, talk to it, and keep the results."""
 
     async def run() -> None:
         server = context.server
         await server.start()
-        workers = HttpWorkers(connections=connections)
+        workers = HttpWorkers(call_connections=connections)
         try:
             context.results = await talk(workers, vm_at(server.address))
         finally:
--- a/packages/berylspread/src/berylspread/backend/http_client.py
+++ b/packages/berylspread/src/berylspread/backend/http_client.py
@@ -33,9 +33,14 @@
 WORKER_CONNECTIONS: Final = 64
 #: Entry VMs that share a backend server's connections.
 SHARING_NODES: Final = 9
-#: Connections of each pool for syncs: one waits, another starts tasks.
+#: A rack's owner syncs over two: one waits for changes, one starts tasks.
 SYNC_CONNECTIONS: Final = 2
-CONNECTIONS: Final = WORKER_CONNECTIONS // SHARING_NODES
+#: During a handover the old owner and the new one hold theirs at once.
+SYNCING_NODES: Final = 2
+#: One node's share of a backend server's connections for calls.
+CALL_CONNECTIONS: Final = (
+    WORKER_CONNECTIONS - SYNCING_NODES * SYNC_CONNECTIONS
+) // SHARING_NODES
 SYNC_TIMEOUT_S: Final = 5.0
 #: Beyond this the least recently used idle pool gives way to a new one.
 MAX_POOLS: Final = 256
@@ -71,9 +76,9 @@
 
     __slots__ = ('call_connections', 'encoder', 'pools', 'refusal', 'reply')
 
-    def __init__(self, *, connections: int = CONNECTIONS) -> None:
-        """Take this node's share of each backend server's connections."""
-        self.call_connections = max(connections - SYNC_CONNECTIONS, 1)
+    def __init__(self, *, call_connections: int = CALL_CONNECTIONS) -> None:
+        """Take this node's share of a backend server's calls at once."""
+        self.call_connections = call_connections
         self.pools: collections.OrderedDict[str, WorkerPools] = (
             collections.OrderedDict()
         )
--- a/packages/berylspread/src/berylspread/backend/http_pool.py
+++ b/packages/berylspread/src/berylspread/backend/http_pool.py
@@ -7,7 +7,13 @@
 import httpx
 import msgspec
 
-from berylspread.kernel.errors import Failure, WorkerUnreachable, failure
+from berylspread.kernel.errors import (
+    EXIT_UNKNOWN_OUTCOME,
+    Failure,
+    RunState,
+    WorkerUnreachable,
+    failure,
+)
 
 CONNECT_TIMEOUT_S: Final = 2.0
 #: Idle connections are closed before the backend server does so, in seconds.
@@ -23,7 +29,8 @@
 
     name = 'answer-mismatch'
     http_status = 502
-    exit_code = Failure.exit_code
+    exit_code = EXIT_UNKNOWN_OUTCOME
+    run_state = RunState.unknown
 
 
 @final
