Time out questions to oneself, and say whether a question was sent

Cause: the gRPC peers bound a question to the own node by its timeout and fill the field sent; the stand-in waited without end and left the field out. Change: LocalPeers does both. Conclusion: parts meet the same answers in virtual time as over gRPC.

--- a/features/standins/network.feature
+++ b/features/standins/network.feature
@@ -14,6 +14,9 @@
       | none                      | a1    | a2    | answered within 0.003 s | 1     |
       | none                      | a1    | b1    | answered within 0.05 s  | 1     |
       | none                      | a1    | a1    | answered within 0.001 s | 1     |
+      | none                      | a1    | x1    | not sent                | 0     |
+      | handlers hang             | a1    | a1    | unanswered              | 1     |
+      | handlers hang             | a1    | a2    | unanswered              | 1     |
       | cut from a1 to a2         | a1    | a2    | unanswered              | 0     |
       | cut from a2 to a1         | a1    | a2    | unanswered              | 1     |
       | cut from south to north   | a1    | b1    | unanswered              | 0     |
--- a/features/standins/steps/network_steps.py
+++ b/features/standins/steps/network_steps.py
@@ -40,6 +40,7 @@
         """Start the nodes."""
         self.peers = PeerNetwork(random.Random(1))
         self.handled: list[int] = []
+        self.hangs = False
         self.arrived_at = 0.0
         for name in REGIONS:
             self.start(name)
@@ -55,6 +56,8 @@
         self.arrived_at = now()
         if body.number == REFUSED:
             return QuotaExceeded('at its limit', team='team')
+        if self.hangs:
+            await asyncio.Event().wait()
         if body.number == RAISING:
             raise ArithmeticError
         return Echo(number=body.number)
@@ -102,6 +105,7 @@
     'a2 is paused for 3 s': lambda nodes: _pause(nodes, 'a2', 3),
     'a1 is paused for 1 s': lambda nodes: _pause(nodes, 'a1', 1),
     'a1 is paused for 3 s': lambda nodes: _pause(nodes, 'a1', 3),
+    'handlers hang': lambda nodes: setattr(nodes, 'hangs', True),
     'a2 has stopped': lambda nodes: nodes.peers.stop('a2'),
     'a2 starts again': _restart,
     'a2 starts again in flight': _restart_in_flight,
@@ -175,9 +179,15 @@
 
 
 @then('the question is unanswered')
-def then_unanswered(context: Context) -> None:
+def then_unanswered(context: Context, *, sent: bool = True) -> None:
     assert isinstance(context.answer, Failure), context.answer
     assert context.answer.name == 'peer-unreachable'
+    assert context.answer.fields['sent'] is sent
+
+
+@then('the question is not sent')
+def then_unsent(context: Context) -> None:
+    then_unanswered(context, sent=False)
 
 
 @then('the question is answered within {seconds:g} s')
--- a/packages/berylspread-standins/src/berylspread_standins/peer_network.py
+++ b/packages/berylspread-standins/src/berylspread_standins/peer_network.py
@@ -147,15 +147,18 @@
         *,
         timeout_s: float,
     ) -> MessageT | Failure:
-        """Send a message and wait for its reply, or ``PeerUnreachable``."""
+        """Send a message and wait for its reply, or ``PeerUnreachable``.
+
+        The failure's field ``sent`` is false if there never was such a node.
+        """
         if node == self.ref.node:
-            await self.gate.wait()
-            reply = await self._handle(self.ref, body)
+            reply = await self._ask_self(body, timeout_s)
         else:
             reply = await self._ask(node, body, timeout_s)
         await self.gate.wait()
         if reply is None:
-            return PeerUnreachable('no answer in time', node=node)
+            known = node in self.peer_network.incarnations
+            return PeerUnreachable('no answer in time', node=node, sent=known)
         if isinstance(reply, reply_type | Failure):
             return reply
         return Internal(f'unexpected reply {type(reply).__name__}', node=node)
@@ -171,6 +174,14 @@
         """Take an envelope off the network."""
         detach(self._receive(envelope))
 
+    async def _ask_self(self, body: Message, timeout_s: float) -> Any:
+        try:
+            async with asyncio.timeout(timeout_s):
+                await self.gate.wait()
+                return await self._handle(self.ref, body)
+        except TimeoutError:
+            return None
+
     async def _ask(self, node: str, body: Message, timeout_s: float) -> Any:
         number = next(self.numbers)
         future = asyncio.get_running_loop().create_future()
