Test the HTTP interface against bad input, connections and operators

The refusals of the daemon were seen only on loopback by hand.

Features over a fleet of three nodes in virtual time: keys, headers, bodies, paths, faulty documents, two operators at once, a store that is down, trial and promotion; over real sockets: slow, half-sent, oversize and abandoned bodies, a stop with a call in flight, a bound on requests; settings as a table; schema, health and a trace from caller to backend server.

They found: a 405 whose problem said 400, a deadline of nan that was taken, a media type that gained a character set, and a new key that its own node did not know yet. All four are repaired here.

--- /dev/null
+++ b/features/daemon/loopback.py
@@ -0,0 +1,142 @@
+"""An entry node on a loopback socket with a router that only echoes."""
+
+import asyncio
+import hashlib
+from collections.abc import Iterable
+from typing import Any
+
+import httpx
+
+from berylspread.backend import CallReply
+from berylspread.calls.router import CallInput
+from berylspread.config import Document, parse_document
+from berylspread.entry.access import Access, OperatorAccess
+from berylspread.entry.calls import CallEntry
+from berylspread.kernel import WallClock
+from berylspread_daemon.http import build_app
+from berylspread_daemon.server import EntryServer
+
+BODY_TIMEOUT_S = 0.3
+CALL_S = 0.1
+TOKEN = 'operator'
+QUEUE_LIMIT = 1024
+DOCUMENT = """
+[environment]
+name = production
+[region central-java]
+[queue open]
+open = yes
+kind = interactive
+max_body_kib = 1
+"""
+
+
+class EchoRouter:
+    """Answers each call with its body after a moment."""
+
+    def __init__(self) -> None:
+        self.calls: list[CallInput] = []
+        self.called = asyncio.Event()
+
+    async def call(self, call: CallInput) -> CallReply:
+        self.calls.append(call)
+        self.called.set()
+        await asyncio.sleep(CALL_S)
+        return CallReply(call.request_id, 1, 200, call.body, 'text/plain')
+
+
+class EchoContext:
+    """What access and calls need of a node."""
+
+    def __init__(self) -> None:
+        document = parse_document('production', DOCUMENT)
+        assert isinstance(document, Document), document
+        self.document = document
+        self.wall = WallClock()
+
+
+class EchoEntry:
+    """The part of the entry service that calls need."""
+
+    def __init__(self) -> None:
+        self.context: Any = EchoContext()
+        self.router = EchoRouter()
+        self.operators = OperatorAccess(
+            (hashlib.sha256(TOKEN.encode()).hexdigest(),)
+        )
+        keys: Any = None
+        tickets: Any = None
+        self.access = Access(self.context, keys)
+        self.calls = CallEntry(self.context, self.router, tickets)
+
+
+class Loopback:
+    """The node's server and ways to reach it."""
+
+    def __init__(self, max_in_flight: int = 100) -> None:
+        self.entry: Any = EchoEntry()
+        self.is_leaving = False
+        app = build_app(
+            self.entry,
+            body_timeout_s=BODY_TIMEOUT_S,
+            max_in_flight=max_in_flight,
+            is_leaving=lambda: self.is_leaving,
+        )
+        self.server = EntryServer(app, '127.0.0.1:0', finish_s=5)
+
+    async def start(self) -> None:
+        await self.server.start()
+
+    async def call(self, body: bytes = b'proof') -> httpx.Response:
+        """Send one whole call."""
+        async with httpx.AsyncClient(
+            base_url=f'http://{self.server.address}', trust_env=False
+        ) as client:
+            return await client.post('/v1/queues/open/call', content=body)
+
+    async def raw(
+        self, chunks: Iterable[bytes], pause_s: float, announced: int | None
+    ) -> tuple[httpx.Response, bool]:
+        """Send a body in pieces; tell whether the server closed after it."""
+        reader, writer = await self.open(announced)
+        sending = asyncio.create_task(_send(writer, chunks, pause_s))
+        answer = await asyncio.wait_for(reader.read(), timeout=5)
+        sending.cancel()
+        writer.close()
+        return parse(answer), reader.at_eof()
+
+    async def open(
+        self, announced: int | None
+    ) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+        """Open a connection and send a request's head."""
+        host, port = self.server.address.rsplit(':', 1)
+        reader, writer = await asyncio.open_connection(host, int(port))
+        length = (
+            'Transfer-Encoding: chunked'
+            if announced is None
+            else f'Content-Length: {announced}'
+        )
+        writer.write(
+            f'POST /v1/queues/open/call HTTP/1.1\r\nHost: node\r\n{length}\r\n'
+            '\r\n'.encode()
+        )
+        return reader, writer
+
+
+async def _send(
+    writer: asyncio.StreamWriter, chunks: Iterable[bytes], pause_s: float
+) -> None:
+    for chunk in chunks:
+        writer.write(chunk)
+        await writer.drain()
+        await asyncio.sleep(pause_s)
+
+
+def parse(answer: bytes) -> httpx.Response:
+    """Read the bytes of one whole answer."""
+    head, _, body = answer.partition(b'\r\n\r\n')
+    lines = head.decode().split('\r\n')
+    headers = [tuple(line.split(': ', 1)) for line in lines[1:]]
+    return httpx.Response(
+        int(lines[0].split()[1]), headers=headers, content=body
+    )
--- /dev/null
+++ b/features/entry/environment.py
@@ -0,0 +1,13 @@
+"""Hooks of this folder."""
+
+from behave.runner import Context
+
+from features.support.entry_world import SHARED
+from features.support.hooks import before_all, before_scenario
+
+__all__ = ['after_all', 'before_all', 'before_scenario']
+
+
+def after_all(context: Context) -> None:
+    """End the fleet that the scenarios shared."""
+    SHARED.close()
--- a/packages/berylspread-cli/src/berylspread_cli/main.py
+++ b/packages/berylspread-cli/src/berylspread_cli/main.py
@@ -10,6 +10,7 @@
 from typing import Final
 
 import fire
+import httpx
 
 from berylspread_cli.client import Client
 from berylspread_cli.commands import (
@@ -143,10 +144,13 @@
         show(found, as_json=json)
 
 
-def main(arguments: Sequence[str] | None = None) -> None:
+def main(
+    arguments: Sequence[str] | None = None,
+    transport: httpx.BaseTransport | None = None,
+) -> None:
     """Run the command line; the process's own by default."""
     given, rest = _parser().parse_known_args(arguments)
-    client = Client(given.address, given.key, given.timeout_s)
+    client = Client(given.address, given.key, given.timeout_s, transport)
     fire.Fire(Commands(client), command=rest, name='berylspread')
 
 
--- a/packages/berylspread-daemon/src/berylspread_daemon/daemon.py
+++ b/packages/berylspread-daemon/src/berylspread_daemon/daemon.py
@@ -94,7 +94,7 @@
         await self.peers.start(self.settings.node.peer)
         self.node.start()
         self.entry.start()
-        self.server.start()
+        await self.server.start()
         logging.info(
             'node %s serves callers at %s',
             self.settings.node.name,
--- a/packages/berylspread-daemon/src/berylspread_daemon/http/admin.py
+++ b/packages/berylspread-daemon/src/berylspread_daemon/http/admin.py
@@ -27,6 +27,7 @@
     TicketView,
     WorkerView,
 )
+from berylspread_daemon.http.params import Entry
 from berylspread_daemon.http.problems import RefusedError, unwrap
 
 
@@ -62,41 +63,39 @@
     guards = (require_operator,)
 
     @get('/', summary='Show the document in force')
-    async def show(self, entry: EntryService, environment: str) -> ConfigView:
+    async def show(self, entry: Entry, environment: str) -> ConfigView:
         """Return the document and its version."""
         return unwrap(entry.config.current(environment))
 
     @post('/check', status_code=HTTP_200_OK, summary='Check a document')
     async def check(
-        self, entry: EntryService, environment: str, data: ConfigInput
+        self, entry: Entry, environment: str, data: ConfigInput
     ) -> CheckView:
         """Return warnings, or every error."""
         return unwrap(await entry.config.check(environment, data))
 
     @post('/diff', status_code=HTTP_200_OK, summary='Compare a document')
     async def diff(
-        self, entry: EntryService, environment: str, data: ConfigInput
+        self, entry: Entry, environment: str, data: ConfigInput
     ) -> DiffView:
         """Return the changes and their effects on recorded demand."""
         return unwrap(entry.config.compare(environment, data))
 
     @post('/apply', status_code=HTTP_200_OK, summary='Apply a document')
     async def apply(
-        self, entry: EntryService, environment: str, data: ConfigInput
+        self, entry: Entry, environment: str, data: ConfigInput
     ) -> AppliedView:
         """Put a document in force if its base still is."""
         return unwrap(await entry.config.apply(environment, data))
 
     @get('/history', summary='List the versions')
-    async def history(
-        self, entry: EntryService, environment: str
-    ) -> list[ConfigView]:
+    async def history(self, entry: Entry, environment: str) -> list[ConfigView]:
         """Return the versions that are kept, oldest first."""
         return unwrap(entry.config.history(environment))
 
     @get('/status', summary='Show the version on each node')
     async def status(
-        self, entry: EntryService, environment: str
+        self, entry: Entry, environment: str
     ) -> list[NodeVersionView]:
         """Ask every node."""
         return unwrap(await entry.config.in_force(environment))
@@ -110,51 +109,47 @@
     guards = (require_operator,)
 
     @post('/promote', status_code=HTTP_200_OK, summary='Promote the trial')
-    async def promote(
-        self, entry: EntryService, data: PromoteInput
-    ) -> AppliedView:
+    async def promote(self, entry: Entry, data: PromoteInput) -> AppliedView:
         """Put the trial document in force in production."""
         return unwrap(await entry.config.promote(data))
 
     @get('/status', summary='Show the whole system in short')
-    async def status(self, entry: EntryService) -> StatusView:
+    async def status(self, entry: Entry) -> StatusView:
         """Ask every node."""
         return await entry.fleet.status()
 
     @get('/nodes', summary='List the entry nodes')
-    async def nodes(self, entry: EntryService) -> list[NodeView]:
+    async def nodes(self, entry: Entry) -> list[NodeView]:
         """Ask every node."""
         return await entry.fleet.nodes()
 
     @get('/workers', summary='List the workers')
-    async def workers(self, entry: EntryService) -> list[WorkerView]:
+    async def workers(self, entry: Entry) -> list[WorkerView]:
         """Return the platform's list with the owners."""
         return entry.fleet.workers()
 
     @get('/teams', summary='List the teams')
-    async def teams(self, entry: EntryService) -> list[TeamView]:
+    async def teams(self, entry: Entry) -> list[TeamView]:
         """Return the teams of the document in force."""
         return entry.fleet.teams()
 
     @get('/queues', summary='List the queues')
-    async def queues(self, entry: EntryService) -> list[QueueView]:
+    async def queues(self, entry: Entry) -> list[QueueView]:
         """Return the queues of the document in force."""
         return entry.fleet.queues()
 
     @get('/tickets', summary='List the tickets of the help desk')
-    async def tickets(self, entry: EntryService) -> list[TicketView]:
+    async def tickets(self, entry: Entry) -> list[TicketView]:
         """Ask every node; newest first."""
         return await entry.fleet.tickets()
 
     @get('/keys', summary='List keys')
-    async def keys(self, entry: EntryService, team: str = '') -> list[KeyView]:
+    async def keys(self, entry: Entry, team: str = '') -> list[KeyView]:
         """Return the keys of a team or of all; no secrets."""
         return entry.keys.list(team)
 
     @post('/keys', summary='Create a key')
-    async def create_key(
-        self, entry: EntryService, data: KeyInput
-    ) -> NewKeyView:
+    async def create_key(self, entry: Entry, data: KeyInput) -> NewKeyView:
         """Return the new key; its secret is shown this once."""
         return unwrap(await entry.keys.create(data.team, data.label))
 
@@ -163,11 +158,11 @@
         status_code=HTTP_200_OK,
         summary='Withdraw a key',
     )
-    async def withdraw_key(self, entry: EntryService, key_id: str) -> KeyView:
+    async def withdraw_key(self, entry: Entry, key_id: str) -> KeyView:
         """Return once the key has stopped everywhere."""
         return unwrap(await entry.keys.withdraw(key_id))
 
     @post('/drain', status_code=HTTP_200_OK, summary='Drain a VM')
-    async def drain(self, entry: EntryService, data: DrainInput) -> DrainView:
+    async def drain(self, entry: Entry, data: DrainInput) -> DrainView:
         """Give a VM no new work."""
         return unwrap(await entry.drains.request(data.vm, undo=data.undo))
--- a/packages/berylspread-daemon/src/berylspread_daemon/http/calls.py
+++ b/packages/berylspread-daemon/src/berylspread_daemon/http/calls.py
@@ -8,8 +8,8 @@
 
 from berylspread.calls.router import CallInput
 from berylspread.entry.calls import CallOptions
-from berylspread.entry.service import EntryService
 from berylspread_daemon.http.bodies import read_body
+from berylspread_daemon.http.params import Authorization, Entry
 from berylspread_daemon.http.problems import RefusedError, refuse, unwrap
 
 REQUEST_ID: Final = 'X-Request-Id'
@@ -39,8 +39,8 @@
         self,
         request: Request[Any, Any, Any],
         queue: str,
-        entry: EntryService,
-        authorization: Annotated[str, Parameter(header='Authorization')] = '',
+        entry: Entry,
+        authorization: Authorization = '',
         request_id: Annotated[str, Parameter(header=REQUEST_ID)] = '',
         deadline_s: Annotated[
             float | None, Parameter(header='X-Deadline-S')
@@ -70,7 +70,7 @@
 
 
 def _prepare(
-    entry: EntryService, authorization: str, name: str, options: CallOptions
+    entry: Entry, authorization: str, name: str, options: CallOptions
 ) -> tuple[CallInput, int]:
     caller, queue = unwrap(entry.access.queue(authorization, name))
     call = unwrap(entry.calls.prepare(caller, queue, options))
@@ -79,7 +79,7 @@
 
 async def _run(
     request: Request[Any, Any, Any],
-    entry: EntryService,
+    entry: Entry,
     call: CallInput,
     limit: int,
 ) -> Response[bytes]:
@@ -88,8 +88,10 @@
     return Response(
         reply.body,
         status_code=reply.status,
-        media_type=reply.content_type,
+        # A media type would have a character set added to it.
+        media_type='',
         headers={
+            'Content-Type': reply.content_type,
             REQUEST_ID: call.request_id,
             'X-Attempt': str(reply.attempt),
             'X-Run-State': 'ran',
--- a/packages/berylspread-daemon/src/berylspread_daemon/http/health.py
+++ b/packages/berylspread-daemon/src/berylspread_daemon/http/health.py
@@ -5,7 +5,7 @@
 from litestar.status_codes import HTTP_200_OK, HTTP_503_SERVICE_UNAVAILABLE
 from prometheus_client import CONTENT_TYPE_LATEST, generate_latest
 
-from berylspread.entry.service import EntryService
+from berylspread_daemon.http.params import Entry
 
 
 class HealthView(msgspec.Struct, frozen=True):
@@ -23,12 +23,12 @@
     tags = ('health',)
 
     @get('/healthz', summary='Tell that the process answers')
-    async def health(self, entry: EntryService) -> HealthView:
+    async def health(self, entry: Entry) -> HealthView:
         """Answer as long as the event loop turns."""
         return _view(entry)
 
     @get('/readyz', summary='Tell whether callers may be sent here')
-    async def ready(self, entry: EntryService) -> Response[HealthView]:
+    async def ready(self, entry: Entry) -> Response[HealthView]:
         """Answer 503 until the node is ready and once it drains."""
         return Response(
             _view(entry),
@@ -43,7 +43,7 @@
         return Response(generate_latest(), media_type=CONTENT_TYPE_LATEST)
 
 
-def _view(entry: EntryService) -> HealthView:
+def _view(entry: Entry) -> HealthView:
     return HealthView(
         entry.context.ref.node, entry.is_ready, entry.context.state.offset
     )
--- a/packages/berylspread-daemon/src/berylspread_daemon/http/jobs.py
+++ b/packages/berylspread-daemon/src/berylspread_daemon/http/jobs.py
@@ -8,7 +8,6 @@
 
 from berylspread.entry.access import Caller
 from berylspread.entry.jobs import DEFAULT_PAGE
-from berylspread.entry.service import EntryService
 from berylspread.entry.views import (
     CancelView,
     JobAcceptedView,
@@ -18,13 +17,16 @@
     JobView,
     WhyView,
 )
+from berylspread_daemon.http.params import (
+    Authorization,
+    Entry,
+    OptionalCaller,
+)
 from berylspread_daemon.http.problems import unwrap
 
-Authorization = Annotated[str, Parameter(header='Authorization')]
-
 
 def provide_caller(
-    entry: EntryService, authorization: Authorization = ''
+    entry: Entry, authorization: Authorization = ''
 ) -> Caller | None:
     """Return the team of the key, or ``None`` for an operator's token."""
     if entry.operators.check(authorization) is None:
@@ -42,7 +44,7 @@
     async def submit(
         self,
         data: JobInput,
-        entry: EntryService,
+        entry: Entry,
         authorization: Authorization = '',
     ) -> JobAcceptedView:
         """Accept a job once it is in the platform's log.
@@ -55,8 +57,8 @@
     @get('/', summary='List jobs in order of submission')
     async def list(
         self,
-        entry: EntryService,
-        caller: Caller | None,
+        entry: Entry,
+        caller: OptionalCaller,
         cursor: str = '',
         limit: int = DEFAULT_PAGE,
         queue: str = '',
@@ -71,7 +73,7 @@
 
     @get('/{job_id:str}', summary='Show a job')
     async def show(
-        self, entry: EntryService, caller: Caller | None, job_id: str
+        self, entry: Entry, caller: OptionalCaller, job_id: str
     ) -> JobView:
         """Return the job as its home sees it."""
         return unwrap(await entry.jobs.status(caller, job_id))
@@ -79,8 +81,8 @@
     @delete('/{job_id:str}', status_code=HTTP_200_OK, summary='Cancel a job')
     async def cancel(
         self,
-        entry: EntryService,
-        caller: Caller | None,
+        entry: Entry,
+        caller: OptionalCaller,
         job_id: str,
         reason: str = '',
     ) -> CancelView:
@@ -89,14 +91,14 @@
 
     @get('/{job_id:str}/result', summary='Show how the tasks ended')
     async def result(
-        self, entry: EntryService, caller: Caller | None, job_id: str
+        self, entry: Entry, caller: OptionalCaller, job_id: str
     ) -> JobResult:
         """Return the outcome of an ended job."""
         return unwrap(entry.jobs.result(caller, job_id))
 
     @get('/{job_id:str}/why', summary='Explain why tasks wait')
     async def why(
-        self, entry: EntryService, caller: Caller | None, job_id: str
+        self, entry: Entry, caller: OptionalCaller, job_id: str
     ) -> WhyView:
         """Return the reasons that hold back tasks of the job."""
         return unwrap(await entry.jobs.why(caller, job_id))
--- /dev/null
+++ b/packages/berylspread-daemon/src/berylspread_daemon/http/params.py
@@ -0,0 +1,12 @@
+"""What the handlers take from the application and from the headers."""
+
+from typing import Annotated
+
+from litestar.params import Dependency, Parameter
+
+from berylspread.entry.access import Caller
+from berylspread.entry.service import EntryService
+
+Entry = Annotated[EntryService, Dependency(skip_validation=True)]
+OptionalCaller = Annotated[Caller | None, Dependency(skip_validation=True)]
+Authorization = Annotated[str, Parameter(header='Authorization')]
--- a/packages/berylspread-daemon/src/berylspread_daemon/http/problems.py
+++ b/packages/berylspread-daemon/src/berylspread_daemon/http/problems.py
@@ -52,23 +52,24 @@
     return result
 
 
-def problem(failure: Failure) -> Problem:
-    """Return the problem details of a failure."""
+def problem(failure: Failure, status: int) -> Problem:
+    """Return the problem details of a failure under an HTTP status."""
     return Problem(
         type=TYPE_PREFIX + failure.name,
         title=failure.name.replace('-', ' '),
-        status=failure.http_status,
+        status=status,
         detail=failure.reason,
         run_state=failure.run_state.value,
         fields=failure.fields,
     )
 
 
-def refuse(failure: Failure) -> Response[bytes]:
-    """Return the response to a failure."""
+def refuse(failure: Failure, status: int = 0) -> Response[bytes]:
+    """Return the response to a failure; its own status holds by default."""
+    status = status or failure.http_status
     return Response(
-        msgspec.json.encode(problem(failure), enc_hook=repr),
-        status_code=failure.http_status,
+        msgspec.json.encode(problem(failure, status), enc_hook=repr),
+        status_code=status,
         media_type=PROBLEM_TYPE,
         headers=_headers(failure),
     )
@@ -100,9 +101,7 @@
     if error.status_code >= HTTPStatus.INTERNAL_SERVER_ERROR:
         return on_fault(request, error)
     failure = InvalidInput(error.detail, errors=error.extra, **fields)
-    response = refuse(failure)
-    response.status_code = error.status_code
-    return response
+    return refuse(failure, error.status_code)
 
 
 def on_fault(
--- a/packages/berylspread-daemon/src/berylspread_daemon/server.py
+++ b/packages/berylspread-daemon/src/berylspread_daemon/server.py
@@ -17,6 +17,16 @@
 class QuietServer(uvicorn.Server):
     """A uvicorn server that leaves the process's signals to the daemon."""
 
+    def __init__(self, config: uvicorn.Config) -> None:
+        """Set up a server that is not up yet."""
+        super().__init__(config)
+        self.up = asyncio.Event()
+
+    async def startup(self, sockets: list[socket.socket] | None = None) -> None:
+        """Start to accept connections."""
+        await super().startup(sockets)
+        self.up.set()
+
     @contextlib.contextmanager
     def capture_signals(self) -> Iterator[None]:
         """Capture nothing."""
@@ -55,11 +65,12 @@
         host, port = self.socket.getsockname()[:2]
         return f'[{host}]:{port}' if ':' in host else f'{host}:{port}'
 
-    def start(self) -> None:
-        """Accept connections from now on."""
+    async def start(self) -> None:
+        """Serve, and return once connections are accepted."""
         self.task = asyncio.create_task(
             self.server.serve([self.socket]), name='http server'
         )
+        await self.server.up.wait()
 
     async def stop(self) -> None:
         """Accept no more and return after the requests in flight."""
--- a/packages/berylspread/src/berylspread/entry/administration.py
+++ b/packages/berylspread/src/berylspread/entry/administration.py
@@ -1,6 +1,8 @@
 """What operators change: documents and keys."""
 
+import asyncio
 import collections
+import contextlib
 from typing import Final, final
 
 from berylspread.config import Document, diff, parse_document, warnings
@@ -31,6 +33,8 @@
 from berylspread.runtime import NodeContext
 
 UNANSWERED: Final = -1
+READ_BACK_S: Final = 5.0
+READ_BACK_ROUND_S: Final = 0.05
 
 
 @final
@@ -194,10 +198,17 @@
         self.operations = operations
 
     async def create(self, team: str, label: str = '') -> NewKeyView | Failure:
-        """Create a key; its secret is in the answer and nowhere else."""
+        """Create a key; its secret is in the answer and nowhere else.
+
+        The key works on this node when this returns, unless the log is slow to
+        read, and on the others as they read it.
+        """
         made = await self.operations.create_key(team, label)
         if isinstance(made, Failure):
             return made
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(READ_BACK_S):
+                await self._until_known(made.record.key_id)
         return NewKeyView(made.record.key_id, team, made.text)
 
     def list(self, team: str = '') -> list[KeyView]:
@@ -214,6 +225,10 @@
         key = await self.operations.withdraw_key(key_id)
         return key if isinstance(key, Failure) else _key_view(key)
 
+    async def _until_known(self, key_id: str) -> None:
+        while self.context.state.keys.find(key_id) is None:  # noqa: ASYNC110
+            await asyncio.sleep(READ_BACK_ROUND_S)
+
 
 def _key_view(key: TeamKey) -> KeyView:
     return KeyView(
--- a/packages/berylspread/src/berylspread/entry/calls.py
+++ b/packages/berylspread/src/berylspread/entry/calls.py
@@ -1,5 +1,6 @@
 """Interactive calls: checks before the router, tickets after it."""
 
+import math
 from typing import Final, Protocol, final
 
 import msgspec
@@ -114,6 +115,8 @@
             timeout_s = options.deadline_s
         if options.deadline is not None:
             timeout_s = options.deadline - self.context.wall.time()
+        if math.isnan(timeout_s):
+            return InvalidInput('no number', field='X-Deadline-S')
         if timeout_s <= 0:
             return DeadlineExceeded('the deadline is in the past')
         if timeout_s > queue.max_deadline_s:
--- a/packages/berylspread/src/berylspread/entry/jobs.py
+++ b/packages/berylspread/src/berylspread/entry/jobs.py
@@ -27,15 +27,23 @@
     InvalidInput,
     UnknownName,
 )
+from berylspread.kernel.registry import nearest
 from berylspread.log import JobCancelled
 from berylspread.log.folds.jobs import EndedJob, JobFold, JobState
-from berylspread.model import JobSpec, NodeRef
+from berylspread.model import TERMINAL_STATES, JobSpec, NodeRef
 from berylspread.runtime import NodeContext
 
 ASK_TIMEOUT_S: Final = 1.0
 MAX_PAGE: Final = 500
 DEFAULT_PAGE: Final = 50
-LIVE_STATES: Final = ('pending', 'running')
+ACTIVE: Final = 'active'
+PAGE_STATES: Final = frozenset(
+    (
+        '',
+        ACTIVE,
+        *(state.value for state in TERMINAL_STATES),
+    )
+)
 
 
 class Describer(Protocol):
@@ -115,6 +123,12 @@
         after = _read_cursor(cursor)
         if isinstance(after, Failure):
             return after
+        if state not in PAGE_STATES:
+            return InvalidInput(
+                f'no state is called {state!r}',
+                field='state',
+                nearest=nearest(state, PAGE_STATES),
+            )
         if not 1 <= limit <= MAX_PAGE:
             return InvalidInput(
                 f'limit is {limit}, not from 1 to {MAX_PAGE}', field='limit'
@@ -208,9 +222,9 @@
 
     def _specs(self, state: str) -> Iterable[JobSpec]:
         jobs = self.fold
-        if state in {'', 'active', *LIVE_STATES}:
+        if state in {'', ACTIVE}:
             yield from (job.spec for job in jobs.active.values())
-        if state != 'active':
+        if state != ACTIVE:
             yield from (
                 job.spec
                 for job in jobs.ended.values()
@@ -273,7 +287,7 @@
 def _active_view(job: JobState, now: float) -> JobView:
     counts = job.counts()
     rest = job.spec.tasks - sum(counts.values())
-    view = base_view(job.spec, 'active', {**counts, 'active': rest}, now)
+    view = base_view(job.spec, ACTIVE, {**counts, ACTIVE: rest}, now)
     if job.cancelled is None:
         return view
     return _replace(view, cancelled=True, reason=job.cancelled)
