--- a/packages/berylspread-standins/src/berylspread_standins/cluster.py
+++ b/packages/berylspread-standins/src/berylspread_standins/cluster.py
@@ -36,6 +36,7 @@
 ENTRY_PORT: Final = 7000
 READY_POLL_S: Final = 0.1
 PRODUCTION: Final = 'production'
+SERVICE: Final = 'service'
 
 
 @final
@@ -257,10 +258,12 @@
         if section is None:
             raise KeyError(queue)
         workload = Workload(
-            run_s=run_s, idempotent=section.idempotent, checkpointable=True
+            run_s=run_s,
+            idempotent=section.idempotent or section.work == SERVICE,
+            checkpointable=True,
         )
         home = home_unit(entry.context, section.team, section.region)
-        unique = new_request_id(self.wall.time()).replace('-', '')
+        unique = self.new_request_id().replace('-', '')
         _teams, region, shard = home.split('/')
         spec = JobSpec(
             job_id=f'{region}.{shard}.{unique}',
@@ -288,6 +291,7 @@
         run_s: float = 0.05,
         node: str = '',
         timeout_s: float | None = None,
+        request_id: str = '',
     ) -> CallReply | Failure:
         """Run an interactive call through a node."""
         entry = self.node(node)
@@ -297,7 +301,7 @@
         workload = Workload(run_s=run_s, idempotent=section.idempotent)
         return await entry.calls.call(
             CallInput(
-                request_id=new_request_id(self.wall.time()),
+                request_id=request_id or self.new_request_id(),
                 team=section.team,
                 queue=queue,
                 shape=section.shape(),
@@ -308,6 +312,10 @@
             )
         )
 
+    def new_request_id(self) -> str:
+        """Return a request id of the present time."""
+        return new_request_id(self.wall.time(), self.rng.randbytes(10))
+
     async def cancel_jobs(self, share: float, rng: random.Random) -> None:
         """Cancel a share of the jobs that have not ended."""
         entry = self.node()
