Test jobs, the help desk, keys and drains over a fleet

Repeats, outages of the store and withdrawn keys were argued and not shown.

A call that ran past its deadline now opens a ticket whatever its outcome.

--- /dev/null
+++ b/features/entry/steps/help_desk_steps.py
@@ -0,0 +1,190 @@
+"""Steps for tickets, keys and drains."""
+
+from behave import then, when
+from behave.runner import Context
+
+from berylspread.entry.tickets import Category
+from features.support.entry_world import CENTRAL, EAST
+from features.support.fleet_steps import token, world
+
+WORKER = 'pekalongan-rack-1-1'
+
+
+@when('the team {team} submits a job of 5 seconds with a deadline in {left:g}')
+def step_late(context: Context, team: str, left: float) -> None:
+    answer = world(context).request(
+        'POST',
+        '/v1/jobs',
+        key=token(context, team),
+        json={
+            'queue': 'pattern-run',
+            'payload': '{"run_s": 5}',
+            'deadline_s': left,
+        },
+    )
+    context.job_id = answer.json()['job_id']
+
+
+@then('every node has one ticket for {category} of the job')
+def step_ticket(context: Context, category: str) -> None:
+    for entry in world(context).entries.values():
+        found = [
+            (ticket.category, ticket.subject)
+            for ticket in entry.service.tickets.newest_first()
+        ]
+        assert found == [(category, context.job_id)], found
+
+
+@then('the fleet lists it once')
+def step_once(context: Context) -> None:
+    found = world(context).operate('GET', '/v1/admin/tickets').json()
+    assert [ticket['subject'] for ticket in found] == [context.job_id], found
+
+
+@when('every worker stands still and a call of proofs waits 1 second')
+def step_standstill(context: Context) -> None:
+    key = token(context, 'proofs')
+    for worker in world(context).cluster.workers.values():
+        worker.pause()
+    context.answer = world(context).request(
+        'POST',
+        '/v1/queues/proof/call',
+        content=b'x',
+        key=key,
+        headers={'X-Deadline-S': '1'},
+    )
+
+
+@then('the node of the call has a ticket for {category}')
+def step_call_ticket(context: Context, category: str) -> None:
+    tickets = world(context).entries[CENTRAL].service.tickets.newest_first()
+    assert [ticket.category for ticket in tickets] == [category], tickets
+
+
+@when('{count:d} tickets are opened')
+def step_open(context: Context, count: int) -> None:
+    desk = world(context).entries[CENTRAL].service.tickets
+
+    async def open_all() -> None:
+        for number in range(count):
+            desk.open(Category.lost_task, f'job/{number}')
+
+    world(context).run(open_all())
+
+
+@then('{kept:d} tickets are kept and {counted:d} are counted')
+def step_kept(context: Context, kept: int, counted: int) -> None:
+    desk = world(context).entries[CENTRAL].service.tickets
+    assert len(desk.newest_first()) == kept
+    assert desk.opened == {Category.lost_task.value: counted}
+
+
+def lists_jobs(context: Context, node: str) -> int:
+    """Return the status of a listing with the scenario's key."""
+    answer = world(context).request(
+        'GET', '/v1/jobs', key=context.key['secret'], node=node
+    )
+    return answer.status_code
+
+
+@when('a key of {team} works at both regions')
+def step_key(context: Context, team: str) -> None:
+    token(context, team)
+    context.key = world(context).keys[team]
+    for node in (CENTRAL, EAST):
+        assert lists_jobs(context, node) == 200
+
+
+@when('the key is withdrawn')
+def step_withdraw(context: Context) -> None:
+    key_id = context.key['key_id']
+    answer = world(context).operate('DELETE', f'/v1/admin/keys/{key_id}')
+    assert answer.status_code == 200, answer.text
+
+
+@then('within {seconds:g} seconds it is refused at both regions')
+def step_refused(context: Context, seconds: float) -> None:
+    world(context).sleep(seconds)
+    for node in (CENTRAL, EAST):
+        assert lists_jobs(context, node) == 401
+
+
+@when('east is cut off from everything for {seconds:g} seconds')
+def step_cut(context: Context, seconds: float) -> None:
+    network = world(context).cluster.network
+    network.cut(EAST, '*')
+    network.cut('*', EAST)
+    world(context).sleep(seconds)
+
+
+@then('the key is refused at east with {status:d}')
+def step_refused_east(context: Context, status: int) -> None:
+    assert lists_jobs(context, EAST) == status
+    assert lists_jobs(context, CENTRAL) == 200
+
+
+@then('the open queue is still checked without a key at east')
+def step_open_queue(context: Context) -> None:
+    answer = world(context).request(
+        'POST',
+        '/v1/queues/order-status/call',
+        content=b'x',
+        key=context.key['secret'],
+        node=EAST,
+    )
+    assert answer.status_code != 401, answer.text
+
+
+@when('an operator drains a worker')
+def step_drain(context: Context) -> None:
+    step_drain_vm(context, WORKER)
+    assert context.answer.status_code == 200, context.answer.text
+
+
+@when('an operator drains the VM {vm}')
+def step_drain_vm(context: Context, vm: str) -> None:
+    context.answer = world(context).operate(
+        'POST', '/v1/admin/drain', json={'vm': vm}
+    )
+
+
+@when('the drain is undone')
+def step_undo(context: Context) -> None:
+    answer = world(context).operate(
+        'POST', '/v1/admin/drain', json={'vm': WORKER, 'undo': True}
+    )
+    assert answer.status_code == 200, answer.text
+
+
+@then('the worker is listed as {state} on every node')
+def step_listed(context: Context, state: str) -> None:
+    for node in world(context).entries:
+        workers = (
+            world(context).operate('GET', '/v1/admin/workers', node=node).json()
+        )
+        found = {view['worker']: view['state'] for view in workers}
+        assert found[WORKER] == state, found
+
+
+@then('a wave of jobs leaves the worker empty')
+def step_wave(context: Context) -> None:
+    for number in range(8):
+        answer = world(context).request(
+            'POST',
+            '/v1/jobs',
+            key=token(context, 'patterns'),
+            json={
+                'queue': 'pattern-run',
+                'tasks': 4,
+                'payload': '{"run_s": 2}',
+                'request_id': f'wave-{number}',
+            },
+        )
+        assert answer.status_code == 202, answer.text
+    world(context).sleep(3.0)
+    running = {
+        worker.vm.vm_id: len(worker.runs)
+        for worker in world(context).cluster.workers.values()
+    }
+    assert sum(running.values()) > 0, running
+    assert running[WORKER] == 0, running
--- a/packages/berylspread/src/berylspread/entry/calls.py
+++ b/packages/berylspread/src/berylspread/entry/calls.py
@@ -11,6 +11,7 @@
 from berylspread.config import QueueSection
 from berylspread.entry.access import Caller
 from berylspread.entry.tickets import Category, TicketDesk
+from berylspread.kernel import now
 from berylspread.kernel.errors import DeadlineExceeded, Failure, InvalidInput
 from berylspread.runtime import NodeContext
 
@@ -89,8 +90,10 @@
 
     async def run(self, call: CallInput, body: bytes) -> CallReply | Failure:
         """Run a prepared call; a deadline missed on the way opens a ticket."""
+        began = now()
         reply = await self.router.call(msgspec.structs.replace(call, body=body))
-        if isinstance(reply, DeadlineExceeded):
+        is_late = now() - began >= call.timeout_s
+        if is_late or isinstance(reply, DeadlineExceeded):
             self.tickets.open(
                 Category.deadline_missed,
                 call.request_id,
