--- a/packages/berylspread-cli/src/berylspread_cli/main.py
+++ b/packages/berylspread-cli/src/berylspread_cli/main.py
@@ -27,6 +27,7 @@
 KEY: Final = 'BERYLSPREAD_KEY'
 DEFAULT_ADDRESS: Final = '127.0.0.1:8080'
 TIMEOUT_S: Final = 30.0
+HELP: Final = frozenset(('-h', '--help'))
 
 
 class Commands:
@@ -151,7 +152,13 @@
     """Run the command line; the process's own by default."""
     given, rest = _parser().parse_known_args(arguments)
     client = Client(given.address, given.key, given.timeout_s, transport)
-    fire.Fire(Commands(client), command=rest, name='berylspread')
+    fire.Fire(Commands(client), command=_asked(rest), name='berylspread')
+
+
+def _asked(arguments: list[str]) -> list[str]:
+    """Ask for help in the form that Fire does not take for an error."""
+    kept = [argument for argument in arguments if argument not in HELP]
+    return arguments if kept == arguments else [*kept, '--', '--help']
 
 
 def _parser() -> argparse.ArgumentParser:
