--- a/packages/berylspread/src/berylspread/entry/calls.py
+++ b/packages/berylspread/src/berylspread/entry/calls.py
@@ -1,5 +1,6 @@
 """Interactive calls: checks before the router, tickets after it."""
 
+import math
 from typing import Final, Protocol, final
 
 import msgspec
@@ -10,6 +11,7 @@
 from berylspread.config import QueueSection
 from berylspread.entry.access import Caller
 from berylspread.entry.tickets import Category, TicketDesk
+from berylspread.kernel import now
 from berylspread.kernel.errors import DeadlineExceeded, Failure, InvalidInput
 from berylspread.runtime import NodeContext
 
@@ -88,8 +90,10 @@
 
     async def run(self, call: CallInput, body: bytes) -> CallReply | Failure:
         """Run a prepared call; a deadline missed on the way opens a ticket."""
+        began = now()
         reply = await self.router.call(msgspec.structs.replace(call, body=body))
-        if isinstance(reply, DeadlineExceeded):
+        is_late = now() - began >= call.timeout_s
+        if is_late or isinstance(reply, DeadlineExceeded):
             self.tickets.open(
                 Category.deadline_missed,
                 call.request_id,
@@ -114,6 +118,8 @@
             timeout_s = options.deadline_s
         if options.deadline is not None:
             timeout_s = options.deadline - self.context.wall.time()
+        if math.isnan(timeout_s):
+            return InvalidInput('no number', field='X-Deadline-S')
         if timeout_s <= 0:
             return DeadlineExceeded('the deadline is in the past')
         if timeout_s > queue.max_deadline_s:
