Count what awaited entry nodes may really hold

Cause: the quota machine found a home that gave part of its allotment away, or was lowered, and then took a predecessor's slice for smaller than it was. Change: the unknown is fixed when the wait begins, is left out of gifts, and blocks all grants if the allotment was lowered within a slice's life; an entry node that started lately does not answer for its former process.

--- a/features/limits/quota_machine.py
+++ b/features/limits/quota_machine.py
@@ -51,6 +51,7 @@
         self.entries = {self.borrower(name): Entry() for name in ENTRIES}
         self.ledger = self.new_ledger()
         # Slices lent under a higher limit may be used until then.
+        self.reduced_until = 0
         self.lowered_until = 0.0
 
     def borrower(self, name):
@@ -167,6 +168,7 @@
     def change_limit(self, limit):
         if limit < self.limit:
             self.lowered_until = self.now + self.ledger.lapse_s
+            self.reduced_until = self.lowered_until
         self.limit = limit
         self.ledger.set_allotment(
             TEAM, Resources(slots=limit), Resources(slots=LIMIT)
@@ -185,6 +187,7 @@
         )
         self.tasks = self.used()
         if lands:
+            self.reduced_until = self.now + self.ledger.lapse_s
             self.limit -= amount
             self.ledger.set_allotment(
                 TEAM, Resources(slots=self.limit), Resources(slots=LIMIT)
@@ -198,7 +201,12 @@
             return
         self.ledger = self.new_ledger()
         self.ledger.restore(TEAM, TASK, self.tasks)
-        self.ledger.await_slices(TEAM, self.entries, self.now)
+        self.ledger.await_slices(
+            TEAM,
+            self.entries,
+            self.now,
+            is_lowered=self.now < self.reduced_until,
+        )
 
     def in_use(self):
         quota = self.ledger.teams[TEAM]
@@ -222,5 +230,4 @@
     @invariant()
     def ledger_counts_what_runs(self):
         quota = self.ledger.teams[TEAM]
-        unknown = quota.largest_slice * len(quota.awaited)
-        assert self.running() <= quota.in_use.slots + unknown
+        assert self.running() <= quota.may_be_used.slots
--- a/packages/berylspread/src/berylspread/calls/home.py
+++ b/packages/berylspread/src/berylspread/calls/home.py
@@ -26,6 +26,8 @@
 ASK_TIMEOUT_S: Final = 1.0
 RETRY_S: Final = 0.5
 ANYONE: Final = 'predecessor'
+#: Largest difference between the clocks of the log and the nodes.
+CLOCK_MARGIN_S: Final = 5.0
 
 
 @final
@@ -92,13 +94,15 @@
         ]
 
     def _assume_lent(self) -> None:
-        lapse_s = self.quota.slice_ttl_s + self.quota.longest_call_s
+        lapse_s = self.quota.lapse_s
         # A young node may never have heard of a node that is lost by now.
         knows_all = self.context.uptime_s > lapse_s
         holders = self._entries() if knows_all else [ANYONE]
         for team, quota in self.quota.teams.items():
             quota.max_slice_share = SHARED if knows_all else 1
-            self.quota.await_slices(team, holders, now())
+            self.quota.await_slices(
+                team, holders, now(), is_lowered=self._is_lowered(team)
+            )
 
     async def _ask_all(self) -> None:
         pending = set(self._entries())
@@ -119,12 +123,26 @@
         if isinstance(reply, Failure):
             return ''
         held = {slice_.team: slice_.count for slice_ in reply.slices}
+        # Calls of an earlier process on the node may still be running.
+        is_young = reply.uptime_s <= self.quota.lapse_s
+        told_for = '' if is_young else node
         for team in self.quota.teams:
             self.quota.told(
-                team, node, entry_name(reply.holder), held.get(team, 0), now()
+                team,
+                told_for,
+                entry_name(reply.holder),
+                held.get(team, 0),
+                now(),
             )
         return node
 
+    def _is_lowered(self, team: str) -> bool:
+        lowered_at = self.context.state.allotments.lowered_at.get(team)
+        if lowered_at is None:
+            return False
+        age_s = self.context.wall.time() - lowered_at
+        return age_s <= self.quota.lapse_s + CLOCK_MARGIN_S
+
 
 def entry_name(ref: NodeRef) -> str:
     """Return the name of a slice's holder: one process of an entry node."""
--- a/packages/berylspread/src/berylspread/calls/messages.py
+++ b/packages/berylspread/src/berylspread/calls/messages.py
@@ -127,4 +127,5 @@
     """The slices that an entry node holds, with calls under way or valid."""
 
     holder: NodeRef
+    uptime_s: float
     slices: list[HeldSlice]
--- a/packages/berylspread/src/berylspread/limits/quota.py
+++ b/packages/berylspread/src/berylspread/limits/quota.py
@@ -17,6 +17,8 @@
 
 #: What one interactive call counts against its team's limit.
 CALL_SHAPE: Final = Resources(slots=1)
+#: More than any allotment.
+EVERYTHING: Final = 1 << 40
 SLICE_TTL_S: Final = 10.0
 LONGEST_CALL_S: Final = 60.0
 
@@ -48,8 +50,8 @@
     A dimension that is 0 in ``fleet_limit`` is unlimited; an allotment of 0 in
     a limited dimension gives nothing.  ``outgoing`` is the part that is being
     given to another region: it is out of use already.  ``awaited`` are the
-    entry nodes whose slices from a predecessor are not known yet: each counts
-    as a largest slice, which is ``max_slice_share`` of the allotment.
+    entry nodes whose slices from a predecessor are not known yet, with the
+    most that each may hold.
     """
 
     __slots__ = (
@@ -71,7 +73,7 @@
         self.outgoing = ZERO
         self.used = ZERO
         self.lent = 0
-        self.awaited: set[str] = set()
+        self.awaited: dict[str, int] = {}
         self.awaited_until: float = 0
         self.max_slice_share: float = 1
         self.slices: dict[str, Slice] = {}
@@ -88,11 +90,15 @@
 
     def room(self, shape: Resources) -> int | None:
         """Return how many more of a shape fit; ``None`` if unlimited."""
-        unknown = CALL_SHAPE * (self.largest_slice * len(self.awaited))
         return bounded_times(
-            shape, self.in_use + unknown, self.limit, self.fleet_limit
+            shape, self.may_be_used, self.limit, self.fleet_limit
         )
 
+    @property
+    def may_be_used(self) -> Resources:
+        """What counts, and the most that awaited nodes may hold."""
+        return self.in_use + CALL_SHAPE * sum(self.awaited.values())
+
     @property
     def largest_slice(self) -> int:
         """The most calls that one entry node may hold, or have held."""
@@ -200,7 +206,7 @@
         if sequence < held.sequence:
             return StaleEpoch('an older question for a slice', entry=entry)
         if sequence > held.sequence:
-            quota.awaited.discard(entry)
+            quota.awaited.pop(entry, None)
             self._offer(quota, held, wanted, holds)
             held.sequence = sequence
             held.valid_until = now + self.slice_ttl_s
@@ -224,16 +230,25 @@
             self.expire(team, now)
 
     def await_slices(
-        self, team: str, entries: Iterable[str], now: float
+        self,
+        team: str,
+        entries: Iterable[str],
+        now: float,
+        *,
+        is_lowered: bool = False,
     ) -> None:
         """Count a largest slice for each node until it tells what it holds.
 
+        If the allotment was lowered lately, a slice may be larger than that;
+        nothing is granted then before all have told.
+
         A new home can't know what its predecessor lent.  Each node tells when
         asked or with its next question; one that does not is counted until its
         slice has surely lapsed.
         """
         quota = self.teams.setdefault(team, TeamQuota())
-        quota.awaited = set(entries)
+        largest = EVERYTHING if is_lowered else quota.largest_slice
+        quota.awaited = dict.fromkeys(entries, largest)
         quota.awaited_until = now + self.lapse_s
 
     def told(
@@ -241,7 +256,7 @@
     ) -> None:
         """Take in what an awaited entry node holds, under its borrower name."""
         quota = self.teams[team]
-        quota.awaited.discard(entry)
+        quota.awaited.pop(entry, None)
         held = quota.slices.setdefault(borrower, Slice())
         quota.lent += holds - held.count
         held.count = holds
@@ -257,7 +272,7 @@
         quota = self.teams.get(team)
         if quota is None or quota.outgoing != ZERO:
             return False
-        left = quota.allotment - quota.in_use - amount
+        left = quota.allotment - quota.may_be_used - amount
         asked = amount.is_non_negative() and amount != ZERO
         mask = quota.fleet_limit
         if not asked or not within(ZERO, left, mask, amount):
--- a/packages/berylspread/src/berylspread/log/folds/allotments.py
+++ b/packages/berylspread/src/berylspread/log/folds/allotments.py
@@ -56,7 +56,7 @@
 class AllotmentFold(Fold):
     """Follows the production document's limits and the regions' transfers."""
 
-    __slots__ = ('configs', 'read', 'teams', 'weights')
+    __slots__ = ('configs', 'lowered_at', 'read', 'teams', 'weights')
 
     def __init__(
         self,
@@ -67,6 +67,9 @@
         self.configs = configs
         self.read = read
         self.weights: dict[str, int] = {}
+        #: Store's time at which a region's part became smaller, by team; not
+        #: in snapshots, since it matters for a minute only.
+        self.lowered_at: dict[str, float] = {}
         self.teams: dict[str, TeamAllotment] = {}
 
     def team(self, team: str) -> TeamAllotment | None:
@@ -85,13 +88,16 @@
         if limits is None:
             return
         self.weights = dict(limits.regions) or {'': 1}
+        before = self.teams
         self.teams = {
-            team: _adjusted(self.teams.get(team), limit, self.weights)
+            team: _adjusted(before.get(team), limit, self.weights)
             for team, limit in sorted(limits.teams.items())
             if limit != ZERO
         }
-        for team in self.teams:
+        for team, allotment in self.teams.items():
             self._check(team)
+            if not _covers(allotment, before.get(team)):
+                self.lowered_at[team] = context.log_time
 
     @applies(AllotmentMoved)
     def on_moved(self, context: Context, record: AllotmentMoved) -> None:
@@ -110,6 +116,7 @@
         regions[record.source_region] -= record.amount
         regions[record.target_region] += record.amount
         self.teams[record.team] = TeamAllotment(team.limit, regions)
+        self.lowered_at[record.team] = context.log_time
         self._check(record.team)
 
     def to_wire(self) -> AllotmentsWire:
@@ -139,6 +146,17 @@
         )
 
 
+def _covers(allotment: TeamAllotment, before: TeamAllotment | None) -> bool:
+    """Return whether no region's part is below what it was."""
+    if before is None:
+        # The team had no limit, so its use may be above any.
+        return False
+    return all(
+        part.fits(allotment.part(region))
+        for region, part in before.regions.items()
+    )
+
+
 def _adjusted(
     team: TeamAllotment | None, limit: Resources, weights: Mapping[str, int]
 ) -> TeamAllotment:
