--- a/bench/ownership_cluster.py
+++ b/bench/ownership_cluster.py
@@ -32,7 +32,7 @@
 from berylspread_standins.peer_network import PeerNetwork
 from berylspread_standins.vm_list import LocalDirectory, VmList
 
-OBSERVE_S: Final = 0.05
+OBSERVE_S: Final = 0.02
 NEAR: Final = 'near'
 FAR: Final = 'far'
 
@@ -144,7 +144,7 @@
 
 
 class Cluster:
-    """Nodes in two regions, the store in the first, racks and shards in each."""
+    """Nodes in two regions, the store in the first; units in each."""
 
     def __init__(
         self,
@@ -170,6 +170,7 @@
         self.acquisitions = 0
         self.doubles: list[tuple[float, str, list[str]]] = []
         self.far_nodes = far
+        self.observe_s = OBSERVE_S
         for number in range(near):
             self.add(f'n{number}', NEAR)
         for number in range(far):
@@ -212,7 +213,7 @@
     async def watch(self) -> None:
         while True:
             self.observe()
-            await asyncio.sleep(OBSERVE_S)
+            await asyncio.sleep(self.observe_s)
 
     def observe(self) -> None:
         holders: dict[str, list[str]] = {}
--- a/packages/berylspread/src/berylspread/membership/suspicion.py
+++ b/packages/berylspread/src/berylspread/membership/suspicion.py
@@ -23,6 +23,7 @@
         'gaps',
         'heard_at',
         'interval_s',
+        'margin_s',
         'replies',
         'settings',
         'state',
@@ -38,6 +39,7 @@
         self.gaps: collections.deque[float] = collections.deque(
             maxlen=GAPS_KEPT
         )
+        self.margin_s = 0.0
         self.replies = 0
         self.state = Liveness.suspect
 
@@ -45,6 +47,7 @@
         """Take a reply."""
         self.update(now)
         self.gaps.append(now - self.heard_at)
+        self.margin_s = GAP_MARGIN * max(self.gaps)
         self.heard_at = now
         self.replies += 1
         if self.replies >= self._replies_needed():
@@ -68,7 +71,7 @@
     def suspect_after_s(self) -> float:
         """Return the silence in seconds after which the peer is suspect."""
         return max(
-            self.settings.suspect_after * self.interval_s, self._margin_s()
+            self.settings.suspect_after * self.interval_s, self.margin_s
         )
 
     def dead_after_s(self) -> float:
@@ -76,12 +79,9 @@
         ceiling_s = self.settings.max_dead_after * self.interval_s
         return max(
             self.settings.dead_after * self.interval_s,
-            min(GAP_MARGIN * self._margin_s(), ceiling_s),
+            min(GAP_MARGIN * self.margin_s, ceiling_s),
         )
 
-    def _margin_s(self) -> float:
-        return GAP_MARGIN * max(self.gaps, default=0.0)
-
     def _degrade(self, state: Liveness) -> None:
         self.state = state
         self.replies = 0
--- a/packages/berylspread/src/berylspread/ownership/claiming.py
+++ b/packages/berylspread/src/berylspread/ownership/claiming.py
@@ -15,17 +15,18 @@
 from berylspread.ownership.authority import Authority
 from berylspread.ownership.consents import Consents
 from berylspread.ownership.holdings import Holding, Holdings
-from berylspread.ownership.messages import (
-    SightingAsk,
-    SightingReply,
-    UnitEpoch,
-)
+from berylspread.ownership.messages import UnitEpoch
 from berylspread.ownership.planner import Planner
-from berylspread.ownership.rules import FOREVER, NEVER, may_act
+from berylspread.ownership.rules import (
+    FOREVER,
+    NEVER,
+    has_authority,
+    may_act,
+)
 from berylspread.ownership.settings import OwnershipSettings
+from berylspread.ownership.sightings import Sightings
 from berylspread.ownership.states import UnitEvent, UnitState
 from berylspread.ownership.view import LogAppender, LogView
-from berylspread.peers import Peers
 
 _FREE = frozenset((UnitState.idle, UnitState.lost))
 
@@ -40,19 +41,19 @@
         'consents',
         'holdings',
         'log',
-        'peers',
         'planner',
         'ref',
         'retry_at',
         'rng',
         'settings',
+        'sightings',
         'won',
     )
 
     def __init__(
         self,
         ref: NodeRef,
-        peers: Peers,
+        sightings: Sightings,
         log: LogView,
         appender: LogAppender,
         planner: Planner,
@@ -64,7 +65,7 @@
     ) -> None:
         """Take the parts that claims go through."""
         self.ref = ref
-        self.peers = peers
+        self.sightings = sightings
         self.log = log
         self.appender = appender
         self.planner = planner
@@ -81,15 +82,24 @@
         while True:
             for region in may_claim():
                 wanted = self._wanted(region)
-                if wanted and now() >= self.retry_at:
+                if wanted and self._may_try(region):
                     await self._claim_after_jitter(region)
-            await asyncio.sleep(self.settings.tick_s)
+            await asyncio.sleep(self.settings.claim_interval_s)
+
+    def _may_try(self, region: str) -> bool:
+        return now() >= self.retry_at and self._holds_promises(region)
 
     async def claim(self, units: Iterable[str]) -> list[str]:
-        """Append a claim on each unit's next epoch; return those appended."""
+        """Append a claim on each unit's next epoch; return those appended.
+
+        A node without promises claims nothing: it could not act.
+        """
         claims = [self._next_claim(unit) for unit in units]
         free = [
-            one for one in claims if self.holdings.get(one.unit).state in _FREE
+            one
+            for one in claims
+            if self.holdings.get(one.unit).state in _FREE
+            and self._holds_promises(unit_region(one.unit))
         ]
         if not free:
             return []
@@ -148,37 +158,20 @@
         )
 
     async def _owners_seen_by_others(self, region: str) -> set[NodeRef]:
-        """Return the silent owners that another member hears.
-
-        A link that is cut only here is no reason to take units away.
-        """
+        """Return the silent owners that another member hears."""
         owners = {self._owner(unit) for unit in self._wanted(region)}
-        silent = tuple(
+        silent = [
             owner
             for owner in owners
             if owner is not None
             and self.planner.fleet.roster.departed_at(owner) is None
+        ]
+        return await self.sightings.seen_by(
+            self.planner.eligible(region), silent
         )
-        if not silent:
-            return set()
-        replies = await asyncio.gather(
-            *(
-                self.peers.ask(
-                    node,
-                    SightingAsk(silent),
-                    SightingReply,
-                    timeout_s=self.settings.ask_timeout_s,
-                )
-                for node in self.planner.eligible(region)
-                if node != self.ref.node
-            )
-        )
-        return {
-            owner
-            for reply in replies
-            if isinstance(reply, SightingReply)
-            for owner in reply.live
-        }
+
+    def _holds_promises(self, region: str) -> bool:
+        return has_authority(now(), self.authority.until(region))
 
     def _owner(self, unit: str) -> NodeRef | None:
         claim = self.log.claim(unit)
--- a/packages/berylspread/src/berylspread/ownership/electing.py
+++ b/packages/berylspread/src/berylspread/ownership/electing.py
@@ -16,6 +16,7 @@
 from berylspread.ownership.policy import preference
 from berylspread.ownership.rules import majority
 from berylspread.ownership.settings import OwnershipSettings
+from berylspread.ownership.sightings import Sightings
 from berylspread.ownership.view import LogAppender, LogView
 
 Regions = Callable[[], list[str]]
@@ -38,6 +39,7 @@
         'ref',
         'region',
         'settings',
+        'sightings',
         'wanted',
     )
 
@@ -49,6 +51,7 @@
         appender: LogAppender,
         fleet: Fleet,
         consents: Consents,
+        sightings: Sightings,
         settings: OwnershipSettings,
     ) -> None:
         """Take what to read, whom to ask and where to append."""
@@ -58,6 +61,7 @@
         self.appender = appender
         self.fleet = fleet
         self.consents = consents
+        self.sightings = sightings
         self.settings = settings
         self.wanted: dict[str, tuple[tuple[NodeRef, ...], float]] = {}
 
@@ -73,8 +77,8 @@
         candidates = self.fleet.alive(self.region)
         if not self._is_proposer(region, candidates):
             return
-        wanted = self._wanted(region, current, candidates)
         members = current.members if current else ()
+        wanted = await self._wanted(region, members, candidates)
         if not wanted or wanted == members:
             self.wanted.pop(region, None)
             return
@@ -85,24 +89,41 @@
         ranked = preference(region, [ref.node for ref in candidates])
         return ranked[:1] == [self.ref.node]
 
-    def _wanted(
+    async def _wanted(
         self,
         region: str,
-        current: Electorate | None,
+        members: tuple[NodeRef, ...],
         candidates: list[NodeRef],
     ) -> tuple[NodeRef, ...]:
-        members = current.members if current else ()
-        staying = [ref for ref in members if self._stays(ref, candidates)]
+        dropped = await self._dropped(members, candidates)
+        staying = [ref for ref in members if ref not in dropped]
         return pick_members(
             region, staying, candidates, self.settings.max_members
         )
 
-    def _stays(self, ref: NodeRef, candidates: list[NodeRef]) -> bool:
-        if ref in candidates:
-            return True
-        is_departed = self.fleet.roster.departed_at(ref) is not None
-        dead_for_s = self.fleet.dead_for(ref)
-        return not is_departed and dead_for_s < self.settings.remove_after_s
+    async def _dropped(
+        self, members: tuple[NodeRef, ...], candidates: list[NodeRef]
+    ) -> set[NodeRef]:
+        """Return the members that have ended, or been silent for long.
+
+        A silent member that may come back is kept if few others are left: its
+        removal would not let the rest do without one more.
+        """
+        absent = {ref for ref in members if ref not in candidates}
+        ended = {
+            ref
+            for ref in absent
+            if self.fleet.roster.departed_at(ref) is not None
+        }
+        silent = {
+            ref
+            for ref in absent - ended
+            if self.fleet.dead_for(ref) >= self.settings.remove_after_s
+        }
+        if len(members) - len(ended | silent) < self.settings.min_members:
+            return ended
+        others = [ref.node for ref in candidates]
+        return ended | silent - await self.sightings.seen_by(others, silent)
 
     def _is_settled(self, region: str, wanted: tuple[NodeRef, ...]) -> bool:
         seen, since = self.wanted.get(region, ((), now()))
--- a/packages/berylspread/src/berylspread/ownership/log_ownership.py
+++ b/packages/berylspread/src/berylspread/ownership/log_ownership.py
@@ -23,13 +23,12 @@
     ConsentAsk,
     ConsentReply,
     KnownElectorate,
-    SightingAsk,
-    SightingReply,
 )
 from berylspread.ownership.planner import Planner, Units
 from berylspread.ownership.promising import PromiseRider
 from berylspread.ownership.rules import is_eligible
 from berylspread.ownership.settings import OwnershipSettings
+from berylspread.ownership.sightings import Sightings
 from berylspread.ownership.view import LogAppender, LogView
 from berylspread.peers import Peers
 
@@ -93,12 +92,22 @@
         self.rider = PromiseRider(
             ref, self.granter, self.authority, self.holdings, self.fleet
         )
+        sightings = Sightings(
+            ref, peers, self.planner.is_live, settings.ask_timeout_s
+        )
         self.elector = Elector(
-            ref, region, log, appender, self.fleet, self.consents, settings
+            ref,
+            region,
+            log,
+            appender,
+            self.fleet,
+            self.consents,
+            sightings,
+            settings,
         )
         self.claimant = Claimant(
             ref,
-            peers,
+            sightings,
             log,
             appender,
             self.planner,
@@ -170,7 +179,6 @@
         self.log.subscribe(ElectorateChanged, self._on_electorate)
         self.log.on_restore(self._read_all)
         peers.handle(ConsentAsk, self._serve_consent)
-        peers.handle(SightingAsk, self._serve_sighting)
 
     def _on_claim(self, _offset: int, record: Claim | Release) -> None:
         self._read_claim(record.unit)
@@ -233,10 +241,3 @@
     ) -> ConsentReply:
         await self.log.wait_for(body.offset, body.wait_s)
         return self.granter.consent(body)
-
-    async def _serve_sighting(
-        self, _source: NodeRef, body: SightingAsk
-    ) -> SightingReply:
-        return SightingReply(
-            tuple(owner for owner in body.owners if self.planner.is_live(owner))
-        )
--- a/packages/berylspread/src/berylspread/ownership/planner.py
+++ b/packages/berylspread/src/berylspread/ownership/planner.py
@@ -56,12 +56,17 @@
 
     def live_owners(self, region: str) -> dict[str, str]:
         """Return the owners that live, by unit."""
+        claims = [
+            claim
+            for claim in self.log.claims()
+            if unit_region(claim.unit) == region and not claim.released_at
+        ]
+        owners = {claim.owner for claim in claims}
+        live = {owner for owner in owners if self.is_live(owner)}
         return {
             claim.unit: claim.owner.node
-            for claim in self.log.claims()
-            if unit_region(claim.unit) == region
-            and not claim.released_at
-            and self.is_live(claim.owner)
+            for claim in claims
+            if claim.owner in live
         }
 
     def is_live(self, owner: NodeRef) -> bool:
--- a/packages/berylspread/src/berylspread/ownership/policy.py
+++ b/packages/berylspread/src/berylspread/ownership/policy.py
@@ -1,7 +1,6 @@
 """Which node should own which unit."""
 
 import collections
-import math
 from collections.abc import Mapping, Sequence
 
 import xxhash
@@ -22,31 +21,29 @@
 ) -> dict[str, str]:
     """Return the node that should own each unit.
 
-    Units stay where they are.  Those without a live owner go to the most
-    preferred node below the bound; then units move one by one from the node
-    with the most to the one with the least, until they differ by one.
+    Units stay where they are.  Each without a live owner goes to the node that
+    it prefers among those with the fewest units; then units move one by one
+    from the node with the most to the one with the fewest, until these differ
+    by one at most.
     """
     if not nodes:
         return {}
     target = {unit: owners[unit] for unit in units if owners.get(unit) in nodes}
     loads = collections.Counter(target.values())
-    bound = math.ceil(len(units) / len(nodes)) + 1
     for unit in sorted(units):
         if unit not in target:
-            target[unit] = _first_below(unit, nodes, loads, bound)
+            target[unit] = _preferred(unit, nodes, loads)
             loads[target[unit]] += 1
     _balance(target, sorted(nodes), loads)
     return target
 
 
-def _first_below(
-    unit: str,
-    nodes: Sequence[str],
-    loads: collections.Counter[str],
-    bound: int,
+def _preferred(
+    unit: str, nodes: Sequence[str], loads: collections.Counter[str]
 ) -> str:
-    ranked = preference(unit, nodes)
-    return next((node for node in ranked if loads[node] < bound), ranked[0])
+    fewest = min(loads[node] for node in nodes)
+    least_loaded = [node for node in nodes if loads[node] == fewest]
+    return preference(unit, least_loaded)[0]
 
 
 def _balance(
--- a/packages/berylspread/src/berylspread/peers/counters.py
+++ b/packages/berylspread/src/berylspread/peers/counters.py
@@ -13,6 +13,7 @@
         'received_bytes',
         'received_messages',
         'sent_bytes',
+        'sent_frames',
         'sent_messages',
     )
 
@@ -22,6 +23,7 @@
         self.sent_bytes: collections.Counter[str] = collections.Counter()
         self.received_messages: collections.Counter[str] = collections.Counter()
         self.received_bytes: collections.Counter[str] = collections.Counter()
+        self.sent_frames = 0
         self.dropped: collections.Counter[str] = collections.Counter()
 
     def sent(self, type_name: str, size: int) -> None:
--- a/packages/berylspread/src/berylspread/peers/dispatch.py
+++ b/packages/berylspread/src/berylspread/peers/dispatch.py
@@ -67,6 +67,14 @@
             return Internal(f'handler of {name} failed: {error!r}')
         return NO_REPLY if reply is None else reply
 
+    def encode_reply(self, body: WireBody) -> tuple[str, bytes]:
+        """Return a reply's type and bytes; one that has none is a fault."""
+        try:
+            return self.codec.encode(body)
+        except (OverflowError, TypeError, ValueError) as error:
+            logging.exception('reply %s not encoded', type(body).__name__)
+            return self.codec.encode(to_wire(Internal(f'reply: {error}')))
+
     def decode_reply(self, envelope: Envelope) -> Message | Failure:
         """Return the reply in an envelope; a malformed one is ``Internal``."""
         try:
--- a/packages/berylspread/src/berylspread/peers/link.py
+++ b/packages/berylspread/src/berylspread/peers/link.py
@@ -167,7 +167,8 @@
                 logging.INFO, 'stream to %s broke: %r', 10, self.node, error
             )
         except asyncio.CancelledError:
-            if self.call is None or not self.call.cancelled():
+            # The library raises this also for a call that was hung up here.
+            if _is_task_cancelled():
                 raise
         finally:
             self.call = None
@@ -248,6 +249,11 @@
         return self.rng.uniform(ceiling / 2, ceiling)
 
 
+def _is_task_cancelled() -> bool:
+    task = asyncio.current_task()
+    return task is None or task.cancelling() > 0
+
+
 def open_stream(channel: grpc.aio.Channel) -> Callable[..., Any]:
     """Return the generated stub's method, which has no types."""
     stub: Any = PeerStub(channel)
--- a/packages/berylspread/src/berylspread/peers/outbox.py
+++ b/packages/berylspread/src/berylspread/peers/outbox.py
@@ -69,6 +69,7 @@
                 return
             frame = self._next_frame(is_wanted)
             if frame.envelopes:
+                self.counters.sent_frames += 1
                 yield frame
             if self.closed and not self.envelopes:
                 return
--- a/packages/berylspread/src/berylspread/peers/service.py
+++ b/packages/berylspread/src/berylspread/peers/service.py
@@ -102,7 +102,7 @@
     def _reply(self, envelope: Envelope, body: WireBody) -> None:
         if not envelope.id:
             return
-        name, blob = self.dispatcher.codec.encode(body)
+        name, blob = self.dispatcher.encode_reply(body)
         self.outbox.put(
             Envelope(
                 reply_to=envelope.id,
