--- a/packages/berylspread/src/berylspread/limits/free_index.py
+++ b/packages/berylspread/src/berylspread/limits/free_index.py
@@ -16,7 +16,7 @@
 CPU_UNIT_MILLI: Final = 250
 MEMORY_UNIT_MIB: Final = 256
 
-FreeClass = tuple[int, ...]
+FreeClass = tuple[int, int, int, int]
 
 
 def free_class(amount: Resources) -> FreeClass:
@@ -80,18 +80,16 @@
         Workers that turn out too small count towards the limit too, up to half
         of it; then the classes follow that surely have room.
         """
-        need = free_class(shape)
-        sure: list[FreeClass] = []
-        maybe: list[FreeClass] = []
-        for key in self.buckets:
-            if all(map(int.__ge__, key, need)):
-                is_sure = all(map(_surely_fits, key, need))
-                (sure if is_sure else maybe).append(key)
+        sure, maybe = self._matching(free_class(shape))
         found: list[WorkerView] = []
         budget = limit
-        for key in sorted(maybe, key=sum):
+        for key in maybe:
+            if budget <= limit // 2:
+                break
             budget -= self._examine(key, shape, budget - limit // 2, found)
-        for key in sorted(sure, key=sum):
+        for key in sure:
+            if budget <= 0:
+                break
             budget -= self._examine(key, shape, budget, found)
         return found
 
@@ -108,6 +106,19 @@
         self.examined += len(found)
         return found
 
+    def _matching(
+        self, need: FreeClass
+    ) -> tuple[list[FreeClass], list[FreeClass]]:
+        """Return the classes that surely have room and those that may."""
+        sure: list[FreeClass] = []
+        maybe: list[FreeClass] = []
+        for key in self.buckets:
+            if _may_fit(key, need):
+                (sure if _surely_fits(key, need) else maybe).append(key)
+        sure.sort(key=sum)
+        maybe.sort(key=sum)
+        return sure, maybe
+
     def _examine(
         self,
         key: FreeClass,
@@ -115,8 +126,6 @@
         budget: int,
         found: list[WorkerView],
     ) -> int:
-        if budget <= 0:
-            return 0
         bucket = self.buckets[key]
         examined = list(itertools.islice(bucket, budget))
         for worker in examined:
@@ -129,8 +138,19 @@
         return len(examined)
 
 
-def _surely_fits(free: int, need: int) -> bool:
-    return free > need or not need
+def _may_fit(key: FreeClass, need: FreeClass) -> bool:
+    return (
+        key[0] >= need[0]
+        and key[1] >= need[1]
+        and key[2] >= need[2]
+        and key[3] >= need[3]
+    )
+
+
+def _surely_fits(key: FreeClass, need: FreeClass) -> bool:
+    return all(
+        free > asked or not asked for free, asked in zip(key, need, strict=True)
+    )
 
 
 KeyT = TypeVar('KeyT', bound=Hashable)
--- a/packages/berylspread/src/berylspread/limits/workers.py
+++ b/packages/berylspread/src/berylspread/limits/workers.py
@@ -128,7 +128,7 @@
         self.bookings: dict[str, Booking] = {}
         self.by_class: collections.Counter[str] = collections.Counter()
         self.suspicion: float = 0
-        self.index_key: tuple[int, ...] | None = None
+        self.index_key: tuple[int, int, int, int] | None = None
         self.indexed_capacity = ZERO
 
     @property
--- a/packages/berylspread/src/berylspread/placement/context.py
+++ b/packages/berylspread/src/berylspread/placement/context.py
@@ -17,8 +17,9 @@
 class PlacementContext:
     """The time, the teams' shares, and the partition's scale.
 
-    ``largest`` is the most that any worker holds of each dimension and
-    ``bottleneck`` the dimension of which least is free.
+    ``workers`` is the number of workers, ``largest`` the most that any of them
+    holds of each dimension, and ``bottleneck`` the dimension of which least is
+    free.  ``wants_accelerators`` tells whether work for accelerators waits.
     """
 
     __slots__ = (
@@ -28,6 +29,8 @@
         'last_home',
         'now',
         'shares',
+        'wants_accelerators',
+        'workers',
     )
 
     def __init__(self) -> None:
@@ -38,17 +41,22 @@
         self.largest = ZERO
         self.bottleneck = CPU
         self.last_home = ''
+        self.wants_accelerators = False
+        self.workers = 0
 
     def rescale(self, workers: Iterable[WorkerView]) -> None:
         """Derive the largest worker and the bottleneck; once a second."""
         held = ZERO
         free = ZERO
         largest = ZERO
+        count = 0
         for worker in workers:
+            count += 1
             held += worker.capacity
             free += positive(worker.free)
             largest = larger(largest, worker.capacity)
         self.largest = largest
+        self.workers = count
         self.bottleneck = min(
             (name for name in DIMENSIONS if getattr(held, name)),
             key=lambda name: getattr(free, name) / getattr(held, name),
--- a/packages/berylspread/src/berylspread/placement/earmarks.py
+++ b/packages/berylspread/src/berylspread/placement/earmarks.py
@@ -11,9 +11,15 @@
 from berylspread.limits import Booking, WorkerView
 from berylspread.model import Resources
 from berylspread.placement.demand import DemandClass
+from berylspread.placement.pending import PendingClass
 
 EARMARK_TTL_S: Final = 300.0
-MAX_EARMARKS: Final = 64
+#: Time between two tries to keep one more worker.
+EARMARK_EVERY_S: Final = 0.1
+#: One worker in so many may be earmarked, and at least one.
+WORKERS_PER_EARMARK: Final = 16
+#: As much as a gang may need.
+WORKERS_PER_GANG_EARMARK: Final = 2
 
 
 def may_backfill(expected_run_s: float, now: float, due_at: float) -> bool:
@@ -29,13 +35,18 @@
     ``expires_at``, so that a class that has gone holds nothing.
     """
 
-    __slots__ = ('class_id', 'due_at', 'expires_at', 'worker')
+    __slots__ = ('class_id', 'due_at', 'expires_at', 'view', 'worker')
 
     def __init__(
-        self, worker: str, class_id: str, due_at: float, expires_at: float
+        self,
+        view: WorkerView,
+        class_id: str,
+        due_at: float,
+        expires_at: float,
     ) -> None:
         """Keep a worker for a class."""
-        self.worker = worker
+        self.view = view
+        self.worker = view.worker
         self.class_id = class_id
         self.due_at = due_at
         self.expires_at = expires_at
@@ -71,12 +82,14 @@
 class Earmarks:
     """The earmarks of one owner, by worker."""
 
-    __slots__ = ('by_class', 'by_worker')
+    __slots__ = ('by_class', 'by_worker', 'gang', 'next_at')
 
     def __init__(self) -> None:
         """Start empty."""
         self.by_worker: dict[str, Earmark] = {}
         self.by_class: dict[str, set[str]] = {}
+        self.gang: PendingClass | None = None
+        self.next_at: float = 0
 
     def put(self, earmark: Earmark) -> None:
         """Keep a worker for a class; it replaces an older earmark."""
@@ -84,26 +97,55 @@
         self.by_worker[earmark.worker] = earmark
         self.by_class.setdefault(earmark.class_id, set()).add(earmark.worker)
 
+    def may_reserve(
+        self, demand: DemandClass, now: float, of_workers: int
+    ) -> bool:
+        """Return whether one more worker may be kept; asked once a while."""
+        if now < self.next_at:
+            return False
+        self.next_at = now + EARMARK_EVERY_S
+        self.expire(now)
+        part = (
+            WORKERS_PER_EARMARK
+            if demand.gang is None
+            else WORKERS_PER_GANG_EARMARK
+        )
+        return len(self.by_worker) < max(of_workers // part, 1)
+
     def reserve(
         self,
-        demand: DemandClass,
+        pending: PendingClass,
         workers: Iterable[WorkerView],
         now: float,
     ) -> Earmark | None:
-        """Keep the worker that will have room first, if any is left."""
-        self.expire(now)
+        """Keep the worker that will have room first, if any may be kept.
+
+        One gang at a time has earmarks; the oldest takes precedence at every
+        owner, so that no two gangs keep each other from starting.
+        """
+        demand = pending.demand
+        if demand.gang is not None and not self._takes_precedence(pending):
+            return None
         times = [
-            (room_at(worker, demand.shape, now), worker.worker)
+            (room_at(worker, demand.shape, now), worker.worker, worker)
             for worker in workers
             if worker.worker not in self.by_worker
         ]
-        if not times or len(self.by_worker) >= MAX_EARMARKS:
+        if not times:
             return None
-        due_at, chosen = min(times)
-        earmark = Earmark(chosen, demand.class_id, due_at, now + EARMARK_TTL_S)
+        due_at, _, chosen = min(times)
+        expires_at = now + EARMARK_TTL_S
+        earmark = Earmark(chosen, demand.class_id, due_at, expires_at)
         self.put(earmark)
         return earmark
 
+    def workers_of(self, class_id: str) -> list[WorkerView]:
+        """Return the workers that are kept for a class."""
+        return [
+            self.by_worker[worker].view
+            for worker in sorted(self.by_class.get(class_id, ()))
+        ]
+
     def drop(self, worker: str) -> None:
         """End the earmark of a worker."""
         earmark = self.by_worker.pop(worker, None)
@@ -136,3 +178,14 @@
             or earmark.expires_at <= now
             or may_backfill(expected_run_s, now, earmark.due_at)
         )
+
+    def _takes_precedence(self, pending: PendingClass) -> bool:
+        other = self.gang
+        if other is pending:
+            return True
+        if other is not None and other.count > 0:
+            if other.oldest_at <= pending.oldest_at:
+                return False
+            self.drop_class(other.demand.class_id)
+        self.gang = pending
+        return True
--- a/packages/berylspread/src/berylspread/placement/filters/accelerators.py
+++ b/packages/berylspread/src/berylspread/placement/filters/accelerators.py
@@ -14,8 +14,8 @@
 class Accelerators(Filter):
     """Leaves processors and memory for the accelerators that are free.
 
-    Work without accelerators may use a worker's part that its accelerators in
-    use have left over, and at most ``share`` of it while others are free.
+    While work for accelerators waits, other work may use at most ``share`` of
+    the part of a worker that belongs to its free accelerators.
     """
 
     name = 'accelerators'
@@ -34,7 +34,7 @@
     ) -> bool:
         """Keep processors and memory in proportion to free accelerators."""
         held = worker.capacity
-        if not held.accelerators:
+        if not held.accelerators or not context.wants_accelerators:
             return True
         kept: float = (
             (1 - self.share) * worker.free.accelerators / held.accelerators
--- a/packages/berylspread/src/berylspread/placement/gang.py
+++ b/packages/berylspread/src/berylspread/placement/gang.py
@@ -16,6 +16,7 @@
 HOLD_TTL_S: Final = 15.0
 FIRST_RETRY_S: Final = 0.5
 LONGEST_RETRY_S: Final = 15.0
+STARVING_RETRY_S: Final = 1.0
 JITTER: Final = 0.5
 MAX_EARMARKS_PER_GANG: Final = 16
 
@@ -95,9 +96,14 @@
         self.retry_at = now
         self.randomness = randomness
 
-    def failed(self, now: float) -> float:
-        """Count a failed attempt; return the loop time of the next one."""
-        pause_s = min(FIRST_RETRY_S * 2**self.attempts, LONGEST_RETRY_S)
+    def failed(self, now: float, *, starving: bool = False) -> float:
+        """Count a failed attempt; return the loop time of the next one.
+
+        A gang for which workers are kept tries often, so that they are not
+        idle for long.
+        """
+        longest_s = STARVING_RETRY_S if starving else LONGEST_RETRY_S
+        pause_s = min(FIRST_RETRY_S * 2**self.attempts, longest_s)
         self.attempts += 1
         self.retry_at = now + pause_s * (1 - JITTER * self.randomness.random())
         return self.retry_at
--- a/packages/berylspread/src/berylspread/placement/pending.py
+++ b/packages/berylspread/src/berylspread/placement/pending.py
@@ -57,6 +57,7 @@
     """
 
     __slots__ = (
+        'accelerated',
         'classes',
         'heap',
         'ordered_at',
@@ -68,6 +69,8 @@
     def __init__(self) -> None:
         """Start empty."""
         self.classes: dict[str, PendingClass] = {}
+        #: Names of the classes that ask for accelerators.
+        self.accelerated: set[str] = set()
         self.heap: list[tuple[bool, float, int, PendingClass]] = []
         self.parked: list[PendingClass] = []
         self.parked_version = -1
@@ -86,6 +89,8 @@
         elif known is None:
             known = PendingClass(demand, now)
             self.classes[demand.class_id] = known
+            if demand.shape.accelerators:
+                self.accelerated.add(demand.class_id)
             self._push(known, 0)
         else:
             known.replace(demand, now)
@@ -105,6 +110,7 @@
     def remove(self, class_id: str) -> None:
         """Drop a class; the heap forgets it when it is met."""
         pending = self.classes.pop(class_id, None)
+        self.accelerated.discard(class_id)
         if pending is not None:
             pending.count = 0
 
@@ -132,7 +138,7 @@
         if pending.count > 0:
             self._push(pending, key)
         else:
-            self.classes.pop(pending.demand.class_id, None)
+            self.remove(pending.demand.class_id)
 
     def park(self, pending: PendingClass) -> None:
         """Set a class aside until more capacity is free."""
--- a/packages/berylspread/src/berylspread/placement/pipeline.py
+++ b/packages/berylspread/src/berylspread/placement/pipeline.py
@@ -13,7 +13,7 @@
 from berylspread.placement import scorers as scorer_plugins
 from berylspread.placement.context import PlacementContext
 from berylspread.placement.demand import Decision, DemandClass, Rejection
-from berylspread.placement.gang import earmarks_wanted
+from berylspread.placement.gang import earmarks_wanted, fit_count
 from berylspread.placement.kernel import (
     Filter,
     PlacementPlugin,
@@ -130,6 +130,7 @@
         ``None`` means that nothing is left to try now.
         """
         self.context.now = now
+        self.context.wants_accelerators = bool(demands.accelerated)
         if pool.version != demands.parked_version:
             self.scanned = 0
             self.unfit.clear()
@@ -141,7 +142,7 @@
             return None
         outcome = self.place(pending.demand, pool)
         if isinstance(outcome, Rejection):
-            self.scanned += 1
+            self.scanned += pending.demand.gang is None
             pending.reasons = outcome.reasons
             demands.park(pending)
             self._earmark(pending, pool)
@@ -199,6 +200,19 @@
                 admitted.append(worker)
         return admitted, dict(reasons)
 
+    def plan_gang(
+        self, demand: DemandClass, pool: Pool, wanted: int
+    ) -> list[tuple[WorkerView, int]]:
+        """Return which workers to hold for a gang, with tasks for each.
+
+        The workers that are earmarked for it come first.
+        """
+        kept = self.context.earmarks.workers_of(demand.class_id)
+        found = pool.candidates(demand.shape, max(wanted, self.candidates))
+        workers = {view.worker: view for view in (*kept, *found)}
+        admitted, _ = self.screen(demand, workers.values())
+        return fit_count(admitted, demand.shape, wanted)
+
     def victims(
         self, demand: DemandClass, workers: Sequence[WorkerView]
     ) -> list[Booking]:
@@ -210,12 +224,16 @@
         context = self.context
         if pending.waited_s(context.now) < self.starving_s:
             return
+        if not context.earmarks.may_reserve(
+            demand, context.now, context.workers
+        ):
+            return
         kept = context.earmarks.by_class.get(demand.class_id, ())
         if len(kept) >= earmarks_wanted(demand, context.largest):
             return
         sample = pool.sample(demand.shape, self.candidates)
         able, _ = self.screen(demand, sample, skip='fits')
-        context.earmarks.reserve(demand, able, context.now)
+        context.earmarks.reserve(pending, able, context.now)
 
     def _best(
         self, demand: DemandClass, admitted: list[WorkerView]
@@ -227,14 +245,22 @@
         best = admitted[0]
         best_score = float('-inf')
         for worker in admitted:
-            score = sum(
-                weight * scorer.score(demand, worker, context)
-                for weight, scorer in chain
-            )
+            score = self._score(chain, demand, worker)
             if score > best_score:
                 best, best_score = worker, score
         return best, best_score
 
+    def _score(
+        self,
+        chain: list[tuple[float, Scorer]],
+        demand: DemandClass,
+        worker: WorkerView,
+    ) -> float:
+        score = 0.0
+        for weight, scorer in chain:
+            score = score + weight * scorer.score(demand, worker, self.context)
+        return score
+
     def _served(
         self, demands: DemandQueue, pending: PendingClass, decision: Decision
     ) -> None:
