Hold the limit through a handover and a change of the limit

Cause: the random steps found that a slice of a predecessor, lent under a higher allotment, was counted by the lowered one, and that a gift could be made while slices were unknown. Change: what awaited nodes count for is frozen at the takeover, the limit does not rise and nothing is given away until all are known; scenarios for each fault between homes and entry nodes.

--- a/features/limits/quota_machine.py
+++ b/features/limits/quota_machine.py
@@ -52,6 +52,7 @@
         self.ledger = self.new_ledger()
         # Slices lent under a higher limit may be used until then.
         self.lowered_until = 0.0
+        self.lent_under = LIMIT
 
     def borrower(self, name):
         return f'{name}#{self.incarnations[name]}'
@@ -196,6 +197,9 @@
         """The new home knows the tasks from the workers, and no slice."""
         if not succeeds:
             return
+        # The predecessor may have lent under a limit that was lowered since.
+        lowered = self.now < self.lowered_until
+        self.lent_under = LIMIT if lowered else self.limit
         self.ledger = self.new_ledger()
         self.ledger.restore(TEAM, TASK, self.tasks)
         self.ledger.await_slices(TEAM, self.entries, self.now)
@@ -222,5 +226,5 @@
     @invariant()
     def ledger_counts_what_runs(self):
         quota = self.ledger.teams[TEAM]
-        unknown = quota.largest_slice * len(quota.awaited)
+        unknown = self.lent_under * len(quota.awaited)
         assert self.running() <= quota.in_use.slots + unknown
--- /dev/null
+++ b/features/limits/steps/fault_steps.py
@@ -0,0 +1,196 @@
+"""Steps for faults between homes and entry nodes."""
+
+from behave import given, then, when
+
+from berylspread.kernel.errors import StaleEpoch
+from berylspread.limits import CALL_SHAPE, CallAllowance, IdleWatch, QuotaLedger
+from berylspread.model import Resources
+
+TEAM = 'proofs'
+ENTRY = 'e0'
+TTL_S = 10.0
+LONGEST_CALL_S = 60.0
+
+
+def new_home(context, slots):
+    context.home = QuotaLedger(TTL_S, LONGEST_CALL_S)
+    limit(context, slots)
+
+
+def limit(context, slots):
+    context.home.set_allotment(
+        TEAM, Resources(slots=slots), Resources(slots=context.limit)
+    )
+
+
+def ask(context, wanted):
+    """Send a question; return its number and the home's answer."""
+    sequence = context.node.ask(context.now, wanted)
+    answer = lend(context, wanted, sequence)
+    return sequence, answer
+
+
+def lend(context, wanted, sequence):
+    return context.home.lend(
+        ENTRY,
+        TEAM,
+        wanted,
+        context.now,
+        sequence=sequence,
+        holds=context.node.holds(context.now),
+    )
+
+
+def exchange(context, wanted):
+    sequence, answer = ask(context, wanted)
+    assert context.node.answered(sequence, answer.offered, TTL_S)
+
+
+@given('a home with an allotment of {slots:d} call slots')
+def given_home(context, slots):
+    context.now = 0.0
+    context.limit = slots
+    new_home(context, slots)
+    context.node = CallAllowance()
+
+
+@given('an entry node that was lent {count:d} of them')
+def given_slice(context, count):
+    exchange(context, 1)
+    exchange(context, count)
+
+
+@when('its next question for {wanted:d} gets no reply')
+def lose_reply(context, wanted):
+    ask(context, wanted)
+
+
+@when('its next question for {wanted:d} is answered')
+def answer_question(context, wanted):
+    exchange(context, wanted)
+
+
+@when('an older question for {wanted:d} arrives late')
+def deliver_old_question(context, wanted):
+    answer = lend(context, wanted, sequence=1)
+    assert isinstance(answer, StaleEpoch), answer
+
+
+@when('the reply to an older question arrives late')
+def deliver_old_reply(context):
+    assert not context.node.answered(1, 9, TTL_S)
+
+
+@when('it dies, and {elapsed_s:d} s pass')
+def let_die(context, elapsed_s):
+    context.node = CallAllowance()
+    pass_time(context, elapsed_s)
+
+
+@when('it is paused for {elapsed_s:d} s')
+@when('{elapsed_s:d} s pass')
+def pass_time(context, elapsed_s):
+    context.now += elapsed_s
+    context.home.expire_all(context.now)
+
+
+@when('the limit is lowered to {slots:d}')
+@when("the region's part of the limit becomes {slots:d}")
+def lower(context, slots):
+    limit(context, slots)
+
+
+@when('the limit is lowered to {slots:d} and it asks for {wanted:d}')
+def lower_and_ask(context, slots, wanted):
+    limit(context, slots)
+    exchange(context, wanted)
+    exchange(context, wanted)
+
+
+@when('the home is handed over')
+def hand_over(context):
+    new_home(context, context.limit)
+    context.home.await_slices(TEAM, [ENTRY], context.now)
+
+
+@when('{count:d} tasks with a slot are taken')
+def take(context, count):
+    assert context.home.take(TEAM, CALL_SHAPE, count) == count
+
+
+@then('the home counts {count:d} slots in use')
+def check_counted(context, count):
+    found = context.home.teams[TEAM].in_use.slots
+    assert found == count, found
+
+
+@then('the entry node may start {count:d} more calls')
+def check_calls(context, count):
+    started = 0
+    while context.node.acquire(context.now):
+        started += 1
+    assert started == count, started
+
+
+@then('{count:d} tasks with a slot are handed out')
+def check_handed_out(context, count):
+    found = context.home.take(TEAM, CALL_SHAPE, 100)
+    assert found == count, found
+
+
+@then('{count:d} slots are to be preempted')
+def check_excess(context, count):
+    assert context.home.excess(TEAM) == Resources(slots=count)
+
+
+@given('a region that uses {used:d} of its allotment of {slots:d}')
+def given_region(context, used, slots):
+    context.now = 0.0
+    context.used = used
+    context.allotment = slots
+    context.given = 0
+    context.watch = IdleWatch(0)
+    watch(context, 20, 0)
+
+
+def watch(context, seconds, wanted):
+    """Observe the use each second; give what can be given."""
+    fleet = Resources(slots=40)
+    for _ in range(seconds):
+        context.now += 1
+        context.watch.observe(Resources(slots=context.used), context.now)
+        spare = context.watch.spare(
+            Resources(slots=context.allotment),
+            fleet,
+            Resources(slots=max(wanted - context.given, 0)),
+        )
+        context.allotment -= spare.slots
+        context.given += spare.slots
+
+
+@when('another region wants {wanted:d} for {seconds:d} s')
+def want(context, wanted, seconds):
+    watch(context, seconds, wanted)
+
+
+@when(
+    'its use dips to {used:d} for {seconds:d} s and another region wants {n:d}'
+)
+def dip(context, used, seconds, n):
+    context.used = used
+    watch(context, seconds, n)
+
+
+@then('it was given at least {count:d}')
+def check_given(context, count):
+    assert context.given >= count, context.given
+
+
+@then('it was given at most {count:d}')
+def check_not_given(context, count):
+    assert context.given <= count, context.given
+
+
+@then('no amount was given back')
+def check_kept(context):
+    assert context.allotment >= context.used
--- a/packages/berylspread/src/berylspread/limits/quota.py
+++ b/packages/berylspread/src/berylspread/limits/quota.py
@@ -12,7 +12,7 @@
 
 from berylspread.kernel import CLOCK_DRIFT, check
 from berylspread.kernel.errors import StaleEpoch
-from berylspread.limits.vectors import bounded_times, over, within
+from berylspread.limits.vectors import bounded_times, over, smaller, within
 from berylspread.model import ZERO, Resources
 
 #: What one interactive call counts against its team's limit.
@@ -49,12 +49,15 @@
     a limited dimension gives nothing.  ``outgoing`` is the part that is being
     given to another region: it is out of use already.  ``awaited`` are the
     entry nodes whose slices from a predecessor are not known yet: each counts
-    as a largest slice, which is ``max_slice_share`` of the allotment.
+    as a largest slice, which is ``max_slice_share`` of the allotment, as of
+    the takeover.  Until all are known the limit may fall and does not rise.
     """
 
     __slots__ = (
         'allotment',
         'awaited',
+        'awaited_limit',
+        'awaited_slice',
         'awaited_until',
         'fleet_limit',
         'lent',
@@ -73,6 +76,8 @@
         self.lent = 0
         self.awaited: set[str] = set()
         self.awaited_until: float = 0
+        self.awaited_limit = ZERO
+        self.awaited_slice = 0
         self.max_slice_share: float = 1
         self.slices: dict[str, Slice] = {}
 
@@ -88,10 +93,16 @@
 
     def room(self, shape: Resources) -> int | None:
         """Return how many more of a shape fit; ``None`` if unlimited."""
-        unknown = CALL_SHAPE * (self.largest_slice * len(self.awaited))
-        return bounded_times(
-            shape, self.in_use + unknown, self.limit, self.fleet_limit
-        )
+        limit = self.limit
+        if self.awaited:
+            limit = smaller(limit, self.awaited_limit)
+        return bounded_times(shape, self.counted, limit, self.fleet_limit)
+
+    @property
+    def counted(self) -> Resources:
+        """Return what may be in use, with slices that are not known yet."""
+        unknown = self.awaited_slice * len(self.awaited)
+        return self.in_use + CALL_SHAPE * unknown
 
     @property
     def largest_slice(self) -> int:
@@ -234,6 +245,8 @@
         """
         quota = self.teams.setdefault(team, TeamQuota())
         quota.awaited = set(entries)
+        quota.awaited_limit = quota.limit
+        quota.awaited_slice = quota.largest_slice
         quota.awaited_until = now + self.lapse_s
 
     def told(
@@ -257,7 +270,7 @@
         quota = self.teams.get(team)
         if quota is None or quota.outgoing != ZERO:
             return False
-        left = quota.allotment - quota.in_use - amount
+        left = quota.allotment - quota.counted - amount
         asked = amount.is_non_negative() and amount != ZERO
         mask = quota.fleet_limit
         if not asked or not within(ZERO, left, mask, amount):
--- a/packages/berylspread/src/berylspread/placement/pipeline.py
+++ b/packages/berylspread/src/berylspread/placement/pipeline.py
@@ -240,7 +240,6 @@
     ) -> tuple[WorkerView, float]:
         if len(admitted) == 1:
             return admitted[0], 0
-        context = self.context
         chain = [pair for pair in self.scorers if pair[1].applies(demand)]
         best = admitted[0]
         best_score = float('-inf')
