--- a/features/limits/quota_machine.py
+++ b/features/limits/quota_machine.py
@@ -51,7 +51,6 @@
         self.entries = {self.borrower(name): Entry() for name in ENTRIES}
         self.ledger = self.new_ledger()
         # Slices lent under a higher limit may be used until then.
-        self.reduced_until = 0
         self.lowered_until = 0.0
 
     def borrower(self, name):
@@ -168,7 +167,6 @@
     def change_limit(self, limit):
         if limit < self.limit:
             self.lowered_until = self.now + self.ledger.lapse_s
-            self.reduced_until = self.lowered_until
         self.limit = limit
         self.ledger.set_allotment(
             TEAM, Resources(slots=limit), Resources(slots=LIMIT)
@@ -187,7 +185,6 @@
         )
         self.tasks = self.used()
         if lands:
-            self.reduced_until = self.now + self.ledger.lapse_s
             self.limit -= amount
             self.ledger.set_allotment(
                 TEAM, Resources(slots=self.limit), Resources(slots=LIMIT)
@@ -199,13 +196,12 @@
         """The new home knows the tasks from the workers, and no slice."""
         if not succeeds:
             return
+        # The predecessor may have lent under a limit that was lowered since.
+        lowered = self.now < self.lowered_until
         self.ledger = self.new_ledger()
         self.ledger.restore(TEAM, TASK, self.tasks)
         self.ledger.await_slices(
-            TEAM,
-            self.entries,
-            self.now,
-            is_lowered=self.now < self.reduced_until,
+            TEAM, self.entries, self.now, is_lowered=lowered
         )
 
     def in_use(self):
@@ -229,5 +225,4 @@
 
     @invariant()
     def ledger_counts_what_runs(self):
-        quota = self.ledger.teams[TEAM]
-        assert self.running() <= quota.may_be_used.slots
+        assert self.running() <= self.ledger.teams[TEAM].counted.slots
--- a/features/membership/steps/membership_steps.py
+++ b/features/membership/steps/membership_steps.py
@@ -40,7 +40,9 @@
     given_slow_peer(context, 1.0, duration)
 
 
-@given('a peer that answers every {interval:g} seconds for {duration:g} seconds')
+@given(
+    'a peer that answers every {interval:g} seconds for {duration:g} seconds'
+)
 def given_slow_peer(context, interval, duration):
     context.now = 0.0
     context.states = set()
