--- a/packages/berylspread/src/berylspread/config/text.py
+++ b/packages/berylspread/src/berylspread/config/text.py
@@ -1,11 +1,14 @@
 """The INI text of a document, before its options are read."""
 
 import configparser
+import functools
 from collections.abc import Iterator, Mapping
-from typing import final
+from typing import Final, final
 
 from berylspread.kernel.errors import InvalidInput
 
+CACHED_TEXTS: Final = 2
+
 
 @final
 class RawSection:
@@ -39,11 +42,8 @@
 
 def parse_text(source: str, text: str) -> RawDocument | InvalidInput:
     """Split INI text into sections, or return what is wrong with its syntax."""
-    parser = configparser.ConfigParser(
-        interpolation=None, default_section='', inline_comment_prefixes=(';',)
-    )
     try:
-        parser.read_string(text, source)
+        return RawDocument(source, _sections(text))
     except configparser.Error as error:
         line = getattr(error, 'lineno', None)
         return InvalidInput(
@@ -51,8 +51,17 @@
             source=source,
             line=line,
         )
-    sections = [
+
+
+# Several readers of one document follow each other: the fold, the lookups and
+# the checks.
+@functools.lru_cache(maxsize=CACHED_TEXTS)
+def _sections(text: str) -> list[RawSection]:
+    parser = configparser.ConfigParser(
+        interpolation=None, default_section='', inline_comment_prefixes=(';',)
+    )
+    parser.read_string(text, 'document')
+    return [
         RawSection(header, dict(parser.items(header)))
         for header in parser.sections()
     ]
-    return RawDocument(source, sections)
--- a/packages/berylspread/src/berylspread/kernel/options.py
+++ b/packages/berylspread/src/berylspread/kernel/options.py
@@ -145,18 +145,29 @@
     @classmethod
     def options(cls) -> dict[str, Option[Any]]:
         """Return the options by key, those of base classes first."""
-        found: dict[str, Option[Any]] = {}
-        for base in reversed(cls.__mro__):
-            found.update(
-                {
-                    option.key: option
-                    for option in vars(base).values()
-                    if isinstance(option, Option)
-                }
-            )
+        found = _tables.get(cls)
+        if found is None:
+            found = _options(cls)
+            _tables[cls] = found
         return found
 
 
+_tables: Final[dict[type[Section], dict[str, Option[Any]]]] = {}
+
+
+def _options(cls: type[Section]) -> dict[str, Option[Any]]:
+    found: dict[str, Option[Any]] = {}
+    for base in reversed(cls.__mro__):
+        found.update(
+            {
+                option.key: option
+                for option in vars(base).values()
+                if isinstance(option, Option)
+            }
+        )
+    return found
+
+
 @final
 class Place:
     """Where a text stands: the file or document, and the section's header."""
--- a/packages/berylspread/src/berylspread/log/folds/allotments.py
+++ b/packages/berylspread/src/berylspread/log/folds/allotments.py
@@ -144,6 +144,8 @@
 ) -> TeamAllotment:
     """Bring a team's parts to a limit; share out a removed region's part."""
     known = team.regions if team else {}
+    if team and team.limit == limit and known.keys() == weights.keys():
+        return team
     columns = (
         _column(name, known, getattr(limit, name), weights)
         for name in DIMENSIONS
