Take the state from a neighbour at the start and after a gap

Change: nodes serve their state in compressed parts; a remote region asks its neighbours first, the store's region after the log. A node that starts on a log of 2000 records reads at most 500 bytes from the store. Conclusion: the reader's interface to its source has one method more.

--- a/features/log/relay.feature
+++ b/features/log/relay.feature
@@ -43,3 +43,25 @@
   Scenario: Peers carry the log byte for byte
     When 5 records are logged every second for 20 s
     Then the entries that each node took in are the log's
+
+  Scenario: A node that starts takes its state from a neighbour
+    When 2000 records are logged with a snapshot in the middle
+    And node 3 starts again
+    Then every node's state equals the log's
+    And node 3 read at most 500 bytes from the store
+
+  Scenario: The neighbour dies while it sends its state
+    When 2000 records are logged with a snapshot in the middle
+    And node 3 starts again and loses its first neighbour at once
+    Then every node's state equals the log's
+
+  Scenario: Records are gone that no snapshot in the log covers
+    When 5 records are logged every second for 20 s
+    And node 3 is away while 200 records are logged and all but 20 age out
+    Then every node's state equals the log's
+    And node 3 read at most 500 bytes from the store
+
+  Scenario: All nodes start at one time on a long log
+    When 2000 records are logged with a snapshot in the middle
+    And every node starts again
+    Then every node's state equals the log's
--- a/packages/berylspread/src/berylspread/log/__init__.py
+++ b/packages/berylspread/src/berylspread/log/__init__.py
@@ -5,6 +5,7 @@
     Appender,
     AppenderSettings,
 )
+from berylspread.log.fetched import Fetched
 from berylspread.log.interface import Entry, LogStore, Page
 from berylspread.log.publisher import (
     PublisherSettings,
@@ -38,7 +39,7 @@
     RelaySettings,
     RelaySource,
 )
-from berylspread.log.source import Fetched, LogSource, StoreSource
+from berylspread.log.source import LogSource, StoreSource
 from berylspread.log.state import (
     ClusterState,
     StateWire,
--- /dev/null
+++ b/packages/berylspread/src/berylspread/log/neighbours.py
@@ -0,0 +1,143 @@
+"""The state from a neighbour, for a node that starts or has missed records.
+
+It spares the link between the regions a snapshot and the tail behind it, and it
+helps where records are gone that no snapshot in the log covers.
+"""
+
+import asyncio
+from collections.abc import Iterable
+from typing import Final, final
+
+from absl import logging
+
+from berylspread.kernel.clock import now
+from berylspread.kernel.errors import EXIT_UNAVAILABLE, Failure, failure
+from berylspread.log.records import SnapshotPart
+from berylspread.log.snapshot import (
+    SnapshotAssembler,
+    compress_state,
+    split_snapshot,
+)
+from berylspread.log.state import ClusterState, StateWire
+from berylspread.model import NodeRef
+from berylspread.peers import Message, Peers, message
+
+#: Seconds for which a snapshot is served to further neighbours.
+KEPT_S: Final = 30.0
+PART_TIMEOUT_S: Final = 2.0
+MAX_ASKED: Final = 3
+
+
+@failure
+class NoState(Failure):
+    """The node has no state that is later than what was asked for."""
+
+    name = 'no-state'
+    http_status = 503
+    exit_code = EXIT_UNAVAILABLE
+
+
+@message
+class StateAsk(Message, frozen=True, tag=True):
+    """Asks for one part of a node's state.
+
+    ``snapshot_id`` is empty for the first part of any snapshot after a later
+    entry than ``ahead_of``.
+    """
+
+    snapshot_id: str
+    part: int
+    ahead_of: int
+
+
+@message
+class StatePart(Message, frozen=True, tag=True):
+    """One part of a node's state."""
+
+    part: SnapshotPart
+
+
+@final
+class StateService:
+    """Serves this node's state to its neighbours, in parts."""
+
+    __slots__ = ('made_at', 'parts', 'served_bytes', 'state')
+
+    def __init__(self, state: ClusterState, peers: Peers) -> None:
+        """Serve the state as it is when a neighbour asks for it."""
+        self.state = state
+        self.parts: list[SnapshotPart] = []
+        self.made_at = float('-inf')
+        self.served_bytes = 0
+        peers.handle(StateAsk, self.serve)
+
+    async def serve(
+        self, sender: NodeRef, ask: StateAsk
+    ) -> StatePart | Failure:
+        """Answer with one part, of a new snapshot if need be."""
+        if not ask.snapshot_id and not self._has(ask.ahead_of):
+            await self._make(sender)
+        known = self.parts[0].snapshot_id if self.parts else ''
+        is_asked = ask.snapshot_id in {'', known} and self._has(ask.ahead_of)
+        if not is_asked or not 0 <= ask.part < len(self.parts):
+            return NoState('no such part', offset=self.state.offset)
+        part = self.parts[ask.part]
+        self.served_bytes += len(part.blob)
+        return StatePart(part)
+
+    def _has(self, ahead_of: int) -> bool:
+        is_recent = now() - self.made_at <= KEPT_S
+        return is_recent and self.parts[0].covers > ahead_of
+
+    async def _make(self, sender: NodeRef) -> None:
+        wire = self.state.to_wire()
+        blob = await asyncio.to_thread(compress_state, wire)
+        snapshot_id = f'{sender.node}:{wire.offset}:{now()}'
+        self.parts = list(split_snapshot(snapshot_id, wire.offset, blob))
+        self.made_at = now()
+
+
+@final
+class NeighbourStates:
+    """Fetches the state of a neighbour."""
+
+    __slots__ = ('fetched_bytes', 'peers')
+
+    def __init__(self, peers: Peers) -> None:
+        """Take the streams to the neighbours."""
+        self.peers = peers
+        self.fetched_bytes = 0
+
+    async def fetch(
+        self, nodes: Iterable[str], ahead_of: int
+    ) -> StateWire | NoState:
+        """Return the first state after a later entry than ``ahead_of``."""
+        for node in list(nodes)[:MAX_ASKED]:
+            wire = await self._fetch_from(node, ahead_of)
+            if isinstance(wire, StateWire) and wire.offset > ahead_of:
+                return wire
+            logging.info('no state from %s: %r', node, wire)
+        return NoState('no neighbour has a later state', ahead_of=ahead_of)
+
+    async def _fetch_from(
+        self, node: str, ahead_of: int
+    ) -> StateWire | Failure:
+        assembler = SnapshotAssembler()
+        number, snapshot_id = 0, ''
+        while True:
+            answer = await self.peers.ask(
+                node,
+                StateAsk(snapshot_id, number, ahead_of),
+                StatePart,
+                timeout_s=PART_TIMEOUT_S,
+            )
+            if isinstance(answer, Failure):
+                return answer
+            part = answer.part
+            self.fetched_bytes += len(part.blob)
+            wire = assembler.add(part)
+            if wire is not None:
+                return wire
+            number, snapshot_id = part.part + 1, part.snapshot_id
+            if number >= part.parts:
+                return NoState('the parts make no state', node=node)
--- a/packages/berylspread/src/berylspread/log/reader.py
+++ b/packages/berylspread/src/berylspread/log/reader.py
@@ -12,9 +12,9 @@
 
 from berylspread.kernel.clock import now
 from berylspread.kernel.errors import Failure, LogGap, LogUnavailable
+from berylspread.log.fetched import Fetched, page_bytes
 from berylspread.log.interface import Entry, Page
-from berylspread.log.recovery import SnapshotSearch
-from berylspread.log.source import Fetched, LogSource, page_bytes
+from berylspread.log.source import LogSource
 from berylspread.log.state import ClusterState
 
 EntryListener = Callable[[Entry], None]
@@ -199,7 +199,7 @@
 
     async def _recover(self) -> bool:
         """Install the newest snapshot, if it is ahead of the state."""
-        wire = await SnapshotSearch(self.source).newest()
+        wire = await self.source.snapshot(self.state.offset)
         if isinstance(wire, Failure):
             self._fail(wire)
             return False
--- a/packages/berylspread/src/berylspread/log/recovery.py
+++ b/packages/berylspread/src/berylspread/log/recovery.py
@@ -6,10 +6,10 @@
 from absl import logging
 
 from berylspread.kernel.errors import Failure, LogGap
+from berylspread.log.fetched import Fetched, PageSource
 from berylspread.log.interface import Entry
 from berylspread.log.records import SnapshotPart, decode_batch
 from berylspread.log.snapshot import SnapshotAssembler
-from berylspread.log.source import Fetched, LogSource
 from berylspread.log.state import StateWire
 
 #: Entries that one step of the search back from the end reads.
@@ -27,7 +27,7 @@
 
     __slots__ = ('assembler', 'source')
 
-    def __init__(self, source: LogSource) -> None:
+    def __init__(self, source: PageSource) -> None:
         """Take the source to read from."""
         self.source = source
         self.assembler = SnapshotAssembler()
--- a/packages/berylspread/src/berylspread/log/relay.py
+++ b/packages/berylspread/src/berylspread/log/relay.py
@@ -5,6 +5,7 @@
 the rendezvous order of the region's live nodes, so nobody has to be elected.
 """
 
+import asyncio
 import collections
 from collections.abc import Callable
 from typing import Final, final
@@ -12,11 +13,19 @@
 import msgspec
 
 from berylspread.kernel.clock import CLOCK_DRIFT, now
-from berylspread.kernel.errors import EXIT_UNAVAILABLE, Failure, failure
+from berylspread.kernel.errors import (
+    EXIT_UNAVAILABLE,
+    Failure,
+    LogGap,
+    failure,
+)
+from berylspread.log.fetched import Fetched, page_bytes
 from berylspread.log.interface import Entry, Page
+from berylspread.log.neighbours import NeighbourStates, StateService
 from berylspread.log.reader import LogReader
 from berylspread.log.rendezvous import rendezvous
-from berylspread.log.source import Fetched, StoreSource, page_bytes
+from berylspread.log.source import StoreSource
+from berylspread.log.state import StateWire
 from berylspread.membership import Liveness, Membership
 from berylspread.model import NodeRef
 from berylspread.peers import Message, Peers, message
@@ -25,6 +34,7 @@
 #: Longest wait of a relay for a new entry.
 MAX_WAIT_S: Final = 5.0
 MAX_ENTRIES: Final = 512
+NEIGHBOURS_CHECK_S: Final = 0.1
 
 
 @failure
@@ -68,7 +78,7 @@
 
     A node reads from the store itself after ``fallback_s`` without a relayed
     page that is younger than ``max_age_s``, and asks a relay that failed again
-    after ``avoid_s``.
+    after ``avoid_s``.  A starting node waits ``neighbours_s`` for neighbours.
     """
 
     buffer_bytes: int = 1024 * 1024
@@ -76,6 +86,7 @@
     max_age_s: float = 3.0
     avoid_s: float = 5.0
     answer_s: float = 1.0
+    neighbours_s: float = 2.0
 
 
 @final
@@ -89,6 +100,7 @@
         'reader',
         'served_bytes',
         'settings',
+        'states',
     )
 
     def __init__(
@@ -107,6 +119,7 @@
         self.served_bytes = 0
         reader.on_entry(self._keep)
         reader.state.on_restore(self._clear)
+        self.states = StateService(reader.state, peers)
         peers.handle(RelayAsk, self.serve)
 
     async def serve(
@@ -155,6 +168,7 @@
     __slots__ = (
         'avoided',
         'membership',
+        'neighbours',
         'node',
         'peers',
         'region',
@@ -180,6 +194,7 @@
         self.node = node
         self.region = region
         self.settings = settings or RelaySettings()
+        self.neighbours = NeighbourStates(peers)
         self.avoided: dict[str, float] = {}
         self.relayed_at = float('-inf')
         self.relayed_bytes = 0
@@ -227,6 +242,40 @@
             return page
         return NotRelayed('the relay is not current', expired=False)
 
+    async def snapshot(self, ahead_of: int) -> StateWire | Failure:
+        """Return a neighbour's state, or the newest snapshot in the log.
+
+        In the store's own region the log is asked first.
+        """
+        if not self.region:
+            found = await self.store.snapshot(ahead_of)
+            if not isinstance(found, LogGap) and _is_ahead(found, ahead_of):
+                return found
+            near = await self.neighbours.fetch(self._neighbours(), ahead_of)
+            return near if isinstance(near, StateWire) else found
+        await self._until_neighbours()
+        near = await self.neighbours.fetch(self._neighbours(), ahead_of)
+        if isinstance(near, StateWire):
+            return near
+        return await self.store.snapshot(ahead_of)
+
+    async def _until_neighbours(self) -> None:
+        """Give the membership of a starting node time to hear of others."""
+        until = now() + self.settings.neighbours_s
+        while not self._neighbours() and now() < until:
+            await asyncio.sleep(NEIGHBOURS_CHECK_S)
+
+    def _neighbours(self) -> list[str]:
+        """Return the live nodes, those of this region first."""
+        alive = [
+            member
+            for member in self.membership.members()
+            if member.liveness is Liveness.alive and member.node != self.node
+        ]
+        near = [m.node for m in alive if m.region == self.region]
+        far = [m.node for m in alive if m.region != self.region]
+        return [*rendezvous(self.node, near), *rendezvous(self.node, far)]
+
     def _relayed(self, page: RelayPage) -> Fetched:
         self.relayed_at = now()
         found = Page(page.first, page.end, page.entries)
@@ -235,3 +284,10 @@
 
     def _has_fallen_back(self) -> bool:
         return now() - self.relayed_at > self.settings.fallback_s
+
+
+def _is_ahead(found: StateWire | Failure, ahead_of: int) -> bool:
+    """Return whether a snapshot helps, or nothing needs to."""
+    if isinstance(found, Failure):
+        return True
+    return found.offset > ahead_of or ahead_of == 0
--- a/packages/berylspread/src/berylspread/log/source.py
+++ b/packages/berylspread/src/berylspread/log/source.py
@@ -1,31 +1,23 @@
-"""Where a reader gets pages of the log from."""
+"""Where a reader gets the log from."""
 
 from typing import Protocol, final
 
-import msgspec
-
 from berylspread.kernel.errors import Failure, LogGap
-from berylspread.log.interface import LogStore, Page
-
-
-@final
-class Fetched(msgspec.Struct, frozen=True):
-    """A page, and how old it was when it was asked for, in seconds.
-
-    The age is negative if the page was certainly complete at a later time.
-    """
-
-    page: Page
-    age_s: float = 0.0
+from berylspread.log.fetched import Fetched, PageSource, page_bytes
+from berylspread.log.interface import LogStore
+from berylspread.log.recovery import SnapshotSearch
+from berylspread.log.state import StateWire
 
 
-class LogSource(Protocol):
+class LogSource(PageSource, Protocol):
     """The store, or a node that relays what it reads from the store."""
 
-    async def fetch(
-        self, offset: int, *, limit: int, wait_s: float
-    ) -> Fetched | Failure:
-        """Return entries from ``offset`` on; wait up to ``wait_s`` for one."""
+    async def snapshot(self, ahead_of: int) -> StateWire | Failure:
+        """Return a snapshot after a later entry than ``ahead_of``, if any.
+
+        Returns the empty state if the log can be read from its beginning, and
+        ``LogGap`` if it can't and nobody has a snapshot.
+        """
 
 
 @final
@@ -59,7 +51,6 @@
         self.read_bytes += page_bytes(page)
         return Fetched(page)
 
-
-def page_bytes(page: Page) -> int:
-    """Return the bytes of a page's entries."""
-    return sum(len(entry.blob) for entry in page.entries)
+    async def snapshot(self, ahead_of: int) -> StateWire | Failure:
+        """Return the newest complete snapshot in the log."""
+        return await SnapshotSearch(self).newest()
