--- a/packages/berylspread-cli/src/berylspread_cli/main.py
+++ b/packages/berylspread-cli/src/berylspread_cli/main.py
@@ -10,6 +10,7 @@
 from typing import Final
 
 import fire
+import httpx
 
 from berylspread_cli.client import Client
 from berylspread_cli.commands import (
@@ -26,6 +27,7 @@
 KEY: Final = 'BERYLSPREAD_KEY'
 DEFAULT_ADDRESS: Final = '127.0.0.1:8080'
 TIMEOUT_S: Final = 30.0
+HELP: Final = frozenset(('-h', '--help'))
 
 
 class Commands:
@@ -143,11 +145,20 @@
         show(found, as_json=json)
 
 
-def main(arguments: Sequence[str] | None = None) -> None:
+def main(
+    arguments: Sequence[str] | None = None,
+    transport: httpx.BaseTransport | None = None,
+) -> None:
     """Run the command line; the process's own by default."""
     given, rest = _parser().parse_known_args(arguments)
-    client = Client(given.address, given.key, given.timeout_s)
-    fire.Fire(Commands(client), command=rest, name='berylspread')
+    client = Client(given.address, given.key, given.timeout_s, transport)
+    fire.Fire(Commands(client), command=_asked(rest), name='berylspread')
+
+
+def _asked(arguments: list[str]) -> list[str]:
+    """Ask for help in the form that Fire does not take for an error."""
+    kept = [argument for argument in arguments if argument not in HELP]
+    return arguments if kept == arguments else [*kept, '--', '--help']
 
 
 def _parser() -> argparse.ArgumentParser:
