--- a/packages/berylspread/src/berylspread/log/relay.py
+++ b/packages/berylspread/src/berylspread/log/relay.py
@@ -261,8 +261,10 @@
 
     async def _until_neighbours(self) -> None:
         """Give the membership of a starting node time to hear of others."""
-        until = now() + self.settings.neighbours_s
-        while not self._neighbours() and now() < until:
+        checks = int(self.settings.neighbours_s / NEIGHBOURS_CHECK_S)
+        for _ in range(checks):
+            if self._neighbours():
+                return
             await asyncio.sleep(NEIGHBOURS_CHECK_S)
 
     def _neighbours(self) -> list[str]:
