Leave out options without effect; refuse changes nobody can follow

Cause: ten options of the document were read by nothing, which misleads whoever sets them. Another number of shards gave a team two homes in a region that both grant its limit, and a shorter lease let a new owner start a task again before the lease that the former owner renewed had lapsed. Change: heartbeats, promises, key trust, retention, drain, budgets, link speed and max_waiting are no options of the document; apply refuses another number of shards and a shorter lease in production. An example of the evaluation that rested on max_waiting is replaced by one on a queue's team.

--- a/features/config/operations.feature
+++ b/features/config/operations.feature
@@ -33,6 +33,16 @@
     When "budi" lowers the limit of "proofs" to 100 tasks while 120 run
     Then "budi" has InvalidDocument and the log is as long as before
 
+  Scenario Outline: A change that a running system can't follow
+    When "budi" applies a document with <option> = <value> in [<section>]
+    Then "budi" has <result>
+
+    Examples:
+      | section | option  | value | result                                       |
+      | limits  | shards  | 5     | InvalidDocument that allows 4                |
+      | timing  | lease_s | 14    | InvalidDocument that allows at least 15      |
+      | timing  | lease_s | 16    | the next version                             |
+
   Scenario: Trial, then production
     When "budi" applies a trial document and promotes it
     Then production has the trial document's options under its own name
@@ -63,5 +73,9 @@
       | 10   | team proofs   | share       | 40    | share of proofs 0.28 to 0.14                 |
       | 10   | queue proof   | team        | quotes | proof refuses proofs: the queue belongs to another team |
       | 10   | team proofs   | limit_cpu   | 1     | proof refuses proofs: one task exceeds the limit in cpu_milli |
-      | 3000 | queue proof   | max_waiting | 3000  | proof takes proofs again                     |
       | 10   | queue proof   | cpu         | 2     | nothing                                      |
+
+  Scenario: A trial document that lets a team in
+    Given recorded demand of 10 tasks of "quotes" on "proof"
+    When the trial document has team = quotes in [queue proof]
+    Then the evaluation says proof takes quotes again
--- a/features/config/steps/operation_steps.py
+++ b/features/config/steps/operation_steps.py
@@ -243,6 +243,31 @@
     assert desk.world.service.end == desk.length
 
 
+@when('"{operator}" applies a document with {option} = {value} in [{section}]')
+def step_edit(
+    context: Context, operator: str, option: str, value: str, section: str
+):
+    async def happen(desk: Desk):
+        text = desk.text(edit=(section, option, value))
+        await desk.apply(operator, 1, text)
+
+    play(context, happen)
+
+
+@then('"{operator}" has InvalidDocument that allows {allowed}')
+def step_allows(context: Context, operator: str, allowed: str):
+    step_refused(context, operator)
+    told = context.desk.told[operator]
+    assert told.fields['errors'][0]['allowed'] == allowed, told
+
+
+@then('"{operator}" has the next version')
+def step_next(context: Context, operator: str):
+    told = context.desk.told[operator]
+    assert isinstance(told, Version), told
+    assert told.base == 1
+
+
 @when('"{operator}" applies a trial document and promotes it')
 def step_promote(context: Context, operator: str):
     async def happen(desk: Desk):
@@ -326,7 +351,7 @@
 @given('recorded demand of {peak:d} tasks of "{team}" on "{queue}"')
 def step_demand(context: Context, peak: int, team: str, queue: str):
     shape = Resources(2000, 4096, 0, 1)
-    context.demand = [Demand(team, queue, shape, peak, 10 * peak, peak)]
+    context.demand = [Demand(team, queue, shape, peak, 10 * peak)]
 
 
 @when('the trial document has {option} = {value} in [{section}]')
--- a/packages/berylspread/src/berylspread/config/__init__.py
+++ b/packages/berylspread/src/berylspread/config/__init__.py
@@ -6,6 +6,7 @@
 
 from berylspread.config.checks import (
     DocumentWarning,
+    check_change,
     check_usage,
     document_check,
     parse_document,
@@ -46,6 +47,7 @@
     'TimingSection',
     'WorkerClassSection',
     'ZoneSection',
+    'check_change',
     'check_usage',
     'diff',
     'document_check',
--- a/packages/berylspread/src/berylspread/config/checks.py
+++ b/packages/berylspread/src/berylspread/config/checks.py
@@ -156,6 +156,39 @@
     return errors
 
 
+def check_change(before: Document, after: Document) -> list[InvalidInput]:
+    """Return an error for each change that a running system can't follow.
+
+    Another number of shards would give a team two homes that both grant its
+    limit.  A shorter lease would let a new owner start a task again before the
+    lease that the former one renewed has lapsed.
+    """
+    errors = []
+    shards = before.limits.shards
+    if after.limits.shards != shards:
+        errors.append(
+            _error(
+                after,
+                'limits',
+                'shards',
+                'the number of shards is fixed by the first document',
+                allowed=str(shards),
+            )
+        )
+    lease_s = before.timing.lease_s
+    if after.timing.lease_s < lease_s:
+        errors.append(
+            _error(
+                after,
+                'timing',
+                'lease_s',
+                'leases can only become longer',
+                allowed=f'at least {lease_s:g}',
+            )
+        )
+    return errors
+
+
 def warnings(document: Document) -> list[DocumentWarning]:
     """Return what is allowed and looks wrong."""
     classes = [
--- a/packages/berylspread/src/berylspread/config/evaluation.py
+++ b/packages/berylspread/src/berylspread/config/evaluation.py
@@ -6,7 +6,7 @@
 import msgspec
 
 from berylspread.config.document import Document
-from berylspread.config.sections import QueueSection, WorkerClassSection
+from berylspread.config.sections import WorkerClassSection
 from berylspread.model import DIMENSIONS, Resources
 
 
@@ -15,8 +15,7 @@
     """Recorded demand of one team on one queue.
 
     ``shape`` is what one task or call takes, ``peak`` how many ran or waited at
-    one time, ``submitted`` how many came, and ``waiting`` how many of the peak
-    only waited.  ``team`` is empty for callers
+    one time, and ``submitted`` how many came.  ``team`` is empty for callers
     without a key.
     """
 
@@ -25,7 +24,6 @@
     shape: Resources
     peak: int
     submitted: int
-    waiting: int = 0
 
 
 @final
@@ -101,7 +99,7 @@
         return 'the queue belongs to another team'
     if not queue.open and demand.team not in document.teams:
         return 'the team does not exist'
-    return _unplaceable(document, demand) or _waiting(queue, demand)
+    return _unplaceable(document, demand)
 
 
 def _admission(
@@ -127,12 +125,6 @@
     return ''
 
 
-def _waiting(queue: QueueSection, demand: Demand) -> str:
-    if demand.waiting > queue.max_waiting:
-        return 'more than max_waiting at one time'
-    return ''
-
-
 def _share(before: Document, after: Document, team: str) -> ShareChange:
     return ShareChange(
         team, before.entitled_share(team), after.entitled_share(team)
--- a/packages/berylspread/src/berylspread/config/operations.py
+++ b/packages/berylspread/src/berylspread/config/operations.py
@@ -6,8 +6,8 @@
 
 import msgspec
 
-from berylspread.config.checks import check_usage, parse_document
-from berylspread.config.document import InvalidDocument
+from berylspread.config.checks import check_change, check_usage, parse_document
+from berylspread.config.document import Document, InvalidDocument
 from berylspread.config.environments import PRODUCTION, TRIAL
 from berylspread.config.keys import NewKey, make_key
 from berylspread.config.vouching import KeyGuard
@@ -77,7 +77,9 @@
         the version in force and its author.  ``used`` is what each team runs;
         a limit below it is an error.
         """
-        problem = check_submission(submission, used or {})
+        problem = check_submission(
+            submission, used or {}, self._before(submission.environment)
+        )
         if problem is not None:
             return problem
         lost = _conflict(self.reader.state, submission)
@@ -116,6 +118,11 @@
             Submission(PRODUCTION, base, text, author, note)
         )
 
+    def _before(self, environment: str) -> Document | None:
+        state = self.reader.state
+        is_running = environment == PRODUCTION and state.config_version
+        return state.document if is_running else None
+
     def history(self, environment: str) -> tuple[Version, ...]:
         """Return the versions that are kept, oldest first."""
         return self.reader.state.configs.history(environment)
@@ -154,14 +161,22 @@
 
 
 def check_submission(
-    submission: Submission, used: Mapping[str, Resources]
+    submission: Submission,
+    used: Mapping[str, Resources],
+    before: Document | None = None,
 ) -> InvalidDocument | None:
-    """Return every error in a document that an operator submits."""
+    """Return every error in a document that an operator submits.
+
+    ``used`` is what each team runs, ``before`` the document that the system
+    runs under.
+    """
     source = submission.environment
     document = parse_document(source, submission.text)
     if isinstance(document, InvalidDocument):
         return document
     errors = check_usage(document, used)
+    if before is not None:
+        errors.extend(check_change(before, document))
     if document.environment != submission.environment:
         errors.append(
             InvalidInput(
--- a/packages/berylspread/src/berylspread/config/sections.py
+++ b/packages/berylspread/src/berylspread/config/sections.py
@@ -74,9 +74,6 @@
     kind = 'region'
 
     weight = options.integer(0, 1_000_000, default=1)
-    link_mbit_s = options.number(
-        0.1, 1_000_000, default=15.0, help='to the other regions, each way'
-    )
 
 
 @section
@@ -130,7 +127,6 @@
     idempotent = options.flag(default=True)
     preemptible = options.flag(default=True)
     max_body_kib = options.integer(1, 65_536, default=256)
-    max_waiting = options.integer(1, 1_000_000, default=10_000)
     max_tasks = options.integer(1, 100_000, default=10_000)
     max_attempts = options.integer(1, 100, default=3)
 
@@ -160,10 +156,6 @@
     labelled = False
 
     shards = options.integer(1, 1024, default=4, help='job homes in a region')
-    appends_per_s = options.number(1, 10_000, default=100.0)
-    snapshot_share = options.number(1, 90, default=20.0, help='percent')
-    relay_kib_s = options.number(1, 1_000_000, default=256.0)
-    peer_kib_s = options.number(1, 1_000_000, default=1024.0)
 
 
 @section
@@ -174,11 +166,6 @@
     labelled = False
 
     lease_s = options.number(1, 3600, default=15.0)
-    heartbeat_s = options.number(0.05, 60, default=0.5)
-    promise_s = options.number(0.5, 600, default=5.0)
-    key_trust_s = options.number(0.5, 600, default=5.0)
-    log_retention_s = options.number(10, 365 * DAY_S, default=DAY_S)
-    drain_s = options.number(0, 3600, default=30.0)
 
 
 @section
