Let the leases of a silent worker lapse; open the homes' tickets

A ticket for an unstaffed singleton never came in its scenario: the partition owner renewed the leases of a dead worker for ever, and each unanswered renewal put off the time when the lease has surely lapsed, so the task stayed 'running'. With every worker dead, a watcher was 'running' for 150 s and on.

A worker that has been silent for half a lease is asked without renewals, so the lease lapses and the task runs elsewhere. Homes report tasks of services that run nowhere for 30 s, and second runs of a task, to the help desk.

--- a/features/entry/help_desk.feature
+++ b/features/entry/help_desk.feature
@@ -46,3 +46,15 @@
     When an operator drains the VM pekalongan-rack-1-9
     Then it is refused with 404 as unknown-name, not-run
     And its field kind is vm
+
+  Scenario: A watcher without a worker opens one ticket
+    Given a fleet of its own
+    When a watcher runs and every worker dies
+    And 90 seconds pass
+    Then the fleet lists one ticket for unstaffed-singleton of the watcher
+
+  Scenario: A second run of a task opens a ticket
+    Given a fleet of its own
+    When a home hears of a second run of one of its tasks
+    And 3 seconds pass
+    Then the fleet lists one ticket for duplicate-execution of the task
--- a/features/entry/jobs.feature
+++ b/features/entry/jobs.feature
@@ -87,3 +87,9 @@
     And 2 seconds pass
     And the nodes of central are cut off from east
     Then the job is shown at east from the log
+
+  Scenario: A watcher moves off a dead worker
+    Given a fleet of its own
+    When a watcher runs and its worker dies
+    And 45 seconds pass
+    Then the watcher runs on another worker
--- a/features/entry/steps/help_desk_steps.py
+++ b/features/entry/steps/help_desk_steps.py
@@ -4,6 +4,8 @@
 from behave.runner import Context
 
 from berylspread.entry.tickets import Category
+from berylspread.model import TaskKey, TaskState
+from berylspread.partition.messages import TaskEvent
 from features.support.entry_world import CENTRAL, EAST
 from features.support.fleet_steps import token, world
 
@@ -188,3 +190,55 @@
     }
     assert sum(running.values()) > 0, running
     assert running[WORKER] == 0, running
+
+
+def submit(context: Context, team: str, queue: str) -> None:
+    """Submit one task that runs until it is stopped."""
+    answer = world(context).request(
+        'POST',
+        '/v1/jobs',
+        key=token(context, team),
+        json={'queue': queue, 'payload': '{"run_s": null}'},
+    )
+    assert answer.status_code == 202, answer.text
+    context.job_id = answer.json()['job_id']
+    world(context).sleep(3.0)
+
+
+@when('a watcher runs and every worker dies')
+def step_watcher(context: Context) -> None:
+    submit(context, 'looms', 'loom-watcher')
+
+    async def die() -> None:
+        for worker in world(context).cluster.workers.values():
+            worker.die()
+
+    world(context).run(die())
+
+
+@when('a home hears of a second run of one of its tasks')
+def step_second(context: Context) -> None:
+    submit(context, 'patterns', 'pattern-run')
+    homes = [
+        role.jobs
+        for entry in world(context).entries.values()
+        for role in entry.node.homes.roles.values()
+    ]
+    home = next(home for home in homes if context.job_id in home.book.jobs)
+    progress = home.book.jobs[context.job_id]
+    attempt = progress.out[0].attempt
+    home.book.apply(
+        TaskEvent(
+            TaskKey(context.job_id, 0),
+            attempt - 1,
+            TaskState.running,
+            worker='another-worker',
+        )
+    )
+
+
+@then('the fleet lists one ticket for {category} of the {what}')
+def step_one_ticket(context: Context, category: str, what: str) -> None:
+    found = world(context).operate('GET', '/v1/admin/tickets').json()
+    assert [ticket['category'] for ticket in found] == [category], found
+    assert found[0]['subject'].startswith(f'{context.job_id}/0'), found
--- a/features/entry/steps/job_steps.py
+++ b/features/entry/steps/job_steps.py
@@ -261,4 +261,31 @@
     assert (view['source'], view['tasks']) == ('log', {'active': 2}), view
 
 
+@when('a watcher runs and its worker dies')
+def step_watcher_dies(context: Context) -> None:
+    answer = world(context).request(
+        'POST',
+        '/v1/jobs',
+        key=token(context, 'looms'),
+        json={'queue': 'loom-watcher', 'payload': '{"run_s": null}'},
+    )
+    context.job_id = answer.json()['job_id']
+    world(context).sleep(3.0)
+    context.workers = job(context, team='looms').json()['workers']
+
+    async def die() -> None:
+        for worker in world(context).cluster.workers.values():
+            if worker.vm.vm_id in context.workers:
+                worker.die()
+
+    world(context).run(die())
+
+
+@then('the watcher runs on another worker')
+def step_moved(context: Context) -> None:
+    view = job(context, team='looms').json()
+    assert view['tasks'] == {'running': 1}, view
+    assert view['workers'] != context.workers, view
+
+
 __all__ = ['fleet_steps']
--- a/packages/berylspread/src/berylspread/entry/assembly.py
+++ b/packages/berylspread/src/berylspread/entry/assembly.py
@@ -9,17 +9,20 @@
 from berylspread.entry.service import EntryService
 from berylspread.jobs.describe import HomeDescriber, used_by_team
 from berylspread.jobs.home import JobHome
+from berylspread.jobs.watch import HomeWatch
 from berylspread.model import Resources
+from berylspread.runtime import every
 from berylspread.runtime.node import Node
 
 KEY_TRUST_S: Final = 5.0
+WATCH_S: Final = 1.0
 
 
 @final
 class NodeEntry:
     """What callers and operators reach on a node."""
 
-    __slots__ = ('guard', 'node', 'service', 'task')
+    __slots__ = ('guard', 'node', 'service', 'tasks', 'watch')
 
     def __init__(
         self,
@@ -30,7 +33,7 @@
     ) -> None:
         """Build the service on a node that has not been started."""
         self.node = node
-        self.task: asyncio.Task[None] | None = None
+        self.tasks: list[asyncio.Task[None]] = []
         context = node.context
         node.membership.directory = DrainedDirectory(
             node.membership.directory, node.state
@@ -56,21 +59,30 @@
             operator_digests=operator_digests,
         )
 
+        self.watch = HomeWatch(self.service.tickets, self._homes)
+
     def start(self) -> None:
-        """Keep the trust in the keys up until ``close``."""
-        self.task = asyncio.create_task(self.guard.run(), name='key guard')
+        """Keep the trust in the keys and the tickets up until ``close``."""
+        self.tasks = [
+            asyncio.create_task(self.guard.run(), name='key guard'),
+            asyncio.create_task(
+                every(WATCH_S, self.watch.round, 'help desk'), name='help desk'
+            ),
+        ]
 
     async def close(self) -> None:
         """Stop; the node itself goes on."""
-        if self.task is not None:
-            self.task.cancel()
-            await asyncio.wait((self.task,))
+        for task in self.tasks:
+            task.cancel()
+        await asyncio.gather(*self.tasks, return_exceptions=True)
+        self.tasks.clear()
 
     def _home(self, unit: str) -> JobHome | None:
         role = self.node.homes.roles.get(unit)
         return role.jobs if role else None
 
     def _used(self) -> dict[str, Resources]:
-        return used_by_team(
-            role.jobs for role in self.node.homes.roles.values()
-        )
+        return used_by_team(self._homes())
+
+    def _homes(self) -> list[JobHome]:
+        return [role.jobs for role in self.node.homes.roles.values()]
--- a/packages/berylspread/src/berylspread/jobs/book.py
+++ b/packages/berylspread/src/berylspread/jobs/book.py
@@ -1,12 +1,13 @@
 """The jobs of one home: demand classes, hand-outs, retries and outcomes."""
 
+import collections
 import heapq
 from typing import Final, final
 
 import msgspec
 import xxhash
 
-from berylspread.jobs.progress import JobProgress
+from berylspread.jobs.progress import HandedOut, JobProgress
 from berylspread.kernel import WallClock, now
 from berylspread.limits import QuotaLedger
 from berylspread.model import (
@@ -23,6 +24,7 @@
 
 RETRY_BASE_S: Final = 1.0
 RETRY_CAP_S: Final = 60.0
+MAX_DUPLICATES: Final = 100
 
 
 @final
@@ -86,10 +88,19 @@
 class JobBook:
     """Where every task of the home's jobs stands; no input or output.
 
-    ``ends`` collects the outcomes that the home has still to append to the log.
+    ``ends`` collects the outcomes that the home has still to append to the log,
+    ``duplicates`` the events of attempts that run beside the one handed out.
     """
 
-    __slots__ = ('classes', 'delayed', 'ends', 'jobs', 'quota', 'wall')
+    __slots__ = (
+        'classes',
+        'delayed',
+        'duplicates',
+        'ends',
+        'jobs',
+        'quota',
+        'wall',
+    )
 
     def __init__(self, quota: QuotaLedger, wall: WallClock) -> None:
         """Start empty; ``quota`` counts every task that is out or unsure."""
@@ -99,6 +110,9 @@
         self.classes: dict[str, JobClass] = {}
         self.delayed: list[tuple[float, str, int]] = []
         self.ends: dict[str, list[TaskEnd]] = {}
+        self.duplicates: collections.deque[TaskEvent] = collections.deque(
+            maxlen=MAX_DUPLICATES
+        )
 
     def add(self, progress: JobProgress) -> None:
         """Take up a job, new or recovered; a repeat changes nothing."""
@@ -172,6 +186,7 @@
             return False
         handed = progress.out.get(event.task.index)
         if handed is None or handed.attempt != event.attempt:
+            self._note_second(event, handed)
             return False
         if event.state in _STILL_OUT:
             handed.state = event.state
@@ -274,6 +289,13 @@
             else:
                 progress.put_back(index)
 
+    def _note_second(self, event: TaskEvent, handed: HandedOut | None) -> None:
+        """Keep evidence of a task that runs on two workers at one time."""
+        if handed is None or handed.worker in {'', event.worker}:
+            return
+        if {event.state, handed.state} == {TaskState.running}:
+            self.duplicates.append(event)
+
     def _leave(self, progress: JobProgress, event: TaskEvent) -> None:
         index = event.task.index
         if event.state is TaskState.pending:
--- /dev/null
+++ b/packages/berylspread/src/berylspread/jobs/watch.py
@@ -0,0 +1,80 @@
+"""Opens tickets for what a home sees go wrong with running tasks."""
+
+from collections.abc import Callable, Iterable, Iterator
+from typing import Final, final
+
+from berylspread.entry.tickets import Category, TicketDesk
+from berylspread.jobs.home import JobHome
+from berylspread.jobs.progress import JobProgress
+from berylspread.kernel import now
+from berylspread.model import JobKind, TaskKey, TaskState
+
+#: A task of a service may be without a worker for so long.
+UNSTAFFED_S: Final = 30.0
+
+
+@final
+class HomeWatch:
+    """Looks at the homes of this node: singletons and second runs.
+
+    ``since`` is the loop time at which a task of a service was first seen not
+    to run.
+    """
+
+    __slots__ = ('desk', 'homes', 'since')
+
+    def __init__(
+        self, desk: TicketDesk, homes: Callable[[], Iterable[JobHome]]
+    ) -> None:
+        """Take the help desk and the homes as they are at each round."""
+        self.desk = desk
+        self.homes = homes
+        self.since: dict[TaskKey, float] = {}
+
+    async def round(self) -> None:
+        """Open the tickets that are due."""
+        absent: dict[TaskKey, str] = {}
+        for home in self.homes():
+            self._report_duplicates(home)
+            if home.tenure.is_valid(now()):
+                absent.update(_absent(home))
+        self.since = {key: self.since.get(key, now()) for key in absent}
+        for key, state in absent.items():
+            unstaffed_s = now() - self.since[key]
+            if unstaffed_s >= UNSTAFFED_S:
+                self._report_unstaffed(key, state)
+
+    def _report_unstaffed(self, key: TaskKey, state: str) -> None:
+        # One ticket for each time that the task is without a worker.
+        self.desk.open(
+            Category.unstaffed_singleton,
+            f'{key}@{self.since[key]:.0f}',
+            state=state,
+            bound_s=UNSTAFFED_S,
+        )
+
+    def _report_duplicates(self, home: JobHome) -> None:
+        while home.book.duplicates:
+            event = home.book.duplicates.popleft()
+            self.desk.open(
+                Category.duplicate_execution,
+                str(event.task),
+                attempt=event.attempt,
+                worker=event.worker,
+                home=home.unit.unit,
+            )
+
+
+def _absent(home: JobHome) -> Iterator[tuple[TaskKey, str]]:
+    """Yield the tasks of services that do not run, and their states."""
+    for progress in home.book.jobs.values():
+        if progress.spec.kind is JobKind.service and not progress.cancelled:
+            yield from _absent_tasks(progress)
+
+
+def _absent_tasks(progress: JobProgress) -> Iterator[tuple[TaskKey, str]]:
+    for index in range(progress.spec.tasks):
+        handed = progress.out.get(index)
+        state = handed.state if handed else TaskState.pending
+        if state is not TaskState.running and index not in progress.ended:
+            yield progress.key(index), state.value
--- a/packages/berylspread/src/berylspread/partition/worker_link.py
+++ b/packages/berylspread/src/berylspread/partition/worker_link.py
@@ -37,12 +37,13 @@
 class LinkTiming:
     """The lease's length and what follows from it, in seconds."""
 
-    __slots__ = ('lease_s', 'wait_s')
+    __slots__ = ('lease_s', 'silence_s', 'wait_s')
 
     def __init__(self, lease_s: float) -> None:
         """Renew several times within a lease."""
         self.lease_s = lease_s
         self.wait_s = lease_s / RENEWALS_PER_LEASE
+        self.silence_s = lease_s / 2
 
     def lapses_at(self, sent_at: float, timeout_s: float) -> float:
         """Return when a lease has surely lapsed that a request renewed.
@@ -53,7 +54,7 @@
 
 
 @final
-class WorkerLink:
+class WorkerLink:  # noqa: WPS230
     """One worker as its partition owner talks to it.
 
     ``on_reply`` is called with each reply that is not outdated, and
@@ -64,6 +65,7 @@
         'acknowledged',
         'attempts',
         'failures',
+        'heard_at',
         'on_reply',
         'on_silent',
         'opened_at',
@@ -99,6 +101,7 @@
         self.acknowledged: set[str] = set()
         self.sequence = 0
         self.failures = 0
+        self.heard_at = now()
         self.opened_at = now()
         self.wake = asyncio.Event()
         self.on_reply: Callable[[WorkerLink, SyncReply], None] = _ignore_reply
@@ -219,6 +222,7 @@
             self.on_silent(self)
             return reply
         self.failures = 0
+        self.heard_at = now()
         self.acknowledged.difference_update(request.acknowledged)
         if floor > reply.sequence:
             logging.warning('worker %s has restarted', self.vm.vm_id)
@@ -246,6 +250,10 @@
         return renewed + starting
 
     def _renewable(self) -> list[str]:
+        # An unanswered renewal may have arrived, so it puts off the time when
+        # the lease has surely lapsed: a silent worker is only asked.
+        if now() - self.heard_at > self.timing.silence_s:
+            return []
         return [
             name
             for name, attempt in self.attempts.items()
