--- a/packages/berylspread/src/berylspread/calls/home.py
+++ b/packages/berylspread/src/berylspread/calls/home.py
@@ -62,8 +62,9 @@
 
     def lend(self, entry: str, ask: AllowanceAsk) -> Allowance | Failure:
         """Lend an entry node a slice of a team's calls."""
-        if ask.team in self.quota.teams:
-            self.quota.teams[ask.team].max_slice_share = SHARED
+        quota = self.quota.teams.get(ask.team)
+        if quota is not None:
+            quota.max_slice_share = SHARED
         held = self.quota.lend(
             entry,
             ask.team,
--- a/packages/berylspread/src/berylspread/entry/administration.py
+++ b/packages/berylspread/src/berylspread/entry/administration.py
@@ -226,7 +226,7 @@
         return key if isinstance(key, Failure) else _key_view(key)
 
     async def _until_known(self, key_id: str) -> None:
-        while self.context.state.keys.find(key_id) is None:  # noqa: ASYNC110
+        while self.context.state.keys.find(key_id) is None:
             await asyncio.sleep(READ_BACK_ROUND_S)
 
 
--- a/packages/berylspread/src/berylspread/partition/worker_link.py
+++ b/packages/berylspread/src/berylspread/partition/worker_link.py
@@ -275,7 +275,7 @@
         )
 
     async def _wait_for_authority(self) -> None:
-        while not self.tenure.is_valid(now()):  # noqa: ASYNC110
+        while not self.tenure.is_valid(now()):
             await asyncio.sleep(RETRY_MIN_S)
 
     def _wait_s(self) -> float:
