--- a/packages/berylspread/src/berylspread/limits/quota.py
+++ b/packages/berylspread/src/berylspread/limits/quota.py
@@ -19,7 +19,7 @@
 CALL_SHAPE: Final = Resources(slots=1)
 #: More than any allotment.
 EVERYTHING: Final = 10**12
-SLICE_TTL_S: Final = 10.0
+SLICE_TTL_S: Final = 20.0
 LONGEST_CALL_S: Final = 60.0
 
 
