--- a/packages/berylspread/src/berylspread/placement/earmarks.py
+++ b/packages/berylspread/src/berylspread/placement/earmarks.py
@@ -19,7 +19,7 @@
 #: One worker in so many may be earmarked, and at least one.
 WORKERS_PER_EARMARK: Final = 16
 #: As much as a gang may need.
-WORKERS_PER_GANG_EARMARK: Final = 2
+WORKERS_PER_GANG_EARMARK: Final = 4
 
 
 def may_backfill(expected_run_s: float, now: float, due_at: float) -> bool:
--- a/packages/berylspread/src/berylspread/placement/pending.py
+++ b/packages/berylspread/src/berylspread/placement/pending.py
@@ -1,6 +1,7 @@
 """The pending classes at a partition owner, in order."""
 
 import heapq
+import math
 from collections.abc import Callable, Iterable
 from typing import Final, final
 
@@ -22,11 +23,13 @@
         'is_queued',
         'oldest_at',
         'reasons',
+        'served_at',
     )
 
     def __init__(self, demand: DemandClass, now: float) -> None:
         """Take over a home's class as of now."""
         self.count = 0
+        self.served_at = -math.inf
         self.is_queued = False
         self.reasons: dict[str, int] = {}
         self.replace(demand, now)
@@ -46,6 +49,10 @@
         """Return how long the oldest task has waited."""
         return max(now - self.oldest_at, 0)
 
+    def starved_s(self, now: float) -> float:
+        """Return how long it has waited without any task being placed."""
+        return now - max(self.oldest_at, self.served_at)
+
 
 @final
 class DemandQueue:
--- a/packages/berylspread/src/berylspread/placement/pipeline.py
+++ b/packages/berylspread/src/berylspread/placement/pipeline.py
@@ -222,7 +222,7 @@
     def _earmark(self, pending: PendingClass, pool: Pool) -> None:
         demand = pending.demand
         context = self.context
-        if pending.waited_s(context.now) < self.starving_s:
+        if pending.starved_s(context.now) < self.starving_s:
             return
         if not context.earmarks.may_reserve(
             demand, context.now, context.workers
@@ -265,6 +265,7 @@
     ) -> None:
         demand = pending.demand
         pending.count -= 1
+        pending.served_at = self.context.now
         pending.reasons = {}
         self.context.last_home = demand.home
         earmark = self.context.earmarks.by_worker.get(decision.worker)
