--- /dev/null
+++ b/bench/replay/__init__.py
@@ -0,0 +1,1 @@
+"""Replay of seeded demand against the decision code, on a simulated clock."""
--- a/features/placement/steps/placement_steps.py
+++ b/features/placement/steps/placement_steps.py
@@ -137,7 +137,9 @@
     context.queue.put(urgent, context.now)
 
 
-@given('"{team}" has waited {age:g} s for {count:d} tasks spread over "{place}"')
+@given(
+    '"{team}" has waited {age:g} s for {count:d} tasks spread over "{place}"'
+)
 def given_spread(context, team, age, count, place):
     spread = demand(team, count, constraints=Constraints(spread=place))
     context.queue.put(spread, context.now)
@@ -275,7 +277,7 @@
         context.ledger.workers[decision.worker].vm.zone
         for decision in context.decisions
     ]
-    assert [zones.count(f'z{number}') for number in range(3)] == [count] * 3
+    assert {zones.count(f'z{number}') for number in range(3)} == {count}
 
 
 @then(
--- a/packages/berylspread/src/berylspread/health/blame.py
+++ b/packages/berylspread/src/berylspread/health/blame.py
@@ -47,6 +47,27 @@
         return (self.failed + prior * PRIOR_TASKS) / (self.ended + PRIOR_TASKS)
 
 
+@final
+class WorkerRecord:
+    """How one worker does.
+
+    ``streak`` is the blame for the failures since its last success, so that a
+    long good history does not hide that it fails everything now.
+    """
+
+    __slots__ = ('rate', 'streak')
+
+    def __init__(self, now: float) -> None:
+        """Start without counts."""
+        self.rate = FailureRate(now)
+        self.streak: float = 0
+
+    def add(self, now: float, *, failed: bool, blame: float) -> None:
+        """Count an ended task with the worker's part of the blame."""
+        self.rate.add(now, failed=blame)
+        self.streak = self.streak + blame if failed else 0
+
+
 @final
 class ClassRecord:
     """How one job class does: in all, and on which workers it failed."""
--- a/packages/berylspread/src/berylspread/health/monitor.py
+++ b/packages/berylspread/src/berylspread/health/monitor.py
@@ -3,7 +3,7 @@
 import collections
 from typing import Final, final
 
-from berylspread.health.blame import ClassRecord, FailureRate
+from berylspread.health.blame import ClassRecord, FailureRate, WorkerRecord
 from berylspread.health.quarantine import Quarantine
 from berylspread.limits import Barrier, CapacityLedger, WorkerView
 
@@ -11,6 +11,8 @@
 #: A worker goes into quarantine above this rate and this many blamed failures.
 BLAMED_RATE: Final = 0.5
 BLAMED_FAILURES: Final = 2.5
+#: Or after as much blame without a success between.
+BLAMED_STREAK: Final = 4.0
 #: A class is faulty above this rate after failures on this many workers.
 FAULTY_RATE: Final = 0.5
 FAULTY_WORKERS: Final = 3
@@ -40,7 +42,7 @@
         """Start without workers."""
         self.max_share = max_share
         self.fleet = FailureRate(now)
-        self.workers: dict[str, FailureRate] = {}
+        self.workers: dict[str, WorkerRecord] = {}
         self.classes: collections.OrderedDict[str, ClassRecord] = (
             collections.OrderedDict()
         )
@@ -73,8 +75,8 @@
         record = self._class(job_class, now)
         blame = 1 - record.blame(worker) if failed else 0.0
         record.add(worker, now, failed=failed)
-        known = self.workers.setdefault(worker, FailureRate(now))
-        known.add(now, failed=blame)
+        known = self.workers.setdefault(worker, WorkerRecord(now))
+        known.add(now, failed=failed, blame=blame)
         self.fleet.add(now, failed=blame)
         view = self.view(worker)
         if view is not None:
@@ -82,10 +84,12 @@
             self._judge(view, now, failed=failed)
 
     def suspicion(self, worker: str) -> float:
-        """Return the worker's failure rate, drawn to the fleet's, 0 to 1."""
+        """Return how likely the worker fails a task by its fault, 0 to 1."""
         known = self.workers.get(worker)
         prior = min(self.fleet.rate(), BLAMED_RATE)
-        return prior if known is None else known.rate(prior)
+        if known is None:
+            return prior
+        return max(known.rate.rate(prior), known.streak / (known.streak + 2))
 
     def is_faulty(self, job_class: str) -> bool:
         """Return whether a class fails by its own fault wherever it runs."""
@@ -145,10 +149,12 @@
 
     def _is_blamed(self, worker: str) -> bool:
         known = self.workers[worker]
-        return (
-            known.failed >= BLAMED_FAILURES
-            and known.rate(min(self.fleet.rate(), BLAMED_RATE)) > BLAMED_RATE
+        prior = min(self.fleet.rate(), BLAMED_RATE)
+        often = (
+            known.rate.failed >= BLAMED_FAILURES
+            and known.rate.rate(prior) > BLAMED_RATE
         )
+        return often or known.streak >= BLAMED_STREAK
 
     def _enter(self, view: WorkerView, now: float) -> None:
         if self.capacity_for_quarantine() <= 0:
--- a/packages/berylspread/src/berylspread/health/quarantine.py
+++ b/packages/berylspread/src/berylspread/health/quarantine.py
@@ -33,14 +33,17 @@
     def ended(self, now: float, *, failed: bool) -> bool:
         """Take in the end of a task; return whether the quarantine is over.
 
-        Tasks that were running before count only if they fail.
+        Only probes count: the tasks that were running as the quarantine began
+        tell nothing new.
         """
+        if not self.probing:
+            return False
+        self.probing = False
         if failed:
             self.succeeded = 0
             self.pause_s = min(self.pause_s * 2, LONGEST_PAUSE_S)
             self.next_probe_at = now + self.pause_s
-        elif self.probing:
+        else:
             self.succeeded += 1
             self.next_probe_at = now
-        self.probing = False
         return self.succeeded >= PROBES_TO_LEAVE
