--- a/packages/berylspread/src/berylspread/config/checks.py
+++ b/packages/berylspread/src/berylspread/config/checks.py
@@ -83,9 +83,8 @@
 @document_check
 def check_cycles(document: Document) -> Iterator[InvalidInput]:
     """No organisation is its own ancestor."""
-    organisations = document.labelled(OrganisationSection)
-    for label in organisations:
-        if _reaches_itself(label, organisations):
+    for label in document.labelled(OrganisationSection):
+        if _is_own_ancestor(document, label):
             yield _error(
                 document,
                 f'organisation {label}',
@@ -157,6 +156,39 @@
     return errors
 
 
+def check_change(before: Document, after: Document) -> list[InvalidInput]:
+    """Return an error for each change that a running system can't follow.
+
+    Another number of shards would give a team two homes that both grant its
+    limit.  A shorter lease would let a new owner start a task again before the
+    lease that the former one renewed has lapsed.
+    """
+    errors = []
+    shards = before.limits.shards
+    if after.limits.shards != shards:
+        errors.append(
+            _error(
+                after,
+                'limits',
+                'shards',
+                'the number of shards is fixed by the first document',
+                allowed=str(shards),
+            )
+        )
+    lease_s = before.timing.lease_s
+    if after.timing.lease_s < lease_s:
+        errors.append(
+            _error(
+                after,
+                'timing',
+                'lease_s',
+                'leases can only become longer',
+                allowed=f'at least {lease_s:g}',
+            )
+        )
+    return errors
+
+
 def warnings(document: Document) -> list[DocumentWarning]:
     """Return what is allowed and looks wrong."""
     classes = [
@@ -198,18 +230,9 @@
     return ', '.join(sorted(name for name in found if name))
 
 
-def _reaches_itself(
-    label: str, organisations: Mapping[str, OrganisationSection]
-) -> bool:
-    name = organisations[label].parent
-    for _ in range(len(organisations)):
-        if name == label:
-            return True
-        above = organisations.get(name)
-        if above is None:
-            return False
-        name = above.parent
-    return False
+def _is_own_ancestor(document: Document, label: str) -> bool:
+    above = document.ancestors(label)
+    return above[-1].parent == label
 
 
 def _error(
--- /dev/null
+++ b/packages/berylspread/src/berylspread/entry/assembly.py
@@ -0,0 +1,88 @@
+"""The entry service of an assembled node."""
+
+import asyncio
+from typing import Final, final
+
+from berylspread.config.operations import Operations
+from berylspread.config.vouching import KeyGuard
+from berylspread.entry.drains import DrainedDirectory
+from berylspread.entry.service import EntryService
+from berylspread.jobs.describe import HomeDescriber, used_by_team
+from berylspread.jobs.home import JobHome
+from berylspread.jobs.watch import HomeWatch
+from berylspread.model import Resources
+from berylspread.runtime import every
+from berylspread.runtime.node import Node
+
+KEY_TRUST_S: Final = 5.0
+WATCH_S: Final = 1.0
+
+
+@final
+class NodeEntry:
+    """What callers and operators reach on a node."""
+
+    __slots__ = ('guard', 'node', 'service', 'tasks', 'watch')
+
+    def __init__(
+        self,
+        node: Node,
+        *,
+        operator_digests: tuple[str, ...] = (),
+        key_trust_s: float = KEY_TRUST_S,
+    ) -> None:
+        """Build the service on a node that has not been started."""
+        self.node = node
+        self.tasks: list[asyncio.Task[None]] = []
+        context = node.context
+        node.membership.directory = DrainedDirectory(
+            node.membership.directory, node.state
+        )
+        self.guard = KeyGuard(
+            ref=context.ref,
+            reader=node.reader,
+            peers=context.peers,
+            membership=context.membership,
+            store_region=node.settings.store_region,
+            bound_s=key_trust_s,
+        )
+        self.service = EntryService(
+            context,
+            router=node.calls,
+            guard=self.guard,
+            operations=Operations(
+                node.appender, node.reader, self.guard, context.wall
+            ),
+            describer=HomeDescriber(self._home),
+            used=self._used,
+            is_ready=lambda: node.is_ready,
+            operator_digests=operator_digests,
+        )
+
+        self.watch = HomeWatch(self.service.tickets, self._homes)
+
+    def start(self) -> None:
+        """Keep the trust in the keys and the tickets up until ``close``."""
+        self.tasks = [
+            asyncio.create_task(self.guard.run(), name='key guard'),
+            asyncio.create_task(
+                every(WATCH_S, self.watch.round, 'help desk'), name='help desk'
+            ),
+        ]
+
+    async def close(self) -> None:
+        """Stop; the node itself goes on."""
+        for task in self.tasks:
+            task.cancel()
+        await asyncio.gather(*self.tasks, return_exceptions=True)
+        self.tasks.clear()
+
+    def _home(self, unit: str) -> JobHome | None:
+        role = self.node.homes.roles.get(unit)
+        return role.jobs if role else None
+
+    def _used(self) -> dict[str, Resources]:
+        return used_by_team(self._homes())
+
+    def _homes(self) -> list[JobHome]:
+        return [role.jobs for role in self.node.homes.roles.values()]
--- a/packages/berylspread/src/berylspread/limits/quota.py
+++ b/packages/berylspread/src/berylspread/limits/quota.py
@@ -17,6 +17,8 @@
 
 #: What one interactive call counts against its team's limit.
 CALL_SHAPE: Final = Resources(slots=1)
+#: More than any allotment.
+EVERYTHING: Final = 10**12
 SLICE_TTL_S: Final = 10.0
 LONGEST_CALL_S: Final = 60.0
 
@@ -235,10 +237,18 @@
             self.expire(team, now)
 
     def await_slices(
-        self, team: str, entries: Iterable[str], now: float
+        self,
+        team: str,
+        entries: Iterable[str],
+        now: float,
+        *,
+        is_lowered: bool = False,
     ) -> None:
         """Count a largest slice for each node until it tells what it holds.
 
+        If the allotment was lowered lately, a slice may be larger than that;
+        nothing is granted then before all have told.
+
         A new home can't know what its predecessor lent.  Each node tells when
         asked or with its next question; one that does not is counted until its
         slice has surely lapsed.
@@ -246,7 +256,7 @@
         quota = self.teams.setdefault(team, TeamQuota())
         quota.awaited = set(entries)
         quota.awaited_limit = quota.limit
-        quota.awaited_slice = quota.largest_slice
+        quota.awaited_slice = EVERYTHING if is_lowered else quota.largest_slice
         quota.awaited_until = now + self.lapse_s
 
     def told(
