--- a/packages/berylspread/src/berylspread/log/folds/allotments.py
+++ b/packages/berylspread/src/berylspread/log/folds/allotments.py
@@ -5,7 +5,7 @@
 """
 
 from collections.abc import Callable, Iterator, Mapping
-from typing import final
+from typing import Final, final
 
 import msgspec
 
@@ -19,6 +19,10 @@
 from berylspread.model import DIMENSIONS, ZERO, Resources
 
 
+#: Seconds of log time for which a lowered part is remembered.
+KEPT_LOWERED_S: Final = 3600.0
+
+
 @final
 class TeamAllotment(msgspec.Struct, frozen=True, array_like=True):
     """A team's limit and its parts by region; 0 in the limit means no limit."""
@@ -50,6 +54,7 @@
 
     weights: dict[str, int] = {}
     teams: dict[str, TeamAllotment] = {}
+    lowered_at: dict[str, float] = {}
 
 
 @final
@@ -67,8 +72,7 @@
         self.configs = configs
         self.read = read
         self.weights: dict[str, int] = {}
-        #: Store's time at which a region's part became smaller, by team; not
-        #: in snapshots, since it matters for a minute only.
+        #: Store's time at which a region's part last became smaller, by team.
         self.lowered_at: dict[str, float] = {}
         self.teams: dict[str, TeamAllotment] = {}
 
@@ -94,6 +98,7 @@
             for team, limit in sorted(limits.teams.items())
             if limit != ZERO
         }
+        self._forget_lowered(context.log_time)
         for team, allotment in self.teams.items():
             self._check(team)
             if not _covers(allotment, before.get(team)):
@@ -119,9 +124,18 @@
         self.lowered_at[record.team] = context.log_time
         self._check(record.team)
 
+    def _forget_lowered(self, log_time: float) -> None:
+        self.lowered_at = {
+            team: at
+            for team, at in self.lowered_at.items()
+            if log_time - at <= KEPT_LOWERED_S
+        }
+
     def to_wire(self) -> AllotmentsWire:
         """Return the contents for a snapshot."""
-        return AllotmentsWire(dict(self.weights), dict(self.teams))
+        return AllotmentsWire(
+            dict(self.weights), dict(self.teams), dict(self.lowered_at)
+        )
 
     @classmethod
     def from_wire(
@@ -131,6 +145,7 @@
         fold = cls(configs)
         fold.weights = dict(wire.weights)
         fold.teams = dict(wire.teams)
+        fold.lowered_at = dict(wire.lowered_at)
         return fold
 
     def _check(self, name: str) -> None:
