--- a/bench/log_state.py
+++ b/bench/log_state.py
@@ -4,6 +4,7 @@
 the letter; every figure is the best of several rounds in one process.
 """
 
+import asyncio
 import itertools
 import random
 import time
@@ -14,13 +15,17 @@
 from berylspread.config import parse_document
 from berylspread.config.keys import check_key, make_key
 from berylspread.log import (
+    Appender,
+    AppenderSettings,
     Batch,
     Claim,
     ClusterState,
     ConfigApplied,
     Entry,
     JobAccepted,
+    JobCancelled,
     JobEnded,
+    Page,
     Record,
     TasksEnded,
     decode_state,
@@ -164,6 +169,39 @@
     return min(times)
 
 
+class FastStore:
+    """A store that takes every append at once."""
+
+    def __init__(self) -> None:
+        self.end = 1
+
+    async def append(self, blob: bytes) -> int:
+        """Return the next offset."""
+        await asyncio.sleep(0)
+        self.end += 1
+        return self.end - 1
+
+    async def read(self, offset: int, *, limit: int, wait_s: float) -> Page:
+        """Return an empty page."""
+        return Page(1, self.end, [])
+
+
+async def append_all(calls: int) -> int:
+    """Append one record for each of many callers; return the appends."""
+    store = FastStore()
+    limits = AppenderSettings(min_interval_s=0.0, max_waiting_calls=calls)
+    appender = Appender(store, 'writer', limits)
+    running = asyncio.create_task(appender.run())
+    await asyncio.gather(
+        *(
+            appender.append(JobCancelled(f'job-{number:08}'))
+            for number in range(calls)
+        )
+    )
+    running.cancel()
+    return appender.counts.appends
+
+
 def report(name: str, figure: float, unit: str) -> None:
     """Print one figure."""
     print(f'{name:<44} {figure:10.2f} {unit}')
@@ -215,6 +253,12 @@
         * MS,
         'us',
     )
+    calls = 10_000
+    report(
+        'append one record',
+        best_s(lambda: asyncio.run(append_all(calls))) / calls * MS * MS,
+        'us',
+    )
     tracemalloc.start()
     kept = fold(full_log())
     size, _peak = tracemalloc.get_traced_memory()
