--- a/bench/ownership_cluster.py
+++ b/bench/ownership_cluster.py
@@ -143,7 +143,7 @@
         }
 
 
-class Cluster:
+class Cluster:  # noqa: WPS230
     """Nodes in two regions, the store in the first; units in each."""
 
     def __init__(
@@ -243,7 +243,7 @@
         """Return the seconds until a condition holds."""
         began = now()
         async with asyncio.timeout(limit_s):
-            while not holds():
+            while not holds():  # noqa: ASYNC110
                 await asyncio.sleep(0.01)
         return now() - began
 
--- a/bench/ownership_explorer.py
+++ b/bench/ownership_explorer.py
@@ -62,27 +62,28 @@
 
     def run(self, limit: int | None = None) -> Finding:
         """Visit the reachable states, at most ``limit``."""
-        log, nodes = self.model.start()
-        start = (
-            self.scope.restarts,
-            self.logs.number(log),
-            *(self.nodes.number(node) for node in nodes),
-        )
+        start = self._start()
         depths = {start: 0}
         queue = deque([start])
         while queue:
             state = queue.popleft()
-            for reached in self.steps(state):
-                if reached in depths:
-                    continue
-                depths[reached] = depths[state] + 1
-                if self.holders(reached) > 1:
-                    return Finding(len(depths), depths[reached], False)
-                queue.append(reached)
+            fresh = [one for one in self.steps(state) if one not in depths]
+            depths.update(dict.fromkeys(fresh, depths[state] + 1))
+            if any(self.holders(one) > 1 for one in fresh):
+                return Finding(len(depths), depths[state] + 1, False)
+            queue.extend(dict.fromkeys(fresh))
             if limit is not None and len(depths) >= limit:
                 return Finding(len(depths), 0, False)
         return Finding(len(depths), 0, True)
 
+    def _start(self) -> State:
+        log, nodes = self.model.start()
+        return (
+            self.scope.restarts,
+            self.logs.number(log),
+            *(self.nodes.number(node) for node in nodes),
+        )
+
     def holders(self, state: State) -> int:
         return sum(self.is_acting(state[1], node) for node in state[2:])
 
@@ -103,10 +104,12 @@
                     after_answer = _put(state, member + 2, answered)
                     yield _put(after_answer, at, asker)
             if restarts:
-                fresh = self.nodes.number(
-                    self.model.restart(self.logs.values[log])
-                )
-                yield _put(_put(state, 0, restarts - 1), at, fresh)
+                yield self._restarted(state, number)
+
+    def _restarted(self, state: State, number: int) -> State:
+        restarts, log, *_nodes = state
+        fresh = self.nodes.number(self.model.restart(self.logs.values[log]))
+        return _put(_put(state, 0, restarts - 1), number + 2, fresh)
 
     def _tick(self, node: int) -> int:
         return self.nodes.number(self.model.tick(self.nodes.values[node]))
@@ -288,7 +291,10 @@
         verdict = 'two holders' if found.steps else 'never two holders'
         extent = 'all' if found.is_complete else 'the first'
         seconds = time.perf_counter() - began
-        print(f'{name}: {extent} {found.visited} states, {verdict}, {seconds:.1f} s')
+        print(
+            f'{name}: {extent} {found.visited} states, '
+            f'{verdict}, {seconds:.1f} s'
+        )
     naive = explore_naive()
     print(
         f'naive form: {naive.visited} states, '
--- a/bench/ownership_model.py
+++ b/bench/ownership_model.py
@@ -82,7 +82,7 @@
     )
 
 
-class Model:
+class Model:  # noqa: WPS214
     """The steps that the protocol may take.
 
     Each is a function of the log and of one or two nodes.
@@ -275,9 +275,9 @@
         standing = self.standing(log, giver)
         terms = self.scope.terms
         told_older = list(node.told_older)
-        if self.rules.is_eligible(standing, terms):
-            if standing.version >= version:
-                told_older[member] = giver.older
+        eligible = self.rules.is_eligible(standing, terms)
+        if eligible and standing.version >= version:
+            told_older[member] = giver.older
         told = list(node.told)
         waits = node.waits
         offset = _claim_offset(prefix, node.epoch)
@@ -295,7 +295,8 @@
         """Return whether a claimant has waited long enough."""
         if node.state != WAITING:
             return False
-        refused = established = rules.NEVER
+        refused = rules.NEVER
+        established = rules.NEVER
         if node.waits:
             members = _members(log, _version(log[: node.read]))
             refused = self._refused(members, node.told)
--- a/features/membership/steps/membership_steps.py
+++ b/features/membership/steps/membership_steps.py
@@ -23,14 +23,18 @@
 
 def member(context, name, seen):
     async def look():
-        return context.cluster.nodes[name].membership.member(seen)
+        return membership_of(context, name).member(seen)
 
     return run(context, look())
 
 
+def membership_of(context, name):
+    return context.cluster.nodes[name].membership
+
+
 def departed_at(context, name, ref):
     async def look():
-        return context.cluster.nodes[name].membership.departed_at(ref)
+        return membership_of(context, name).departed_at(ref)
 
     return run(context, look())
 
@@ -40,7 +44,9 @@
     given_slow_peer(context, 1.0, duration)
 
 
-@given('a peer that answers every {interval:g} seconds for {duration:g} seconds')
+@given(
+    'a peer that answers every {interval:g} seconds for {duration:g} seconds'
+)
 def given_slow_peer(context, interval, duration):
     context.now = 0.0
     context.states = set()
--- a/features/peers/steps/peer_steps.py
+++ b/features/peers/steps/peer_steps.py
@@ -106,7 +106,9 @@
 @given('nodes a and b with streams between them')
 def given_nodes(context):
     context.runner = asyncio.Runner()
-    context.addresses, context.nodes, context.servers = {}, {}, {}
+    context.addresses = {}
+    context.nodes = {}
+    context.servers = {}
     context.started = []
 
     async def begin():
@@ -207,9 +209,7 @@
     async def ask_late():
         await ask(context)
         await ask(context, 'late', timeout_s=0.05)
-        await until(
-            lambda: context.nodes['a'].counters.dropped['late-reply'], 3
-        )
+        await until(lambda: dropped(context, 'a')['late-reply'], 3)
 
     run(context, ask_late())
 
@@ -217,7 +217,7 @@
 @then('one late reply has been dropped at a')
 def then_dropped(context):
     assert context.reply.name == 'peer-unreachable'
-    assert context.nodes['a'].counters.dropped['late-reply'] == 1
+    assert dropped(context, 'a')['late-reply'] == 1
 
 
 @when('node b restarts as a new incarnation')
@@ -235,8 +235,10 @@
 def then_reaches(context, limit):
     async def reach():
         async with asyncio.timeout(limit):
-            while not isinstance(await ask(context, timeout_s=1), Answer):
+            await ask(context, timeout_s=1)
+            while not isinstance(context.reply, Answer):
                 await asyncio.sleep(0.05)
+                await ask(context, timeout_s=1)
 
     run(context, reach())
 
@@ -259,7 +261,7 @@
 def then_not_heard(context):
     assert isinstance(context.reply, Answer)
     assert context.former_reply.name == 'peer-unreachable'
-    assert context.nodes['b'].counters.dropped['stale-incarnation'] == 1
+    assert dropped(context, 'b')['stale-incarnation'] == 1
 
 
 @when('the address of b leads to node a')
@@ -271,7 +273,7 @@
 @then('a question to b fails and no handler has run')
 def then_wrong_target(context):
     assert context.reply.name == 'peer-unreachable'
-    assert context.nodes['a'].counters.dropped['wrong-target'] >= 1
+    assert dropped(context, 'a')['wrong-target'] >= 1
     assert not context.servers['a'].seen
 
 
@@ -357,7 +359,11 @@
     trace.set_tracer_provider(provider)
 
 
+def dropped(context, name):
+    return context.nodes[name].counters.dropped
+
+
 async def until(holds, limit_s):
     async with asyncio.timeout(limit_s):
-        while not holds():
+        while not holds():  # noqa: ASYNC110
             await asyncio.sleep(0.01)
--- a/packages/berylspread/src/berylspread/membership/heartbeats.py
+++ b/packages/berylspread/src/berylspread/membership/heartbeats.py
@@ -31,7 +31,7 @@
 
 
 @final
-class HeartbeatMembership:
+class HeartbeatMembership:  # noqa: WPS214
     """The members: this node, listed entry VMs, and nodes that were heard.
 
     One task a peer asks for heartbeats; only replies to own asks count as
--- a/packages/berylspread/src/berylspread/ownership/claiming.py
+++ b/packages/berylspread/src/berylspread/ownership/claiming.py
@@ -26,7 +26,7 @@
 from berylspread.ownership.settings import OwnershipSettings
 from berylspread.ownership.sightings import Sightings
 from berylspread.ownership.states import UnitEvent, UnitState
-from berylspread.ownership.view import LogAppender, LogView
+from berylspread.ownership.view import LogAppender
 
 _FREE = frozenset((UnitState.idle, UnitState.lost))
 
@@ -52,9 +52,7 @@
 
     def __init__(
         self,
-        ref: NodeRef,
         sightings: Sightings,
-        log: LogView,
         appender: LogAppender,
         planner: Planner,
         consents: Consents,
@@ -64,9 +62,9 @@
         rng: random.Random,
     ) -> None:
         """Take the parts that claims go through."""
-        self.ref = ref
+        self.ref = holdings.ref
         self.sightings = sightings
-        self.log = log
+        self.log = planner.log
         self.appender = appender
         self.planner = planner
         self.consents = consents
--- a/packages/berylspread/src/berylspread/ownership/granter.py
+++ b/packages/berylspread/src/berylspread/ownership/granter.py
@@ -135,6 +135,10 @@
             offset=self.log.offset(),
         )
 
+    def is_eligible(self, region: str) -> bool:
+        """Return whether this node may promise, consent and claim at all."""
+        return is_eligible(self.standing(region), self.terms)
+
     def _consents(self, ask: ConsentAsk) -> list[Consent]:
         return [
             Consent(
--- a/packages/berylspread/src/berylspread/ownership/handover.py
+++ b/packages/berylspread/src/berylspread/ownership/handover.py
@@ -92,9 +92,11 @@
         moves: collections.defaultdict[str, list[UnitEpoch]] = (
             collections.defaultdict(list)
         )
+        targets = self._targets()
+        own = self.claimant.ref.node
         for holding in self._held():
-            target = self._target(holding.unit)
-            if target and count > 0 and holding.claim is not None:
+            target = targets.get(holding.unit, own)
+            if target != own and count > 0 and holding.claim is not None:
                 count -= 1
                 moves[target].append(
                     UnitEpoch(holding.unit, holding.claim.epoch)
@@ -103,12 +105,13 @@
             *(self._offer(node, units) for node, units in moves.items())
         )
 
-    def _target(self, unit: str) -> str:
-        """Return the node that should have a unit, empty if it stays."""
-        own = self.claimant.ref.node
-        region = unit_region(unit)
-        target = self.planner.targets(region).get(unit, own)
-        return '' if target == own else target
+    def _targets(self) -> dict[str, str]:
+        """Return who should have the units of each region owned in."""
+        targets: dict[str, str] = {}
+        regions = {unit_region(one.unit) for one in self._held()}
+        for region in sorted(regions):
+            targets.update(self.planner.targets(region))
+        return targets
 
     async def _offer(self, node: str, units: list[UnitEpoch]) -> None:
         reply = await self.peers.ask(
--- a/packages/berylspread/src/berylspread/ownership/log_ownership.py
+++ b/packages/berylspread/src/berylspread/ownership/log_ownership.py
@@ -26,7 +26,6 @@
 )
 from berylspread.ownership.planner import Planner, Units
 from berylspread.ownership.promising import PromiseRider
-from berylspread.ownership.rules import is_eligible
 from berylspread.ownership.settings import OwnershipSettings
 from berylspread.ownership.sightings import Sightings
 from berylspread.ownership.view import LogAppender, LogView
@@ -63,7 +62,7 @@
         'settings',
     )
 
-    def __init__(
+    def __init__(  # noqa: WPS211
         self,
         ref: NodeRef,
         region: str,
@@ -106,9 +105,7 @@
             settings,
         )
         self.claimant = Claimant(
-            ref,
             sightings,
-            log,
             appender,
             self.planner,
             self.consents,
@@ -225,8 +222,7 @@
 
     def _claimable_regions(self) -> list[str]:
         """Return the regions that this node may claim in."""
-        standing = self.granter.standing(self.region)
-        eligible = is_eligible(standing, self.settings.terms)
+        eligible = self.granter.is_eligible(self.region)
         if self.handover.is_leaving or not eligible:
             return []
         everywhere = self.regions()
--- a/packages/berylspread/src/berylspread/ownership/planner.py
+++ b/packages/berylspread/src/berylspread/ownership/planner.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable, Sequence
 from typing import final
 
+from berylspread.log.folds import UnitClaim
 from berylspread.model import NodeRef, unit_region
 from berylspread.ownership.fleet import Fleet
 from berylspread.ownership.policy import plan
@@ -17,7 +18,16 @@
 class Planner:
     """Says which node should own each unit, the same on nodes that agree."""
 
-    __slots__ = ('cache', 'excluded', 'fleet', 'log', 'terms', 'units')
+    __slots__ = (
+        'cache',
+        'claims',
+        'claims_at',
+        'excluded',
+        'fleet',
+        'log',
+        'terms',
+        'units',
+    )
 
     def __init__(
         self, log: LogView, fleet: Fleet, units: Units, terms: Terms
@@ -28,18 +38,21 @@
         self.units = units
         self.terms = terms
         self.excluded: set[str] = set()
+        self.claims: dict[str, list[UnitClaim]] = {}
+        self.claims_at = 0
         self.cache: dict[str, tuple[_Key, dict[str, str]]] = {}
 
     def targets(self, region: str) -> dict[str, str]:
         """Return the node that should own each unit of a region."""
-        nodes = self.eligible(region)
-        owners = self.live_owners(region)
-        units = list(self.units(region))
-        key = (tuple(units), tuple(nodes), tuple(sorted(owners.items())))
+        units = tuple(self.units(region))
+        nodes = tuple(self.eligible(region))
+        live = self._live(region)
+        key = (self.log.changes, units, nodes, live)
         cached = self.cache.get(region)
         if cached is not None and cached[0] == key:
             return cached[1]
-        targets = self._plan(units, nodes, owners)
+        owners = self.live_owners(region)
+        targets = self._plan(list(units), list(nodes), owners)
         self.cache[region] = (key, targets)
         return targets
 
@@ -56,19 +69,30 @@
 
     def live_owners(self, region: str) -> dict[str, str]:
         """Return the owners that live, by unit."""
-        claims = [
-            claim
-            for claim in self.log.claims()
-            if unit_region(claim.unit) == region and not claim.released_at
-        ]
-        owners = {claim.owner for claim in claims}
-        live = {owner for owner in owners if self.is_live(owner)}
+        live = self._live(region)
         return {
             claim.unit: claim.owner.node
-            for claim in claims
+            for claim in self._claims(region)
             if claim.owner in live
         }
 
+    def _live(self, region: str) -> frozenset[NodeRef]:
+        owners = {claim.owner for claim in self._claims(region)}
+        return frozenset(owner for owner in owners if self.is_live(owner))
+
+    def _claims(self, region: str) -> list[UnitClaim]:
+        """Return the claims that were not released; kept while none changes."""
+        if self.claims_at != self.log.changes:
+            self.claims_at = self.log.changes
+            self.claims.clear()
+        if region not in self.claims:
+            self.claims[region] = [
+                claim
+                for claim in self.log.claims()
+                if unit_region(claim.unit) == region and not claim.released_at
+            ]
+        return self.claims[region]
+
     def is_live(self, owner: NodeRef) -> bool:
         """Return whether an owner lives and does not lack authority."""
         return self.fleet.is_present(owner) and not self.fleet.is_suspended(
--- a/packages/berylspread/src/berylspread/ownership/view.py
+++ b/packages/berylspread/src/berylspread/ownership/view.py
@@ -6,7 +6,12 @@
 
 from berylspread.kernel.errors import Failure
 from berylspread.log.folds import Electorate, UnitClaim
-from berylspread.log.records import Record
+from berylspread.log.records import (
+    Claim,
+    ElectorateChanged,
+    Record,
+    Release,
+)
 from berylspread.log.state import ClusterState
 
 
@@ -24,10 +29,11 @@
     """The folded claims and electorates, and how current they are.
 
     ``tail_seen_at`` returns the loop time at which this node last knew that it
-    had read the log to its end, minus infinity if it never did.
+    had read the log to its end, minus infinity if it never did; ``changes``
+    counts the records on ownership.
     """
 
-    __slots__ = ('moved', 'state', 'tail_seen_at')
+    __slots__ = ('changes', 'moved', 'state', 'tail_seen_at')
 
     def __init__(
         self, state: ClusterState, tail_seen_at: Callable[[], float]
@@ -35,9 +41,12 @@
         """Follow a folded state."""
         self.state = state
         self.tail_seen_at = tail_seen_at
+        self.changes = 1
         self.moved = asyncio.Event()
+        for record_type in (Claim, Release, ElectorateChanged):
+            state.subscribe(record_type, self._on_change)
         state.on_batch(self._on_batch)
-        state.on_restore(self._wake)
+        state.on_restore(self._on_restore)
 
     def offset(self) -> int:
         """Return the offset of the last entry that was read."""
@@ -79,6 +88,13 @@
         except TimeoutError:
             return
 
+    def _on_change(self, _offset: int, _record: Any) -> None:
+        self.changes += 1
+
+    def _on_restore(self) -> None:
+        self.changes += 1
+        self._wake()
+
     def _on_batch(self, _writer: str, _sequence: int, _offset: int) -> None:
         self._wake()
 
