--- a/packages/berylspread-standins/src/berylspread_standins/log_service.py
+++ b/packages/berylspread-standins/src/berylspread_standins/log_service.py
@@ -56,6 +56,7 @@
         'free_at',
         'is_down',
         'latency_s',
+        'lose_answer',
         'retained_bytes',
         'retention',
         'slow_s',
@@ -81,6 +82,8 @@
         self.free_at = 0.0
         self.is_down = False
         self.slow_s = 0.0
+        #: Probability that an append has effect and its answer is lost.
+        self.lose_answer = 0.0
         self.changed = asyncio.Event()
 
     @property
@@ -213,7 +216,6 @@
 
     async def append(self, blob: bytes) -> int | Failure:
         """Append one entry, or return ``LogUnavailable``."""
-        await self.gate.wait()
         answer = await exchange(self._append(blob), timeout_s=self.timeout_s)
         await self.gate.wait()
         if answer is None:
@@ -224,7 +226,6 @@
         self, offset: int, *, limit: int, wait_s: float
     ) -> Page | Failure:
         """Read a page, or return ``LogUnavailable``."""
-        await self.gate.wait()
         answer = await exchange(
             self._read(offset, limit, wait_s),
             timeout_s=self.timeout_s + wait_s,
@@ -235,12 +236,15 @@
         return answer
 
     async def _append(self, blob: bytes) -> int | Failure | None:
+        # What a paused node was about to send goes out when it resumes.
+        await self.gate.wait()
         if not await self._travel(len(blob), inbound=True, purpose='append'):
             return None
         if self._happens(self.faults.duplicate):
             await self.service.append(blob)
         answer = await self.service.append(blob)
-        if answer and self._happens(self.faults.lose_answer):
+        lose_answer = max(self.faults.lose_answer, self.service.lose_answer)
+        if answer and self._happens(lose_answer):
             return None
         arrived = await self._travel(0, inbound=False, purpose='append')
         return answer if arrived else None
@@ -248,6 +252,7 @@
     async def _read(
         self, offset: int, limit: int, wait_s: float
     ) -> Page | Failure | None:
+        await self.gate.wait()
         if not await self._travel(0, inbound=True, purpose='read'):
             return None
         answer = await self.service.read(offset, limit=limit, wait_s=wait_s)
--- a/packages/berylspread/src/berylspread/config/document.py
+++ b/packages/berylspread/src/berylspread/config/document.py
@@ -17,9 +17,10 @@
 )
 from berylspread.config.text import RawDocument, RawSection, parse_text
 from berylspread.kernel.errors import Failure, InvalidInput, failure
-from berylspread.kernel.options import Place, Section, read_section
+from berylspread.kernel.options import Place, read_section
 from berylspread.kernel.registry import nearest
 from berylspread.model import ZERO, Resources
+from berylspread.placement.kernel import PlacementPlugin
 
 SectionT = TypeVar('SectionT', bound=DocumentSection)
 PERCENT: Final = 100.0
@@ -48,15 +49,19 @@
 
 @final
 class Document:
-    """The sections of one document, by kind and label."""
+    """The sections of one document, by kind and label.
 
-    __slots__ = ('plugins', 'sections', 'source')
+    ``is_readable`` is false if its text is not INI at all.
+    """
+
+    __slots__ = ('is_readable', 'plugins', 'sections', 'source')
 
     def __init__(self, source: str) -> None:
         """Start without sections; an absent unlabelled one has defaults."""
         self.source = source
+        self.is_readable = True
         self.sections: dict[str, dict[str, DocumentSection]] = {}
-        self.plugins: dict[str, Section] = {}
+        self.plugins: dict[str, PlacementPlugin] = {}
 
     def labelled(self, cls: type[SectionT]) -> dict[str, SectionT]:
         """Return the sections of a kind by label."""
@@ -115,7 +120,19 @@
         """The regions by name."""
         return self.labelled(RegionSection)
 
-    def plugin(self, kind: str, name: str) -> Section | None:
+    @property
+    def longest_call_s(self) -> float:
+        """The longest time that an interactive call may take, in seconds."""
+        return max(
+            (
+                queue.max_deadline_s
+                for queue in self.queues.values()
+                if queue.work == 'interactive'
+            ),
+            default=0.0,
+        )
+
+    def plugin(self, kind: str, name: str) -> PlacementPlugin | None:
         """Return the options of a plug-in, if the document has a section."""
         return self.plugins.get(f'{kind} {name}')
 
@@ -127,17 +144,20 @@
         found = self.team(team)
         if found is None:
             return 0.0
-        organisations = self.labelled(OrganisationSection)
         share = (found.share or 0.0) / PERCENT
-        name = found.organisation
-        for _ in range(len(organisations)):
-            organisation = organisations.get(name)
-            if organisation is None:
-                break
+        for organisation in self.ancestors(found.organisation):
             share *= (organisation.share or 0.0) / PERCENT
-            name = organisation.parent
         return share
 
+    def ancestors(self, name: str) -> list[OrganisationSection]:
+        """Return an organisation and those above it; each at most once."""
+        organisations = self.labelled(OrganisationSection)
+        found: dict[str, OrganisationSection] = {}
+        while name in organisations and name not in found:
+            found[name] = organisations[name]
+            name = organisations[name].parent
+        return list(found.values())
+
 
 def read_document(
     source: str, text: str, errors: list[InvalidInput]
@@ -150,6 +170,7 @@
     raw = parse_text(source, text)
     if isinstance(raw, InvalidInput):
         errors.append(raw)
+        document.is_readable = False
         return document
     for found in raw.sections:
         _read_one(document, found, errors)
--- a/packages/berylspread/src/berylspread/log/reader.py
+++ b/packages/berylspread/src/berylspread/log/reader.py
@@ -1,6 +1,7 @@
 """Follows the log: start-up, tail, outages and gaps."""
 
 import asyncio
+import contextlib
 import enum
 import random
 from collections.abc import Callable
@@ -20,6 +21,9 @@
 
 NEVER: Final = float('-inf')
 MIN_PAGE_ENTRIES: Final = 1
+PAGE_ENTRIES: Final = 256
+PAGE_BYTES: Final = 262_144
+CATCH_UP_BYTES_S: Final = 2_097_152.0
 MAX_BACKOFF_DOUBLINGS: Final = 10
 #: Weight of the newest page in the mean size of an entry.
 SIZE_WEIGHT: Final = 0.2
@@ -33,12 +37,12 @@
     """
 
     wait_s: float = 1.0
-    min_interval_s: float = 0.05
+    min_interval_s: float = 0.2
     backoff_s: float = 0.1
     max_backoff_s: float = 2.0
-    page_entries: int = 256
-    page_bytes: int = 256 * 1024
-    catch_up_bytes_s: float = 2 * 1024 * 1024
+    page_entries: int = PAGE_ENTRIES
+    page_bytes: int = PAGE_BYTES
+    catch_up_bytes_s: float = CATCH_UP_BYTES_S
 
 
 @final
@@ -127,6 +131,12 @@
             )
         return self.state.offset
 
+    async def next_page(self, timeout_s: float) -> None:
+        """Wait for the next successful read, with or without entries."""
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(timeout_s):
+                await self.advanced.wait()
+
     async def run(self) -> None:
         """Follow the log until cancelled."""
         while not await self._recover():
--- a/packages/berylspread/src/berylspread/partition/worker_link.py
+++ b/packages/berylspread/src/berylspread/partition/worker_link.py
@@ -29,6 +29,8 @@
 RETRY_MIN_S: Final = 0.2
 RETRY_MAX_S: Final = 2.0
 RENEWALS_PER_LEASE: Final = 4
+YOUNG_S: Final = 1.0
+YOUNG_WAIT_S: Final = 0.2
 
 
 @final
@@ -54,8 +56,8 @@
 class WorkerLink:
     """One worker as its partition owner talks to it.
 
-    ``on_reply`` is called with each reply that is not outdated, and ``on_silent``
-    after each exchange that failed.
+    ``on_reply`` is called with each reply that is not outdated, and
+    ``on_silent`` after each exchange that failed.
     """
 
     __slots__ = (
@@ -64,6 +66,7 @@
         'failures',
         'on_reply',
         'on_silent',
+        'opened_at',
         'sequence',
         'starts',
         'stops',
@@ -96,6 +99,7 @@
         self.acknowledged: set[str] = set()
         self.sequence = 0
         self.failures = 0
+        self.opened_at = now()
         self.wake = asyncio.Event()
         self.on_reply: Callable[[WorkerLink, SyncReply], None] = _ignore_reply
         self.on_silent: Callable[[WorkerLink], None] = _ignore_silence
@@ -143,7 +147,7 @@
                     acknowledged=list(self.acknowledged),
                     lease_s=self.timing.lease_s,
                     seen=self.sequence,
-                    wait_s=self.timing.wait_s,
+                    wait_s=self._wait_s(),
                 )
             )
             if isinstance(reply, Failure):
@@ -169,7 +173,9 @@
             START_WINDOW_S, self.tenure.valid_until - sent_at
         )
         for attempt in starts:
-            attempt.doubtful_until = sent_at + EXCHANGE_TIMEOUT_S + START_WINDOW_S
+            attempt.doubtful_until = (
+                sent_at + EXCHANGE_TIMEOUT_S + START_WINDOW_S
+            )
         reply = await self._exchange(
             SyncRequest(
                 unit=self.tenure.unit,
@@ -261,11 +267,16 @@
         )
 
     async def _wait_for_authority(self) -> None:
-        while not self.tenure.is_valid(now()):
+        while not self.tenure.is_valid(now()):  # noqa: ASYNC110
             await asyncio.sleep(RETRY_MIN_S)
 
+    def _wait_s(self) -> float:
+        # A takeover needs a second report once calls under way have arrived.
+        is_young = now() < self.opened_at + YOUNG_S
+        return YOUNG_WAIT_S if is_young else self.timing.wait_s
+
     def _backoff_s(self) -> float:
-        return min(RETRY_MIN_S * 2**self.failures, RETRY_MAX_S)
+        return min(RETRY_MIN_S * (1 << min(self.failures, 8)), RETRY_MAX_S)
 
 
 def _ignore_reply(link: WorkerLink, reply: SyncReply) -> None:
