Propose only electorates that can promise at once

Cause: with two of three members dead and one of them still listed, the next electorate had no live majority, and the region stood still. Change: a version is proposed only with a live majority; a silent member is dropped when the rest could do nothing without it. Ended promises and older versions are forgotten. Result: the new scenario passes; before, units had no holder after 60 s. Conclusion: a region recovers once the platform drops one dead VM.

--- a/features/ownership/failures.feature
+++ b/features/ownership/failures.feature
@@ -129,6 +129,13 @@
     Then every unit is held within 60 seconds
     And no unit ever had two holders
 
+  Scenario: Two of three nodes die and the platform drops one of them
+    Given a running cluster of 3 near and 0 far nodes
+    When node n1 is killed
+    And node n2 is taken away
+    Then every unit is held within 60 seconds
+    And no unit ever had two holders
+
   Scenario: A node joins
     Given a running cluster of 3 near nodes with 16 units
     When node n3 joins
--- a/packages/berylspread/src/berylspread/ownership/consents.py
+++ b/packages/berylspread/src/berylspread/ownership/consents.py
@@ -2,7 +2,7 @@
 
 import asyncio
 from collections.abc import Callable, Iterable
-from typing import final
+from typing import Any, final
 
 from berylspread.kernel.clock import now
 from berylspread.kernel.errors import Failure
@@ -68,6 +68,8 @@
         """Remember when this node read an electorate."""
         key = (electorate.region, electorate.version)
         self.read_at.setdefault(key, now())
+        for table in (self.older, self.read_at):
+            _forget_older(table, electorate)
 
     def forget(self, claimed: UnitEpoch) -> None:
         """Drop the answers about a claim."""
@@ -155,5 +157,14 @@
         ]
 
 
+def _forget_older(
+    table: dict[tuple[str, int], Any], electorate: Electorate
+) -> None:
+    """Drop what is known of versions before the one just read."""
+    for region, version in list(table):
+        if region == electorate.region and version < electorate.version:
+            del table[region, version]
+
+
 def _ignore() -> None:
     """Take no notice of an answer."""
--- a/packages/berylspread/src/berylspread/ownership/electing.py
+++ b/packages/berylspread/src/berylspread/ownership/electing.py
@@ -79,7 +79,7 @@
             return
         members = current.members if current else ()
         wanted = await self._wanted(region, members, candidates)
-        if not wanted or wanted == members:
+        if wanted == members or not _has_majority(candidates, wanted):
             self.wanted.pop(region, None)
             return
         if self._is_settled(region, wanted) and await self._may_change(current):
@@ -106,8 +106,8 @@
     ) -> set[NodeRef]:
         """Return the members that have ended, or been silent for long.
 
-        A silent member that may come back is kept if few others are left: its
-        removal would not let the rest do without one more.
+        A silent member that may come back is kept if few others are left, as
+        long as these are a majority: without it they could do without no more.
         """
         absent = {ref for ref in members if ref not in candidates}
         ended = {
@@ -120,7 +120,9 @@
             for ref in absent - ended
             if self.fleet.dead_for(ref) >= self.settings.remove_after_s
         }
-        if len(members) - len(ended | silent) < self.settings.min_members:
+        kept = len(members) - len(ended)
+        answering = kept - len(silent)
+        if majority(kept) <= answering < self.settings.min_members:
             return ended
         others = [ref.node for ref in candidates]
         return ended | silent - await self.sightings.seen_by(others, silent)
@@ -164,3 +166,11 @@
             logging.warning('electorate of %s not changed: %r', region, result)
         else:
             logging.info('electorate of %s, version %d', region, version)
+
+
+def _has_majority(
+    candidates: list[NodeRef], members: tuple[NodeRef, ...]
+) -> bool:
+    """Return whether an electorate could promise as soon as it is logged."""
+    answering = sum(ref in candidates for ref in members)
+    return answering >= majority(len(members))
--- a/packages/berylspread/src/berylspread/ownership/granter.py
+++ b/packages/berylspread/src/berylspread/ownership/granter.py
@@ -78,6 +78,7 @@
         before = self.electorates.get(region)
         if before is not None and before.version >= electorate.version:
             return
+        self._forget_ended()
         self.electorates[region] = electorate
         self.older_end_at[region] = max(
             (
@@ -139,6 +140,13 @@
         """Return whether this node may promise, consent and claim at all."""
         return is_eligible(self.standing(region), self.terms)
 
+    def _forget_ended(self) -> None:
+        """Drop promises that are over, those to ended processes among them."""
+        time = now()
+        self.given = {
+            key: until for key, until in self.given.items() if until > time
+        }
+
     def _consents(self, ask: ConsentAsk) -> list[Consent]:
         return [
             Consent(
--- a/packages/berylspread/src/berylspread/ownership/handover.py
+++ b/packages/berylspread/src/berylspread/ownership/handover.py
@@ -84,7 +84,8 @@
         await self._release(self._held())
 
     def _has_successors(self) -> bool:
-        return any(self._target(holding.unit) for holding in self._held())
+        targets = self._targets()
+        return any(holding.unit in targets for holding in self._held())
 
     def _held(self) -> list[Holding]:
         return self.holdings.in_state(UnitState.holding)
