Show a keyless job to who knows its id; open a ticket at the deadline

A job from an open queue could be read by operators only, and a job that was pending after its deadline had no ticket before it ended.

Reading a job by its id needs no key if the job is nobody's; cancelling does. The home opens the ticket when the deadline has passed.

--- a/features/entry/help_desk.feature
+++ b/features/entry/help_desk.feature
@@ -3,7 +3,9 @@
   Scenario: A job that ends after its deadline opens a ticket on every node
     Given a fleet of its own
     When the team patterns submits a job of 5 seconds with a deadline in 2
-    And 15 seconds pass
+    And 3 seconds pass
+    Then the fleet lists it once
+    When 12 seconds pass
     Then every node has one ticket for deadline-missed of the job
     And the fleet lists it once
 
--- a/features/entry/jobs.feature
+++ b/features/entry/jobs.feature
@@ -93,3 +93,9 @@
     When a watcher runs and its worker dies
     And 45 seconds pass
     Then the watcher runs on another worker
+
+  Scenario: A job of nobody on an open queue
+    Given a fleet with the open queue public of kind batch
+    When a job of nobody comes to the queue public
+    And 5 seconds pass
+    Then nobody can read its result, and only an operator can cancel it
--- a/features/entry/steps/job_steps.py
+++ b/features/entry/steps/job_steps.py
@@ -288,4 +288,23 @@
     assert view['workers'] != context.workers, view
 
 
+@when('a job of nobody comes to the queue {queue}')
+def step_nobody(context: Context, queue: str) -> None:
+    answer = world(context).request(
+        'POST', '/v1/jobs', json=job_input('', queue, tasks=1)
+    )
+    assert answer.status_code == 202, answer.text
+    context.job_id = answer.json()['job_id']
+    world(context).sleep(5.0)
+
+
+@then('nobody can read its result, and only an operator can cancel it')
+def step_read(context: Context) -> None:
+    found = job(context, '/result', team='no').json()
+    assert found['tasks'] == {'succeeded': 1}, found
+    for team, status in (('no', 401), ('proofs', 403), ('the operator', 200)):
+        answer = job(context, method='DELETE', team=team)
+        assert answer.status_code == status, answer.text
+
+
 __all__ = ['fleet_steps']
--- a/features/support/fleet_steps.py
+++ b/features/support/fleet_steps.py
@@ -8,6 +8,7 @@
 from features.support.entry_world import (
     CENTRAL,
     EAST,
+    EXAMPLE,
     OPERATOR,
     SHARED,
     EntryWorld,
@@ -92,3 +93,11 @@
         run_state,
     ), body
     assert body['status'] == status
+
+
+@given('a fleet with the open queue {queue} of kind {kind}')
+def step_open_queue(context: Context, queue: str, kind: str) -> None:
+    text = EXAMPLE.read_text(encoding='utf-8')
+    section = f'\n[queue {queue}]\nopen = yes\nkind = {kind}\n'
+    context.world = EntryWorld(text + section)
+    context.add_cleanup(context.world.close)
--- a/packages/berylspread-daemon/src/berylspread_daemon/http/app.py
+++ b/packages/berylspread-daemon/src/berylspread_daemon/http/app.py
@@ -20,7 +20,11 @@
 from berylspread_daemon.http.bodies import BODY_TIMEOUT_S, BodyGuard
 from berylspread_daemon.http.calls import CallController
 from berylspread_daemon.http.health import HealthController
-from berylspread_daemon.http.jobs import JobController, provide_caller
+from berylspread_daemon.http.jobs import (
+    JobController,
+    provide_caller,
+    provide_reader,
+)
 from berylspread_daemon.http.problems import EXCEPTION_HANDLERS
 from berylspread_daemon.http.tracing import RequestTracing
 
@@ -47,6 +51,7 @@
         dependencies={
             'entry': Provide(provide_entry, sync_to_thread=False),
             'caller': Provide(provide_caller, sync_to_thread=False),
+            'reader': Provide(provide_reader, sync_to_thread=False),
         },
         exception_handlers=EXCEPTION_HANDLERS,
         middleware=[
--- a/packages/berylspread-daemon/src/berylspread_daemon/http/jobs.py
+++ b/packages/berylspread-daemon/src/berylspread_daemon/http/jobs.py
@@ -6,7 +6,7 @@
 from litestar.params import Parameter
 from litestar.status_codes import HTTP_200_OK, HTTP_202_ACCEPTED
 
-from berylspread.entry.access import Caller
+from berylspread.entry.access import NOBODY, Caller
 from berylspread.entry.jobs import DEFAULT_PAGE
 from berylspread.entry.views import (
     CancelView,
@@ -34,6 +34,15 @@
     return unwrap(entry.access.team_caller(authorization))
 
 
+def provide_reader(
+    entry: Entry, authorization: Authorization = ''
+) -> Caller | None:
+    """Return who reads a job; without a key one from an open queue."""
+    if not authorization:
+        return NOBODY
+    return provide_caller(entry, authorization)
+
+
 class JobController(Controller):
     """Jobs of the caller's team; an operator sees those of all teams."""
 
@@ -73,10 +82,10 @@
 
     @get('/{job_id:str}', summary='Show a job')
     async def show(
-        self, entry: Entry, caller: OptionalCaller, job_id: str
+        self, entry: Entry, reader: OptionalCaller, job_id: str
     ) -> JobView:
         """Return the job as its home sees it."""
-        return unwrap(await entry.jobs.status(caller, job_id))
+        return unwrap(await entry.jobs.status(reader, job_id))
 
     @delete('/{job_id:str}', status_code=HTTP_200_OK, summary='Cancel a job')
     async def cancel(
@@ -91,14 +100,14 @@
 
     @get('/{job_id:str}/result', summary='Show how the tasks ended')
     async def result(
-        self, entry: Entry, caller: OptionalCaller, job_id: str
+        self, entry: Entry, reader: OptionalCaller, job_id: str
     ) -> JobResult:
         """Return the outcome of an ended job."""
-        return unwrap(entry.jobs.result(caller, job_id))
+        return unwrap(entry.jobs.result(reader, job_id))
 
     @get('/{job_id:str}/why', summary='Explain why tasks wait')
     async def why(
-        self, entry: Entry, caller: OptionalCaller, job_id: str
+        self, entry: Entry, reader: OptionalCaller, job_id: str
     ) -> WhyView:
         """Return the reasons that hold back tasks of the job."""
-        return unwrap(await entry.jobs.why(caller, job_id))
+        return unwrap(await entry.jobs.why(reader, job_id))
--- a/packages/berylspread/src/berylspread/jobs/watch.py
+++ b/packages/berylspread/src/berylspread/jobs/watch.py
@@ -37,6 +37,7 @@
         for home in self.homes():
             self._report_duplicates(home)
             if home.tenure.is_valid(now()):
+                self._report_late(home)
                 absent.update(_absent(home))
         self.since = {key: self.since.get(key, now()) for key in absent}
         for key, state in absent.items():
@@ -53,6 +54,18 @@
             bound_s=UNSTAFFED_S,
         )
 
+    def _report_late(self, home: JobHome) -> None:
+        wall_time = home.context.wall.time()
+        for job_id, progress in home.book.jobs.items():
+            deadline = progress.spec.deadline
+            if deadline is not None and deadline < wall_time:
+                self.desk.open(
+                    Category.deadline_missed,
+                    job_id,
+                    deadline=deadline,
+                    tasks=progress.counts(),
+                )
+
     def _report_duplicates(self, home: JobHome) -> None:
         while home.book.duplicates:
             event = home.book.duplicates.popleft()
