--- a/bench/ownership_explorer.py
+++ b/bench/ownership_explorer.py
@@ -288,7 +288,9 @@
         verdict = 'two holders' if found.steps else 'never two holders'
         extent = 'all' if found.is_complete else 'the first'
         seconds = time.perf_counter() - began
-        print(f'{name}: {extent} {found.visited} states, {verdict}, {seconds:.1f} s')
+        print(
+            f'{name}: {extent} {found.visited} states, {verdict}, {seconds:.1f} s'
+        )
     naive = explore_naive()
     print(
         f'naive form: {naive.visited} states, '
--- a/packages/berylspread/src/berylspread/limits/quota.py
+++ b/packages/berylspread/src/berylspread/limits/quota.py
@@ -12,7 +12,7 @@
 
 from berylspread.kernel import CLOCK_DRIFT, check
 from berylspread.kernel.errors import StaleEpoch
-from berylspread.limits.vectors import bounded_times, over, within
+from berylspread.limits.vectors import bounded_times, over, smaller, within
 from berylspread.model import ZERO, Resources
 
 #: What one interactive call counts against its team's limit.
@@ -50,13 +50,16 @@
     A dimension that is 0 in ``fleet_limit`` is unlimited; an allotment of 0 in
     a limited dimension gives nothing.  ``outgoing`` is the part that is being
     given to another region: it is out of use already.  ``awaited`` are the
-    entry nodes whose slices from a predecessor are not known yet, with the
-    most that each may hold.
+    entry nodes whose slices from a predecessor are not known yet: each counts
+    as a largest slice, which is ``max_slice_share`` of the allotment, as of
+    the takeover.  Until all are known the limit may fall and does not rise.
     """
 
     __slots__ = (
         'allotment',
         'awaited',
+        'awaited_limit',
+        'awaited_slice',
         'awaited_until',
         'fleet_limit',
         'lent',
@@ -73,8 +76,10 @@
         self.outgoing = ZERO
         self.used = ZERO
         self.lent = 0
-        self.awaited: dict[str, int] = {}
+        self.awaited: set[str] = set()
         self.awaited_until: float = 0
+        self.awaited_limit = ZERO
+        self.awaited_slice = 0
         self.max_slice_share: float = 1
         self.slices: dict[str, Slice] = {}
 
@@ -90,14 +95,16 @@
 
     def room(self, shape: Resources) -> int | None:
         """Return how many more of a shape fit; ``None`` if unlimited."""
-        return bounded_times(
-            shape, self.may_be_used, self.limit, self.fleet_limit
-        )
+        limit = self.limit
+        if self.awaited:
+            limit = smaller(limit, self.awaited_limit)
+        return bounded_times(shape, self.counted, limit, self.fleet_limit)
 
     @property
-    def may_be_used(self) -> Resources:
-        """What counts, and the most that awaited nodes may hold."""
-        return self.in_use + CALL_SHAPE * sum(self.awaited.values())
+    def counted(self) -> Resources:
+        """Return what may be in use, with slices that are not known yet."""
+        unknown = self.awaited_slice * len(self.awaited)
+        return self.in_use + CALL_SHAPE * unknown
 
     @property
     def largest_slice(self) -> int:
@@ -206,7 +213,7 @@
         if sequence < held.sequence:
             return StaleEpoch('an older question for a slice', entry=entry)
         if sequence > held.sequence:
-            quota.awaited.pop(entry, None)
+            quota.awaited.discard(entry)
             self._offer(quota, held, wanted, holds)
             held.sequence = sequence
             held.valid_until = now + self.slice_ttl_s
@@ -247,8 +254,9 @@
         slice has surely lapsed.
         """
         quota = self.teams.setdefault(team, TeamQuota())
-        largest = EVERYTHING if is_lowered else quota.largest_slice
-        quota.awaited = dict.fromkeys(entries, largest)
+        quota.awaited = set(entries)
+        quota.awaited_limit = quota.limit
+        quota.awaited_slice = EVERYTHING if is_lowered else quota.largest_slice
         quota.awaited_until = now + self.lapse_s
 
     def told(
@@ -256,7 +264,7 @@
     ) -> None:
         """Take in what an awaited entry node holds, under its borrower name."""
         quota = self.teams[team]
-        quota.awaited.pop(entry, None)
+        quota.awaited.discard(entry)
         held = quota.slices.setdefault(borrower, Slice())
         quota.lent += holds - held.count
         held.count = holds
@@ -272,7 +280,7 @@
         quota = self.teams.get(team)
         if quota is None or quota.outgoing != ZERO:
             return False
-        left = quota.allotment - quota.may_be_used - amount
+        left = quota.allotment - quota.counted - amount
         asked = amount.is_non_negative() and amount != ZERO
         mask = quota.fleet_limit
         if not asked or not within(ZERO, left, mask, amount):
