Register a non-idempotent call at one home for all regions

A copy of a non-idempotent call at an entry node of the other region ran a second time: each region registered the request id at a home of its own. In a fleet of three nodes both answered 200.

The home's region is the queue's, or follows from the request id by the regions' weights, as for jobs; the rule stands once, in jobs/shards. A request id that was used for a job of another region is found too, and a reader without a key is told that one is required.

--- a/packages/berylspread/src/berylspread/calls/router.py
+++ b/packages/berylspread/src/berylspread/calls/router.py
@@ -15,7 +15,7 @@
     Registered,
 )
 from berylspread.calls.request_id import issued_at
-from berylspread.jobs.shards import home_unit
+from berylspread.jobs.shards import home_unit, spread_region
 from berylspread.kernel import Failure, now
 from berylspread.kernel.errors import (
     DeadlineExceeded,
@@ -121,7 +121,11 @@
                 'the id of a non-idempotent request is a UUID of version 7',
                 field='X-Request-Id',
             )
-        unit = home_unit(self.context, call.team)
+        # A copy at an entry node of another region finds the same home.
+        region = call.region or spread_region(
+            self.context, f'{call.team}\0{call.request_id}'
+        )
+        unit = home_unit(self.context, call.team, region)
         owner = self.context.owner(unit)
         node, epoch = ('', 0) if owner is None else (owner[0].node, owner[1])
         reply = await self.context.peers.ask(
--- a/packages/berylspread/src/berylspread/entry/jobs.py
+++ b/packages/berylspread/src/berylspread/entry/jobs.py
@@ -25,6 +25,7 @@
     Failure,
     Forbidden,
     InvalidInput,
+    Unauthenticated,
     UnknownName,
 )
 from berylspread.kernel.registry import nearest
@@ -212,9 +213,11 @@
             return UnknownName(
                 f'no job is called {job_id!r}', kind='job', key=job_id
             )
-        if caller is not None and caller.team != found.spec.team:
-            return Forbidden('the job is of another team', job_id=job_id)
-        return found.spec
+        if caller is None or caller.team == found.spec.team:
+            return found.spec
+        if not caller.is_known:
+            return Unauthenticated('a key is required', job_id=job_id)
+        return Forbidden('the job is of another team', job_id=job_id)
 
     def _known(self, job_id: str) -> JobState | EndedJob | None:
         jobs = self.fold
--- a/packages/berylspread/src/berylspread/entry/submission.py
+++ b/packages/berylspread/src/berylspread/entry/submission.py
@@ -22,7 +22,7 @@
 from berylspread.entry.failures import RequestReused
 from berylspread.entry.feasibility import find_obstacle
 from berylspread.entry.views import JobAcceptedView, JobInput
-from berylspread.jobs.shards import team_shard
+from berylspread.jobs.shards import spread_region, team_shard
 from berylspread.kernel.errors import (
     DeadlineExceeded,
     Failure,
@@ -36,7 +36,6 @@
 
 ValueT = TypeVar('ValueT')
 
-HEXADECIMAL: Final = 16
 MAX_PRIORITY: Final = 100
 MAX_ATTEMPTS: Final = 100
 MAX_TEXT: Final = 200
@@ -107,7 +106,7 @@
         deadline = self._deadline(job)
         request_id = job.request_id or uuid.uuid4().hex
         digest = _digest(caller.team, request_id)
-        region = self._region(queue, job, digest)
+        region = self._region(queue, job, caller.team)
         shard = team_shard(caller.team, self.context.document.limits.shards)
         return JobSpec(
             job_id=f'{region}.{shard}.{digest}',
@@ -182,32 +181,27 @@
             return self.context.wall.time() + job.deadline_s
         return job.deadline
 
-    def _region(self, queue: QueueSection, job: JobInput, digest: str) -> str:
+    def _region(self, queue: QueueSection, job: JobInput, team: str) -> str:
         named = job.constraints.region or queue.region
         if named:
             return named
         if not job.request_id:
             return self.context.region
         # A repeat at an entry node of another region must find the same home.
-        weights = {
-            name: section.weight
-            for name, section in sorted(self.context.document.regions.items())
-        }
-        point = int(digest, HEXADECIMAL) % (sum(weights.values()) or 1)
-        for name, weight in weights.items():
-            point -= weight
-            if point < 0:
-                return name
-        return self.context.region
+        return spread_region(self.context, f'{team}\0{job.request_id}')
 
     def _known(self, spec: JobSpec) -> JobAcceptedView | Failure | None:
+        """Look for the request in every region: another queue may differ."""
         jobs = self.context.state.jobs
-        active = jobs.active.get(spec.job_id)
-        if active is not None:
-            return _repeat(active.spec, spec, active.accepted_at)
-        ended = jobs.ended.get(spec.job_id)
-        if ended is not None:
-            return _repeat(ended.spec, spec, ended.offset)
+        own_region, shard, digest = spec.job_id.rsplit('.', 2)
+        for region in {own_region, *self.context.document.regions}:
+            job_id = f'{region}.{shard}.{digest}'
+            active = jobs.active.get(job_id)
+            if active is not None:
+                return _repeat(active.spec, spec, active.accepted_at)
+            ended = jobs.ended.get(job_id)
+            if ended is not None:
+                return _repeat(ended.spec, spec, ended.offset)
         return None
 
 
--- a/packages/berylspread/src/berylspread/jobs/shards.py
+++ b/packages/berylspread/src/berylspread/jobs/shards.py
@@ -1,5 +1,7 @@
 """Which unit is home to a team."""
 
+import itertools
+
 import xxhash
 
 from berylspread.model import shard_unit
@@ -17,6 +19,28 @@
     return shard_unit(region or context.region, shard)
 
 
+def spread_region(context: NodeContext, name: str) -> str:
+    """Return the region that a name falls to, by the regions' weights.
+
+    Every node comes to the same region under the same document; this node's is
+    the answer where the document has none.
+    """
+    weights = {
+        region: section.weight
+        for region, section in sorted(context.document.regions.items())
+    }
+    total = sum(weights.values())
+    if not total:
+        return context.region
+    point = xxhash.xxh64_intdigest(name.encode()) % total
+    bounds = itertools.accumulate(weights.values())
+    return next(
+        region
+        for region, bound in zip(weights, bounds, strict=True)
+        if point < bound
+    )
+
+
 def shard_units(context: NodeContext, region: str) -> list[str]:
     """Return the home units of a region."""
     return [
