--- a/packages/berylspread/src/berylspread/entry/submission.py
+++ b/packages/berylspread/src/berylspread/entry/submission.py
@@ -194,7 +194,8 @@
         """Look for the request in every region: another queue may differ."""
         jobs = self.context.state.jobs
         own_region, shard, digest = spec.job_id.rsplit('.', 2)
-        for region in {own_region, *self.context.document.regions}:
+        regions = (own_region, *self.context.document.regions)
+        for region in regions:
             job_id = f'{region}.{shard}.{digest}'
             active = jobs.active.get(job_id)
             if active is not None:
