--- a/packages/berylspread/src/berylspread/log/folds/allotments.py
+++ b/packages/berylspread/src/berylspread/log/folds/allotments.py
@@ -18,7 +18,6 @@
 from berylspread.log.records import AllotmentMoved, ConfigApplied
 from berylspread.model import DIMENSIONS, ZERO, Resources
 
-
 #: Seconds of log time for which a lowered part is remembered.
 KEPT_LOWERED_S: Final = 3600.0
 
