--- a/packages/berylspread/src/berylspread/placement/pipeline.py
+++ b/packages/berylspread/src/berylspread/placement/pipeline.py
@@ -1,6 +1,7 @@
 """The pipeline of a decision: order, filters, scorers, choice."""
 
 import collections
+import math
 from collections.abc import Iterable, Sequence
 from typing import Final, TypeVar, final
 
@@ -15,6 +16,7 @@
 from berylspread.placement.demand import Decision, DemandClass, Rejection
 from berylspread.placement.gang import earmarks_wanted, fit_count
 from berylspread.placement.kernel import (
+    MAX_WEIGHT,
     Filter,
     PlacementPlugin,
     Pool,
@@ -100,12 +102,13 @@
         order = finder.find(orders, policy.order)
         preemption = finder.find(preemptions, policy.preemption)
         found_filters = finder.find_all(filters, policy.filters)
-        found_scorers = finder.find_all(scorers, policy.scorers)
+        found_scorers = finder.find_scorers(policy.scorers)
         if finder.unknown is not None:
             return finder.unknown
         _weigh_order(order, policy)
         weighted = [
-            (_weight(scorer, policy), scorer) for scorer in found_scorers
+            (factor * _weight(scorer, policy), scorer)
+            for factor, scorer in found_scorers
         ]
         return cls(
             order,
@@ -298,6 +301,29 @@
     ) -> list[PluginT]:
         return [self.find(registry, name) for name in names]
 
+    def find_scorers(self, words: Iterable[str]) -> list[tuple[float, Scorer]]:
+        """Find scorers by name, or by name, colon and factor."""
+        found: list[tuple[float, Scorer]] = []
+        for word in words:
+            name, _, factor = word.partition(':')
+            try:
+                weight = float(factor or 1)
+            except ValueError:
+                weight = math.nan
+            if not 0 <= weight <= MAX_WEIGHT:
+                self.unknown = self.unknown or _bad_factor(word)
+                weight = 0
+            found.append((weight, self.find(scorers, name)))
+        return found
+
+
+def _bad_factor(word: str) -> UnknownName:
+    return UnknownName(
+        f'the factor in {word!r} is not a number from 0 to {MAX_WEIGHT:g}',
+        kind='scorer',
+        key=word,
+    )
+
 
 def _weigh_order(order: QueueOrder, policy: PolicySection) -> None:
     for name in WEIGHTS:
