Let waits of the stand-ins end when their timer fires early

Cause: the loop runs timers that are due within a nanosecond. A sync or a read that waited again for the rest spun without end, since virtual time does not move while something is ready; found by a probe that hung. Change: both wait under one timeout.

--- a/packages/berylspread-standins/src/berylspread_standins/log_service.py
+++ b/packages/berylspread-standins/src/berylspread_standins/log_service.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections
+import contextlib
 import random
 from typing import Final, final
 
@@ -135,11 +136,10 @@
             self._drop_first()
 
     async def _wait(self, offset: int, wait_s: float) -> None:
-        deadline = now() + wait_s
-        while offset >= self.end and now() < deadline:
-            changed = asyncio.ensure_future(self.changed.wait())
-            await asyncio.wait((changed,), timeout=deadline - now())
-            changed.cancel()
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(wait_s):
+                while offset >= self.end:
+                    await self.changed.wait()
 
     def _slice(self, offset: int, limit: int) -> list[Entry]:
         if offset < self.first:
--- a/packages/berylspread-standins/src/berylspread_standins/worker.py
+++ b/packages/berylspread-standins/src/berylspread_standins/worker.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import collections
+import contextlib
 import enum
 from typing import Final, final
 
@@ -325,11 +326,12 @@
         self.changed = asyncio.Event()
 
     async def _wait(self, request: SyncRequest) -> None:
-        deadline = now() + request.wait_s
-        while self.sequence <= request.seen and now() < deadline:
-            changed = asyncio.ensure_future(self.changed.wait())
-            await asyncio.wait((changed,), timeout=deadline - now())
-            changed.cancel()
+        if request.wait_s <= 0:
+            return
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(request.wait_s):
+                while self.sequence <= request.seen:
+                    await self.changed.wait()
 
     async def _serve(self, request: CallRequest, workload: Workload) -> int:
         await asyncio.sleep(self.faults.slow_s)
