Test a claim race and the invariants' counter

Cause: two claims on one epoch, and violated invariants, must show. Change: a scenario of two claimants; each scenario checks the counter.

--- a/bench/ownership_explorer.py
+++ b/bench/ownership_explorer.py
@@ -305,7 +305,7 @@
         found = explore(scope, rule_set)
         seconds = time.perf_counter() - began
         print(
-            f'mutant, {name}: {extent} {found.visited} states, '
+            f'mutant, {name}: {found.visited} states, '
             f'two holders after {found.steps} steps, {seconds:.1f} s'
         )
 
--- a/features/ownership/failures.feature
+++ b/features/ownership/failures.feature
@@ -13,6 +13,13 @@
     Then every unit is held within 6.3 seconds
     And no unit ever had two holders
 
+  Scenario: Two nodes claim the same units at once
+    Given a running cluster of 3 near and 0 far nodes
+    When node n0 dies and n1 and n2 both claim its units
+    Then every unit is held within 6.3 seconds
+    And each of those units has had one new owner
+    And no unit ever had two holders
+
   Scenario: An owner stops as planned
     Given a running cluster of 3 near and 0 far nodes
     When node n1 stops as planned
--- a/features/ownership/steps/failure_steps.py
+++ b/features/ownership/steps/failure_steps.py
@@ -6,6 +6,7 @@
 from behave import given, then, when
 
 from bench.ownership_cluster import FAR, NEAR, Cluster, Node
+from berylspread.kernel.invariants import violations
 from berylspread_standins.virtual_time import VirtualTimeLoop
 
 LONG_S = 1000
@@ -119,6 +120,28 @@
     run(context, kill())
 
 
+@when('node {dead} dies and {left} and {right} both claim its units')
+def when_race(context, dead, left, right):
+    async def race():
+        nodes = context.cluster.nodes
+        context.raced = nodes[dead].holds()
+        nodes[dead].kill()
+        await asyncio.gather(
+            nodes[left].ownership.claimant.claim(context.raced),
+            nodes[right].ownership.claimant.claim(context.raced),
+        )
+
+    run(context, race())
+
+
+@then('each of those units has had one new owner')
+def then_one_new(context):
+    claims = context.cluster.running()[0].state.units.claims
+    assert context.raced
+    for unit in context.raced:
+        assert claims[unit].epoch == 2, claims[unit]
+
+
 @when('node {name} starts')
 def when_starts(context, name):
     async def start():
@@ -340,6 +363,7 @@
 @then('no unit ever had two holders')
 def then_no_doubles(context):
     assert not context.cluster.doubles, context.cluster.doubles[:3]
+    assert not violations, violations
 
 
 @then('no unit was without a holder for more than {limit:g} seconds')
