--- a/features/entry/jobs.feature
+++ b/features/entry/jobs.feature
@@ -87,3 +87,15 @@
     And 2 seconds pass
     And the nodes of central are cut off from east
     Then the job is shown at east from the log
+
+  Scenario: A watcher moves off a dead worker
+    Given a fleet of its own
+    When a watcher runs and its worker dies
+    And 45 seconds pass
+    Then the watcher runs on another worker
+
+  Scenario: A job of nobody on an open queue
+    Given a fleet with the open queue public of kind batch
+    When a job of nobody comes to the queue public
+    And 5 seconds pass
+    Then nobody can read its result, and only an operator can cancel it
--- a/features/entry/steps/job_steps.py
+++ b/features/entry/steps/job_steps.py
@@ -261,4 +261,50 @@
     assert (view['source'], view['tasks']) == ('log', {'active': 2}), view
 
 
+@when('a watcher runs and its worker dies')
+def step_watcher_dies(context: Context) -> None:
+    answer = world(context).request(
+        'POST',
+        '/v1/jobs',
+        key=token(context, 'looms'),
+        json={'queue': 'loom-watcher', 'payload': '{"run_s": null}'},
+    )
+    context.job_id = answer.json()['job_id']
+    world(context).sleep(3.0)
+    context.workers = job(context, team='looms').json()['workers']
+
+    async def die() -> None:
+        for worker in world(context).cluster.workers.values():
+            if worker.vm.vm_id in context.workers:
+                worker.die()
+
+    world(context).run(die())
+
+
+@then('the watcher runs on another worker')
+def step_moved(context: Context) -> None:
+    view = job(context, team='looms').json()
+    assert view['tasks'] == {'running': 1}, view
+    assert view['workers'] != context.workers, view
+
+
+@when('a job of nobody comes to the queue {queue}')
+def step_nobody(context: Context, queue: str) -> None:
+    answer = world(context).request(
+        'POST', '/v1/jobs', json=job_input('', queue, tasks=1)
+    )
+    assert answer.status_code == 202, answer.text
+    context.job_id = answer.json()['job_id']
+    world(context).sleep(5.0)
+
+
+@then('nobody can read its result, and only an operator can cancel it')
+def step_read(context: Context) -> None:
+    found = job(context, '/result', team='no').json()
+    assert found['tasks'] == {'succeeded': 1}, found
+    for team, status in (('no', 401), ('proofs', 403), ('the operator', 200)):
+        answer = job(context, method='DELETE', team=team)
+        assert answer.status_code == status, answer.text
+
+
 __all__ = ['fleet_steps']
--- a/packages/berylspread/src/berylspread/placement/pending.py
+++ b/packages/berylspread/src/berylspread/placement/pending.py
@@ -1,6 +1,7 @@
 """The pending classes at a partition owner, in order."""
 
 import heapq
+import math
 from collections.abc import Callable, Iterable
 from typing import Final, final
 
@@ -22,11 +23,13 @@
         'is_queued',
         'oldest_at',
         'reasons',
+        'served_at',
     )
 
     def __init__(self, demand: DemandClass, now: float) -> None:
         """Take over a home's class as of now."""
         self.count = 0
+        self.served_at = -math.inf
         self.is_queued = False
         self.reasons: dict[str, int] = {}
         self.replace(demand, now)
@@ -46,6 +49,10 @@
         """Return how long the oldest task has waited."""
         return max(now - self.oldest_at, 0)
 
+    def starved_s(self, now: float) -> float:
+        """Return how long it has waited without any task being placed."""
+        return now - max(self.oldest_at, self.served_at)
+
 
 @final
 class DemandQueue:
@@ -57,6 +64,7 @@
     """
 
     __slots__ = (
+        'accelerated',
         'classes',
         'heap',
         'ordered_at',
@@ -68,6 +76,8 @@
     def __init__(self) -> None:
         """Start empty."""
         self.classes: dict[str, PendingClass] = {}
+        #: Names of the classes that ask for accelerators.
+        self.accelerated: set[str] = set()
         self.heap: list[tuple[bool, float, int, PendingClass]] = []
         self.parked: list[PendingClass] = []
         self.parked_version = -1
@@ -86,6 +96,8 @@
         elif known is None:
             known = PendingClass(demand, now)
             self.classes[demand.class_id] = known
+            if demand.shape.accelerators:
+                self.accelerated.add(demand.class_id)
             self._push(known, 0)
         else:
             known.replace(demand, now)
@@ -105,6 +117,7 @@
     def remove(self, class_id: str) -> None:
         """Drop a class; the heap forgets it when it is met."""
         pending = self.classes.pop(class_id, None)
+        self.accelerated.discard(class_id)
         if pending is not None:
             pending.count = 0
 
@@ -132,7 +145,7 @@
         if pending.count > 0:
             self._push(pending, key)
         else:
-            self.classes.pop(pending.demand.class_id, None)
+            self.remove(pending.demand.class_id)
 
     def park(self, pending: PendingClass) -> None:
         """Set a class aside until more capacity is free."""
