Answer a repeated pull only after its starts are logged

Cause: a home stored the answer of a pull before it logged the starts of non-idempotent tasks. A rack that asked again within a slow append got the tasks at once; if the append then failed, the same tasks were taken back and handed out again while they ran.

Change: the stored answer is a future that is set once the log has confirmed or refused the starts; a repeat waits for it. New scenarios cover lost, repeated and outdated pulls.

Conclusion: no task leaves the home before its start is durable.

--- /dev/null
+++ b/features/jobs/steps/pull_steps.py
@@ -0,0 +1,188 @@
+"""Steps about questions for tasks, asked by hand."""
+
+import asyncio
+from typing import Any
+
+from behave import given, then, when
+from behave.runner import Context
+
+from berylspread.jobs.home import JobHome
+from berylspread.kernel import Failure, now
+from berylspread.model import ZERO
+from berylspread.partition.messages import (
+    PullAsk,
+    PullLine,
+    PullReply,
+    TaskGrant,
+    UnitEpoch,
+)
+from features.support import fault_steps
+from features.support.fault_steps import new_world
+
+RACK = 'workers/central-java/pekalongan-rack-1'
+
+
+def home(context: Context) -> JobHome:
+    """Return the home of the job."""
+    world = context.world
+    unit = world.job.home
+    node = world.sim(world.owner_name(unit)).running
+    return node.homes.roles[unit].jobs
+
+
+def question(
+    context: Context,
+    number: int,
+    count: int,
+    *,
+    rack_age: int = 0,
+    home_age: int = 0,
+) -> PullAsk:
+    """Return a question of the rack; an age is in epochs."""
+    found = home(context)
+    rack = UnitEpoch(RACK, found.reconciler.seen[RACK] - rack_age)
+    asked = UnitEpoch(found.unit.unit, found.unit.epoch - home_age)
+    (class_id,) = found.book.classes
+    return PullAsk(rack, asked, number, [PullLine(class_id, count)])
+
+
+def ask(context: Context, message: PullAsk) -> None:
+    """Ask the home and keep the answer."""
+    reply = context.world.run(home(context).pull(message))
+    context.world.answers.append(reply)
+
+
+def grants(reply: Any) -> list[TaskGrant]:
+    """Return the tasks in an answer."""
+    if isinstance(reply, Failure):
+        return []
+    assert isinstance(reply, PullReply)
+    return [grant for line in reply.grants for grant in line]
+
+
+def pending(context: Context) -> int:
+    """Return how many tasks wait at the home."""
+    return len(home(context).book.jobs[context.world.job.job_id].pending)
+
+
+@given('a fleet without room, whose rack asks by hand')
+def step_by_hand(context: Context) -> None:
+    new_world(context, 'one rack', capacity=ZERO)
+
+
+@given('a job of {tasks:d} tasks came to {queue}')
+def step_job(context: Context, tasks: int, queue: str) -> None:
+    context.world.submit(queue, tasks)
+    context.world.sleep(1.0)
+
+
+@given('the log answers {seconds:g} s late')
+def step_slow(context: Context, seconds: float) -> None:
+    context.world.cluster.log.slow_s = seconds
+
+
+@given('the log is slow and then fails')
+def step_failing(context: Context) -> None:
+    world = context.world
+    appender = home(context).context.appender
+
+    async def append(*records: Any) -> Failure:
+        await asyncio.sleep(3.0)
+        return fault_steps.LOG_DOWN
+
+    home(context).context.appender = FailingAppender(append)
+    assert appender is not None
+    assert world.job is not None
+
+
+class FailingAppender:
+    """An appender whose every append fails late."""
+
+    def __init__(self, append: Any) -> None:
+        self.append = append
+
+
+@when('the rack asks for {count:d} tasks as question {number:d}')
+def step_ask(context: Context, count: int, number: int) -> None:
+    ask(context, question(context, number, count))
+
+
+@when(
+    'the rack asks for {count:d} tasks'
+    ' as question {number:d} under an older epoch'
+)
+def step_older_rack(context: Context, count: int, number: int) -> None:
+    ask(context, question(context, number, count, rack_age=1))
+
+
+@when(
+    'the rack asks for {count:d} tasks as question {number:d} to an older home'
+)
+def step_older_home(context: Context, count: int, number: int) -> None:
+    ask(context, question(context, number, count, home_age=1))
+
+
+@when(
+    'the rack asks for {count:d} tasks as question {number:d},'
+    ' twice, {apart:g} s apart'
+)
+def step_twice(context: Context, count: int, number: int, apart: float) -> None:
+    message = question(context, number, count)
+    pull = home(context).pull
+    context.asked_at = context.world.time()
+
+    async def ask_after(delay_s: float) -> tuple[Any, float]:
+        await asyncio.sleep(delay_s)
+        return await pull(message), now()
+
+    async def ask_twice() -> list[tuple[Any, float]]:
+        return await asyncio.gather(ask_after(0), ask_after(apart))
+
+    context.timed = context.world.run(ask_twice())
+    context.world.answers = [reply for reply, _at in context.timed]
+
+
+@then('both answers hold the same {count:d} tasks')
+def step_same(context: Context, count: int) -> None:
+    first, second = (grants(reply) for reply in context.world.answers)
+    assert len(first) == count, first
+    assert first == second, (first, second)
+
+
+@then('the answers have no task in common')
+def step_other(context: Context) -> None:
+    first, second = (
+        {grant.task for grant in grants(reply)}
+        for reply in context.world.answers
+    )
+    assert first, first
+    assert second, second
+    assert not first & second, first & second
+
+
+@then('{count:d} tasks still wait')
+def step_waiting(context: Context, count: int) -> None:
+    assert pending(context) == count, pending(context)
+
+
+@then('the last question is refused as {name}')
+def step_refused(context: Context, name: str) -> None:
+    reply = context.world.answers[-1]
+    assert isinstance(reply, Failure), reply
+    assert reply.name == name, reply
+
+
+@then('neither answer came before the log held the starts')
+def step_after_log(context: Context) -> None:
+    earliest = context.asked_at + context.world.cluster.log.slow_s
+    for reply, answered_at in context.timed:
+        assert isinstance(reply, Failure) or answered_at >= earliest, (
+            f'{len(grants(reply))} tasks after'
+            f' {answered_at - context.asked_at:.3f} s'
+        )
+
+
+@then('no answer holds a task')
+def step_no_task(context: Context) -> None:
+    found = [grants(reply) for reply in context.world.answers]
+    assert not any(found), found
--- a/packages/berylspread/src/berylspread/jobs/home.py
+++ b/packages/berylspread/src/berylspread/jobs/home.py
@@ -45,6 +45,21 @@
 SPILL_AFTER_S: Final = 2.0
 
 
+@final
+class AnsweredPull:
+    """A partition's last question; ``answer`` is open until it is durable."""
+
+    __slots__ = ('answer', 'epoch', 'sequence')
+
+    def __init__(self, ask: PullAsk) -> None:
+        """Start with an open answer."""
+        self.epoch = ask.partition.epoch
+        self.sequence = ask.sequence
+        self.answer: asyncio.Future[PullReply | Failure] = (
+            asyncio.get_running_loop().create_future()
+        )
+
+
 @final
 class JobHome:
     """Hands out pending tasks to partition owners and records their ends."""
@@ -81,7 +96,7 @@
         self.outcomes = OutcomeWriter(context, self.book)
         self.stopper = Stopper(context, self.book, self.unit)
         self.gangs = GangStarter(self)
-        self.pulls: dict[str, tuple[int, int, PullReply]] = {}
+        self.pulls: dict[str, AnsweredPull] = {}
         self.sequence = 0
         self.published_at = float('-inf')
         self.last_published: list[DemandClass] = []
@@ -134,12 +149,13 @@
                 'the home has not read this epoch of the partition',
                 unit=ask.partition.unit,
             )
-        epoch, sequence, reply = self.pulls.get(
-            ask.partition.unit, (0, 0, _NO_REPLY)
-        )
-        if (epoch, sequence) == (ask.partition.epoch, ask.sequence):
-            return reply
-        if epoch == ask.partition.epoch and ask.sequence < sequence:
+        known = self.pulls.get(ask.partition.unit)
+        if known is None or known.epoch != ask.partition.epoch:
+            return await self._hand_out(ask)
+        if known.sequence == ask.sequence:
+            # A repeat waits, as the first did, until the starts are logged.
+            return await asyncio.shield(known.answer)
+        if ask.sequence < known.sequence:
             return StaleEpoch('an old question', unit=ask.partition.unit)
         return await self._hand_out(ask)
 
@@ -194,18 +210,16 @@
             uses=self.uses(),
             demand_sequence=self.sequence,
         )
-        self.pulls[ask.partition.unit] = (
-            ask.partition.epoch,
-            ask.sequence,
-            reply,
-        )
+        pull = AnsweredPull(ask)
+        self.pulls[ask.partition.unit] = pull
         failed = await self.log_starts(
             [task for line in grants for task in line]
         )
-        if failed is not None:
-            self.pulls.pop(ask.partition.unit, None)
-            return failed
-        return reply
+        if failed is not None and self.pulls[ask.partition.unit] is pull:
+            self.pulls.pop(ask.partition.unit)
+        outcome = reply if failed is None else failed
+        pull.answer.set_result(outcome)
+        return outcome
 
     async def log_starts(self, grants: list[TaskGrant]) -> Failure | None:
         """Log that tasks of non-idempotent jobs may start from now on.
@@ -308,7 +322,6 @@
     JobAccepted,
     JobCancelled,
 )
-_NO_REPLY: Final = PullReply(0, [], [], [], 0)
 
 
 def _same_demand(left: list[DemandClass], right: list[DemandClass]) -> bool:
