Let the log tell a new home who may hold slices

Change: only members of the electorate borrow, and the fold remembers when members left; a new home waits for exactly those. Conclusion: the wait is for processes, not for anybody.

--- a/packages/berylspread/src/berylspread/calls/allowance.py
+++ b/packages/berylspread/src/berylspread/calls/allowance.py
@@ -108,7 +108,7 @@
             for team, held in self.slices.items()
             if home_unit(self.context, team) == unit
         ]
-        return SlicesReply(self.context.ref, self.context.uptime_s, slices)
+        return SlicesReply(self.context.ref, slices)
 
     async def _wait(
         self, team: str, held: TeamSlice, deadline: float
--- a/packages/berylspread/src/berylspread/calls/home.py
+++ b/packages/berylspread/src/berylspread/calls/home.py
@@ -13,7 +13,7 @@
 )
 from berylspread.calls.registry import RequestRegistry
 from berylspread.kernel import Failure, now
-from berylspread.kernel.errors import UnknownName
+from berylspread.kernel.errors import NotOwner, UnknownName
 from berylspread.limits import QuotaLedger
 from berylspread.model import NodeRef, unit_region
 from berylspread.partition.messages import UnitEpoch
@@ -60,13 +60,19 @@
         if self.task is not None:
             self.task.cancel()
 
-    def lend(self, entry: str, ask: AllowanceAsk) -> Allowance | Failure:
-        """Lend an entry node a slice of a team's calls."""
+    def lend(self, source: NodeRef, ask: AllowanceAsk) -> Allowance | Failure:
+        """Lend an entry node a slice of a team's calls.
+
+        Only members of the electorate borrow: the log tells a successor who
+        they were.
+        """
+        if not self._is_member(source):
+            return NotOwner('the entry node is not in the electorate yet')
         quota = self.quota.teams.get(ask.team)
         if quota is not None:
             quota.max_slice_share = SHARED
         held = self.quota.lend(
-            entry,
+            entry_name(source),
             ask.team,
             ask.wanted,
             now(),
@@ -88,26 +94,32 @@
         """Let the first copy of a non-idempotent request through."""
         return self.registry.register(ask)
 
-    def _entries(self) -> list[str]:
-        return [
-            member.node
-            for member in self.context.membership.members(self.region)
-        ]
+    def _is_member(self, source: NodeRef) -> bool:
+        electorate = self.context.state.units.electorate(self.region)
+        return electorate is not None and source in electorate.members
+
+    def _borrowers(self) -> set[NodeRef] | None:
+        """Return who may hold slices of a predecessor, if the log tells."""
+        since = self.context.wall.time() - self.quota.lapse_s - CLOCK_MARGIN_S
+        return self.context.state.units.members_since(self.region, since)
 
     def _assume_lent(self) -> None:
-        lapse_s = self.quota.lapse_s
-        # A young node may never have heard of a node that is lost by now.
-        knows_all = self.context.uptime_s > lapse_s
-        holders = self._entries() if knows_all else [ANYONE]
+        borrowers = self._borrowers()
+        holders = (
+            [ANYONE]
+            if borrowers is None
+            else [entry_name(ref) for ref in sorted(borrowers)]
+        )
         for team, quota in self.quota.teams.items():
-            quota.max_slice_share = SHARED if knows_all else 1
+            quota.max_slice_share = 1 if borrowers is None else SHARED
             self.quota.await_slices(
                 team, holders, now(), is_lowered=self._is_lowered(team)
             )
 
     async def _ask_all(self) -> None:
-        pending = set(self._entries())
-        while pending:
+        ends_at = now() + self.quota.lapse_s
+        pending = {ref.node for ref in self._borrowers() or ()}
+        while pending and now() < ends_at:
             answered = await asyncio.gather(
                 *(self._ask(node) for node in sorted(pending))
             )
@@ -123,18 +135,10 @@
         )
         if isinstance(reply, Failure):
             return ''
+        holder = entry_name(reply.holder)
         held = {slice_.team: slice_.count for slice_ in reply.slices}
-        # Calls of an earlier process on the node may still be running.
-        is_young = reply.uptime_s <= self.quota.lapse_s
-        told_for = '' if is_young else node
         for team in self.quota.teams:
-            self.quota.told(
-                team,
-                told_for,
-                entry_name(reply.holder),
-                held.get(team, 0),
-                now(),
-            )
+            self.quota.told(team, holder, holder, held.get(team, 0), now())
         return node
 
     def _is_lowered(self, team: str) -> bool:
--- a/packages/berylspread/src/berylspread/calls/messages.py
+++ b/packages/berylspread/src/berylspread/calls/messages.py
@@ -127,5 +127,4 @@
     """The slices that an entry node holds, with calls under way or valid."""
 
     holder: NodeRef
-    uptime_s: float
     slices: list[HeldSlice]
--- a/packages/berylspread/src/berylspread/log/folds/allotments.py
+++ b/packages/berylspread/src/berylspread/log/folds/allotments.py
@@ -100,7 +100,8 @@
         self._forget_lowered(context.log_time)
         for team, allotment in self.teams.items():
             self._check(team)
-            if not _covers(allotment, before.get(team)):
+            is_first = version.base == 0
+            if not is_first and not _covers(allotment, before.get(team)):
                 self.lowered_at[team] = context.log_time
 
     @applies(AllotmentMoved)
--- a/packages/berylspread/src/berylspread/log/folds/units.py
+++ b/packages/berylspread/src/berylspread/log/folds/units.py
@@ -1,6 +1,6 @@
 """The last claim and release of each unit, and the regions' electorates."""
 
-from typing import final
+from typing import Final, final
 
 import msgspec
 
@@ -8,6 +8,9 @@
 from berylspread.log.records import Claim, ElectorateChanged, Release
 from berylspread.model import NodeRef
 
+#: Departed members are remembered this long, in seconds.
+KEPT_DEPARTED_S: Final = 3600.0
+
 
 @final
 class UnitClaim(msgspec.Struct, frozen=True, array_like=True):
@@ -52,12 +55,16 @@
 class UnitFold(Fold):
     """The first claim of the next epoch wins; any other is ignored."""
 
-    __slots__ = ('claims', 'electorates')
+    __slots__ = ('claims', 'departed', 'electorates', 'history_from')
 
     def __init__(self) -> None:
         """Start without owners."""
         self.claims: dict[str, UnitClaim] = {}
         self.electorates: dict[str, Electorate] = {}
+        #: Store's time at which a member left its electorate; not in
+        #: snapshots, so it is known from ``history_from`` on.
+        self.departed: dict[str, dict[NodeRef, float]] = {}
+        self.history_from = float('-inf')
 
     def claim(self, unit: str) -> UnitClaim | None:
         """Return the winning claim of a unit's newest epoch."""
@@ -67,6 +74,22 @@
         """Return a region's newest electorate."""
         return self.electorates.get(region)
 
+    def members_since(
+        self, region: str, log_time: float
+    ) -> set[NodeRef] | None:
+        """Return all who were members at any time since, or ``None``.
+
+        ``None`` means that the history does not reach back that far.
+        """
+        if self.history_from > log_time:
+            return None
+        electorate = self.electorates.get(region)
+        members = set(electorate.members) if electorate else set()
+        departed = self.departed.get(region, {})
+        return members | {
+            ref for ref, left_at in departed.items() if left_at >= log_time
+        }
+
     @applies(Claim)
     def on_claim(self, context: Context, record: Claim) -> None:
         """Install the claim if it is the first of the next epoch."""
@@ -107,6 +130,12 @@
                 context.offset,
                 last.members if last else (),
             )
+            departed = self.departed.setdefault(record.region, {})
+            gone = set(last.members if last else ()) - set(record.members)
+            departed.update(dict.fromkeys(gone, context.log_time))
+            for ref, left_at in list(departed.items()):
+                if left_at < context.log_time - KEPT_DEPARTED_S:
+                    departed.pop(ref)
 
     def to_wire(self) -> UnitsWire:
         """Return the contents for a snapshot."""
--- a/packages/berylspread/src/berylspread/log/state.py
+++ b/packages/berylspread/src/berylspread/log/state.py
@@ -221,6 +221,8 @@
         self.configs = ConfigFold.from_wire(wire.configs)
         self.keys = KeyFold.from_wire(wire.keys)
         self.units = UnitFold.from_wire(wire.units)
+        if wire.offset:
+            self.units.history_from = wire.log_time
         self.jobs = JobFold.from_wire(wire.jobs)
         self.allotments = AllotmentFold.from_wire(wire.allotments, self.configs)
         self.drains = DrainFold.from_wire(wire.drains)
--- a/packages/berylspread/src/berylspread/runtime/homes.py
+++ b/packages/berylspread/src/berylspread/runtime/homes.py
@@ -2,7 +2,7 @@
 
 from typing import final
 
-from berylspread.calls.home import CallHome, entry_name
+from berylspread.calls.home import CallHome
 from berylspread.calls.messages import AllowanceAsk, RegisterAsk
 from berylspread.jobs.home import JobHome
 from berylspread.kernel import Failure, now
@@ -116,7 +116,7 @@
         role = self.role(ask.home)
         if isinstance(role, Failure):
             return role
-        return role.calls.lend(entry_name(source), ask)
+        return role.calls.lend(source, ask)
 
     async def _register(
         self, source: NodeRef, ask: RegisterAsk
