Refuse requests to workers that were held up; read refusals rightly

Cause: a renewal held up for 8.5 s let a task run 2.6 s past the time at which its owner took the lease for lapsed; a worker's refusal was reported to the caller as an unknown outcome. Change: each exchange carries the time after which it must not take effect; a refusal that says not-run is passed on as such. Conclusion: workers that do not check it keep the documented limit.

--- a/packages/berylspread-standins/src/berylspread_standins/worker.py
+++ b/packages/berylspread-standins/src/berylspread_standins/worker.py
@@ -20,7 +20,7 @@
     TaskStop,
 )
 from berylspread.kernel.clock import WallClock, now
-from berylspread.kernel.errors import Failure, StaleEpoch
+from berylspread.kernel.errors import DeadlineExceeded, Failure, StaleEpoch
 from berylspread.model import Resources, TaskState, Vm
 from berylspread_standins.gate import Gate
 from berylspread_standins.observer import Execution, Observer
@@ -145,6 +145,8 @@
         stale = self._fence(request.unit, request.epoch)
         if stale is not None:
             return stale
+        if self._is_late(request):
+            return DeadlineExceeded('the request was held up')
         refused = self._obey(request)
         await asyncio.sleep(self.faults.slow_s)
         await self._wait(request)
@@ -226,6 +228,10 @@
             return None
         return StaleEpoch('older epoch', unit=unit, epoch=epoch, newest=highest)
 
+    def _is_late(self, request: SyncRequest) -> bool:
+        checks = Checks.deadline in self.checks and request.not_after > 0
+        return checks and self.wall.time() > request.not_after
+
     def _obey(self, request: SyncRequest) -> dict[str, str]:
         for run in _known(self.runs, request.acknowledged):
             if run.is_over:
--- a/packages/berylspread/src/berylspread/backend/interface.py
+++ b/packages/berylspread/src/berylspread/backend/interface.py
@@ -47,7 +47,9 @@
 
     Renews the leases of ``renew`` by ``lease_s``; the worker answers at once if
     a task has changed since ``seen``, and after ``wait_s`` at the latest.
-    ``acknowledged`` names ended tasks that the worker may forget.
+    ``acknowledged`` names ended tasks that the worker may forget.  A worker
+    that checks ``not_after``, in seconds since the epoch, refuses the whole
+    request later: a renewal that was held up must not revive a lease.
     """
 
     unit: str
@@ -59,6 +61,7 @@
     lease_s: float = 0.0
     seen: int = 0
     wait_s: float = 0.0
+    not_after: float = 0.0
 
 
 @final
--- a/packages/berylspread/src/berylspread/calls/router.py
+++ b/packages/berylspread/src/berylspread/calls/router.py
@@ -16,7 +16,7 @@
 )
 from berylspread.calls.request_id import issued_at
 from berylspread.jobs.shards import home_unit, spread_region
-from berylspread.kernel import Failure, now
+from berylspread.kernel import Failure, RunState, now
 from berylspread.kernel.errors import (
     DeadlineExceeded,
     InvalidInput,
@@ -231,7 +231,7 @@
             ),
         )
         if isinstance(reply, Failure):
-            progress.sent = sent_before or bool(reply.fields.get('sent', True))
+            progress.sent = sent_before or _may_have_run(reply)
             return reply
         if (reply.request_id, reply.attempt) != (
             call.request_id,
@@ -283,5 +283,12 @@
         ]
 
 
+def _may_have_run(failure: Failure) -> bool:
+    """Return whether a worker may have run the call, by its answer."""
+    if failure.run_state is RunState.not_run:
+        return False
+    return bool(failure.fields.get('sent', True))
+
+
 def _room(known: KnownCapacity) -> tuple[int, int]:
     return known.report.free.slots - known.report.waiting, -known.report.waiting
--- a/packages/berylspread/src/berylspread/partition/worker_link.py
+++ b/packages/berylspread/src/berylspread/partition/worker_link.py
@@ -149,6 +149,7 @@
                     renew=self._renewable(),
                     acknowledged=list(self.acknowledged),
                     lease_s=self.timing.lease_s,
+                    not_after=self.wall.time() + EXCHANGE_TIMEOUT_S,
                     seen=self.sequence,
                     wait_s=self._wait_s(),
                 )
@@ -186,6 +187,7 @@
                 starts=[self._task_start(item, not_after) for item in starts],
                 stops=[TaskStop(name, mode) for name, mode in stops.items()],
                 lease_s=self.timing.lease_s,
+                not_after=not_after,
             ),
             starting=starts,
         )
