Split the fleet out of the replay's engine

Change: bench/replay/fleet.py builds owners, racks and workers. Conclusion: events and set-up are apart.

--- a/bench/replay/engine.py
+++ b/bench/replay/engine.py
@@ -1,6 +1,5 @@
 """The replay: arrivals, owners' rounds and ends of tasks as events."""
 
-import collections
 import heapq
 import itertools
 import math
@@ -11,14 +10,15 @@
 
 import xxhash
 
-from bench.replay.demand import GANG, SERVICE, Scenario, capacity_of
+from bench.replay.demand import GANG, SERVICE, Scenario
+from bench.replay.fleet import Fleet, Owner
 from bench.replay.home import Home, Task
 from bench.replay.policies import Policy
 from bench.replay.results import Results
-from berylspread.health import HealthMonitor
-from berylspread.limits import CapacityLedger, FreeIndex, Occupant
-from berylspread.model import Resources, Vm, VmRole
-from berylspread.placement import Decision, DemandClass, DemandQueue, Rejection
+from berylspread.limits import CapacityLedger, Occupant
+from berylspread.limits.vectors import larger
+from berylspread.model import Resources
+from berylspread.placement import Decision, DemandClass, Rejection
 from berylspread.placement.gang import HOLD_TTL_S, GangAttempt, GangRetry
 
 TICK_S: Final = 0.1
@@ -30,37 +30,6 @@
 HOMES: Final = 8
 
 
-@final
-class Owner:
-    """One node: the ledgers of its racks, one index, one pipeline."""
-
-    __slots__ = (
-        'fresh',
-        'health',
-        'index',
-        'ledgers',
-        'number',
-        'pipeline',
-        'pool',
-        'queue',
-        'seen',
-        'ticks',
-    )
-
-    def __init__(self, number: int, policy: Policy) -> None:
-        """Start without workers."""
-        self.number = number
-        self.index = FreeIndex()
-        self.ledgers: dict[str, CapacityLedger] = {}
-        self.pipeline = policy.pipeline()
-        self.queue = DemandQueue()
-        self.health = HealthMonitor(0) if policy.has_health else None
-        self.pool: Any = self.index
-        self.seen: collections.Counter[str] = collections.Counter()
-        self.ticks = 0
-        self.fresh = 0
-
-
 @final
 class Replay:
     """One policy over one scenario."""
@@ -75,13 +44,11 @@
         self.numbers = itertools.count()
         self.rng = random.Random(7)
         self.results = Results(policy.name)
-        self.failing: set[str] = set()
         self.running: dict[str, Task] = {}
-        self.urgent_waiting: list[Task] = []
         self.stopping: set[str] = set()
-        self.total = Resources()
-        self.owners: list[Owner] = []
-        self._build_fleet()
+        self.fleet = Fleet(scenario, policy)
+        self.total = self.fleet.total
+        self.owners = self.fleet.owners
         self.homes = [
             Home(
                 f'teams/r/{number}',
@@ -238,12 +205,7 @@
                 for use in home.team_uses(self.now):
                     context.shares.update(use)
         if owner.ticks % 10 == 1:
-            views = [
-                view
-                for ledger in owner.ledgers.values()
-                for view in ledger.workers.values()
-            ]
-            context.rescale(views)
+            context.rescale(owner.views())
         context.shares.total = self.total
         self.version += 1
 
@@ -283,7 +245,7 @@
         task.version += 1
         self.running[task.key] = task
         self.results.starts += 1
-        if worker in self.failing and task.job_class.kind != SERVICE:
+        if worker in self.fleet.failing and task.job_class.kind != SERVICE:
             self._plan_end(task, FAIL_AFTER_S, 'failed')
         elif (
             not self.policy.is_pooled
@@ -321,7 +283,7 @@
         if how == 'outgrew':
             home.learned.outgrew(task.job_class.name, real, self.now)
             self.results.counts['outgrown'] += 1
-            task.job_class.declared = _at_least(task.job_class.declared, real)
+            task.job_class.declared = larger(task.job_class.declared, real)
         self.results.counts['failed'] += how == 'failed'
         home.put(task, self.version, first=True)
 
@@ -357,7 +319,7 @@
         }
         # What runs at a failing worker is no use to anybody.
         healthy = self.total
-        for worker in self.failing:
+        for worker in self.fleet.failing:
             view = self._ledger(worker).workers[worker]
             healthy -= view.capacity
             for booking in view.bookings.values():
@@ -376,69 +338,8 @@
                         task.job_class.kind, self.now - task.arrived_at
                     )
 
-    def _build_fleet(self) -> None:
-        scenario = self.scenario
-        owners = 1 if self.policy.is_pooled else scenario.owners
-        self.owners = [Owner(number, self.policy) for number in range(owners)]
-        self.by_worker: dict[str, tuple[Owner, CapacityLedger]] = {}
-        rng = random.Random(3)
-        if self.policy.is_pooled:
-            self._add_giant()
-            return
-        for rack in range(scenario.racks):
-            owner = self.owners[rack % owners]
-            unit = f'workers/r/k{rack}'
-            ledger = CapacityLedger(unit, owner.index)
-            owner.ledgers[unit] = ledger
-            if owner.health is not None:
-                owner.health.watch(ledger)
-            for place in range(8):
-                self._add_worker(owner, ledger, rack, rack * 8 + place)
-        names = sorted(self.by_worker)
-        self.failing = set(rng.sample(names, scenario.failing))
-        for owner in self.owners:
-            members = [
-                view
-                for ledger in owner.ledgers.values()
-                for view in ledger.workers.values()
-            ]
-            if self.policy.make_pool is not None:
-                owner.pool = self.policy.make_pool(owner.index, members)
-
-    def _add_worker(
-        self, owner: Owner, ledger: CapacityLedger, rack: int, number: int
-    ) -> None:
-        worker = f'w{number}'
-        zone = f'z{rack % 3}'
-        vm = Vm(worker, VmRole.worker, '10.0.0.1:1', 'r', zone, f'k{rack}')
-        ledger.add_worker(vm)
-        ledger.report(worker, capacity_of(number))
-        self.total += capacity_of(number)
-        self.by_worker[worker] = (owner, ledger)
-
-    def _add_giant(self) -> None:
-        for number in range(self.scenario.racks * 8):
-            self.total += capacity_of(number)
-        owner = self.owners[0]
-        ledger = CapacityLedger('workers/r/all', owner.index)
-        owner.ledgers['workers/r/all'] = ledger
-        vm = Vm('all', VmRole.worker, '10.0.0.1:1', 'r', 'z', 'k')
-        ledger.add_worker(vm)
-        ledger.report('all', self.total)
-        self.by_worker['all'] = (owner, ledger)
-
     def _ledger(self, worker: str) -> CapacityLedger:
-        return self.by_worker[worker][1]
+        return self.fleet.by_worker[worker][1]
 
     def _owner(self, worker: str) -> Owner:
-        return self.by_worker[worker][0]
-
-
-def _at_least(declared: Resources, real: Resources) -> Resources:
-    """Return what the user declares after a task was stopped for its use."""
-    return Resources(
-        max(declared.cpu_milli, real.cpu_milli),
-        max(declared.memory_mib, real.memory_mib),
-        declared.accelerators,
-        declared.slots,
-    )
+        return self.fleet.by_worker[worker][0]
