Stop renewing the leases of a silent worker

Cause: a partition owner repeated the renewals of a worker that did not answer. Each might have arrived, so each put off the time at which the leases have surely lapsed: the tasks of a dead worker that stays in the VM list were never lost and never started again.

Change: after two exchanges without an answer the owner asks without renewing, until the worker answers again.

--- /dev/null
+++ b/features/jobs/endings.feature
@@ -0,0 +1,33 @@
+Feature: How jobs end
+
+  Scenario: A cancelled job, some of its tasks running
+    Given a fleet of one rack
+    When a job of 200 tasks that run 300 s comes to ledger
+    And 10 s pass
+    And the job is cancelled
+    Then within 10 s the job has ended with 200 cancelled
+    And nothing runs
+    And every guarantee held
+
+  Scenario: A wave of cancellations
+    Given a fleet of one rack
+    When 40 jobs of 20 tasks that run 300 s come to ledger
+    And 10 s pass
+    And every job is cancelled at once
+    Then within 20 s every job has ended with 20 cancelled
+    And nothing runs
+    And no task was started after the wave
+    And the wave took at most 80 log entries
+
+  Scenario Outline: Tasks of <queue> on workers that fail everything
+    Given a fleet of one rack
+    And every worker fails all it starts
+    When a job of 1 tasks that run 5 s comes to <queue>
+    Then within 120 s the job has ended with 1 failed
+    And <starts> tasks were started
+    And each start came later after the one before
+
+    Examples:
+      | queue   | starts |
+      | ledger  | 3      |
+      | billing | 1      |
--- /dev/null
+++ b/features/jobs/gangs.feature
@@ -0,0 +1,53 @@
+Feature: Gangs
+
+  The tasks of a gang start all at once or not at all, over several racks.
+
+  Scenario Outline: A gang over three racks, <lost> <message> lost
+    Given a fleet of three racks
+    And the next <lost> <message> messages are lost
+    When a job of 40 tasks that run 20 s comes to pattern-proof
+    Then within 60 s all members run at one time
+    And within 60 s the job has ended with 40 succeeded
+    And at most <starts> tasks were started
+    And every guarantee held
+
+    Examples:
+      | message      | lost | starts |
+      | ReserveAsk   | 2    | 40     |
+      | ReserveReply | 2    | 40     |
+      | CommitAsk    | 1    | 40     |
+      | CommitReply  | 3    | 40     |
+      | ReleaseHold  | 3    | 40     |
+
+  Scenario: A hold that expires before the commit arrives
+    Given a fleet of three racks
+    And the next 9 CommitAsk messages are lost
+    When a job of 40 tasks that run 20 s comes to pattern-proof
+    Then within 90 s all members run at one time
+    And within 60 s the job has ended with 40 succeeded
+    And every guarantee held
+
+  Scenario: A gang that does not fit holds no room
+    Given a fleet of three racks
+    And 20 tasks of pattern-proof that run 40 s
+    When a job of 40 tasks that run 20 s comes to pattern-proof
+    And a job of 10 tasks that run 5 s comes to ledger
+    Then within 30 s the job has ended with 10 succeeded
+    And 30 tasks were started
+
+  Scenario: Two gangs that each need most of the fleet
+    Given a fleet of three racks
+    When a job of 30 tasks that run 10 s comes to pattern-proof
+    And a job of 30 tasks that run 10 s comes to pattern-proof
+    Then within 90 s every job has ended with 30 succeeded
+    And each task was started once
+    And every guarantee held
+
+  Scenario: A member that is lost restarts the whole gang
+    Given a fleet of three racks
+    And 10 tasks of pattern-proof that run 40 s
+    When a worker of the job dies
+    Then within 60 s all members run at one time
+    And within 60 s the job has ended with 10 succeeded
+    And 20 tasks were started
+    And every guarantee held
--- /dev/null
+++ b/features/jobs/steps/job_fault_steps.py
@@ -0,0 +1,97 @@
+"""Steps about jobs whose workers, homes or callers fail them."""
+
+import itertools
+import random
+
+from behave import given, then, when
+from behave.runner import Context
+
+from features.support.fault_steps import report
+
+NEXT_POLL_S = 1.0
+
+
+@given('every worker fails all it starts')
+def step_fail_all(context: Context) -> None:
+    for worker in context.world.cluster.workers.values():
+        worker.faults.fails_all = True
+
+
+@when('{jobs:d} jobs of {tasks:d} tasks that run {run_s:g} s come to {queue}')
+def step_jobs(
+    context: Context, jobs: int, tasks: int, run_s: float, queue: str
+) -> None:
+    for _ in range(jobs):
+        context.world.submit(queue, tasks, run_s=run_s)
+
+
+@when('the job is cancelled')
+@when('every job is cancelled at once')
+def step_cancel(context: Context) -> None:
+    world = context.world
+    world.broken_at = world.time()
+    context.entries = world.cluster.log.end
+    world.run(world.cluster.cancel_jobs(1.0, random.Random(1)))
+    # The cancellation reaches every rack within a moment.
+    world.sleep(NEXT_POLL_S)
+    context.starts = world.starts()
+
+
+@when('a worker of the job dies')
+def step_worker_dies(context: Context) -> None:
+    world = context.world
+    world.broken_at = world.time()
+    run = world.runs_of(world.job)[0]
+    world.call_soon(world.worker(run.worker).die)
+    world.sleep(NEXT_POLL_S)
+
+
+@then('within {limit:g} s all members run at one time')
+def step_all_members(context: Context, limit: float) -> None:
+    world = context.world
+    spec = world.job
+    world.wait(lambda: len(world.runs_of(spec)) == spec.tasks, limit)
+    report(context, world.time() - world.broken_at)
+
+
+@then('within {limit:g} s every job has ended with {count:d} {state}')
+def step_all_ended(
+    context: Context, limit: float, count: int, state: str
+) -> None:
+    world = context.world
+    world.wait(lambda: all(world.ended(spec) for spec in world.jobs), limit)
+    report(context, world.time() - world.broken_at)
+    for spec in world.jobs:
+        ended = world.ended(spec)
+        assert ended is not None
+        assert dict(ended.counts) == {state: count}, ended.counts
+
+
+@then('at most {count:d} tasks were started')
+def step_at_most(context: Context, count: int) -> None:
+    assert context.world.starts() <= count, context.world.starts()
+
+
+@then('nothing runs')
+def step_nothing(context: Context) -> None:
+    assert not context.world.runs(), context.world.runs()
+
+
+@then('no task was started after the wave')
+def step_no_start(context: Context) -> None:
+    assert context.world.starts() == context.starts, context.world.starts()
+
+
+@then('the wave took at most {count:d} log entries')
+def step_entries(context: Context, count: int) -> None:
+    took = context.world.cluster.log.end - context.entries
+    assert took <= count, took
+
+
+@then('each start came later after the one before')
+def step_backoff(context: Context) -> None:
+    times = [at for at, _name in context.world.start_times]
+    gaps = [later - earlier for earlier, later in itertools.pairwise(times)]
+    assert all(
+        later > earlier for earlier, later in itertools.pairwise(gaps)
+    ), gaps
--- a/features/partition/steps/takeover_steps.py
+++ b/features/partition/steps/takeover_steps.py
@@ -100,11 +100,6 @@
     report(context, first)
 
 
-@then('{count:d} tasks were started')
-def step_started(context: Context, count: int) -> None:
-    assert context.world.starts() == count, context.world.starts()
-
-
 @then('within {limit:g} s the first job has ended with {count:d} {state}')
 def step_first(context: Context, limit: float, count: int, state: str) -> None:
     context.world.jobs.append(context.world.jobs[-2])
--- a/features/support/fault_steps.py
+++ b/features/support/fault_steps.py
@@ -1,5 +1,7 @@
 """Steps on a fleet that fails, for several folders."""
 
+import sys
+
 from behave import given, then, when
 from behave.runner import Context
 
@@ -51,7 +53,7 @@
 
 def report(context: Context, took_s: float) -> None:
     """Tell what a run measured; behave shows it with ``--no-capture``."""
-    print(f'measured: {context.scenario.name}: {took_s:.1f} s')
+    sys.stdout.write(f'measured: {context.scenario.name}: {took_s:.1f} s\n')
 
 
 @given('a fleet of {fleet}')
@@ -114,6 +116,25 @@
         world.run(world.sim(name).start())
 
 
+@when("the job's home dies")
+def step_home_dies(context: Context) -> None:
+    world = context.world
+    world.fail({world.owner_name(world.job.home)})
+
+
+@when(
+    "the job's home and every worker die, and the workers return after {s:g} s"
+)
+def step_all_die(context: Context, s: float) -> None:
+    world = context.world
+    world.fail({world.owner_name(world.job.home)})
+    for worker in world.cluster.workers.values():
+        world.call_soon(worker.die)
+    world.sleep(s)
+    for worker in world.cluster.workers.values():
+        worker.faults.is_unreachable = False
+
+
 @when('{seconds:g} s pass')
 def step_pass(context: Context, seconds: float) -> None:
     context.world.sleep(seconds)
@@ -135,6 +156,11 @@
     assert found == {state: count}, found
 
 
+@then('{count:d} tasks were started')
+def step_started(context: Context, count: int) -> None:
+    assert context.world.starts() == count, context.world.starts()
+
+
 @then('each task was started once')
 def step_started_once(context: Context) -> None:
     found = context.world.starts()
--- a/features/support/fault_world.py
+++ b/features/support/fault_world.py
@@ -12,7 +12,7 @@
 from berylspread.partition.owner import PartitionOwner
 from berylspread_standins.cluster import Cluster, Place, SimNode
 from berylspread_standins.network import Endpoint
-from berylspread_standins.observer import Execution
+from berylspread_standins.observer import Execution, Observer
 from berylspread_standins.virtual_time import VirtualTimeLoop
 from berylspread_standins.worker import Worker
 
@@ -49,6 +49,16 @@
 WARM_UP_S = 3.0
 
 
+class StartNotes:
+    """An observer for the workers that also notes when tasks start."""
+
+    def __init__(
+        self, inner: Observer, started: Callable[[Execution], None]
+    ) -> None:
+        self.started = started
+        self.ended = inner.ended
+
+
 class LossyNetwork:
     """The network of the peers, which loses the next messages of a type."""
 
@@ -75,7 +85,8 @@
         self.runner = asyncio.Runner(loop_factory=VirtualTimeLoop)
         self.jobs: list[JobSpec] = []
         self.before: dict[str, list[Execution]] = {}
-        self.tasks: list[asyncio.Task[Any]] = []
+        #: When each task was started, and its name.
+        self.start_times: list[tuple[float, str]] = []
         self.broken_at = 0.0
         self.killed: list[str] = []
         self.answers: list[Any] = []
@@ -171,7 +182,7 @@
     def lose(self, message: str, count: int) -> None:
         """Lose the next messages of a type."""
         peers = self.cluster.peers
-        peers.network = LossyNetwork(peers.network, message, count)  # type: ignore[assignment]
+        peers.network = LossyNetwork(peers.network, message, count)
 
     def fail(self, names: set[str]) -> None:
         """Kill nodes at one moment."""
@@ -204,6 +215,14 @@
             places=FLEETS[fleet],
             **options,
         )
+        started = self.cluster.observer.started
+
+        def note(run: Execution) -> None:
+            self.start_times.append((now(), run.name))
+            started(run)
+
+        for worker in self.cluster.workers.values():
+            worker.observer = StartNotes(self.cluster.observer, note)
         await self.cluster.start()
         await self.cluster.until_ready()
         await asyncio.sleep(WARM_UP_S)
--- a/packages/berylspread/src/berylspread/partition/owner.py
+++ b/packages/berylspread/src/berylspread/partition/owner.py
@@ -30,13 +30,13 @@
 from berylspread.partition.reports import ReportReader
 from berylspread.partition.worker_link import (
     EXCHANGE_TIMEOUT_S,
+    SILENT_EXCHANGES,
     LinkTiming,
     WorkerLink,
 )
 from berylspread.placement import DemandClass
 from berylspread.runtime import NodeContext
 
-SILENT_EXCHANGES: Final = 2
 #: Nothing is granted this long after a takeover.
 SETTLE_S: Final = 0.5
 
--- a/packages/berylspread/src/berylspread/partition/worker_link.py
+++ b/packages/berylspread/src/berylspread/partition/worker_link.py
@@ -29,6 +29,8 @@
 RETRY_MIN_S: Final = 0.2
 RETRY_MAX_S: Final = 2.0
 RENEWALS_PER_LEASE: Final = 4
+#: After this many exchanges without an answer no lease is renewed.
+SILENT_EXCHANGES: Final = 2
 YOUNG_S: Final = 1.0
 YOUNG_WAIT_S: Final = 0.2
 
@@ -246,6 +248,10 @@
         return renewed + starting
 
     def _renewable(self) -> list[str]:
+        # A renewal without an answer may have arrived, so it puts off the time
+        # at which the lease has surely lapsed; a dead worker's never would.
+        if self.failures >= SILENT_EXCHANGES:
+            return []
         return [
             name
             for name, attempt in self.attempts.items()
