--- a/packages/berylspread/src/berylspread/entry/administration.py
+++ b/packages/berylspread/src/berylspread/entry/administration.py
@@ -69,7 +69,9 @@
         if unknown is not None:
             return unknown
         problem = check_submission(
-            _submission(environment, document), await self._used(document)
+            _submission(environment, document),
+            await self._used(document),
+            self.context.document,
         )
         if problem is not None:
             return problem
--- a/packages/berylspread/src/berylspread/partition/worker_link.py
+++ b/packages/berylspread/src/berylspread/partition/worker_link.py
@@ -29,6 +29,8 @@
 RETRY_MIN_S: Final = 0.2
 RETRY_MAX_S: Final = 2.0
 RENEWALS_PER_LEASE: Final = 4
+#: After this many exchanges without an answer no lease is renewed.
+SILENT_EXCHANGES: Final = 2
 YOUNG_S: Final = 1.0
 YOUNG_WAIT_S: Final = 0.2
 
--- a/packages/berylspread/src/berylspread/runtime/node.py
+++ b/packages/berylspread/src/berylspread/runtime/node.py
@@ -253,7 +253,7 @@
             settings.appender,
             parts.rng,
         )
-        self.state.on_batch(self.appender.observed)
+        self.appender.follow(self.state)
         self.publisher = SnapshotPublisher(
             self.reader,
             self.appender,
