--- a/bench/capacity/memory.py
+++ b/bench/capacity/memory.py
@@ -49,7 +49,10 @@
 def _line(kind: str, counts: tuple[int, ...]) -> Line:
     return fit(
         [
-            (count, run_module('memory', {'kind': kind, 'count': count})['bytes'])
+            (
+                count,
+                run_module('memory', {'kind': kind, 'count': count})['bytes'],
+            )
             for count in counts
         ]
     )
--- a/packages/berylspread/src/berylspread/limits/__init__.py
+++ b/packages/berylspread/src/berylspread/limits/__init__.py
@@ -4,13 +4,9 @@
 from berylspread.limits.errors import BookingExpired, NoCapacity, WorkerBarred
 from berylspread.limits.free_index import FreeIndex
 from berylspread.limits.idle import IdleWatch
-from berylspread.limits.quota import (
-    CALL_SHAPE,
-    QuotaLedger,
-    Slice,
-    TeamQuota,
-)
+from berylspread.limits.quota import QuotaLedger
 from berylspread.limits.slices import CallAllowance
+from berylspread.limits.team_quota import CALL_SHAPE, Slice, TeamQuota
 from berylspread.limits.workers import (
     NOBODY,
     Barrier,
--- /dev/null
+++ b/packages/berylspread/src/berylspread/limits/team_quota.py
@@ -0,0 +1,99 @@
+"""One team's quota in a region: its allotment, its tasks and its slices."""
+
+import math
+from typing import Final, final
+
+from berylspread.limits.vectors import bounded_times, smaller
+from berylspread.model import ZERO, Resources
+
+#: What one interactive call counts against its team's limit.
+CALL_SHAPE: Final = Resources(slots=1)
+
+
+@final
+class Slice:
+    """Calls of one team that one entry node may have in flight.
+
+    ``count`` is the most that the entry node may believe to hold; ``offered``
+    is what the last reply granted.  ``counts_until`` is the loop time at which
+    a call under the slice can no longer be running.
+    """
+
+    __slots__ = ('count', 'counts_until', 'offered', 'sequence', 'valid_until')
+
+    def __init__(self) -> None:
+        """Start with nothing lent."""
+        self.sequence = -1
+        self.count = 0
+        self.offered = 0
+        self.valid_until: float = 0
+        self.counts_until: float = 0
+
+
+@final
+class TeamQuota:
+    """One team's allotment in the region, and what is used of it.
+
+    A dimension that is 0 in ``fleet_limit`` is unlimited; an allotment of 0 in
+    a limited dimension gives nothing.  ``outgoing`` is the part that is being
+    given to another region: it is out of use already.  ``awaited`` are the
+    entry nodes whose slices from a predecessor are not known yet: each counts
+    as a largest slice, which is ``max_slice_share`` of the allotment, as of
+    the takeover.  Until all are known the limit may fall and does not rise.
+    """
+
+    __slots__ = (
+        'allotment',
+        'awaited',
+        'awaited_limit',
+        'awaited_slice',
+        'awaited_until',
+        'fleet_limit',
+        'lent',
+        'max_slice_share',
+        'outgoing',
+        'slices',
+        'used',
+    )
+
+    def __init__(self) -> None:
+        """Start unlimited and unused."""
+        self.allotment = ZERO
+        self.fleet_limit = ZERO
+        self.outgoing = ZERO
+        self.used = ZERO
+        self.lent = 0
+        self.awaited: set[str] = set()
+        self.awaited_until: float = 0
+        self.awaited_limit = ZERO
+        self.awaited_slice = 0
+        self.max_slice_share: float = 1
+        self.slices: dict[str, Slice] = {}
+
+    @property
+    def limit(self) -> Resources:
+        """Return the allotment less what is being given away."""
+        return self.allotment - self.outgoing
+
+    @property
+    def in_use(self) -> Resources:
+        """Return what counts: tasks handed out and slices lent."""
+        return self.used + CALL_SHAPE * self.lent
+
+    def room(self, shape: Resources) -> int | None:
+        """Return how many more of a shape fit; ``None`` if unlimited."""
+        limit = self.limit
+        if self.awaited:
+            limit = smaller(limit, self.awaited_limit)
+        return bounded_times(shape, self.counted, limit, self.fleet_limit)
+
+    @property
+    def counted(self) -> Resources:
+        """Return what may be in use, with slices that are not known yet."""
+        unknown = self.awaited_slice * len(self.awaited)
+        return self.in_use + CALL_SHAPE * unknown
+
+    @property
+    def largest_slice(self) -> int:
+        """The most calls that one entry node may hold, or have held."""
+        return math.ceil(self.allotment.slots * self.max_slice_share)
--- a/packages/berylspread/src/berylspread/placement/pending.py
+++ b/packages/berylspread/src/berylspread/placement/pending.py
@@ -7,7 +7,7 @@
 
 from berylspread.placement.demand import DemandClass
 
-REORDER_EVERY_S: Final = 0.25
+REORDER_EVERY_S: Final = 1.0
 
 KeyOf = Callable[['PendingClass'], float]
 
--- a/packages/berylspread/src/berylspread/placement/policy.py
+++ b/packages/berylspread/src/berylspread/placement/policy.py
@@ -14,7 +14,7 @@
 from berylspread.placement.kernel import MAX_WEIGHT
 
 CONTROL_COST: Final = 0.2
-CANDIDATES: Final = 8
+CANDIDATES: Final = 4
 MAX_CANDIDATES: Final = 256
 SCAN: Final = 32
 MAX_SCAN: Final = 1024
