Move the log's views of jobs to a module of their own

The views of what the fold knows stand in entry/job_views.py, which the homes' descriptions use as well. No change of behaviour.

--- /dev/null
+++ b/packages/berylspread/src/berylspread/entry/job_views.py
@@ -0,0 +1,48 @@
+"""Views of jobs as the log's fold knows them."""
+
+from typing import Final
+
+from msgspec import structs
+
+from berylspread.entry.views import JobView
+from berylspread.log.folds import EndedJob, JobState
+from berylspread.model import JobSpec
+
+ACTIVE: Final = 'active'
+
+
+def base_view(
+    spec: JobSpec, state: str, tasks: dict[str, int], now: float
+) -> JobView:
+    """Return the view of a job that has not ended at ``now``."""
+    return JobView(
+        job_id=spec.job_id,
+        team=spec.team,
+        queue=spec.queue,
+        kind=spec.kind,
+        state=state,
+        tasks=tasks,
+        shape=spec.shape,
+        submitted_at=spec.submitted_at,
+        home=spec.home,
+        priority=spec.priority,
+        deadline=spec.deadline,
+        waited_s=max(now - spec.submitted_at, 0.0),
+        source='log',
+    )
+
+
+def active_view(job: JobState, now: float) -> JobView:
+    """Return what the log knows of a job that has not ended."""
+    counts = job.counts()
+    rest = job.spec.tasks - sum(counts.values())
+    view = base_view(job.spec, ACTIVE, {**counts, ACTIVE: rest}, now)
+    if job.cancelled is None:
+        return view
+    return structs.replace(view, cancelled=True, reason=job.cancelled)
+
+
+def ended_view(job: EndedJob) -> JobView:
+    """Return an ended job."""
+    view = base_view(job.spec, job.state.value, job.counts, job.ended_at)
+    return structs.replace(view, ended_at=job.ended_at, reason=job.reason)
--- a/packages/berylspread/src/berylspread/entry/jobs.py
+++ b/packages/berylspread/src/berylspread/entry/jobs.py
@@ -9,10 +9,9 @@
 from collections.abc import Iterable
 from typing import Final, Protocol, final
 
-from msgspec import structs
-
 from berylspread.entry.access import Caller
 from berylspread.entry.failures import JobNotEnded
+from berylspread.entry.job_views import ACTIVE, active_view, ended_view
 from berylspread.entry.messages import JobsAsk, JobsReply, WhyAsk, WhyReply
 from berylspread.entry.views import (
     CancelView,
@@ -37,7 +36,6 @@
 ASK_TIMEOUT_S: Final = 1.0
 MAX_PAGE: Final = 500
 DEFAULT_PAGE: Final = 50
-ACTIVE: Final = 'active'
 PAGE_STATES: Final = frozenset(
     (
         '',
@@ -238,8 +236,8 @@
         jobs = self.fold
         active = jobs.active.get(job_id)
         if active is not None:
-            return _active_view(active, self.context.wall.time())
-        return _ended_view(jobs.ended[job_id])
+            return active_view(active, self.context.wall.time())
+        return ended_view(jobs.ended[job_id])
 
     async def _refreshed(self, views: list[JobView]) -> list[JobView]:
         """Replace the views of active jobs by what their homes answer."""
@@ -266,45 +264,6 @@
         return [fresh.get(known.job_id, known) for known in views]
 
 
-def base_view(
-    spec: JobSpec, state: str, tasks: dict[str, int], now: float
-) -> JobView:
-    """Return the view of a job that has not ended at ``now``."""
-    return JobView(
-        job_id=spec.job_id,
-        team=spec.team,
-        queue=spec.queue,
-        kind=spec.kind,
-        state=state,
-        tasks=tasks,
-        shape=spec.shape,
-        submitted_at=spec.submitted_at,
-        home=spec.home,
-        priority=spec.priority,
-        deadline=spec.deadline,
-        waited_s=max(now - spec.submitted_at, 0.0),
-        source='log',
-    )
-
-
-def _active_view(job: JobState, now: float) -> JobView:
-    counts = job.counts()
-    rest = job.spec.tasks - sum(counts.values())
-    view = base_view(job.spec, ACTIVE, {**counts, ACTIVE: rest}, now)
-    if job.cancelled is None:
-        return view
-    return _replace(view, cancelled=True, reason=job.cancelled)
-
-
-def _ended_view(job: EndedJob) -> JobView:
-    view = base_view(job.spec, job.state.value, job.counts, job.ended_at)
-    return _replace(view, ended_at=job.ended_at, reason=job.reason)
-
-
-def _replace(view: JobView, **changes: object) -> JobView:
-    return structs.replace(view, **changes)
-
-
 def _is_wanted(spec: JobSpec, caller: Caller | None, queue: str) -> bool:
     is_own = caller is None or caller.team == spec.team
     return is_own and queue in {'', spec.queue}
--- a/packages/berylspread/src/berylspread/jobs/describe.py
+++ b/packages/berylspread/src/berylspread/jobs/describe.py
@@ -5,7 +5,7 @@
 
 from msgspec import structs
 
-from berylspread.entry.jobs import base_view
+from berylspread.entry.job_views import base_view
 from berylspread.entry.views import JobView, WhyLine, WhyView
 from berylspread.jobs.home import JobHome
 from berylspread.jobs.progress import JobProgress
