--- a/bench/capacity/__init__.py
+++ b/bench/capacity/__init__.py
@@ -1,1 +1,1 @@
-"""Measures the slopes behind docs/CAPACITY.md; run ``python -m bench.capacity``."""
+"""Measures the slopes behind docs/CAPACITY.md: ``python -m bench.capacity``."""
--- a/bench/capacity/__main__.py
+++ b/bench/capacity/__main__.py
@@ -13,11 +13,10 @@
 from bench.capacity import memory, processor, scenarios, sizes, sockets
 from bench.capacity.fit import Line
 from bench.capacity.imports import measure as measure_imports
+from bench.capacity.page import write_tables
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent.parent
-KEPT = (
-    ROOT / 'packages/berylspread/src/berylspread/capacity/coefficients.json'
-)
+KEPT = ROOT / 'packages/berylspread/src/berylspread/capacity/coefficients.json'
 PARTS = (sizes, processor, sockets, memory, scenarios)
 
 
@@ -58,10 +57,8 @@
         compare(found)
         return
     blob = msgspec.json.format(msgspec.json.encode(_rounded(found)), indent=1)
-    KEPT.write_bytes(blob + b'\n')
-    from bench.capacity.page import write_tables  # noqa: PLC0415
-
-    write_tables(found)
+    KEPT.write_bytes(b'%s\n' % blob)
+    write_tables()
 
 
 def _rounded(found: dict[str, Line]) -> dict[str, Line]:
--- a/bench/capacity/assembly.py
+++ b/bench/capacity/assembly.py
@@ -106,7 +106,8 @@
         self.cluster.network = self.network  # type: ignore[assignment]
         self.cluster.peers.network = self.network  # type: ignore[assignment]
         for address, worker in list(self.cluster.workers.items()):
-            self.cluster.workers[address] = CountingWorker(worker)  # type: ignore
+            counting: Any = CountingWorker(worker)
+            self.cluster.workers[address] = counting
 
     async def measure(
         self,
@@ -182,9 +183,7 @@
                 await asyncio.sleep(0.5)
 
     def _running(self) -> int:
-        return sum(
-            len(worker.runs) for worker in self.cluster.workers.values()
-        )
+        return sum(len(worker.runs) for worker in self.cluster.workers.values())
 
     async def _tasks(self, per_s: int, run_s: float) -> None:
         """Submit four jobs a second with many tasks each."""
@@ -250,7 +249,7 @@
 
     found = run_virtual(run())
     peak = resource.getrusage(resource.RUSAGE_SELF).ru_maxrss * KIB
-    sys.stdout.write(json.dumps(found | {'rss': peak}) + '\n')
+    print(json.dumps(found | {'rss': peak}))
 
 
 if __name__ == '__main__':
--- a/bench/capacity/fit.py
+++ b/bench/capacity/fit.py
@@ -29,6 +29,4 @@
         for size, amount in points
     ]
     largest = max(abs(amount) for amount in amounts) or 1
-    return Line(
-        line.slope, line.intercept, max(misses) / largest, tuple(sizes)
-    )
+    return Line(line.slope, line.intercept, max(misses) / largest, tuple(sizes))
--- a/bench/capacity/memory.py
+++ b/bench/capacity/memory.py
@@ -30,9 +30,9 @@
 from berylspread.model import TaskState
 from berylspread.ownership import Tenure
 from berylspread.partition.attempts import Attempt
+from berylspread.partition.messages import PullReply
 from berylspread.partition.worker_link import LinkTiming, WorkerLink
 from berylspread.peers import Codec
-from berylspread.partition.messages import PullReply
 
 CLASS_COUNTS = (250, 500, 1000)
 TEAMS = 340
@@ -49,7 +49,10 @@
 def _line(kind: str, counts: tuple[int, ...]) -> Line:
     return fit(
         [
-            (count, run_module('memory', {'kind': kind, 'count': count})['bytes'])
+            (
+                count,
+                run_module('memory', {'kind': kind, 'count': count})['bytes'],
+            )
             for count in counts
         ]
     )
@@ -187,7 +190,7 @@
         await asyncio.sleep(0)
     after, _ = tracemalloc.get_traced_memory()
     assert kept is not None
-    sys.stdout.write(json.dumps({'bytes': after - before}) + '\n')
+    print(json.dumps({'bytes': after - before}))
 
 
 if __name__ == '__main__':
--- a/bench/capacity/processor.py
+++ b/bench/capacity/processor.py
@@ -4,7 +4,6 @@
 """
 
 import json
-import sys
 import time
 from collections.abc import Callable
 from typing import Any
@@ -181,7 +180,7 @@
         name: [(size, measured(size)) for size in sizes]
         for name, (measured, sizes) in _LINES.items()
     }
-    sys.stdout.write(json.dumps(found) + '\n')
+    print(json.dumps(found))
 
 
 if __name__ == '__main__':
--- a/bench/capacity/scenarios.py
+++ b/bench/capacity/scenarios.py
@@ -11,6 +11,8 @@
 NODES = 9
 WORKERS = 48
 SPAN_S = 20.0
+#: Those of the region in which the tasks start; each rack has its own owner.
+ZONES_OF_REGION = 2
 
 #: The varied argument with its values, and the others.
 RUNS: dict[str, tuple[str, tuple[int, ...], dict[str, Any]]] = {
@@ -19,6 +21,7 @@
     'start': ('starts_per_s', (20, 60, 120), {'workers': 192}),
     'job': ('jobs_per_s', (5, 20, 40), {'workers': 192}),
     'call': ('calls_per_s', (10, 40, 80), {'workers': WORKERS}),
+    'owner': ('racks', (1, 2, 3), {'workers': 144, 'starts_per_s': 60}),
     'node': ('nodes', (9, 18, 27), {}),
     'team': ('teams', (8, 80, 340), {}),
 }
@@ -45,7 +48,9 @@
     for (kind, size, _), counted in zip(wanted, found, strict=True):
         runs.setdefault(kind, []).append((size, counted))
     return {
-        name: fit([(_size(kind, size, run), of(run)) for size, run in runs[kind]])
+        name: fit(
+            [(_size(kind, size, run), of(run)) for size, run in runs[kind]]
+        )
         for name, (kind, of) in _LINES.items()
     }
 
@@ -56,6 +61,8 @@
         return run['sync:starts']
     if kind == 'call':
         return run['calls']
+    if kind == 'owner':
+        return size * ZONES_OF_REGION
     if kind == 'node':
         return size * (size - 1)
     return size
@@ -68,12 +75,11 @@
 def _sum(prefix: str, names: Iterable[str] = ()) -> Callable[[Found], float]:
     chosen = {f'{prefix}:{name}' for name in names}
 
+    def is_counted(name: str) -> bool:
+        return name in chosen if chosen else _is_peer(prefix, name)
+
     def total(run: Found) -> float:
-        return sum(
-            amount
-            for name, amount in run.items()
-            if (name in chosen if chosen else _is_peer(prefix, name))
-        )
+        return sum(run[name] for name in run if is_counted(name))
 
     return total
 
@@ -83,6 +89,10 @@
     return head == prefix and purpose[:1].isupper()
 
 
+def _per_start(name: str) -> Callable[[Found], float]:
+    return lambda run: run[name] / run['sync:starts']
+
+
 def _vm_list(run: Found) -> float:
     return run['bytes:vm-list'] / NODES
 
@@ -97,6 +107,11 @@
     'peer_bytes_per_s_per_running_task': ('task', _sum('bytes')),
     'cpu_s_per_start': ('start', _value('cpu_per_s')),
     'candidates_per_start': ('start', _value('place:examined')),
+    'candidates_per_start_per_owner_node': (
+        'owner',
+        _per_start('place:examined'),
+    ),
+    'cpu_s_per_start_per_owner_node': ('owner', _per_start('cpu_per_s')),
     'peer_messages_per_start': ('start', _sum('msg')),
     'peer_bytes_per_start': ('start', _sum('bytes')),
     'sync_bytes_per_start': ('start', _value('sync:bytes')),
--- a/bench/capacity/sockets.py
+++ b/bench/capacity/sockets.py
@@ -6,7 +6,6 @@
 import asyncio
 import json
 import resource
-import sys
 import time
 from typing import Any
 
@@ -172,7 +171,7 @@
     async with asyncio.timeout(TIMEOUT_S * 3):
         await _messages(found)
         await _exchanges(found)
-    sys.stdout.write(json.dumps(found) + '\n')
+    print(json.dumps(found))
 
 
 if __name__ == '__main__':
--- a/packages/berylspread-cli/src/berylspread_cli/commands/__init__.py
+++ b/packages/berylspread-cli/src/berylspread_cli/commands/__init__.py
@@ -1,6 +1,7 @@
 """The command groups, a module each."""
 
 from berylspread_cli.commands.calls import read_body, run_call
+from berylspread_cli.commands.capacity import show_capacity
 from berylspread_cli.commands.config import ConfigCommands
 from berylspread_cli.commands.jobs import JobCommands
 from berylspread_cli.commands.keys import KeyCommands
@@ -11,4 +12,5 @@
     'KeyCommands',
     'read_body',
     'run_call',
+    'show_capacity',
 )
--- a/packages/berylspread-cli/src/berylspread_cli/main.py
+++ b/packages/berylspread-cli/src/berylspread_cli/main.py
@@ -12,6 +12,7 @@
 import fire
 import httpx
 
+from berylspread.capacity import Fleet
 from berylspread_cli.client import Client
 from berylspread_cli.commands import (
     ConfigCommands,
@@ -19,6 +20,7 @@
     KeyCommands,
     read_body,
     run_call,
+    show_capacity,
 )
 from berylspread_cli.output import show
 from berylspread_cli.texts import texts
@@ -144,6 +146,42 @@
         found = self._client.post('/v1/admin/drain', {'vm': vm, 'undo': undo})
         show(found, as_json=json)
 
+    def capacity(  # noqa: WPS211 - a flag for each number
+        self,
+        *,
+        workers: int = 0,
+        tasks: int = 0,
+        jobs_per_day: float = 0,
+        starts_per_s: float = 0,
+        teams: int = 0,
+        nodes: int = 9,
+        regions: int = 1,
+        config_changes_per_day: float = 0,
+        calls_per_s: float = 0,
+        keys: int = 0,
+        queued_jobs: int = 0,
+        json: bool = False,
+    ) -> None:
+        """Estimate what a fleet of this size takes of its entry VMs.
+
+        It asks no node.  Tasks run and jobs are queued at one time; starts and
+        calls are those of the peak; nodes are entry VMs.
+        """
+        fleet = Fleet(
+            workers,
+            tasks,
+            jobs_per_day,
+            starts_per_s,
+            teams,
+            nodes,
+            regions,
+            config_changes_per_day,
+            calls_per_s,
+            keys,
+            queued_jobs,
+        )
+        show_capacity(fleet, as_json=json)
+
 
 def main(
     arguments: Sequence[str] | None = None,
--- /dev/null
+++ b/packages/berylspread/src/berylspread/capacity/estimate.py
@@ -0,0 +1,72 @@
+"""The estimate: what each role costs the whole fleet, and how many VMs."""
+
+import math
+from typing import Final, final
+
+import msgspec
+
+from berylspread.capacity.coefficients import Coefficients
+from berylspread.capacity.fleet import Fleet
+from berylspread.capacity.roles import ROLES, RoleCost
+from berylspread.capacity.state import node_memory_bytes
+
+#: Part of its one core that a node's process may use at the peak.
+USABLE_CORE_SHARE: Final = 0.6
+MAX_NODES: Final = 512
+
+
+@final
+class Estimate(msgspec.Struct, frozen=True):
+    """The fleet's costs at its peak.
+
+    ``roles`` are totals over all nodes.  ``cores_per_node`` is the peak of one
+    node with evenly spread units; ``control_`` counts what is spent while no
+    task starts.  ``nodes_needed`` is 0 if no number of nodes up to 512 keeps
+    each below ``USABLE_CORE_SHARE`` of a core.
+    """
+
+    fleet: Fleet
+    roles: list[RoleCost]
+    cores: float
+    cores_per_node: float
+    memory_bytes_per_node: float
+    control_cores_per_node: float
+    control_bytes_per_s_per_node: float
+    sync_bytes_per_s_per_worker: float
+    nodes_needed: int
+
+
+def estimate(fleet: Fleet, known: Coefficients) -> Estimate:
+    """Return the costs of a fleet; ``fleet.nodes`` must be above 0."""
+    roles = [role(fleet, known) for role in ROLES]
+    idle = msgspec.structs.replace(
+        fleet, starts_per_s=0, jobs_per_day=0, calls_per_s=0
+    )
+    quiet = [role(idle, known) for role in ROLES]
+    cores = _cores(fleet, known)
+    owner = next(cost for cost in roles if cost.role == 'partition owner')
+    return Estimate(
+        fleet=fleet,
+        roles=roles,
+        cores=cores,
+        cores_per_node=cores / fleet.nodes,
+        memory_bytes_per_node=node_memory_bytes(fleet, known),
+        control_cores_per_node=_cores(idle, known) / fleet.nodes,
+        control_bytes_per_s_per_node=(
+            sum(cost.bytes_per_s for cost in quiet) / fleet.nodes
+        ),
+        sync_bytes_per_s_per_worker=owner.bytes_per_s / max(fleet.workers, 1),
+        nodes_needed=_nodes_needed(fleet, known),
+    )
+
+
+def _cores(fleet: Fleet, known: Coefficients) -> float:
+    return math.fsum(role(fleet, known).cores for role in ROLES)
+
+
+def _nodes_needed(fleet: Fleet, known: Coefficients) -> int:
+    for nodes in range(max(fleet.regions, 1), MAX_NODES + 1):
+        sized = msgspec.structs.replace(fleet, nodes=nodes)
+        if _cores(sized, known) <= USABLE_CORE_SHARE * nodes:
+            return nodes
+    return 0
--- /dev/null
+++ b/packages/berylspread/src/berylspread/capacity/roles.py
@@ -0,0 +1,168 @@
+"""What each role costs over the whole fleet.
+
+Processor time of a role is that of its steps in the assembly, and of the
+sockets that its messages take.
+"""
+
+from collections.abc import Callable
+from typing import Final, final
+
+import msgspec
+
+from berylspread.capacity.coefficients import Coefficients
+from berylspread.capacity.fleet import Fleet
+from berylspread.capacity.state import (
+    folds_bytes,
+    homes_bytes,
+    partitions_bytes,
+)
+
+#: An ask is a message and its reply.
+MESSAGES_PER_ASK: Final = 2
+#: Nodes of the region that owned partitions as ``cpu_s_per_start`` was taken.
+OWNERS_MEASURED: Final = 2
+
+
+@final
+class RoleCost(msgspec.Struct, frozen=True):
+    """A role's total over all nodes; ``cores`` are of processor time."""
+
+    role: str
+    messages_per_s: float
+    bytes_per_s: float
+    cores: float
+    memory_bytes: float
+
+
+def _entry(fleet: Fleet, known: Coefficients) -> RoleCost:
+    calls = fleet.calls_per_s
+    messages = calls * known.slope('peer_messages_per_call')
+    return RoleCost(
+        'entry',
+        messages,
+        calls * known.slope('peer_bytes_per_call'),
+        calls * known.slope('cpu_s_per_call')
+        + calls * known.slope('cpu_s_http_exchange_both_sides')
+        + _peer_cores(messages, known),
+        0,
+    )
+
+
+def exchanges_per_s(fleet: Fleet, known: Coefficients) -> float:
+    """Return the exchanges with workers, no two starts in the same one."""
+    return fleet.workers * known.slope(
+        'exchanges_per_s_per_idle_worker'
+    ) + fleet.starts_per_s * known.slope('exchanges_per_single_job')
+
+
+def start_cores(fleet: Fleet, known: Coefficients) -> float:
+    """Return the cores that starts take, sockets left out.
+
+    Every node that owns partitions of a region decides for each of the
+    region's tasks, so a start costs more with more nodes in its region.
+    """
+    owners = max(fleet.nodes / max(fleet.regions, 1), 1)
+    further = owners - OWNERS_MEASURED
+    return fleet.starts_per_s * (
+        known.slope('cpu_s_per_start')
+        + further * known.slope('cpu_s_per_start_per_owner_node')
+    )
+
+
+def _partition_owner(fleet: Fleet, known: Coefficients) -> RoleCost:
+    exchanges = exchanges_per_s(fleet, known)
+    head = known.slope('http_head_bytes_per_exchange')
+    return RoleCost(
+        'partition owner',
+        exchanges,
+        exchanges * head
+        + fleet.workers * known.slope('sync_bytes_per_s_per_idle_worker')
+        + fleet.tasks * known.slope('sync_bytes_per_s_per_running_task')
+        + fleet.starts_per_s * known.slope('sync_bytes_per_start'),
+        exchanges * known.slope('cpu_s_http_exchange_both_sides')
+        + fleet.workers * known.slope('cpu_s_per_s_per_idle_worker')
+        + fleet.tasks * known.slope('cpu_s_per_s_per_running_task')
+        + start_cores(fleet, known),
+        partitions_bytes(fleet, known),
+    )
+
+
+def _job_home(fleet: Fleet, known: Coefficients) -> RoleCost:
+    messages = fleet.starts_per_s * known.slope(
+        'peer_messages_per_start'
+    ) + fleet.jobs_per_s * known.slope('peer_messages_per_single_job')
+    return RoleCost(
+        'job home',
+        messages,
+        fleet.starts_per_s * known.slope('peer_bytes_per_start')
+        + fleet.teams * known.slope('peer_bytes_per_s_per_team'),
+        fleet.jobs_per_s * known.slope('cpu_s_per_single_job')
+        + fleet.teams * known.slope('cpu_s_per_s_per_team')
+        + _peer_cores(messages, known),
+        homes_bytes(fleet, known),
+    )
+
+
+def log_bytes_per_s(fleet: Fleet, known: Coefficients) -> float:
+    """Return the bytes that are appended in a second."""
+    return (
+        fleet.starts_per_s * known.slope('log_bytes_per_start')
+        + fleet.jobs_per_s * known.slope('log_bytes_per_single_job')
+        + fleet.changes_per_s
+        * fleet.teams
+        * known.slope('config_bytes_per_team')
+    )
+
+
+def _log_reader(fleet: Fleet, known: Coefficients) -> RoleCost:
+    per_change = fleet.teams * known.slope('cpu_s_config_fold_per_team')
+    return RoleCost(
+        'log reader',
+        0,
+        fleet.nodes * log_bytes_per_s(fleet, known),
+        fleet.nodes * fleet.changes_per_s * per_change,
+        fleet.nodes * folds_bytes(fleet, known),
+    )
+
+
+def _region_relay(fleet: Fleet, known: Coefficients) -> RoleCost:
+    others = max(fleet.regions - 1, 0)
+    return RoleCost(
+        'region relay', 0, others * log_bytes_per_s(fleet, known), 0, 0
+    )
+
+
+def _vm_list(fleet: Fleet, known: Coefficients) -> RoleCost:
+    vms = fleet.workers + fleet.nodes
+    per_vm = known.slope('vm_list_bytes_per_s_per_vm_and_node')
+    return RoleCost('VM list', 0, fleet.nodes * vms * per_vm, 0, 0)
+
+
+def _peers(fleet: Fleet, known: Coefficients) -> RoleCost:
+    messages = fleet.node_pairs * known.slope(
+        'peer_messages_per_s_per_node_pair'
+    )
+    return RoleCost(
+        'peers',
+        messages,
+        fleet.node_pairs * known.slope('peer_bytes_per_s_per_node_pair'),
+        fleet.node_pairs * known.slope('cpu_s_per_s_per_node_pair')
+        + _peer_cores(messages, known),
+        0,
+    )
+
+
+def _peer_cores(messages: float, known: Coefficients) -> float:
+    per_ask = known.slope('cpu_s_peer_ask_both_sides')
+    return messages * per_ask / MESSAGES_PER_ASK
+
+
+ROLES: Final[tuple[Callable[[Fleet, Coefficients], RoleCost], ...]] = (
+    _entry,
+    _partition_owner,
+    _job_home,
+    _log_reader,
+    _region_relay,
+    _vm_list,
+    _peers,
+)
--- /dev/null
+++ b/packages/berylspread/src/berylspread/capacity/state.py
@@ -0,0 +1,47 @@
+"""The memory of one node, and what the folds hold."""
+
+from typing import Final
+
+from berylspread.capacity.coefficients import Coefficients
+from berylspread.capacity.fleet import Fleet
+
+#: What the folds keep at most: ended jobs, and texts of a document.
+KEPT_ENDED: Final = 2000
+KEPT_TEXTS: Final = 3
+
+
+def folds_bytes(fleet: Fleet, known: Coefficients) -> float:
+    """Return the memory of the state that every node folds from the log."""
+    ended = min(KEPT_ENDED, fleet.jobs_per_day)
+    versions = min(KEPT_TEXTS, fleet.config_changes_per_day)
+    return (
+        fleet.queued_jobs * known.slope('memory_bytes_per_queued_job')
+        + ended * known.slope('memory_bytes_per_ended_job')
+        + fleet.keys * known.slope('memory_bytes_per_key')
+        + fleet.teams * known.slope('memory_bytes_per_team')
+        + versions * known.slope('memory_bytes_per_config_version')
+    )
+
+
+def partitions_bytes(fleet: Fleet, known: Coefficients) -> float:
+    """Return the memory of all partition owners together."""
+    return (
+        fleet.workers * known.slope('memory_bytes_per_worker')
+        + fleet.workers * known.slope('rss_bytes_per_worker_connection')
+        + fleet.tasks * known.slope('memory_bytes_per_held_task')
+    )
+
+
+def homes_bytes(fleet: Fleet, known: Coefficients) -> float:
+    """Return the memory of all job homes beside the folds."""
+    return fleet.tasks * known.slope('memory_bytes_per_home_task')
+
+
+def node_memory_bytes(fleet: Fleet, known: Coefficients) -> float:
+    """Return the memory of a node: imports, folds and its part of the units."""
+    units = partitions_bytes(fleet, known) + homes_bytes(fleet, known)
+    return (
+        known.intercept('rss_bytes_of_imports')
+        + folds_bytes(fleet, known)
+        + units / fleet.nodes
+    )
