Keep the slot of a call that may still run, and leave time for its answer

Cause: an entry node that had waited for an answer until the deadline gave the slot back while the worker was still busy with the call, so the next call went to a full worker. Under overload, calls were granted with no time left for the way to the worker and back, so their answers came too late.

Change: `CallDone` says whether the call may still run; such a slot is free when its booking expires, one second after the deadline. Partition owners count 50 ms of the deadline as travel.

--- a/packages/berylspread/src/berylspread/calls/messages.py
+++ b/packages/berylspread/src/berylspread/calls/messages.py
@@ -40,7 +40,11 @@
 @message
 @final
 class CallDone(Message, frozen=True, tag=True):
-    """The call has ended, or its slot was not used."""
+    """The call has ended, or its slot was not used.
+
+    After a call without an answer ``may_run`` is set: the worker may still be
+    busy with it until its deadline.
+    """
 
     unit: str
     request_id: str
@@ -48,6 +52,7 @@
     queue: str = ''
     served_s: float = 0.0
     failed: bool = False
+    may_run: bool = False
 
 
 @message
--- a/packages/berylspread/src/berylspread/calls/router.py
+++ b/packages/berylspread/src/berylspread/calls/router.py
@@ -166,6 +166,7 @@
                 queue=progress.call.queue,
                 served_s=0.0 if failed else now() - started,
                 failed=failed,
+                may_run=_may_run(reply),
             ),
         )
         if failed:
@@ -279,5 +280,11 @@
         ]
 
 
+def _may_run(reply: CallReply | Failure) -> bool:
+    if not isinstance(reply, WorkerUnreachable):
+        return False
+    return bool(reply.fields.get('sent', True))
+
+
 def _room(known: KnownCapacity) -> tuple[int, int]:
     return known.report.free.slots - known.report.waiting, -known.report.waiting
--- a/packages/berylspread/src/berylspread/calls/slots.py
+++ b/packages/berylspread/src/berylspread/calls/slots.py
@@ -13,6 +13,8 @@
 
 #: A slot is free again this long after the call's deadline at the latest.
 HOLD_MARGIN_S: Final = 1.0
+#: What is left of the deadline for the ways to the worker and back.
+TRAVEL_MARGIN_S: Final = 0.05
 CANDIDATES: Final = 16
 CALL_CLASS: Final = 'interactive'
 
@@ -48,7 +50,9 @@
     async def slot(self, ask: CallSlotAsk) -> CallSlot | Failure:
         """Wait for a slot until the call's deadline."""
         key = call_key(ask.request_id, ask.attempt)
-        call = WaitingCall(key, ask.team, ask.queue, now() + ask.wait_s)
+        call = WaitingCall(
+            key, ask.team, ask.queue, now() + ask.wait_s - TRAVEL_MARGIN_S
+        )
         self.line.slots = self._total_slots()
         refusal = self.line.offer(call, now(), free_slots=self._free_slots())
         if refusal is not None:
@@ -68,7 +72,9 @@
         """Free the slot of a call that has ended."""
         key = call_key(message.request_id, message.attempt)
         self._leave(key)
-        self.owner.ledger.release(key)
+        # A call that may still run keeps its slot until the booking expires.
+        if not message.may_run:
+            self.owner.ledger.release(key)
         if message.served_s:
             self.line.times.observe(message.queue, message.served_s)
         self.serve()
