--- a/packages/berylspread/src/berylspread/calls/router.py
+++ b/packages/berylspread/src/berylspread/calls/router.py
@@ -174,6 +174,7 @@
                 queue=progress.call.queue,
                 served_s=0.0 if failed else now() - started,
                 failed=failed,
+                may_run=_may_have_run(reply),
             ),
         )
         if failed:
@@ -287,11 +288,11 @@
         ]
 
 
-def _may_have_run(failure: Failure) -> bool:
-    """Return whether a worker may have run the call, by its answer."""
-    if isinstance(failure, REFUSALS):
+def _may_have_run(reply: CallReply | Failure) -> bool:
+    """Return whether a worker may run a call that it gave no answer to."""
+    if not isinstance(reply, Failure) or isinstance(reply, REFUSALS):
         return False
-    return bool(failure.fields.get('sent', True))
+    return bool(reply.fields.get('sent', True))
 
 
 def _room(known: KnownCapacity) -> tuple[int, int]:
