--- a/packages/berylspread/src/berylspread/placement/filters/accelerators.py
+++ b/packages/berylspread/src/berylspread/placement/filters/accelerators.py
@@ -1,6 +1,6 @@
 """Accelerator workers are not spent on other work."""
 
-from typing import Any, final
+from typing import Any, Final, final
 
 from berylspread.kernel.options import number
 from berylspread.limits import WorkerView
@@ -8,6 +8,8 @@
 from berylspread.placement.demand import DemandClass
 from berylspread.placement.kernel import Filter, filters
 
+OPEN_SHARE: Final = 0.85
+
 
 @final
 @filters.register
@@ -20,7 +22,9 @@
 
     name = 'accelerators'
 
-    share: Any = number(0, 1, default=0.5, help='part open to other work')
+    share: Any = number(
+        0, 1, default=OPEN_SHARE, help='part open to other work'
+    )
 
     def applies(self, demand: DemandClass) -> bool:
         """Return whether the class leaves accelerators unused."""
