Register the ownership benchmarks with bounds

Cause: make bench must notice a slower takeover or an unsafe rule. Change: bounds on takeover (6.3 s), gap (0.3 s) and bytes (8 KB/s); the explorer, bounded to 100000 states a scope, with all mutants. Conclusion: both run with make bench.

--- a/bench/ownership.py
+++ b/bench/ownership.py
@@ -7,10 +7,12 @@
 import collections
 import json
 import statistics
+import sys
 import time
 from typing import Any, Final, cast
 
 from bench.ownership_cluster import Cluster
+from bench.registry import benchmark
 from berylspread.kernel.clock import now
 from berylspread_standins.network import Endpoint, Network
 from berylspread_standins.virtual_time import run_virtual
@@ -18,6 +20,9 @@
 SEEDS: Final = 10
 SAMPLE_S: Final = 0.005
 MEASURED_S: Final = 300.0
+MAX_TAKEOVER_S: Final = 6.3
+MAX_GAP_S: Final = 0.3
+MAX_BYTES_S: Final = 8000
 #: TCP, IP, HTTP/2 and gRPC headers of a frame and its acknowledgement.
 FRAME_HEADER_BYTES: Final = 110
 
@@ -135,9 +140,19 @@
     }
 
 
-def main() -> None:
-    print(json.dumps(measure(), indent=2))
+@benchmark('ownership')
+def run() -> bool:
+    """Measure, and hold the results against their bounds."""
+    found = measure()
+    print(json.dumps(found, indent=2))
+    busiest = max(one['sent_bytes_per_node_s'] for one in found['at_rest'])
+    bounds = (
+        (found['unplanned_takeover']['max_s'], MAX_TAKEOVER_S),
+        (found['planned_gap']['max_s'], MAX_GAP_S),
+        (busiest, MAX_BYTES_S),
+    )
+    return all(measured <= bound for measured, bound in bounds)
 
 
 if __name__ == '__main__':
-    main()
+    sys.exit(not run())
--- a/bench/ownership_cluster.py
+++ b/bench/ownership_cluster.py
@@ -243,7 +243,7 @@
         """Return the seconds until a condition holds."""
         began = now()
         async with asyncio.timeout(limit_s):
-            while not holds():  # noqa: ASYNC110
+            while not holds():
                 await asyncio.sleep(0.01)
         return now() - began
 
--- a/bench/ownership_explorer.py
+++ b/bench/ownership_explorer.py
@@ -5,6 +5,7 @@
 """
 
 import functools
+import sys
 import time
 from collections import deque
 from collections.abc import Hashable, Iterator
@@ -12,6 +13,7 @@
 from typing import Final, Generic, TypeVar
 
 from bench.ownership_model import WAITING, Log, Model, Node, RuleSet, Scope
+from bench.registry import benchmark
 from berylspread.ownership import rules
 from berylspread.ownership.rules import Standing, Terms
 
@@ -282,33 +284,53 @@
 
 
 LIMIT: Final = 1_200_000
+BENCH_LIMIT: Final = 100_000
 
 
-def main() -> None:
+def report_scopes(limit: int) -> bool:
+    """Explore the chosen rules; return whether nothing was found."""
+    is_safe = True
     for name, scope in SCOPES.items():
         began = time.perf_counter()
-        found = explore(scope, limit=LIMIT)
+        found = explore(scope, limit=limit)
+        is_safe = is_safe and not found.steps
         verdict = 'two holders' if found.steps else 'never two holders'
         extent = 'all' if found.is_complete else 'the first'
         seconds = time.perf_counter() - began
         print(
             f'{name}: {extent} {found.visited} states, '
-            f'{verdict}, {seconds:.1f} s'
+            f'{verdict}, {seconds:.1f} s',
+            flush=True,
         )
+    return is_safe
+
+
+def report_faults() -> bool:
+    """Explore the naive form and the mutants; return if all were found."""
     naive = explore_naive()
-    print(
-        f'naive form: {naive.visited} states, '
-        f'two holders after {naive.steps} steps'
-    )
+    found = {'naive form': naive}
     for name, (scope, rule_set) in MUTANTS.items():
-        began = time.perf_counter()
-        found = explore(scope, rule_set)
-        seconds = time.perf_counter() - began
+        found[f'mutant, {name}'] = explore(scope, rule_set)
+    for name, finding in found.items():
         print(
-            f'mutant, {name}: {found.visited} states, '
-            f'two holders after {found.steps} steps, {seconds:.1f} s'
+            f'{name}: {finding.visited} states, '
+            f'two holders after {finding.steps} steps',
+            flush=True,
         )
+    return all(finding.steps for finding in found.values())
+
+
+@benchmark('ownership-explorer')
+def run_bounded() -> bool:
+    """Explore a bounded number of states of each scope, and the mutants."""
+    is_safe = report_scopes(BENCH_LIMIT)
+    return report_faults() and is_safe
+
+
+def main() -> int:
+    is_safe = report_scopes(LIMIT)
+    return 0 if report_faults() and is_safe else 1
 
 
 if __name__ == '__main__':
-    main()
+    sys.exit(main())
