--- a/packages/berylspread/src/berylspread/calls/router.py
+++ b/packages/berylspread/src/berylspread/calls/router.py
@@ -19,10 +19,12 @@
 from berylspread.kernel import Failure, now
 from berylspread.kernel.errors import (
     DeadlineExceeded,
+    Draining,
     InvalidInput,
     NotRun,
     OutcomeUnknown,
     Overloaded,
+    StaleEpoch,
     WorkerUnreachable,
 )
 from berylspread.model import Resources
@@ -33,6 +35,8 @@
 ASK_MARGIN_S: Final = 0.1
 REGISTER_TIMEOUT_S: Final = 2.0
 MAX_ATTEMPTS: Final = 4
+#: A worker that answers so has certainly not run the call.
+REFUSALS: Final = (StaleEpoch, Overloaded, Draining)
 STALE_REPORT_S: Final = 5.0
 
 
@@ -231,7 +235,7 @@
             ),
         )
         if isinstance(reply, Failure):
-            progress.sent = sent_before or bool(reply.fields.get('sent', True))
+            progress.sent = sent_before or _may_have_run(reply)
             return reply
         if (reply.request_id, reply.attempt) != (
             call.request_id,
@@ -283,5 +287,12 @@
         ]
 
 
+def _may_have_run(failure: Failure) -> bool:
+    """Return whether a worker may have run the call, by its answer."""
+    if isinstance(failure, REFUSALS):
+        return False
+    return bool(failure.fields.get('sent', True))
+
+
 def _room(known: KnownCapacity) -> tuple[int, int]:
     return known.report.free.slots - known.report.waiting, -known.report.waiting
--- a/packages/berylspread/src/berylspread/jobs/book.py
+++ b/packages/berylspread/src/berylspread/jobs/book.py
@@ -24,6 +24,7 @@
 
 RETRY_BASE_S: Final = 1.0
 RETRY_CAP_S: Final = 60.0
+MAX_FORGOTTEN: Final = 10_000
 MAX_DUPLICATES: Final = 100
 
 
@@ -97,6 +98,7 @@
         'delayed',
         'duplicates',
         'ends',
+        'forgotten',
         'jobs',
         'quota',
         'wall',
@@ -110,6 +112,7 @@
         self.classes: dict[str, JobClass] = {}
         self.delayed: list[tuple[float, str, int]] = []
         self.ends: dict[str, list[TaskEnd]] = {}
+        self.forgotten: dict[str, None] = {}
         self.duplicates: collections.deque[TaskEvent] = collections.deque(
             maxlen=MAX_DUPLICATES
         )
@@ -117,7 +120,7 @@
     def add(self, progress: JobProgress) -> None:
         """Take up a job, new or recovered; a repeat changes nothing."""
         spec = progress.spec
-        if spec.job_id in self.jobs:
+        if spec.job_id in self.jobs or spec.job_id in self.forgotten:
             return
         self.jobs[spec.job_id] = progress
         self.quota.restore(spec.team, spec.shape, len(progress.unsure))
@@ -232,6 +235,10 @@
         progress = self.jobs.pop(job_id, None)
         if progress is None:
             return
+        # A snapshot may show the job as open after its end was appended.
+        self.forgotten[job_id] = None
+        if len(self.forgotten) > MAX_FORGOTTEN:
+            self.forgotten.pop(next(iter(self.forgotten)))
         class_id = ClassKey.of(progress.spec).class_id
         job_class = self.classes[class_id]
         job_class.jobs.pop(job_id, None)
--- a/packages/berylspread/src/berylspread/partition/placer.py
+++ b/packages/berylspread/src/berylspread/partition/placer.py
@@ -147,11 +147,14 @@
             decision = self.pipeline.next(self.queue, self.index, now())
             if decision is None:
                 return
-            if not isinstance(decision, Rejection):
-                self._book(decision)
+            if isinstance(decision, Rejection):
+                continue
+            if not self._book(decision):
+                # The next round comes by itself; at once it would spin.
+                return
         self.wake.set()
 
-    def _book(self, decision: Decision) -> None:
+    def _book(self, decision: Decision) -> bool:
         owner = self.owner(decision.unit)
         pending = self.queue.classes.get(decision.class_id)
         demand = None if pending is None else pending.demand
@@ -159,9 +162,11 @@
             demand = self.demands.find(decision.home, decision.class_id)
         if owner is None or demand is None:
             self.queue.take_back(decision.class_id)
-            return
-        if not owner.book(decision.worker, demand):
-            self.queue.take_back(decision.class_id)
+            return False
+        if owner.book(decision.worker, demand):
+            return True
+        self.queue.take_back(decision.class_id)
+        return False
 
     def _refresh_policy(self) -> None:
         if self.context.documents.version == self.policy_version:
--- a/packages/berylspread/src/berylspread/partition/worker_link.py
+++ b/packages/berylspread/src/berylspread/partition/worker_link.py
@@ -29,6 +29,8 @@
 RETRY_MIN_S: Final = 0.2
 RETRY_MAX_S: Final = 2.0
 RENEWALS_PER_LEASE: Final = 4
+#: After this many exchanges without an answer no lease is renewed.
+SILENT_EXCHANGES: Final = 2
 YOUNG_S: Final = 1.0
 YOUNG_WAIT_S: Final = 0.2
 
@@ -149,6 +151,7 @@
                     renew=self._renewable(),
                     acknowledged=list(self.acknowledged),
                     lease_s=self.timing.lease_s,
+                    not_after=self.wall.time() + EXCHANGE_TIMEOUT_S,
                     seen=self.sequence,
                     wait_s=self._wait_s(),
                 )
@@ -186,6 +189,7 @@
                 starts=[self._task_start(item, not_after) for item in starts],
                 stops=[TaskStop(name, mode) for name, mode in stops.items()],
                 lease_s=self.timing.lease_s,
+                not_after=not_after,
             ),
             starting=starts,
         )
--- a/packages/berylspread/src/berylspread/runtime/homes.py
+++ b/packages/berylspread/src/berylspread/runtime/homes.py
@@ -2,7 +2,7 @@
 
 from typing import final
 
-from berylspread.calls.home import CallHome, entry_name
+from berylspread.calls.home import CallHome
 from berylspread.calls.messages import AllowanceAsk, RegisterAsk
 from berylspread.jobs.home import JobHome
 from berylspread.kernel import Failure, now
@@ -53,6 +53,7 @@
         state.subscribe(JobCancelled, self._cancelled)
         state.subscribe(AllotmentMoved, self._allotments)
         state.subscribe(ConfigApplied, self._allotments)
+        state.on_restore(self._restored)
         peers = context.peers
         peers.handle(PullAsk, self._pull)
         peers.handle(TaskEvents, self._events)
@@ -94,6 +95,17 @@
         for role in self.roles.values():
             role.jobs.cancelled(record)
 
+    def _restored(self) -> None:
+        """Take in what a snapshot brought over a gap in the log."""
+        for unit, role in self.roles.items():
+            for job in self.context.state.jobs.of_unit(unit):
+                role.jobs.accepted(job.spec)
+                if job.cancelled is not None:
+                    role.jobs.cancelled(
+                        JobCancelled(job.spec.job_id, job.cancelled)
+                    )
+            role.jobs.allotments_changed()
+
     def _allotments(self, _offset: int, _record: object) -> None:
         for role in self.roles.values():
             role.jobs.allotments_changed()
@@ -116,7 +128,7 @@
         role = self.role(ask.home)
         if isinstance(role, Failure):
             return role
-        return role.calls.lend(entry_name(source), ask)
+        return role.calls.lend(source, ask)
 
     async def _register(
         self, source: NodeRef, ask: RegisterAsk
