--- a/features/peers/steps/peer_steps.py
+++ b/features/peers/steps/peer_steps.py
@@ -365,5 +365,5 @@
 
 async def until(holds, limit_s):
     async with asyncio.timeout(limit_s):
-        while not holds():  # noqa: ASYNC110
+        while not holds():
             await asyncio.sleep(0.01)
--- a/packages/berylspread/src/berylspread/peers/outbox.py
+++ b/packages/berylspread/src/berylspread/peers/outbox.py
@@ -10,7 +10,7 @@
 
 MAX_QUEUED_ENVELOPES: Final = 4096
 MAX_FRAME_ENVELOPES: Final = 256
-MAX_FRAME_BYTES: Final = 1 << 19
+MAX_FRAME_BYTES: Final = 500_000
 
 
 @final
