Offer each pending task to one node first

Cause: every node that owns partitions of a region saw a home's whole demand, so each of them decided for and booked room for the same task; the work of a start grew with the number of nodes. The reply to a pull offers what is left of the node's part.

--- a/packages/berylspread/src/berylspread/jobs/home.py
+++ b/packages/berylspread/src/berylspread/jobs/home.py
@@ -9,6 +9,7 @@
 from absl import logging
 
 from berylspread.jobs.book import JobBook
+from berylspread.jobs.division import Division
 from berylspread.jobs.gangs import GangStarter
 from berylspread.jobs.outcomes import FLUSH_S, OutcomeWriter
 from berylspread.jobs.progress import JobProgress
@@ -25,7 +26,7 @@
     JobCancelled,
     TasksStarted,
 )
-from berylspread.model import ZERO, JobSpec, unit_region
+from berylspread.model import ZERO, JobSpec, Resources, unit_region
 from berylspread.ownership import Tenure
 from berylspread.partition.messages import (
     DemandUpdate,
@@ -46,12 +47,13 @@
 
 
 @final
-class JobHome:
+class JobHome:  # noqa: WPS230
     """Hands out pending tasks to partition owners and records their ends."""
 
     __slots__ = (
         'book',
         'context',
+        'division',
         'gangs',
         'last_published',
         'outcomes',
@@ -78,13 +80,14 @@
         self.book = JobBook(self.quota, context.wall)
         self.reconciler = Reconciler(context, self.book, self.unit)
         self.shares = TeamShares(context, self.region)
+        self.division = Division()
         self.outcomes = OutcomeWriter(context, self.book)
         self.stopper = Stopper(context, self.book, self.unit)
         self.gangs = GangStarter(self)
         self.pulls: dict[str, tuple[int, int, PullReply]] = {}
         self.sequence = 0
         self.published_at = float('-inf')
-        self.last_published: list[DemandClass] = []
+        self.last_published: list[object] = []
         self.tasks: list[asyncio.Task[None]] = []
 
     def start(self) -> None:
@@ -187,10 +190,14 @@
             for line in ask.lines
         ]
         self.sequence += 1
+        owner = self.context.owner(ask.partition.unit)
+        node = owner[0].node if owner else ''
+        for line, granted in zip(ask.lines, grants, strict=True):
+            self.division.taken(node, line.class_id, len(granted))
         reply = PullReply(
             sequence=ask.sequence,
             grants=grants,
-            classes=self._demand(),
+            classes=self.division.of(node, self._demand()),
             uses=self.uses(),
             demand_sequence=self.sequence,
         )
@@ -235,14 +242,29 @@
             return
         demand = self._demand()
         due = now() - self.published_at >= REPUBLISH_S
-        if not due and _same_demand(demand, self.last_published):
+        signature = self.division.signature(demand)
+        if not due and signature == self.last_published:
             return
-        self.last_published = demand
+        self.last_published = signature
         self.published_at = now()
         self.sequence += 1
-        update = DemandUpdate(self.unit, self.sequence, demand, self.uses())
-        for node in self.partition_owners(demand):
-            self.context.peers.tell(node, update)
+        owners = self.partition_owners(demand)
+        uses = self.uses()
+        self.division.divide(demand, self._free(owners))
+        for node in owners:
+            shown = self.division.of(node, demand)
+            self.context.peers.tell(
+                node, DemandUpdate(self.unit, self.sequence, shown, uses)
+            )
+
+    def _free(self, owners: dict[str, bool]) -> dict[str, Resources]:
+        """Return what each node of the region has free."""
+        free: dict[str, Resources] = {}
+        for known in self.context.capacities.partitions(self.region):
+            if owners.get(known.node):
+                before = free.get(known.node, ZERO)
+                free[known.node] = before + known.report.free
+        return free
 
     def _demand(self) -> list[DemandClass]:
         return self.book.demand(self.unit.unit, self.unit.epoch)
@@ -309,9 +331,3 @@
     JobCancelled,
 )
 _NO_REPLY: Final = PullReply(0, [], [], [], 0)
-
-
-def _same_demand(left: list[DemandClass], right: list[DemandClass]) -> bool:
-    return [(demand.class_id, demand.count) for demand in left] == [
-        (demand.class_id, demand.count) for demand in right
-    ]
--- a/packages/berylspread/src/berylspread/membership/suspicion.py
+++ b/packages/berylspread/src/berylspread/membership/suspicion.py
@@ -70,9 +70,7 @@
 
     def suspect_after_s(self) -> float:
         """Return the silence in seconds after which the peer is suspect."""
-        return max(
-            self.settings.suspect_after * self.interval_s, self.margin_s
-        )
+        return max(self.settings.suspect_after * self.interval_s, self.margin_s)
 
     def dead_after_s(self) -> float:
         """Return the silence in seconds after which the peer is dead."""
