--- a/bench/capacity/assembly.py
+++ b/bench/capacity/assembly.py
@@ -179,7 +179,7 @@
 
     async def _until_running(self, tasks: int) -> None:
         async with asyncio.timeout(LIMIT_S):
-            while self._running() < tasks:  # noqa: ASYNC110
+            while self._running() < tasks:
                 await asyncio.sleep(0.5)
 
     def _running(self) -> int:
