--- a/packages/berylspread/src/berylspread/calls/router.py
+++ b/packages/berylspread/src/berylspread/calls/router.py
@@ -16,13 +16,15 @@
 )
 from berylspread.calls.request_id import issued_at
 from berylspread.jobs.shards import home_unit, spread_region
-from berylspread.kernel import Failure, RunState, now
+from berylspread.kernel import Failure, now
 from berylspread.kernel.errors import (
     DeadlineExceeded,
+    Draining,
     InvalidInput,
     NotRun,
     OutcomeUnknown,
     Overloaded,
+    StaleEpoch,
     WorkerUnreachable,
 )
 from berylspread.model import Resources
@@ -33,6 +35,8 @@
 ASK_MARGIN_S: Final = 0.1
 REGISTER_TIMEOUT_S: Final = 2.0
 MAX_ATTEMPTS: Final = 4
+#: A worker that answers so has certainly not run the call.
+REFUSALS: Final = (StaleEpoch, Overloaded, Draining)
 STALE_REPORT_S: Final = 5.0
 
 
@@ -170,6 +174,7 @@
                 queue=progress.call.queue,
                 served_s=0.0 if failed else now() - started,
                 failed=failed,
+                may_run=_may_have_run(reply),
             ),
         )
         if failed:
@@ -283,11 +288,11 @@
         ]
 
 
-def _may_have_run(failure: Failure) -> bool:
-    """Return whether a worker may have run the call, by its answer."""
-    if failure.run_state is RunState.not_run:
+def _may_have_run(reply: CallReply | Failure) -> bool:
+    """Return whether a worker may run a call that it gave no answer to."""
+    if not isinstance(reply, Failure) or isinstance(reply, REFUSALS):
         return False
-    return bool(failure.fields.get('sent', True))
+    return bool(reply.fields.get('sent', True))
 
 
 def _room(known: KnownCapacity) -> tuple[int, int]:
--- a/packages/berylspread/src/berylspread/runtime/homes.py
+++ b/packages/berylspread/src/berylspread/runtime/homes.py
@@ -53,6 +53,7 @@
         state.subscribe(JobCancelled, self._cancelled)
         state.subscribe(AllotmentMoved, self._allotments)
         state.subscribe(ConfigApplied, self._allotments)
+        state.on_restore(self._restored)
         peers = context.peers
         peers.handle(PullAsk, self._pull)
         peers.handle(TaskEvents, self._events)
@@ -94,6 +95,17 @@
         for role in self.roles.values():
             role.jobs.cancelled(record)
 
+    def _restored(self) -> None:
+        """Take in what a snapshot brought over a gap in the log."""
+        for unit, role in self.roles.items():
+            for job in self.context.state.jobs.of_unit(unit):
+                role.jobs.accepted(job.spec)
+                if job.cancelled is not None:
+                    role.jobs.cancelled(
+                        JobCancelled(job.spec.job_id, job.cancelled)
+                    )
+            role.jobs.allotments_changed()
+
     def _allotments(self, _offset: int, _record: object) -> None:
         for role in self.roles.values():
             role.jobs.allotments_changed()
