Leave defaults out of the workers' reports

Cause: control bytes of an entry VM are the row furthest from its budget, and most of them are the reports of tasks that have not changed. Change: a report and a reply leave out fields with their defaults, which the protocol allowed already; running tasks are measured up to 4,800.

--- a/bench/capacity/scenarios.py
+++ b/bench/capacity/scenarios.py
@@ -17,7 +17,7 @@
 #: The varied argument with its values, and the others.
 RUNS: dict[str, tuple[str, tuple[int, ...], dict[str, Any]]] = {
     'worker': ('workers', (24, 96, 192, 384), {}),
-    'task': ('services', (200, 400, 800), {'workers': WORKERS}),
+    'task': ('services', (400, 1600, 4800), {'workers': 192}),
     'start': ('starts_per_s', (20, 60, 120), {'workers': 192}),
     'job': ('jobs_per_s', (5, 20, 40), {'workers': 192}),
     'call': ('calls_per_s', (10, 40, 80), {'workers': WORKERS}),
--- a/packages/berylspread/src/berylspread/backend/interface.py
+++ b/packages/berylspread/src/berylspread/backend/interface.py
@@ -62,8 +62,11 @@
 
 
 @final
-class TaskReport(msgspec.Struct, frozen=True):
-    """A task at a worker; ``used`` lags behind what it uses now."""
+class TaskReport(msgspec.Struct, frozen=True, omit_defaults=True):
+    """A task at a worker; ``used`` lags behind what it uses now.
+
+    Fields with their defaults may be left out.
+    """
 
     task: str
     attempt: int
@@ -90,7 +93,7 @@
 
 
 @final
-class SyncReply(msgspec.Struct, frozen=True):
+class SyncReply(msgspec.Struct, frozen=True, omit_defaults=True):
     """What the worker holds and every task that runs or has ended there.
 
     ``refused`` names starts that the worker did not take, with the reason.
--- a/packages/berylspread/src/berylspread/capacity/roles.py
+++ b/packages/berylspread/src/berylspread/capacity/roles.py
@@ -55,6 +55,15 @@
     ) + fleet.starts_per_s * known.slope('exchanges_per_single_job')
 
 
+def renewal_cores(fleet: Fleet, known: Coefficients) -> float:
+    """Return the cores that leases take; at least their messages' codec."""
+    period = known.slope('exchanges_per_s_per_idle_worker')
+    return fleet.tasks * max(
+        known.slope('cpu_s_per_s_per_running_task'),
+        known.slope('cpu_s_renewal_codec_per_task') * period,
+    )
+
+
 def start_cores(fleet: Fleet, known: Coefficients) -> float:
     """Return the cores that starts take, sockets left out.
 
@@ -81,7 +90,7 @@
         + fleet.starts_per_s * known.slope('sync_bytes_per_start'),
         exchanges * known.slope('cpu_s_http_exchange_both_sides')
         + fleet.workers * known.slope('cpu_s_per_s_per_idle_worker')
-        + fleet.tasks * known.slope('cpu_s_per_s_per_running_task')
+        + renewal_cores(fleet, known)
         + start_cores(fleet, known),
         partitions_bytes(fleet, known),
     )
