Call a node ready once it knows a partition with workers

Cause: a node that had just started was ready before the first capacity report came, and refused calls with `no partition is known in reach`.

Change: readiness towards callers needs a known partition; ownership goes by the log's state alone, as before.

--- a/packages/berylspread/src/berylspread/runtime/node.py
+++ b/packages/berylspread/src/berylspread/runtime/node.py
@@ -174,7 +174,15 @@
 
     @property
     def is_ready(self) -> bool:
-        """Whether the node takes new work from callers."""
+        """Whether the node takes new work from callers.
+
+        A call needs a partition that has told of its workers.
+        """
+        return self.is_current and bool(self.context.capacities.known)
+
+    @property
+    def is_current(self) -> bool:
+        """Whether the node has the log's state and may own units."""
         if self.is_leaving or self.task is None or self.task.done():
             return False
         has_state = self.reader.started.is_set()
@@ -189,7 +197,7 @@
             zone=self.settings.zone,
             log_offset=self.state.offset,
             config_version=self.context.documents.version,
-            ready=self.is_ready,
+            ready=self.is_current,
             leaving=self.is_leaving,
         )
 
