Choose no partition by the report of a former owner

Cause: for 5 s after a planned stop, entry nodes asked the node that had gone for a slot, by its last capacity report, until the calls' deadlines.

Change: a report counts only while the log names no later owner of the unit.

--- a/packages/berylspread/src/berylspread/calls/router.py
+++ b/packages/berylspread/src/berylspread/calls/router.py
@@ -276,9 +276,16 @@
             known
             for known in self.context.capacities.partitions(region)
             if known.received_at > oldest
+            and self._is_owner(known)
             and progress.call.shape.fits(known.report.largest)
         ]
 
+    def _is_owner(self, known: KnownCapacity) -> bool:
+        # Until its successor reports, a former owner's report still stands.
+        partition = known.report.partition
+        owner = self.context.owner(partition.unit)
+        return owner is None or owner[1] <= partition.epoch
+
 
 def _may_run(reply: CallReply | Failure) -> bool:
     if not isinstance(reply, WorkerUnreachable):
