--- a/features/calls/steps/call_steps.py
+++ b/features/calls/steps/call_steps.py
@@ -87,6 +87,12 @@
     return outcome
 
 
+def only_call(context: Context) -> tuple[str, Any, float]:
+    """Return the scenario's call; there must be one."""
+    assert len(context.calls) == 1, context.calls
+    return context.calls[0]
+
+
 def executions(world: FaultWorld) -> int:
     """Return how often calls ran."""
     return world.cluster.observer.counts['calls']
@@ -201,7 +207,7 @@
 
 @then('it is refused as {name} within {limit:g} s')
 def step_refused_early(context: Context, name: str, limit: float) -> None:
-    ((_id, outcome, took),) = context.calls
+    _id, outcome, took = only_call(context)
     assert isinstance(outcome, Failure), outcome
     assert outcome.name == name, outcome
     assert took <= limit, took
@@ -210,21 +216,21 @@
 
 @then('it is answered within {limit:g} s')
 def step_answered_in(context: Context, limit: float) -> None:
-    ((_id, outcome, took),) = context.calls
+    _id, outcome, took = only_call(context)
     assert isinstance(outcome, CallReply), outcome
     assert took <= limit, took
 
 
 @then('it is answered')
 def step_answered(context: Context) -> None:
-    ((request_id, outcome, _took),) = context.calls
+    request_id, outcome, _took = only_call(context)
     assert isinstance(outcome, CallReply), outcome
     assert outcome.request_id == request_id, outcome
 
 
 @then('it is refused as {name}')
 def step_refused(context: Context, name: str) -> None:
-    ((_id, outcome, _took),) = context.calls
+    _id, outcome, _took = only_call(context)
     assert isinstance(outcome, Failure), outcome
     assert outcome.name == name, outcome
 
--- a/features/runtime/steps/outage_steps.py
+++ b/features/runtime/steps/outage_steps.py
@@ -107,7 +107,7 @@
 def step_regions_cut(context: Context, seconds: float) -> None:
     world = context.world
     context.tasks = []
-    pairs = (REGIONS, REGIONS[::-1])
+    pairs = (REGIONS, tuple(reversed(REGIONS)))
     for pair in pairs:
         world.cluster.network.cut(*pair)
     world.run(call_for(context, seconds, OUTAGE_CALL_EVERY_S))
