--- a/packages/berylspread/src/berylspread/calls/router.py
+++ b/packages/berylspread/src/berylspread/calls/router.py
@@ -1,5 +1,6 @@
 """Interactive calls at their entry node: a slot, a worker, a whole answer."""
 
+import asyncio
 from typing import Final, final
 
 import msgspec
@@ -38,6 +39,8 @@
 #: A worker that answers so has certainly not run the call.
 REFUSALS: Final = (StaleEpoch, Overloaded, Draining)
 STALE_REPORT_S: Final = 5.0
+PARTITION_WAIT_S: Final = 2.0
+PARTITION_POLL_S: Final = 0.1
 
 
 @final
@@ -156,7 +159,7 @@
 
     async def _attempt(self, progress: Progress) -> CallReply | Failure:
         progress.attempt += 1
-        chosen = self._choose_partition(progress)
+        chosen = await self._find_partition(progress)
         if chosen is None:
             return Overloaded('no partition is known in reach')
         slot = await self._slot(progress, chosen)
@@ -268,6 +271,15 @@
             return outcome
         return NotRun(outcome.reason, **outcome.fields)
 
+    async def _find_partition(self, progress: Progress) -> KnownCapacity | None:
+        # After a handover a rack is out of reach until its workers are read.
+        ends_at = now() + min(PARTITION_WAIT_S, progress.left_s / 2)
+        chosen = self._choose_partition(progress)
+        while chosen is None and now() < ends_at:
+            await asyncio.sleep(PARTITION_POLL_S)
+            chosen = self._choose_partition(progress)
+        return chosen
+
     def _choose_partition(self, progress: Progress) -> KnownCapacity | None:
         region = progress.call.region or self.context.region
         near = self._usable(progress, region)
@@ -284,9 +296,16 @@
             known
             for known in self.context.capacities.partitions(region)
             if known.received_at > oldest
+            and self._is_owner(known)
             and progress.call.shape.fits(known.report.largest)
         ]
 
+    def _is_owner(self, known: KnownCapacity) -> bool:
+        # Until its successor reports, a former owner's report still stands.
+        partition = known.report.partition
+        owner = self.context.owner(partition.unit)
+        return owner is None or owner[1] <= partition.epoch
+
 
 def _may_have_run(reply: CallReply | Failure) -> bool:
     """Return whether a worker may run a call that it gave no answer to."""
