Quarantine failing workers and preempt for urgent work in the nodes

Cause: the library's health monitor and preemption were not wired in. Change: the placer counts how tasks and calls end, probes quarantined workers, and checkpoints the cheapest victims for urgent work that fits nowhere; tasks that must not run again are never victims. Conclusion: learned sizes and gifts between regions are still unwired.

--- a/bench/processes.py
+++ b/bench/processes.py
@@ -279,7 +279,8 @@
         return False
     listed = await callers.admin('GET', '/nodes')
     held = sum(len(node['units']) for node in listed if node['answered'])
-    return status['nodes_ready'] >= nodes and held >= status['units'] > 0
+    is_held = bool(status['units']) and held >= status['units']
+    return is_held and status['nodes_ready'] >= nodes
 
 
 async def _set_up(callers: Callers, text: str) -> float:
--- a/packages/berylspread/src/berylspread/calls/slots.py
+++ b/packages/berylspread/src/berylspread/calls/slots.py
@@ -68,9 +68,10 @@
         finally:
             self._leave(key)
 
-    def done(self, message: CallDone) -> None:
-        """Free the slot of a call that has ended."""
+    def done(self, message: CallDone) -> str:
+        """Free the slot of a call that has ended; return its worker."""
         key = call_key(message.request_id, message.attempt)
+        booking = self.owner.ledger.bookings.get(key)
         self._leave(key)
         # A call that may still run keeps its slot until the booking expires.
         if not message.may_run:
@@ -78,6 +79,7 @@
         if message.served_s:
             self.line.times.observe(message.queue, message.served_s)
         self.serve()
+        return booking.worker if booking else ''
 
     def serve(self) -> None:
         """Grant what is free to the calls that go first."""
--- a/packages/berylspread/src/berylspread/jobs/book.py
+++ b/packages/berylspread/src/berylspread/jobs/book.py
@@ -55,7 +55,8 @@
             kind=spec.kind,
             shape=spec.shape,
             priority=spec.priority,
-            preemptible=spec.preemptible,
+            # A task that must not run again is not stopped for another.
+            preemptible=spec.preemptible and spec.idempotent,
             expected_run_s=spec.expected_run_s,
             deadline=spec.deadline,
             constraints=spec.constraints,
--- a/packages/berylspread/src/berylspread/partition/owner.py
+++ b/packages/berylspread/src/berylspread/partition/owner.py
@@ -135,8 +135,13 @@
             self._lapse(link)
         self.gangs.expire()
 
-    def book(self, worker: str, demand: DemandClass) -> bool:
-        """Book room for one task of a class and ask its home for the task."""
+    def book(
+        self, worker: str, demand: DemandClass, *, probe: bool = False
+    ) -> bool:
+        """Book room for one task of a class and ask its home for the task.
+
+        A probe may use a quarantined worker.
+        """
         self.serial += 1
         key = f'pull:{self.unit.epoch}.{self.serial}'
         booked = self.ledger.book(
@@ -152,6 +157,7 @@
                 started_at=now(),
                 expected_end=_expected_end(demand.expected_run_s),
             ),
+            probe=probe,
         )
         if isinstance(booked, Failure):
             return False
@@ -181,6 +187,13 @@
                 if attempt is not None and not attempt.is_ended:
                     self._stop(link, attempt, message.mode)
 
+    def stop_booked(self, booking: Booking, mode: str) -> None:
+        """Stop the task behind a booking, if it runs here."""
+        link = self.links.get(booking.worker)
+        attempt = link.attempts.get(booking.key) if link else None
+        if link is not None and attempt is not None and not attempt.is_ended:
+            self._stop(link, attempt, mode)
+
     def inventory(self, home: str) -> PartitionInventory:
         """Return what is held for one home."""
         return PartitionInventory(
@@ -227,6 +240,7 @@
         changed = self.reader.read(link, reply)
         for attempt in changed:
             self.reporter.add(attempt)
+            self.placer.ended(attempt)
         self.placer.freed()
 
     def _silent(self, link: WorkerLink) -> None:
@@ -324,6 +338,9 @@
     def freed(self) -> None:
         """Take note that capacity may have become free."""
 
+    def ended(self, attempt: Attempt) -> None:
+        """Take in a change of an attempt, which may be its end."""
+
     def answered(self, home: UnitEpoch, reply: PullReply) -> None:
         """Take in the demand that came with a reply."""
 
--- a/packages/berylspread/src/berylspread/partition/placer.py
+++ b/packages/berylspread/src/berylspread/partition/placer.py
@@ -10,6 +10,7 @@
 from berylspread.kernel import Failure, now
 from berylspread.limits import FreeIndex
 from berylspread.ownership import Tenure
+from berylspread.partition.attempts import Attempt
 from berylspread.partition.demands import DemandBook
 from berylspread.partition.messages import (
     DemandUpdate,
@@ -17,6 +18,7 @@
     UnitEpoch,
 )
 from berylspread.partition.owner import PartitionOwner, PlacerHooks
+from berylspread.partition.upkeep import WorkerUpkeep
 from berylspread.placement import (
     Decision,
     DemandQueue,
@@ -46,6 +48,7 @@
         'queue',
         'serve_calls',
         'tasks',
+        'upkeep',
         'wake',
         'workers',
     )
@@ -58,6 +61,7 @@
         self.demands = DemandBook()
         self.queue = DemandQueue()
         self.owners: dict[str, PartitionOwner] = {}
+        self.upkeep = WorkerUpkeep(self.owners)
         self.wake = asyncio.Event()
         self.policy_version = 0
         self.pipeline = _pipeline(context)
@@ -87,6 +91,7 @@
             self.context, tenure, self.workers, self.demands, self
         )
         self.owners[tenure.unit] = owner
+        self.upkeep.acquire(owner.ledger)
         owner.follow_workers()
         return owner
 
@@ -95,6 +100,7 @@
         owner = self.owners.get(tenure.unit)
         if owner is not None and owner.unit.epoch == tenure.epoch:
             owner.close()
+            self.upkeep.lose(tenure.unit)
             self.owners.pop(tenure.unit)
 
     def owner(self, unit: str) -> PartitionOwner | None:
@@ -113,6 +119,10 @@
         """Take note that capacity may have become free."""
         self.wake.set()
 
+    def ended(self, attempt: Attempt) -> None:
+        """Take in a change of an attempt, which may be its end."""
+        self.upkeep.ended(attempt)
+
     def answered(self, home: UnitEpoch, reply: PullReply) -> None:
         """Take in the demand that came with a reply."""
         self.demands.refresh(home.unit, reply)
@@ -148,12 +158,18 @@
             if decision is None:
                 return
             if isinstance(decision, Rejection):
+                self._make_room(decision)
                 continue
             if not self._book(decision):
                 # The next round comes by itself; at once it would spin.
                 return
         self.wake.set()
 
+    def _make_room(self, rejection: Rejection) -> None:
+        pending = self.queue.classes.get(rejection.class_id)
+        if pending is not None and pending.demand.is_urgent:
+            self.upkeep.preempt(pending.demand, self.pipeline)
+
     def _book(self, decision: Decision) -> bool:
         owner = self.owner(decision.unit)
         pending = self.queue.classes.get(decision.class_id)
@@ -179,7 +195,12 @@
     async def _follow(self) -> None:
         for owner in list(self.owners.values()):
             owner.follow_workers()
-        self.pipeline.context.largest = self.context.capacities.largest()
+        self.upkeep.probe(self.demands.classes())
+        self.pipeline.context.rescale(
+            view
+            for owner in self.owners.values()
+            for view in owner.ledger.workers.values()
+        )
         self.pipeline.context.shares.total = self.context.capacities.region(
             self.context.region
         )
--- /dev/null
+++ b/packages/berylspread/src/berylspread/partition/upkeep.py
@@ -0,0 +1,102 @@
+"""What a node does for its workers beside placing: health and preemption."""
+
+from collections.abc import Iterable
+from typing import Final, final
+
+from absl import logging
+
+from berylspread.health import HealthMonitor
+from berylspread.kernel import now
+from berylspread.limits import CapacityLedger, WorkerView
+from berylspread.model import JobKind, TaskState
+from berylspread.partition.attempts import Attempt
+from berylspread.partition.owner import PartitionOwner
+from berylspread.placement import DemandClass, Pipeline
+
+#: A class whose victims have not made room yet waits this long for them.
+PREEMPT_PAUSE_S: Final = 3.0
+MAX_WORKERS: Final = 16
+CHECKPOINT: Final = 'checkpoint'
+#: Ends that tell something of the worker; stops and losses do not.
+TELLING: Final = {TaskState.succeeded: False, TaskState.failed: True}
+
+
+@final
+class WorkerUpkeep:
+    """Quarantines workers that fail what they are given, and probes them.
+
+    Makes room for urgent work that fits nowhere by preempting other tasks.
+    """
+
+    __slots__ = ('monitor', 'owners', 'preempted', 'preempting')
+
+    def __init__(self, owners: dict[str, PartitionOwner]) -> None:
+        """Look after the workers of a node's partitions."""
+        self.owners = owners
+        self.monitor = HealthMonitor(now())
+        self.preempting: dict[str, float] = {}
+        self.preempted = 0
+
+    def acquire(self, ledger: CapacityLedger) -> None:
+        """Include a partition."""
+        self.monitor.watch(ledger)
+
+    def lose(self, unit: str) -> None:
+        """Leave a partition to its next owner."""
+        self.monitor.unwatch(unit)
+
+    def ended(self, attempt: Attempt) -> None:
+        """Take in how a task ended."""
+        failed = TELLING.get(attempt.state)
+        if failed is not None:
+            self.monitor.ended(
+                attempt.worker,
+                attempt.grant.job_class,
+                now(),
+                failed=failed,
+            )
+
+    def call_ended(self, worker: str, queue: str, *, failed: bool) -> None:
+        """Take in how an interactive call ended."""
+        self.monitor.ended(worker, queue, now(), failed=failed)
+
+    def probe(self, classes: Iterable[DemandClass]) -> None:
+        """Give each quarantined worker that is due one batch task."""
+        batch = [demand for demand in classes if demand.kind is JobKind.batch]
+        for worker in self.monitor.probe(now()):
+            view = self.monitor.view(worker)
+            if view is not None:
+                self._probe_with(view, batch)
+
+    def preempt(self, demand: DemandClass, pipeline: Pipeline) -> None:
+        """Make room for one urgent task, unless that is under way."""
+        if now() < self.preempting.get(demand.class_id, 0):
+            return
+        victims = pipeline.victims(demand, self._examined(demand))
+        if not victims:
+            return
+        self.preempting[demand.class_id] = now() + PREEMPT_PAUSE_S
+        for booking in victims:
+            for owner in self.owners.values():
+                owner.stop_booked(booking, CHECKPOINT)
+            logging.info('preempted %s for %s', booking.key, demand.queue)
+        self.preempted += len(victims)
+
+    def _probe_with(self, view: WorkerView, batch: list[DemandClass]) -> None:
+        owner = self.owners.get(view.unit)
+        fitting = (demand for demand in batch if demand.shape.fits(view.free))
+        demand = next(fitting, None)
+        if owner is None or demand is None:
+            return
+        if owner.book(view.worker, demand, probe=True):
+            self.monitor.probe_started(view.worker, now())
+
+    def _examined(self, demand: DemandClass) -> list[WorkerView]:
+        able = (
+            view
+            for owner in self.owners.values()
+            if owner.tenure.is_valid(now())
+            for view in owner.ledger.workers.values()
+            if not view.barriers and demand.shape.fits(view.capacity)
+        )
+        return [view for view, _ in zip(able, range(MAX_WORKERS), strict=False)]
--- a/packages/berylspread/src/berylspread/runtime/partitions.py
+++ b/packages/berylspread/src/berylspread/runtime/partitions.py
@@ -148,7 +148,11 @@
     async def _done(self, source: NodeRef, message: CallDone) -> None:
         slots = self.calls.get(message.unit)
         if slots is not None:
-            slots.done(message)
+            worker = slots.done(message)
+            if worker and message.queue:
+                self.placer.upkeep.call_ended(
+                    worker, message.queue, failed=message.failed
+                )
             self.placer.freed()
 
     def _owner(self, unit: str) -> PartitionOwner | NotOwner:
