--- a/Makefile
+++ b/Makefile
@@ -16,10 +16,11 @@
 
 .DEFAULT_GOAL := help
 .DELETE_ON_ERROR:
-.PHONY: help setup demo test lint format bench soak proto capacity constraints
+.PHONY: help setup demo fleet test lint format bench soak proto capacity constraints
 
 help:
 	@echo 'make demo         run a small assembly in one process (JSON=1: as JSON)'
+	@echo 'make fleet        keep a fleet up on loopback for ten minutes'
 	@echo 'make test         run the behave features (FEATURES="kernel jobs")'
 	@echo 'make lint         check format, lint rules and types'
 	@echo 'make format       format the sources'
@@ -49,6 +50,10 @@
 demo: $(STAMP)
 	$(PY) -m berylspread_standins.demo $(if $(filter 1,$(JSON)),--json_line)
 
+# Three entry nodes and 24 workers on loopback for ten minutes.
+fleet: $(STAMP)
+	@$(PY) -m berylspread_standins.fleet $(ARGS)
+
 test: $(STAMP)
 	@$(PY) tools/run_features.py --jobs $(JOBS) $(FEATURES)
 
--- a/features/partition/steps/upkeep_steps.py
+++ b/features/partition/steps/upkeep_steps.py
@@ -48,6 +48,11 @@
     return list(context.cluster.workers.values())
 
 
+def _upkeeps(context: Context) -> list[Any]:
+    nodes = [sim.running for sim in context.cluster.nodes.values()]
+    return [node.partitions.placer.upkeep for node in nodes]
+
+
 async def _within(limit_s: float, holds: Any) -> bool:
     ends_at = now() + limit_s
     while now() < ends_at:
@@ -113,8 +118,8 @@
 def step_quarantined(context: Context, number: int) -> None:
     quarantined = {
         worker
-        for sim in context.cluster.nodes.values()
-        for worker in sim.running.partitions.placer.upkeep.monitor.quarantined
+        for upkeep in _upkeeps(context)
+        for worker in upkeep.monitor.quarantined
     }
     assert quarantined == {context.faulty.vm.vm_id}, quarantined
 
@@ -148,9 +153,6 @@
 @then('no task was preempted within {seconds:g} s')
 def step_none_preempted(context: Context, seconds: float) -> None:
     run(context, asyncio.sleep(seconds))
-    preempted = sum(
-        sim.running.partitions.placer.upkeep.preempted
-        for sim in context.cluster.nodes.values()
-    )
+    preempted = sum(upkeep.preempted for upkeep in _upkeeps(context))
     assert not preempted, preempted
     assert f'{context.spec.job_id}/0' not in context.cluster.observer.executed
--- a/packages/berylspread/src/berylspread/log/folds/units.py
+++ b/packages/berylspread/src/berylspread/log/folds/units.py
@@ -122,20 +122,24 @@
     ) -> None:
         """Install the next version; any other is ignored."""
         last = self.electorates.get(record.region)
-        if record.version == _next(last and last.version):
-            self.electorates[record.region] = Electorate(
-                record.region,
-                record.version,
-                record.members,
-                context.offset,
-                last.members if last else (),
-            )
-            departed = self.departed.setdefault(record.region, {})
-            gone = set(last.members if last else ()) - set(record.members)
-            departed.update(dict.fromkeys(gone, context.log_time))
-            for ref, left_at in list(departed.items()):
-                if left_at < context.log_time - KEPT_DEPARTED_S:
-                    departed.pop(ref)
+        if record.version != _next(last and last.version):
+            return
+        previous = last.members if last else ()
+        self.electorates[record.region] = Electorate(
+            record.region,
+            record.version,
+            record.members,
+            context.offset,
+            previous,
+        )
+        gone = set(previous) - set(record.members)
+        oldest = context.log_time - KEPT_DEPARTED_S
+        departed = self.departed.get(record.region, {})
+        self.departed[record.region] = {
+            ref: left_at
+            for ref, left_at in departed.items()
+            if left_at >= oldest
+        } | dict.fromkeys(gone, context.log_time)
 
     def to_wire(self) -> UnitsWire:
         """Return the contents for a snapshot."""
