--- a/packages/berylspread/src/berylspread/partition/placer.py
+++ b/packages/berylspread/src/berylspread/partition/placer.py
@@ -153,17 +153,18 @@
         self._refresh_policy()
         # Calls go before tasks: somebody waits for their answer.
         self.serve_calls()
+        booked = 0
         for _ in range(MAX_DECISIONS):
             decision = self.pipeline.next(self.queue, self.index, now())
             if decision is None:
                 return
             if isinstance(decision, Rejection):
                 self._make_room(decision)
-                continue
-            if not self._book(decision):
-                # The next round comes by itself; at once it would spin.
-                return
-        self.wake.set()
+            else:
+                booked += self._book(decision)
+        # Without authority nothing can be booked, and time must go on.
+        if booked:
+            self.wake.set()
 
     def _make_room(self, rejection: Rejection) -> None:
         pending = self.queue.classes.get(rejection.class_id)
@@ -179,10 +180,10 @@
         if owner is None or demand is None:
             self.queue.take_back(decision.class_id)
             return False
-        if owner.book(decision.worker, demand):
-            return True
-        self.queue.take_back(decision.class_id)
-        return False
+        booked = owner.book(decision.worker, demand)
+        if not booked:
+            self.queue.take_back(decision.class_id)
+        return booked
 
     def _refresh_policy(self) -> None:
         if self.context.documents.version == self.policy_version:
