--- a/packages/berylspread-standins/src/berylspread_standins/fleet.py
+++ b/packages/berylspread-standins/src/berylspread_standins/fleet.py
@@ -28,14 +28,18 @@
     try:
         await fleet.start(text)
         await fleet.make_keys([team])
-        print(f'export BERYLSPREAD_ADDRESS={fleet.url(0)}')
-        print(f'export BERYLSPREAD_KEY={fleet.keys[team]}')
-        print(f'export BERYLSPREAD_TOKEN={fleet.token}', flush=True)
+        _print_exports(fleet, team)
         await asyncio.sleep(min(lifetime_s, MAX_LIFETIME_S))
     finally:
         await fleet.stop()
 
 
+def _print_exports(fleet: LocalFleet, team: str) -> None:
+    print(f'export BERYLSPREAD_ADDRESS={fleet.url(0)}')
+    print(f'export BERYLSPREAD_KEY={fleet.keys[team]}')
+    print(f'export BERYLSPREAD_TOKEN={fleet.token}', flush=True)
+
+
 def main(
     team: str = 'patterns',
     document: str = DOCUMENT,
