Rest the placement when a round books nothing

Cause: a node whose authority over a rack had lapsed decided the same pending task 200 times a round and began the next round at once, without end.

Change: the next round follows at once only if something was booked.

Conclusion: an owner without authority waits instead of spinning.

--- a/packages/berylspread/src/berylspread/partition/placer.py
+++ b/packages/berylspread/src/berylspread/partition/placer.py
@@ -143,15 +143,18 @@
         self._refresh_policy()
         # Calls go before tasks: somebody waits for their answer.
         self.serve_calls()
+        booked = False
         for _ in range(MAX_DECISIONS):
             decision = self.pipeline.next(self.queue, self.index, now())
             if decision is None:
                 return
             if not isinstance(decision, Rejection):
-                self._book(decision)
-        self.wake.set()
+                booked |= self._book(decision)
+        # Without a booking the next round would decide the same at once.
+        if booked:
+            self.wake.set()
 
-    def _book(self, decision: Decision) -> None:
+    def _book(self, decision: Decision) -> bool:
         owner = self.owner(decision.unit)
         pending = self.queue.classes.get(decision.class_id)
         demand = None if pending is None else pending.demand
@@ -159,9 +162,11 @@
             demand = self.demands.find(decision.home, decision.class_id)
         if owner is None or demand is None:
             self.queue.take_back(decision.class_id)
-            return
-        if not owner.book(decision.worker, demand):
-            self.queue.take_back(decision.class_id)
+            return False
+        if owner.book(decision.worker, demand):
+            return True
+        self.queue.take_back(decision.class_id)
+        return False
 
     def _refresh_policy(self) -> None:
         if self.context.documents.version == self.policy_version:
