--- a/features/calls/steps/call_steps.py
+++ b/features/calls/steps/call_steps.py
@@ -20,6 +20,8 @@
 #: Calls of a fleet that is always busy: slots by run time.
 CALL_S = 0.5
 GOODPUT = 0.9
+#: How long slow workers go on after a deadline.
+SLOW_S = 0.5
 
 
 class CrossedWorkers:
@@ -312,8 +314,13 @@
 def step_outlive(context: Context, seconds: float, limit: float) -> None:
     world = context.world
     context.calls = []
+    workers = world.cluster.workers.values()
+    for worker in workers:
+        worker.faults.slow_s = SLOW_S
     for _ in range(SLOTS):
         begin(
             context, timed_call(context, QUEUE, run_s=seconds, timeout_s=limit)
         )
     world.sleep(0.2)
+    for worker in workers:
+        worker.faults.slow_s = 0.0
