Answer a pull even if the question was given up

Change: the answer is a task of its own, and questions only wait for it. Conclusion: no state may change within what a timeout cancels.

--- a/features/jobs/pulls.feature
+++ b/features/jobs/pulls.feature
@@ -65,3 +65,12 @@
     When the rack asks for 2 tasks as question 1, twice, 1 s apart
     Then no answer holds a task
     And 5 tasks still wait
+
+  Scenario: A question that is given up while the log is slow
+    Given a fleet without room, whose rack asks by hand
+    And a job of 5 tasks came to billing
+    And the log answers 1.5 s late
+    When the rack asks for 2 tasks as question 1, and gives up after 1 s
+    And the rack asks for 2 tasks as question 1
+    Then the last answer holds 2 tasks
+    And 3 tasks still wait
--- a/features/jobs/steps/pull_steps.py
+++ b/features/jobs/steps/pull_steps.py
@@ -186,3 +186,27 @@
 def step_no_task(context: Context) -> None:
     found = [grants(reply) for reply in context.world.answers]
     assert not any(found), found
+
+
+@when(
+    'the rack asks for {count:d} tasks as question {number:d},'
+    ' and gives up after {seconds:g} s'
+)
+def step_given_up(
+    context: Context, count: int, number: int, seconds: float
+) -> None:
+    async def ask_shortly() -> None:
+        try:
+            async with asyncio.timeout(seconds):
+                await home(context).pull(question(context, number, count))
+        except TimeoutError:
+            return
+        raise AssertionError('the log was not slow')
+
+    context.world.run(ask_shortly())
+
+
+@then('the last answer holds {count:d} tasks')
+def step_last_holds(context: Context, count: int) -> None:
+    answer = context.world.answers[-1]
+    assert len(grants(answer)) == count, answer
--- a/packages/berylspread/src/berylspread/jobs/home.py
+++ b/packages/berylspread/src/berylspread/jobs/home.py
@@ -48,17 +48,17 @@
 
 @final
 class AnsweredPull:
-    """A partition's last question; ``answer`` is open until it is durable."""
+    """A partition's last question; ``answer`` ends once it is durable."""
 
     __slots__ = ('answer', 'epoch', 'sequence')
 
-    def __init__(self, ask: PullAsk) -> None:
-        """Start with an open answer."""
+    def __init__(
+        self, ask: PullAsk, answer: 'asyncio.Task[PullReply | Failure]'
+    ) -> None:
+        """Keep the answer that is on its way."""
         self.epoch = ask.partition.epoch
         self.sequence = ask.sequence
-        self.answer: asyncio.Future[PullReply | Failure] = (
-            asyncio.get_running_loop().create_future()
-        )
+        self.answer = answer
 
 
 @final
@@ -154,13 +154,13 @@
             )
         known = self.pulls.get(ask.partition.unit)
         if known is None or known.epoch != ask.partition.epoch:
-            return await self._hand_out(ask)
+            return await asyncio.shield(self._hand_out(ask))
         if known.sequence == ask.sequence:
             # A repeat waits, as the first did, until the starts are logged.
             return await asyncio.shield(known.answer)
         if ask.sequence < known.sequence:
             return StaleEpoch('an old question', unit=ask.partition.unit)
-        return await self._hand_out(ask)
+        return await asyncio.shield(self._hand_out(ask))
 
     async def events(self, message: TaskEvents) -> EventsTaken | Failure:
         """Apply events; reply only once the ends among them are durable."""
@@ -195,7 +195,8 @@
                 owners[owner.node] = owners.get(owner.node, False) or local
         return owners
 
-    async def _hand_out(self, ask: PullAsk) -> PullReply | Failure:
+    def _hand_out(self, ask: PullAsk) -> 'asyncio.Task[PullReply | Failure]':
+        """Hand out at once; the answer outlives the question's timeout."""
         grants = [
             self.book.take(
                 line.class_id,
@@ -217,16 +218,22 @@
             uses=self.uses(),
             demand_sequence=self.sequence,
         )
-        pull = AnsweredPull(ask)
-        self.pulls[ask.partition.unit] = pull
+        answer = asyncio.create_task(self._confirm(ask, reply))
+        self.pulls[ask.partition.unit] = AnsweredPull(ask, answer)
+        return answer
+
+    async def _confirm(
+        self, ask: PullAsk, reply: PullReply
+    ) -> PullReply | Failure:
         failed = await self.log_starts(
-            [task for line in grants for task in line]
+            [task for line in reply.grants for task in line]
         )
-        if failed is not None and self.pulls[ask.partition.unit] is pull:
+        if failed is None:
+            return reply
+        pull = self.pulls.get(ask.partition.unit)
+        if pull is not None and pull.sequence == ask.sequence:
             self.pulls.pop(ask.partition.unit)
-        outcome = reply if failed is None else failed
-        pull.answer.set_result(outcome)
-        return outcome
+        return failed
 
     async def log_starts(self, grants: list[TaskGrant]) -> Failure | None:
         """Log that tasks of non-idempotent jobs may start from now on.
