Ask for inventories at once and seldom while leases lapse

Cause: for 17 s after each takeover every home asked every owner twice a second, one owner after the other; an idle node spent most of its messages on it. Change: owners are asked side by side, and every 3 s once all that is left is that old leases lapse.

--- a/packages/berylspread/src/berylspread/jobs/reconcile.py
+++ b/packages/berylspread/src/berylspread/jobs/reconcile.py
@@ -5,10 +5,11 @@
 an earlier home may have handed out stay unsure.
 """
 
+import asyncio
 from typing import Final, final
 
 from berylspread.jobs.book import JobBook
-from berylspread.kernel import Failure
+from berylspread.kernel import Failure, now
 from berylspread.model import TaskKey
 from berylspread.partition.messages import (
     HeldTask,
@@ -20,6 +21,9 @@
 from berylspread.runtime import NodeContext
 
 INVENTORY_TIMEOUT_S: Final = 3.0
+#: A partition whose old leases have still to lapse is asked this often.
+SETTLING_ASK_S: Final = 3.0
+NEVER: Final = float('-inf')
 PARTITION_PREFIX: Final = 'workers/'
 
 
@@ -28,6 +32,7 @@
     """Tracks which epoch of each partition the book agrees with."""
 
     __slots__ = (
+        'asked_at',
         'book',
         'context',
         'home',
@@ -46,14 +51,18 @@
         self.home = home
         self.seen: dict[str, int] = {}
         self.settled_units: dict[str, int] = {}
+        self.asked_at: dict[str, float] = {}
         self.settled = False
         self.strays: set[TaskKey] = set()
 
     async def round(self) -> None:
         """Ask the owners of partitions whose epoch is new."""
-        outdated = self._outdated()
-        for node in sorted(set(outdated.values())):
-            await self._ask(node)
+        due = {
+            node
+            for unit, node in self._outdated().items()
+            if self._is_due(unit)
+        }
+        await asyncio.gather(*(self._ask(node) for node in sorted(due)))
         if not self.settled and not self._outdated():
             self.book.settle_unsure()
             self.settled = True
@@ -70,6 +79,13 @@
             if self.settled_units.get(unit) != epoch
         }
 
+    def _is_due(self, unit: str) -> bool:
+        """Return whether to ask now; one that only has to settle can wait."""
+        owner = self.context.owner(unit)
+        if owner is None or self.seen.get(unit) != owner[1]:
+            return True
+        return now() - self.asked_at.get(unit, NEVER) >= SETTLING_ASK_S
+
     async def _ask(self, node: str) -> None:
         reply = await self.context.peers.ask(
             node,
@@ -91,6 +107,7 @@
             self._adopt(task, partition)
         self._lose_missing(inventory)
         self.seen[partition.unit] = partition.epoch
+        self.asked_at[partition.unit] = now()
         if inventory.settled:
             self.settled_units[partition.unit] = partition.epoch
 
