Let no request through where no connection can be made

Change: the stand-in delivers nothing unless it is connected or both ways are open. Ruled out: the router, whose trace shows it passed on what the client told it. Conclusion: the check of true refusals stays as it is.

--- a/packages/berylspread-standins/src/berylspread_standins/local_workers.py
+++ b/packages/berylspread-standins/src/berylspread_standins/local_workers.py
@@ -108,14 +108,19 @@
         serve: Callable[[Worker], Awaitable[ReplyT | Failure]],
         timeout_s: float,
     ) -> ReplyT | Failure:
-        sent = vm.address in self.connected or self._is_reachable(vm)
+        await self.gate.wait()
+        if vm.address not in self.connected and not self._is_reachable(vm):
+            # No connection can be made, so that no byte of the request goes out.
+            await asyncio.sleep(timeout_s)
+            await self.gate.wait()
+            return WorkerUnreachable('no connection in time', sent=False)
         answer = await exchange(
             self._serve(vm, request, serve), timeout_s=timeout_s
         )
         await self.gate.wait()
         if answer is None:
             self.connected.discard(vm.address)
-            return WorkerUnreachable('no answer in time', sent=sent)
+            return WorkerUnreachable('no answer in time', sent=True)
         self.connected.add(vm.address)
         return answer
 
