Share the HTTP server's base, and name the size designed for

Cause: daemon and stand-ins each had the same server class and socket; pages spoke of where the size came from in place of what it is. Change: stand-ins use the daemon's server and listen(); DESIGNED names the fleet; the mutant of the calls' slots returns what the method returns.

--- a/bench/capacity/page.py
+++ b/bench/capacity/page.py
@@ -20,7 +20,7 @@
 PAGE = pathlib.Path(__file__).resolve().parents[2] / 'docs/CAPACITY.md'
 MIB = 1024 * 1024
 #: The size to design for.
-LETTER = Fleet(
+DESIGNED = Fleet(
     workers=2300,
     tasks=27_000,
     jobs_per_day=9700,
@@ -32,7 +32,7 @@
     keys=680,
     queued_jobs=1000,
 )
-#: The letter's budgets for control, and the settings' defaults.
+#: The budgets for control, and the settings' defaults.
 CONTROL_CORES = 0.012
 CONTROL_MB = 32
 CONTROL_KB_S = 8
@@ -40,17 +40,17 @@
 NODE_COUNTS = (9, 12, 18, 24, 36, 48)
 #: What the size asks of each measured count.
 REACH = {
-    'worker': LETTER.workers,
-    'task': LETTER.tasks,
-    'start': LETTER.starts_per_s,
-    'team': LETTER.teams,
+    'worker': DESIGNED.workers,
+    'task': DESIGNED.tasks,
+    'start': DESIGNED.starts_per_s,
+    'team': DESIGNED.teams,
 }
 
 
 def write_tables() -> None:
     """Replace every table of the page."""
     known = load_coefficients()
-    found = estimate(LETTER, known)
+    found = estimate(DESIGNED, known)
     text = PAGE.read_text(encoding='utf-8')
     for name, lines in _TABLES.items():
         text = _replaced(text, name, '\n'.join(lines(found, known)))
@@ -88,7 +88,7 @@
 def _nodes(found: Estimate, known: Coefficients) -> list[str]:
     rows = []
     for nodes in NODE_COUNTS:
-        sized = estimate(msgspec.structs.replace(LETTER, nodes=nodes), known)
+        sized = estimate(msgspec.structs.replace(DESIGNED, nodes=nodes), known)
         rows.append(
             (
                 str(nodes),
@@ -113,12 +113,12 @@
 
 
 def _totals(found: Estimate, known: Coefficients) -> list[str]:
-    log_rate = log_bytes_per_s(LETTER, known)
+    log_rate = log_bytes_per_s(DESIGNED, known)
     rows = (
         ('entry VMs needed', str(found.nodes_needed)),
         (
             'exchanges with workers a second',
-            f'{exchanges_per_s(LETTER, known):.0f}',
+            f'{exchanges_per_s(DESIGNED, known):.0f}',
         ),
         (
             'KB/s of exchanges at one worker',
@@ -127,11 +127,11 @@
         ('log, KB/s at the peak', f'{log_rate / 1000:.1f}'),
         (
             'bytes of one configuration',
-            f'{LETTER.teams * known.slope("config_bytes_per_team"):.0f}',
+            f'{DESIGNED.teams * known.slope("config_bytes_per_team"):.0f}',
         ),
         (
             'seconds of a core to take in one configuration, a node',
-            f'{LETTER.teams * known.slope("cpu_s_config_fold_per_team"):.3f}',
+            f'{DESIGNED.teams * known.slope("cpu_s_config_fold_per_team"):.3f}',
         ),
         (
             'candidates examined per start',
@@ -165,7 +165,7 @@
         'team': 'cpu_s_per_s_per_team',
     }
     return _table(
-        ('quantity', 'largest measured', 'letter', 'extrapolated by'),
+        ('quantity', 'largest measured', 'design size', 'extrapolated by'),
         (
             (
                 kind,
@@ -184,11 +184,11 @@
     return f'not met: {amount / budget:.1f} times it'
 
 
-def _letter(found: Estimate, known: Coefficients) -> list[str]:
-    """The letter's lines that the estimate answers, with their budgets."""
-    per_change = LETTER.teams * known.slope('cpu_s_config_fold_per_team')
-    log_rate = log_bytes_per_s(LETTER, known) / 1024
-    lost = msgspec.structs.replace(LETTER, nodes=6)
+def _verdicts(found: Estimate, known: Coefficients) -> list[str]:
+    """The lines that the estimate answers, with their budgets."""
+    per_change = DESIGNED.teams * known.slope('cpu_s_config_fold_per_team')
+    log_rate = log_bytes_per_s(DESIGNED, known) / 1024
+    lost = msgspec.structs.replace(DESIGNED, nodes=6)
     at_worker = found.sync_bytes_per_s_per_worker / 1000
     rows = (
         (
@@ -203,13 +203,13 @@
         ),
         (
             '340 teams: KiB of the document in one append',
-            LETTER.teams * known.slope('config_bytes_per_team') / 1024,
+            DESIGNED.teams * known.slope('config_bytes_per_team') / 1024,
             MAX_BATCH_BYTES / 1024,
         ),
         ('3 regions: KiB/s of the log to a region', log_rate, RELAY_KIB_S),
         (
             '3,500 changes a day: cores of a node to take them in',
-            LETTER.changes_per_s * per_change,
+            DESIGNED.changes_per_s * per_change,
             CONTROL_CORES,
         ),
         (
@@ -245,7 +245,7 @@
 
 _TABLES: dict[str, Callable[[Estimate, Coefficients], list[str]]] = {
     'roles': _roles,
-    'letter': _letter,
+    'verdicts': _verdicts,
     'nodes': _nodes,
     'totals': _totals,
     'reach': _reach,
--- a/bench/log_state.py
+++ b/bench/log_state.py
@@ -1,7 +1,7 @@
 """What the log costs a node: time for each entry, snapshot and document.
 
 Run with ``python -m bench.log_state``.  The sizes are those of
-the letter; every figure is the best of several rounds in one process.
+the size designed for; a figure is the best of several rounds in one process.
 """
 
 import asyncio
--- a/features/capacity/capacity.feature
+++ b/features/capacity/capacity.feature
@@ -77,7 +77,7 @@
     Then the estimate's peers grow by a factor from 4.0 to 4.3
 
   Scenario: The command gives the library's estimate
-    When an operator asks the command for the capacity of the letter's fleet
+    When an operator asks the command for the capacity of the fleet designed for
     Then it prints the library's estimate of the same fleet
     And the number of nodes needed keeps each below the usable share of a core
 
--- a/features/capacity/steps/capacity_steps.py
+++ b/features/capacity/steps/capacity_steps.py
@@ -1,4 +1,4 @@
-"""Steps that count what the letter's size takes."""
+"""Steps that count what the design size takes."""
 
 import contextlib
 import io
@@ -11,7 +11,7 @@
 
 from bench.capacity import samples, sizes
 from bench.capacity.assembly import Assembly
-from bench.capacity.page import LETTER
+from bench.capacity.page import DESIGNED
 from bench.capacity.processor import decisions, snapshot_bytes
 from berylspread.capacity import (
     USABLE_CORE_SHARE,
@@ -166,14 +166,14 @@
 
 
 def _estimate(**changes: float) -> Estimate:
-    fleet = msgspec.structs.replace(LETTER, **changes)
+    fleet = msgspec.structs.replace(DESIGNED, **changes)
     return estimate(fleet, load_coefficients())
 
 
 @when('the fleet has twice as many {quantity}')
 def step_twice(context: Context, quantity: str) -> None:
     context.before = _estimate()
-    context.after = _estimate(**{quantity: 2 * getattr(LETTER, quantity)})
+    context.after = _estimate(**{quantity: 2 * getattr(DESIGNED, quantity)})
 
 
 @then("the estimate's {figure:w} grows by a factor from {least:g} to {most:g}")
@@ -208,9 +208,9 @@
             context.exit_code = ended.code
 
 
-@when("an operator asks the command for the capacity of the letter's fleet")
+@when('an operator asks the command for the capacity of the fleet designed for')
 def step_command(context: Context) -> None:
-    numbers = msgspec.structs.asdict(LETTER)
+    numbers = msgspec.structs.asdict(DESIGNED)
     arguments = [
         f'--{name.replace("_", "-")}={number}'
         for name, number in numbers.items()
--- a/features/soak/mutants.py
+++ b/features/soak/mutants.py
@@ -38,10 +38,10 @@
     return REGISTER(registry, ask)
 
 
-def free_at_once(slots: CallSlots, message: Any) -> None:
+def free_at_once(slots: CallSlots, message: Any) -> str:
     """Free the slot of a call that may still run."""
     slots.owner.ledger.release(f'call:{message.request_id}.{message.attempt}')
-    DONE(slots, message)
+    return DONE(slots, message)
 
 
 def lose_at_once(reader: ReportReader, link: Any) -> Any:
--- a/packages/berylspread-daemon/src/berylspread_daemon/server.py
+++ b/packages/berylspread-daemon/src/berylspread_daemon/server.py
@@ -44,7 +44,7 @@
 
         ``finish_s`` bounds how long a stop waits for requests in flight.
         """
-        self.socket = _bind(address)
+        self.socket = listen(address)
         self.server = QuietServer(
             uvicorn.Config(
                 app,
@@ -80,7 +80,8 @@
         self.socket.close()
 
 
-def _bind(address: str) -> socket.socket:
+def listen(address: str) -> socket.socket:
+    """Return a socket that listens at ``IP:port``; port 0 takes a free one."""
     host, _, port = address.rpartition(':')
     host = host.strip('[]')
     is_v6 = isinstance(ipaddress.ip_address(host), ipaddress.IPv6Address)
--- a/packages/berylspread-standins/src/berylspread_standins/local_workers.py
+++ b/packages/berylspread-standins/src/berylspread_standins/local_workers.py
@@ -110,7 +110,7 @@
     ) -> ReplyT | Failure:
         await self.gate.wait()
         if vm.address not in self.connected and not self._is_reachable(vm):
-            # No connection can be made, so that no byte of the request goes out.
+            # Without a connection no byte of the request goes out.
             await asyncio.sleep(timeout_s)
             await self.gate.wait()
             return WorkerUnreachable('no connection in time', sent=False)
--- a/packages/berylspread-standins/src/berylspread_standins/serving.py
+++ b/packages/berylspread-standins/src/berylspread_standins/serving.py
@@ -1,38 +1,18 @@
 """Stand-ins over real sockets: uvicorn servers in the running loop."""
 
 import asyncio
-import contextlib
-import socket
-from collections.abc import Iterator, Sequence
+from collections.abc import Sequence
 from typing import Final, final
 
 import uvicorn
 from litestar import Litestar
 
+from berylspread_daemon.server import QuietServer, listen
+
 LOOPBACK: Final = '127.0.0.1'
 #: Idle connections stay open for longer than any client keeps them.
 KEEPALIVE_S: Final = 75
 STOP_TIMEOUT_S: Final = 1
-BACKLOG: Final = 256
-
-
-class LoopServer(uvicorn.Server):
-    """A server that leaves the process's signals alone."""
-
-    def __init__(self, config: uvicorn.Config) -> None:
-        """Set up a server that is not up yet."""
-        super().__init__(config)
-        self.up = asyncio.Event()
-
-    async def startup(self, sockets: list[socket.socket] | None = None) -> None:
-        """Start to accept connections."""
-        await super().startup(sockets)
-        self.up.set()
-
-    @contextlib.contextmanager
-    def capture_signals(self) -> Iterator[None]:
-        """Capture nothing."""
-        yield
 
 
 @final
@@ -54,8 +34,8 @@
             timeout_keep_alive=KEEPALIVE_S,
             timeout_graceful_shutdown=STOP_TIMEOUT_S,
         )
-        self.server = LoopServer(config)
-        self.sockets = [_bind(port) for port in ports]
+        self.server = QuietServer(config)
+        self.sockets = [listen(f'{LOOPBACK}:{port}') for port in ports]
         self.ports = [bound.getsockname()[1] for bound in self.sockets]
         self.task: asyncio.Task[None] | None = None
 
@@ -76,14 +56,3 @@
             await self.task
         for bound in self.sockets:
             bound.close()
-
-
-def _bind(port: int) -> socket.socket:
-    # asyncio turns Nagle's algorithm off only where the protocol is named.
-    bound = socket.socket(
-        socket.AF_INET, socket.SOCK_STREAM, socket.IPPROTO_TCP
-    )
-    bound.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-    bound.bind((LOOPBACK, port))
-    bound.listen(BACKLOG)
-    return bound
