Ask again for consents when the electorate changes meanwhile

Cause: a new scenario, the upper limit over two regions while the team's homes die, never ended: the electorate changed while a claimant waited, and the claimant asked again only if a wait was infinite; the time at which members without the log fall silent is two hours, so it waited for that. Change: whatever lies beyond two promises' lives is asked for again. Result: features/runtime/limits.feature: 2 of 4 scenarios failed -> 4 pass; a lowered limit preempts with checkpoints and resumes within it. Conclusion: a unit could stay without an owner for two hours.

--- a/packages/berylspread/src/berylspread/ownership/claiming.py
+++ b/packages/berylspread/src/berylspread/ownership/claiming.py
@@ -3,7 +3,7 @@
 import asyncio
 import random
 from collections.abc import Callable, Iterable
-from typing import final
+from typing import Final, final
 
 from absl import logging
 
@@ -28,6 +28,7 @@
 from berylspread.ownership.states import UnitEvent, UnitState
 from berylspread.ownership.view import LogAppender
 
+PROMISES_AHEAD: Final = 2
 _FREE = frozenset((UnitState.idle, UnitState.lost))
 
 
@@ -199,13 +200,16 @@
     async def _gather(self) -> None:
         """Ask for the consents that are still missing, region by region."""
         waiting = self.holdings.in_state(UnitState.waiting)
+        # Whatever lies beyond a promise's life waits for an answer, also the
+        # time at which members without the log fall silent.
+        horizon = now() + PROMISES_AHEAD * self.settings.terms.promise_s
         for region in sorted({unit_region(one.unit) for one in waiting}):
             electorate = self.log.electorate(region)
             missing = [
                 holding
                 for holding in waiting
                 if unit_region(holding.unit) == region
-                and max(self._clear_from(holding)) == FOREVER
+                and max(self._clear_from(holding)) > horizon
             ]
             if electorate is not None and missing:
                 await self._gather_for(electorate, missing)
