Name the partitions' prefix once; drop code that nothing calls

Cause: five places spelled 'workers/', two of them with a test of their own; five methods and a table had lost their callers, and a benchmark repeated the places of the local fleet. Change: PARTITION_PREFIX and is_partition stand beside partition_unit; the dead code is gone; the benchmark takes the fleet's ENTRY_PLACES. Conclusion: behaviour is unchanged.

--- a/bench/processes.py
+++ b/bench/processes.py
@@ -29,17 +29,16 @@
 from berylspread.config import parse_document
 from berylspread.kernel import Failure
 from berylspread.model import Vm, VmRole
-from berylspread_standins.local_fleet import SETTINGS, STORE_REGION
+from berylspread_standins.local_fleet import (
+    ENTRY_PLACES,
+    SETTINGS,
+    STORE_REGION,
+)
 from berylspread_standins.servers import ServerOptions, StandinServers
 from berylspread_standins.serving import LOOPBACK
 from berylspread_standins.workload import Workload, dump_workload
 
 DOCUMENT: Final = 'examples/suryadi.ini'
-PLACES: Final = (
-    ('central-java', 'pekalongan'),
-    ('central-java', 'batang'),
-    ('east-java', 'sidoarjo'),
-)
 NODES: Final = 9
 WORKERS: Final = 24
 SEED: Final = 7
@@ -73,7 +72,7 @@
             self._configure(index)
 
     def _configure(self, index: int) -> None:
-        region, zone = PLACES[index % len(PLACES)]
+        region, zone = ENTRY_PLACES[index % len(ENTRY_PLACES)]
         name = f'entry-{index}'
         http = f'{LOOPBACK}:{_free_port()}'
         peer = f'{LOOPBACK}:{_free_port()}'
--- a/packages/berylspread-standins/src/berylspread_standins/cluster.py
+++ b/packages/berylspread-standins/src/berylspread_standins/cluster.py
@@ -20,6 +20,7 @@
     Resources,
     Vm,
     VmRole,
+    is_partition,
 )
 from berylspread.runtime.node import Node, NodeParts, NodeSettings
 from berylspread_standins.gate import Gate
@@ -187,7 +188,7 @@
         reported = {
             unit for node in running for unit in node.context.capacities.known
         }
-        partitions = {unit for unit in units if unit.startswith('workers/')}
+        partitions = {unit for unit in units if is_partition(unit)}
         return bool(partitions) and units <= owned and partitions <= reported
 
     async def close(self) -> None:
--- a/packages/berylspread-standins/src/berylspread_standins/local_fleet.py
+++ b/packages/berylspread-standins/src/berylspread_standins/local_fleet.py
@@ -12,7 +12,7 @@
 import msgspec
 
 from berylspread.kernel import Failure
-from berylspread.model import Vm, VmRole
+from berylspread.model import Vm, VmRole, is_partition
 from berylspread_daemon.daemon import Daemon
 from berylspread_daemon.settings import parse_settings
 from berylspread_standins.servers import ServerOptions, StandinServers
@@ -159,7 +159,7 @@
         capacities = node.context.capacities
         units = node.all_units()
         owned = sum(len(one.node.ownership.owned()) for one in self.daemons)
-        partitions = [unit for unit in units if unit.startswith('workers/')]
+        partitions = [unit for unit in units if is_partition(unit)]
         return (
             node.is_ready
             and owned == len(units)
--- a/packages/berylspread/src/berylspread/jobs/gangs.py
+++ b/packages/berylspread/src/berylspread/jobs/gangs.py
@@ -11,9 +11,8 @@
 from absl import logging
 
 from berylspread.jobs.progress import JobProgress
-from berylspread.jobs.reconcile import PARTITION_PREFIX
 from berylspread.kernel import Failure, now
-from berylspread.model import TaskState, unit_region
+from berylspread.model import PARTITION_PREFIX, TaskState, unit_region
 from berylspread.partition.messages import (
     CommitAsk,
     CommitReply,
--- a/packages/berylspread/src/berylspread/jobs/home.py
+++ b/packages/berylspread/src/berylspread/jobs/home.py
@@ -13,20 +13,23 @@
 from berylspread.jobs.gangs import GangStarter
 from berylspread.jobs.outcomes import FLUSH_S, OutcomeWriter
 from berylspread.jobs.progress import JobProgress
-from berylspread.jobs.reconcile import PARTITION_PREFIX, Reconciler
+from berylspread.jobs.reconcile import Reconciler
 from berylspread.jobs.shares import TeamShares
 from berylspread.jobs.stops import Stopper
 from berylspread.kernel import Failure, now
 from berylspread.kernel.errors import LogUnavailable, NotOwner, StaleEpoch
 from berylspread.limits import QuotaLedger
 from berylspread.log import (
-    AllotmentMoved,
-    ConfigApplied,
-    JobAccepted,
     JobCancelled,
     TasksStarted,
 )
-from berylspread.model import ZERO, JobSpec, Resources, unit_region
+from berylspread.model import (
+    PARTITION_PREFIX,
+    ZERO,
+    JobSpec,
+    Resources,
+    unit_region,
+)
 from berylspread.ownership import Tenure
 from berylspread.partition.messages import (
     DemandUpdate,
@@ -343,11 +346,3 @@
 
     def _loop_time(self, spec: JobSpec) -> float:
         return now() - (self.context.wall.time() - spec.submitted_at)
-
-
-WATCHED_RECORDS: Final = (
-    AllotmentMoved,
-    ConfigApplied,
-    JobAccepted,
-    JobCancelled,
-)
--- a/packages/berylspread/src/berylspread/jobs/reconcile.py
+++ b/packages/berylspread/src/berylspread/jobs/reconcile.py
@@ -10,7 +10,7 @@
 
 from berylspread.jobs.book import JobBook
 from berylspread.kernel import Failure, now
-from berylspread.model import TaskKey
+from berylspread.model import PARTITION_PREFIX, TaskKey
 from berylspread.partition.messages import (
     HeldTask,
     InventoryAsk,
@@ -24,7 +24,6 @@
 #: A partition whose old leases have still to lapse is asked this often.
 SETTLING_ASK_S: Final = 3.0
 NEVER: Final = float('-inf')
-PARTITION_PREFIX: Final = 'workers/'
 
 
 @final
--- a/packages/berylspread/src/berylspread/jobs/stops.py
+++ b/packages/berylspread/src/berylspread/jobs/stops.py
@@ -5,7 +5,7 @@
 
 from berylspread.jobs.book import JobBook
 from berylspread.limits import QuotaLedger
-from berylspread.model import ZERO, JobKind, TaskKey
+from berylspread.model import PARTITION_PREFIX, ZERO, JobKind, TaskKey
 from berylspread.partition.messages import StopTasks, UnitEpoch
 from berylspread.runtime import NodeContext
 
@@ -78,7 +78,7 @@
         return owner[0].node if owner else ''
 
     def _all_nodes(self) -> set[str]:
-        owners = self.context.owners('workers/')
+        owners = self.context.owners(PARTITION_PREFIX)
         return {owner.node for owner, _epoch in owners.values()}
 
     def _victims(self, team: str) -> list[TaskKey]:
--- a/packages/berylspread/src/berylspread/limits/capacity.py
+++ b/packages/berylspread/src/berylspread/limits/capacity.py
@@ -219,14 +219,6 @@
                 lapsed.append(booking)
         return lapsed
 
-    def overdrawn(self) -> list[WorkerView]:
-        """Return the workers that have more in use than they hold."""
-        return [
-            view
-            for view in self.workers.values()
-            if not view.free.is_non_negative()
-        ]
-
     def candidates(self, shape: Resources, limit: int) -> list[WorkerView]:
         """Return up to ``limit`` workers with room for a shape."""
         return self.index.candidates(shape, limit)
--- a/packages/berylspread/src/berylspread/log/reader.py
+++ b/packages/berylspread/src/berylspread/log/reader.py
@@ -113,10 +113,6 @@
         """Call back with each entry after it has been applied."""
         self.listeners.append(listener)
 
-    def is_fresh(self, bound_s: float) -> bool:
-        """Return whether the state was complete within the last seconds."""
-        return now() - self.fresh_at <= bound_s
-
     async def reached(self, offset: int, timeout_s: float) -> int | Failure:
         """Wait until the state covers an offset; return the state's."""
         try:
--- a/packages/berylspread/src/berylspread/log/state.py
+++ b/packages/berylspread/src/berylspread/log/state.py
@@ -20,7 +20,6 @@
     DrainsWire,
     Fold,
     JobFold,
-    JobState,
     JobsWire,
     KeyFold,
     KeysWire,
@@ -139,10 +138,6 @@
             if unit.startswith(prefix)
         }
 
-    def jobs_of(self, unit: str) -> list[JobState]:
-        """Return the jobs of a home that have not ended, oldest first."""
-        return self.jobs.of_unit(unit)
-
     def allotment(self, team: str, region: str) -> Resources:
         """Return a region's part of a team's limit.
 
--- a/packages/berylspread/src/berylspread/model/__init__.py
+++ b/packages/berylspread/src/berylspread/model/__init__.py
@@ -1,10 +1,12 @@
 """Plain data that every part shares: resources, VMs and work."""
 
 from berylspread.model.fleet import (
+    PARTITION_PREFIX,
     NodeRef,
     Vm,
     VmRole,
     VmState,
+    is_partition,
     partition_unit,
     shard_unit,
     unit_region,
@@ -25,6 +27,7 @@
 __all__ = (
     'DEFAULT_PRIORITY',
     'DIMENSIONS',
+    'PARTITION_PREFIX',
     'TERMINAL_STATES',
     'URGENT_PRIORITY',
     'ZERO',
@@ -39,6 +42,7 @@
     'Vm',
     'VmRole',
     'VmState',
+    'is_partition',
     'partition_unit',
     'shard_unit',
     'unit_region',
--- a/packages/berylspread/src/berylspread/model/fleet.py
+++ b/packages/berylspread/src/berylspread/model/fleet.py
@@ -1,7 +1,7 @@
 """The VMs of the fleet as the platform lists them."""
 
 import enum
-from typing import final
+from typing import Final, final
 
 import msgspec
 
@@ -47,9 +47,17 @@
     incarnation: int
 
 
+PARTITION_PREFIX: Final = 'workers/'
+
+
 def partition_unit(region: str, rack: str) -> str:
     """Return the name of the unit that owns a rack's workers."""
-    return f'workers/{region}/{rack}'
+    return f'{PARTITION_PREFIX}{region}/{rack}'
+
+
+def is_partition(unit: str) -> bool:
+    """Return whether a unit is a rack of workers."""
+    return unit.startswith(PARTITION_PREFIX)
 
 
 def shard_unit(region: str, shard: int) -> str:
--- a/packages/berylspread/src/berylspread/partition/demands.py
+++ b/packages/berylspread/src/berylspread/partition/demands.py
@@ -84,9 +84,3 @@
             for demand in home.classes
             if demand.count > 0
         ]
-
-    def uses(self) -> dict[str, TeamUse]:
-        """Return the use of every team that the homes have told of."""
-        return {
-            use.team: use for home in self.homes.values() for use in home.uses
-        }
--- a/packages/berylspread/src/berylspread/runtime/capacities.py
+++ b/packages/berylspread/src/berylspread/runtime/capacities.py
@@ -3,7 +3,7 @@
 from typing import final
 
 from berylspread.kernel import now
-from berylspread.model import DIMENSIONS, ZERO, Resources, unit_region
+from berylspread.model import ZERO, Resources, unit_region
 from berylspread.partition.messages import CapacityReport
 
 
@@ -53,13 +53,3 @@
             for unit, known in self.known.items()
             if not region or unit_region(unit) == region
         ]
-
-    def largest(self) -> Resources:
-        """Return the most that one worker holds, by dimension."""
-        reports = [known.report.largest for known in self.known.values()]
-        return Resources(
-            *(
-                max((getattr(each, name) for each in reports), default=0)
-                for name in DIMENSIONS
-            )
-        )
--- a/packages/berylspread/src/berylspread/runtime/node.py
+++ b/packages/berylspread/src/berylspread/runtime/node.py
@@ -36,7 +36,7 @@
     NodeStatus,
     VmDirectory,
 )
-from berylspread.model import NodeRef
+from berylspread.model import NodeRef, is_partition
 from berylspread.ownership import (
     RIDER_NAME,
     LogOwnership,
@@ -291,17 +291,13 @@
         self.ownership.on_lose(self._lose)
 
     def _acquire(self, tenure: Tenure) -> None:
-        if _is_partition(tenure.unit):
+        if is_partition(tenure.unit):
             self.partitions.acquire(tenure)
         else:
             self.homes.acquire(tenure)
 
     def _lose(self, tenure: Tenure) -> None:
-        if _is_partition(tenure.unit):
+        if is_partition(tenure.unit):
             self.partitions.lose(tenure)
         else:
             self.homes.lose(tenure)
-
-
-def _is_partition(unit: str) -> bool:
-    return unit.startswith('workers/')
