--- /dev/null
+++ b/packages/berylspread/src/berylspread/coordinator/__init__.py
@@ -0,0 +1,32 @@
+"""One coordinator for the fleet, chosen and fenced through the store."""
+
+from berylspread.coordinator.coordinator import Topics
+from berylspread.coordinator.decision_log import DecisionLog
+from berylspread.coordinator.directory import TopicFollower
+from berylspread.coordinator.messages import (
+    AskBacklog,
+    AskJobStatus,
+    BacklogReply,
+    CancelJob,
+    JobAccepted,
+    JobCancelled,
+    JobStatusReply,
+    SubmitJob,
+)
+from berylspread.coordinator.node import Clients, CoordinatingNode
+
+__all__ = (
+    'AskBacklog',
+    'AskJobStatus',
+    'BacklogReply',
+    'CancelJob',
+    'Clients',
+    'CoordinatingNode',
+    'DecisionLog',
+    'JobAccepted',
+    'JobCancelled',
+    'JobStatusReply',
+    'SubmitJob',
+    'TopicFollower',
+    'Topics',
+)
--- /dev/null
+++ b/packages/berylspread/src/berylspread/coordinator/committer.py
@@ -0,0 +1,199 @@
+"""Makes changes of the job table durable, in batches, fenced by the epoch."""
+
+import asyncio
+import random
+from typing import Final, final
+
+from berylspread.coordinator.decision_log import DecisionLog
+from berylspread.coordinator.interface import (
+    KeyedStore,
+    Producer,
+    Record,
+    StoreRejected,
+)
+from berylspread.coordinator.model import Job, Step
+from berylspread.coordinator.records import (
+    encode_job,
+    encode_step,
+    job_key,
+    step_key,
+)
+from berylspread.kernel.clock import WallClock
+from berylspread.kernel.errors import Failure, NotOwner
+
+PRODUCER: Final = 'coordinator'
+#: An append that has no answer by then is repeated; several times the store's
+#: usual answer from the other region.
+APPEND_TIMEOUT_S: Final = 1.0
+#: Pause before an append is repeated, up to twice as much by jitter.
+RETRY_S: Final = 0.1
+#: Payload bytes after which a batch is closed; below the store's limit a call.
+BATCH_BYTES: Final = 1_000_000
+MS: Final = 1000
+
+
+@final
+class Committer:
+    """Appends what has changed; one append is in flight at a time.
+
+    A change is marked by ``job`` or ``step``.  The future that they return is
+    done once the change is stored, with ``None`` or the failure that ended the
+    coordinator's authority.
+    """
+
+    __slots__ = (
+        'appended_bytes',
+        'appends',
+        'confirmed_at',
+        'deposed',
+        'drops',
+        'epoch',
+        'jobs',
+        'log',
+        'next_done',
+        'seq',
+        'steps',
+        'store',
+        'topic',
+        'wake',
+        'wall',
+    )
+
+    def __init__(
+        self,
+        store: KeyedStore,
+        topic: str,
+        epoch: int,
+        wall: WallClock,
+        log: DecisionLog,
+    ) -> None:
+        """Take the topic and the epoch that fences the appends."""
+        self.store = store
+        self.topic = topic
+        self.epoch = epoch
+        self.wall = wall
+        self.log = log
+        self.seq = 0
+        self.jobs: dict[str, Job] = {}
+        self.steps: dict[str, Step] = {}
+        self.drops: set[str] = set()
+        self.wake = asyncio.Event()
+        self.next_done: asyncio.Future[Failure | None] = _future()
+        self.deposed: Failure | None = None
+        self.confirmed_at = 0.0
+        self.appends = 0
+        self.appended_bytes = 0
+
+    def job(self, job: Job) -> asyncio.Future[Failure | None]:
+        """Store a job's record."""
+        self.jobs[job.spec.job_id] = job
+        return self._pending()
+
+    def step(self, step: Step) -> asyncio.Future[Failure | None]:
+        """Store a step's record."""
+        self.steps[step.name] = step
+        return self._pending()
+
+    def drop(self, key: str) -> None:
+        """Drop a record with the next append."""
+        self.drops.add(key)
+
+    async def fence(self) -> Failure | None:
+        """Raise the epoch of the topic, so that older appends are refused."""
+        return await self._append([])
+
+    async def run(self) -> Failure:
+        """Append until the authority is lost; return why."""
+        while self.deposed is None:
+            await self.wake.wait()
+            self.wake.clear()
+            while self.deposed is None and (
+                self.jobs or self.steps or self.drops
+            ):
+                await self._flush()
+        return self.deposed
+
+    def depose(self, failure: Failure) -> None:
+        """End the authority: what waits is answered by the failure."""
+        self.deposed = failure
+        self.wake.set()
+        if not self.next_done.done():
+            self.next_done.set_result(failure)
+
+    def _pending(self) -> asyncio.Future[Failure | None]:
+        self.wake.set()
+        return self.next_done
+
+    async def _flush(self) -> None:
+        done, self.next_done = self.next_done, _future()
+        failure = await self._append(self._take())
+        if failure is not None and self.deposed is None:
+            self.depose(failure)
+        if not done.done():
+            done.set_result(failure)
+
+    def _take(self) -> list[Record]:
+        wall_ms = int(self.wall.time() * MS)
+        records: list[Record] = [
+            (job_key(name), encode_job(job, wall_ms))
+            for name, job in self.jobs.items()
+        ]
+        # Steps of a job that has ended are dropped with it.
+        records.extend(
+            (
+                step_key(step),
+                b'' if step.job.status.is_final else encode_step(step),
+            )
+            for step in self.steps.values()
+        )
+        records.extend((key, b'') for key in self.drops)
+        self.jobs, self.steps, self.drops = {}, {}, set()
+        return records
+
+    async def _append(self, records: list[Record]) -> Failure | None:
+        for chunk in _chunks(records):
+            self.seq += 1
+            failure = await self._append_surely(chunk)
+            if failure is not None:
+                return failure
+        return None
+
+    async def _append_surely(self, records: list[Record]) -> Failure | None:
+        # The sequence number makes a repeat harmless.
+        producer = Producer(PRODUCER, self.epoch, self.seq)
+        while self.deposed is None:
+            sent_at = asyncio.get_running_loop().time()
+            reply = await self.store.append(
+                self.topic,
+                records,
+                producer=producer,
+                timeout_s=APPEND_TIMEOUT_S,
+            )
+            if isinstance(reply, StoreRejected):
+                return NotOwner(f'epoch {self.epoch} is over: {reply.reason}')
+            if not isinstance(reply, Failure):
+                self.confirmed_at = sent_at
+                self.appends += 1
+                self.appended_bytes += sum(len(blob) for _, blob in records)
+                return None
+            self.log.write(
+                'append-retry', seq=self.seq, reason=reply.reason
+            )
+            await asyncio.sleep(RETRY_S * (1 + random.random()))
+        return self.deposed
+
+
+def _chunks(records: list[Record]) -> list[list[Record]]:
+    chunks: list[list[Record]] = [[]]
+    size = 0
+    for record in records:
+        if size > BATCH_BYTES:
+            chunks.append([])
+            size = 0
+        chunks[-1].append(record)
+        size += len(record[1])
+    return chunks
+
+
+def _future() -> asyncio.Future[Failure | None]:
+    return asyncio.get_running_loop().create_future()
--- /dev/null
+++ b/packages/berylspread/src/berylspread/coordinator/coordinator.py
@@ -0,0 +1,437 @@
+"""The coordinator: decides for the whole fleet while its epoch lasts."""
+
+import asyncio
+import functools
+from collections.abc import Callable
+from typing import Any, Final, final
+
+import msgspec
+
+from berylspread.coordinator.committer import Committer
+from berylspread.coordinator.decision_log import DecisionLog
+from berylspread.coordinator.directory import TopicFollower
+from berylspread.coordinator.endings import OUTCOMES
+from berylspread.coordinator.fleet import Run, Stage, Worker
+from berylspread.coordinator.interface import (
+    NO_TICKET,
+    KeyedItem,
+    KeyedStore,
+    Policies,
+    Snapshot,
+    WorkerEntry,
+    Workers,
+)
+from berylspread.coordinator.model import Job, JobStatus, Phase, Step, Task
+from berylspread.coordinator.pacing import pace_fillers
+from berylspread.coordinator.permits import AskThrough, PermitDesk
+from berylspread.coordinator.planner import (
+    Placement,
+    StepPlan,
+    Usage,
+    candidates,
+    urgency,
+)
+from berylspread.coordinator.records import job_key, step_key
+from berylspread.coordinator.session import Session
+from berylspread.coordinator.table import JobTable
+from berylspread.kernel.clock import WallClock, now
+from berylspread.kernel.errors import Failure, NotOwner
+
+#: Passes are at least this far apart, so that one serves a batch of ends.
+PASS_GAP_S: Final = 0.01
+#: A pass is made at least this often: times come due without an event.
+PASS_EVERY_S: Final = 0.2
+LOAD_TIMEOUT_S: Final = 3.0
+#: Orders are sent only within this time of the last proof of authority.
+ORDER_GRACE_S: Final = 2.0
+#: After an earlier coordinator, how long its leases may still last on a worker
+#: that does not answer: its own grace, the longest lease and the slowest clock.
+INHERITED_S: Final = 6.0 + 6.0 * 1.02
+#: How long the outcome of a job is kept for callers; past the platform's bound.
+KEEP_ENDED_MS: Final = 150_000
+MS: Final = 1000
+
+DecodeEntry = Callable[[KeyedItem], WorkerEntry | None]
+
+
+@final
+class Topics(msgspec.Struct, frozen=True):
+    """The names of the topics in the platform's store."""
+
+    jobs: str
+    leader: str
+    workers: str
+    config: str
+
+
+@final
+class Surroundings(msgspec.Struct, frozen=True):
+    """What a coordinator is given: clients, policies, clocks and the log."""
+
+    store: KeyedStore
+    topics: Topics
+    workers: Workers
+    policies: Policies
+    ask_through: AskThrough
+    decode_entry: DecodeEntry
+    wall: WallClock
+    log: DecisionLog
+    #: Seconds since the authority was last confirmed.
+    authority_age: Callable[[], float]
+
+
+@final
+class Coordinator:
+    """Holds the jobs, the workers' books and the decisions of one epoch."""
+
+    __slots__ = (
+        'committer',
+        'given',
+        'log',
+        'permits',
+        'sessions',
+        'table',
+        'tasks',
+        'token',
+        'usage',
+        'wake',
+        'workers',
+    )
+
+    def __init__(self, given: Surroundings, epoch: int) -> None:
+        """Take the surroundings; nothing is read or sent before ``run``."""
+        self.given = given
+        self.log = given.log
+        self.token = epoch
+        self.committer = Committer(
+            given.store, given.topics.jobs, epoch, given.wall, given.log
+        )
+        self.table = JobTable(given.log)
+        self.usage = Usage(given.policies)
+        self.wake = asyncio.Event()
+        self.permits = PermitDesk(given.ask_through, self.wake.set, given.log)
+        self.workers: dict[str, Worker] = {}
+        self.sessions: dict[str, Session] = {}
+        self.tasks: set[asyncio.Task[Any]] = set()
+
+    async def run(self) -> Failure:
+        """Serve the epoch; return why it is over."""
+        try:
+            failure = await self._load()
+            if failure is not None:
+                return failure
+            directory = TopicFollower(
+                self.given.store,
+                self.given.topics.workers,
+                self.take_entry,
+                self.log,
+            )
+            self._spawn(directory.run())
+            committing = self._spawn(self.committer.run())
+            planning = self._spawn(self._plan())
+            await asyncio.wait(
+                (committing, planning), return_when=asyncio.FIRST_COMPLETED
+            )
+            if committing.done():
+                return committing.result()
+            planning.result()
+            return NotOwner('planning ended')
+        finally:
+            self.close()
+
+    def close(self) -> None:
+        """Stop deciding and sending."""
+        self.committer.depose(NotOwner('the epoch is over'))
+        for session in self.sessions.values():
+            session.close()
+        self.permits.close()
+        for task in list(self.tasks):
+            task.cancel()
+
+    def has_authority(self, grace_s: float) -> bool:
+        """Return whether the authority was confirmed within the grace."""
+        return (
+            self.committer.deposed is None
+            and self.given.authority_age() <= grace_s
+        )
+
+    def wall_ms(self) -> int:
+        """Return milliseconds since the epoch."""
+        return int(self.given.wall.time() * MS)
+
+    # Workers.
+
+    def take_entry(self, item: KeyedItem) -> None:
+        """Take a worker's newest entry, or that it has none."""
+        if not item.blob:
+            known = self.workers.get(item.key)
+            if known is not None:
+                known.present = False
+                self.log.write('worker-entry-gone', worker=item.key)
+            return
+        entry = self.given.decode_entry(item)
+        if entry is None:
+            return
+        known = self.workers.get(entry.worker)
+        if known is None:
+            self._meet(Worker(entry))
+            return
+        if known.entry.is_ready != entry.is_ready:
+            self.log.write(
+                'worker-state', worker=entry.worker, ready=entry.is_ready
+            )
+        known.update(entry)
+        if entry.worker not in self.sessions:
+            self._meet(known)
+
+    def observed(self, worker: Worker) -> None:
+        """Adjust the fillers beside serving tasks after a report."""
+        session = self.sessions.get(worker.name)
+        if session is None:
+            return
+        for run, percent in pace_fillers(worker):
+            session.pace(run, percent)
+        self.wake.set()
+
+    # Runs.
+
+    def ended(
+        self, run: Run, outcome: str, checkpoint: str
+    ) -> asyncio.Future[Failure | None] | None:
+        """Note an end that a worker listed."""
+        task = run.task
+        self._leave(run)
+        task.checkpoint = checkpoint or task.checkpoint
+        self.log.write(
+            'run-ended',
+            task=task.name,
+            run=run.number,
+            worker=run.worker.name,
+            outcome=outcome,
+            ran_s=round(now() - run.since, 3),
+        )
+        OUTCOMES[outcome](self, run)
+        return self.committer.step(task.step)
+
+    def lost(self, run: Run, reason: str) -> None:
+        """Note that a run is over without an end, or never began."""
+        self._leave(run)
+        self.log.write(
+            'run-lost',
+            task=run.task.name,
+            run=run.number,
+            worker=run.worker.name,
+            reason=reason,
+        )
+        self.requeue(run.task)
+
+    def refused(self, run: Run, cause: str) -> None:
+        """Note that a worker refused to begin a run."""
+        tickets = run.task.step.tickets
+        if cause == NO_TICKET and tickets is not None:
+            ticket, _ = tickets.by_worker.get(run.worker.name, ('', 0.0))
+            tickets.by_worker[run.worker.name] = (ticket, 0.0)
+        self.lost(run, cause)
+
+    def requeue(self, task: Task) -> None:
+        """Let a task wait for another run, unless its job has ended."""
+        job = task.step.job
+        if job.status.is_final or task.phase is Phase.done:
+            return
+        task.step.requeue(task)
+        self.table.ready[task.step.name] = task.step
+        self.committer.step(task.step)
+        self.wake.set()
+
+    def finish(self, job: Job, status: JobStatus, cause: str) -> None:
+        """End a job, stop what it still runs and drop its steps' records."""
+        self.table.end(job, status, self.wall_ms())
+        for step in job.steps.values():
+            if any(task.started for task in step.tasks):
+                self.committer.drop(step_key(step))
+        job.stored = self.committer.job(job)
+        self.log.write(
+            'job-ended',
+            job=job.spec.job_id,
+            status=status.value,
+            cause=cause,
+            took_ms=self.wall_ms() - job.spec.accepted_ms,
+        )
+        for worker in self.workers.values():
+            for run in list(worker.runs.values()):
+                if run.task.step.job is job:
+                    self.sessions[worker.name].stop(run, status.value)
+
+    def step_done(self, step: Step) -> None:
+        """Let the steps begin that have waited for this one."""
+        self.table.refresh(step.job, self.wall_ms())
+        self.wake.set()
+
+    # Planning.
+
+    async def _plan(self) -> None:
+        while True:
+            try:
+                async with asyncio.timeout(PASS_EVERY_S):
+                    await self.wake.wait()
+            except TimeoutError:
+                self._sweep()
+            self.wake.clear()
+            self._pass()
+            await asyncio.sleep(PASS_GAP_S)
+
+    def _sweep(self) -> None:
+        wall_ms = self.wall_ms()
+        self.table.release_due(wall_ms)
+        for job_id in self.table.forget_ended(wall_ms - KEEP_ENDED_MS):
+            self.committer.drop(job_key(job_id))
+        for name, worker in list(self.workers.items()):
+            if not worker.present and name not in self.sessions:
+                del self.workers[name]
+
+    def _pass(self) -> None:
+        if not self.has_authority(ORDER_GRACE_S):
+            return
+        moment = now()
+        workers = list(self.workers.values())
+        for step in sorted(self.table.ready.values(), key=urgency):
+            if not step.waiting:
+                del self.table.ready[step.name]
+                continue
+            self.permits.consider(step, workers, moment)
+            limit = self.usage.room(step)
+            choices = candidates(step, workers, moment) if limit else []
+            if choices:
+                self._book(step, StepPlan(step, choices).place(limit))
+
+    def _book(self, step: Step, placements: list[Placement]) -> None:
+        if not placements:
+            return
+        runs = [self._reserve(placement) for placement in placements]
+        if step.spec.gang:
+            # The members of a gang share the number of their run.
+            number = max(run.number for run in runs)
+            for run in runs:
+                run.number = run.task.run = number
+        stored = self.committer.step(step)
+        tickets = [placement.ticket for placement in placements]
+        stored.add_done_callback(functools.partial(self._send, runs, tickets))
+
+    def _reserve(self, placement: Placement) -> Run:
+        task, worker = placement.task, placement.worker
+        task.step.waiting.remove(task)
+        task.phase = Phase.placed
+        task.run += 1
+        task.worker = worker.name
+        task.started = True
+        job = task.step.job
+        if job.status is JobStatus.queued:
+            job.status = JobStatus.running
+        run = Run(task, worker, Stage.ordered, now())
+        worker.add(run)
+        self.usage.add(task)
+        return run
+
+    def _send(
+        self,
+        runs: list[Run],
+        tickets: list[str],
+        stored: asyncio.Future[Failure | None],
+    ) -> None:
+        """Order the runs whose records are stored."""
+        if stored.cancelled() or stored.result() is not None:
+            return
+        for run, ticket in zip(runs, tickets, strict=True):
+            if run.worker.runs.get(run.task.name) is not run:
+                continue
+            if run.task.step.job.status.is_final:
+                self.lost(run, 'job-ended')
+                continue
+            run.since = now()
+            self.log.write(
+                'start',
+                task=run.task.name,
+                run=run.number,
+                worker=run.worker.name,
+                token=self.token,
+                waited_ms=self.wall_ms() - run.task.step.job.spec.accepted_ms,
+            )
+            self.sessions[run.worker.name].start(run, ticket)
+
+    def _leave(self, run: Run) -> None:
+        run.worker.remove(run)
+        self.usage.remove(run.task)
+
+    # Start-up.
+
+    async def _load(self) -> Failure | None:
+        began = now()
+        failure = await self.committer.fence()
+        if failure is not None:
+            return failure
+        store, topics = self.given.store, self.given.topics
+        snapshots = []
+        for topic in (topics.workers, topics.jobs):
+            snapshot = await store.newest(topic, timeout_s=LOAD_TIMEOUT_S)
+            if not isinstance(snapshot, Snapshot):
+                return snapshot
+            snapshots.append(snapshot)
+        self.table.restore(snapshots[1], self.wall_ms())
+        for item in snapshots[0].items:
+            self.take_entry(item)
+        inherited = self._inherit()
+        self.log.write(
+            'coordinating',
+            epoch=self.token,
+            jobs=len(self.table.jobs),
+            runs=inherited,
+            workers=len(self.workers),
+            load_s=round(now() - began, 3),
+        )
+        self.wake.set()
+        return None
+
+    def _inherit(self) -> int:
+        """Book the runs that an earlier coordinator has ordered."""
+        lost_after = now() + INHERITED_S
+        count = 0
+        for task in self.table.placed():
+            worker = self.workers.get(task.worker)
+            if worker is None:
+                # No entry: the worker may still live behind a cut.
+                worker = Worker(WorkerEntry(task.worker, '', '', '', False))
+                worker.present = False
+                self._meet(worker)
+            worker.lost_after = lost_after
+            run = Run(task, worker, Stage.inherited, now())
+            run.pace = -1
+            worker.add(run)
+            self.usage.add(task)
+            count += 1
+        return count
+
+    def _meet(self, worker: Worker) -> None:
+        self.workers[worker.name] = worker
+        session = Session(worker, self.given.workers, self)
+        self.sessions[worker.name] = session
+        self._spawn(self._converse(session))
+
+    async def _converse(self, session: Session) -> None:
+        name = session.worker.name
+        try:
+            await session.run()
+        finally:
+            session.close()
+            if self.sessions.get(name) is session:
+                del self.sessions[name]
+
+    def _spawn(self, work: Any) -> asyncio.Task[Any]:
+        task = asyncio.create_task(work)
+        self.tasks.add(task)
+        task.add_done_callback(self._finished)
+        return task
+
+    def _finished(self, task: asyncio.Task[Any]) -> None:
+        self.tasks.discard(task)
+        if not task.cancelled() and task.exception() is not None:
+            self.log.write('task-failed', error=repr(task.exception()))
--- /dev/null
+++ b/packages/berylspread/src/berylspread/coordinator/decision_log.py
@@ -0,0 +1,63 @@
+"""One JSON line for each decision, bounded in volume and never blocking."""
+
+import json
+import os
+import time
+from typing import Any, Final, final
+
+#: Lines a second above which the rest of a kind of event is only counted.
+LINES_PER_S: Final = 60
+WINDOW_S: Final = 1.0
+STDOUT_FD: Final = 1
+
+
+@final
+class DecisionLog:
+    """Writes events as JSON lines to a file descriptor.
+
+    Each kind of event has a budget a second; what exceeds it, or finds the pipe
+    full, is counted and reported with the next line of its kind.
+    """
+
+    __slots__ = ('dropped', 'fd', 'node', 'spent', 'window')
+
+    def __init__(self, node: str, fd: int = STDOUT_FD) -> None:
+        """Take the node's name, which every line carries."""
+        self.node = node
+        self.fd = fd
+        self.window = 0.0
+        self.spent: dict[str, int] = {}
+        self.dropped: dict[str, int] = {}
+
+    def start(self) -> None:
+        """Make the descriptor non-blocking, so that a full pipe costs lines."""
+        os.set_blocking(self.fd, False)
+
+    def write(self, event: str, **fields: Any) -> None:
+        """Write one event with its inputs and outcome."""
+        moment = time.time()
+        if not self._within_budget(event, moment):
+            self.dropped[event] = self.dropped.get(event, 0) + 1
+            return
+        line: dict[str, Any] = {'at': round(moment, 3), 'node': self.node}
+        line['event'] = event
+        line.update(fields)
+        missed = self.dropped.pop(event, 0)
+        if missed:
+            line['dropped'] = missed
+        self._emit(event, f'{json.dumps(line, default=repr)}\n'.encode())
+
+    def _within_budget(self, event: str, moment: float) -> bool:
+        if moment - self.window >= WINDOW_S or moment < self.window:
+            self.window = moment
+            self.spent.clear()
+        spent = self.spent.get(event, 0)
+        self.spent[event] = spent + 1
+        return spent < LINES_PER_S
+
+    def _emit(self, event: str, line: bytes) -> None:
+        try:
+            os.write(self.fd, line)
+        except OSError:
+            # A full pipe: the reader is slow, and the process does not wait.
+            self.dropped[event] = self.dropped.get(event, 0) + 1
--- /dev/null
+++ b/packages/berylspread/src/berylspread/coordinator/directory.py
@@ -0,0 +1,126 @@
+"""Follows the workers' entries in the platform's store."""
+
+import asyncio
+from collections.abc import Callable
+from typing import Final, final
+
+from berylspread.coordinator.decision_log import DecisionLog
+from berylspread.coordinator.interface import (
+    Batch,
+    KeyedItem,
+    KeyedStore,
+    Snapshot,
+)
+from berylspread.kernel.clock import now
+
+#: A long read ends after this time without news.
+WAIT_S: Final = 5.0
+CALL_TIMEOUT_S: Final = 1.5
+RETRY_S: Final = 0.2
+
+#: Takes an item's newest value; an empty one means that the key is gone.
+TakeItem = Callable[[KeyedItem], None]
+
+
+@final
+class TopicFollower:
+    """Hands on the newest value of each key of a topic, from the first on."""
+
+    __slots__ = (
+        'clock',
+        'confirmed',
+        'keys',
+        'log',
+        'offset',
+        'store',
+        'take',
+        'topic',
+        'wait_s',
+    )
+
+    def __init__(
+        self,
+        store: KeyedStore,
+        topic: str,
+        take: TakeItem,
+        log: DecisionLog,
+        *,
+        confirmed: Callable[[float], None] | None = None,
+        clock: Callable[[], float] = now,
+        wait_s: float = WAIT_S,
+    ) -> None:
+        """Take the topic.
+
+        ``confirmed`` is told, by ``clock``, as of when each answer holds.
+        """
+        self.clock = clock
+        self.store = store
+        self.topic = topic
+        self.take = take
+        self.log = log
+        self.confirmed = confirmed
+        self.wait_s = wait_s
+        self.offset: int | None = None
+        self.keys: set[str] = set()
+
+    async def run(self) -> None:
+        """Follow until cancelled."""
+        is_up = True
+        while True:
+            reached = await self._once()
+            if reached != is_up:
+                event = 'topic-regained' if reached else 'topic-lost'
+                self.log.write(event, topic=self.topic)
+            is_up = reached
+            if not reached:
+                await asyncio.sleep(RETRY_S)
+
+    async def _once(self) -> bool:
+        if self.offset is None:
+            return await self._load()
+        asked_at = self.clock()
+        batch = await self.store.follow(
+            self.topic,
+            self.offset,
+            wait_s=self.wait_s,
+            timeout_s=self.wait_s + CALL_TIMEOUT_S,
+        )
+        if not isinstance(batch, Batch):
+            # Also after a gap: the newest values are loaded again.
+            self.offset = None
+            return False
+        for item in batch.items:
+            self._hand_on(item)
+            self.offset = item.offset + 1
+        # An answer without news was given when the wait was over, however late
+        # it is read here.
+        waited_s = 0.0 if batch.items else self.wait_s
+        self._confirm(min(asked_at + waited_s, self.clock()))
+        return True
+
+    async def _load(self) -> bool:
+        asked_at = self.clock()
+        snapshot = await self.store.newest(
+            self.topic, timeout_s=CALL_TIMEOUT_S
+        )
+        if not isinstance(snapshot, Snapshot):
+            return False
+        gone = self.keys - {item.key for item in snapshot.items}
+        for item in snapshot.items:
+            self._hand_on(item)
+        for key in gone:
+            self._hand_on(KeyedItem(key, b'', snapshot.end))
+        self.offset = snapshot.end
+        self._confirm(asked_at)
+        return True
+
+    def _hand_on(self, item: KeyedItem) -> None:
+        if item.blob:
+            self.keys.add(item.key)
+        else:
+            self.keys.discard(item.key)
+        self.take(item)
+
+    def _confirm(self, as_of: float) -> None:
+        if self.confirmed is not None:
+            self.confirmed(as_of)
--- /dev/null
+++ b/packages/berylspread/src/berylspread/coordinator/endings.py
@@ -0,0 +1,79 @@
+"""What follows from the end of a run, by the outcome that the worker listed."""
+
+from collections.abc import Callable
+from typing import TYPE_CHECKING, Final
+
+from berylspread.coordinator.fleet import Run
+from berylspread.coordinator.model import JobStatus, Phase, Step
+
+if TYPE_CHECKING:
+    from berylspread.coordinator.coordinator import Coordinator
+
+#: Added to a worker's trouble by a run that failed there, and the share of the
+#: trouble that one success leaves.
+FAILURE_TROUBLE: Final = 1.0
+SUCCESS_DECAY: Final = 0.5
+
+Effect = Callable[['Coordinator', Run], None]
+OUTCOMES: Final[dict[str, Effect]] = {}
+
+
+def outcome(name: str) -> Callable[[Effect], Effect]:
+    """Register what follows from an outcome; a decorator."""
+
+    def register(effect: Effect) -> Effect:
+        OUTCOMES[name] = effect
+        return effect
+
+    return register
+
+
+@outcome('done')
+def succeeded(coordinator: 'Coordinator', run: Run) -> None:
+    """Count the task as done, and the job with its last task."""
+    task, step, job = run.task, run.task.step, run.task.step.job
+    run.worker.trouble *= SUCCESS_DECAY
+    if job.status.is_final:
+        return
+    if step.spec.lasting:
+        coordinator.requeue(task)
+        return
+    task.phase = Phase.done
+    step.remaining -= 1
+    if not step.is_done():
+        return
+    coordinator.step_done(step)
+    if all(other.is_done() for other in job.steps.values()):
+        coordinator.finish(job, JobStatus.succeeded, 'all tasks done')
+
+
+@outcome('failed')
+def failed(coordinator: 'Coordinator', run: Run) -> None:
+    """Try again elsewhere, or end the job after its last attempt."""
+    task, step, job = run.task, run.task.step, run.task.step.job
+    run.worker.trouble += FAILURE_TROUBLE
+    task.avoid.add(run.worker.name)
+    task.failures += 1
+    if step.spec.lasting:
+        coordinator.requeue(task)
+        return
+    if _attempts(step, task.failures) < job.spec.queue.max_attempts:
+        coordinator.requeue(task)
+    elif not job.status.is_final:
+        coordinator.finish(job, JobStatus.failed, f'{task.name} failed')
+
+
+def _attempts(step: Step, failures: int) -> int:
+    # A gang fails as one: each of its failed runs counts, whichever member's.
+    if step.spec.gang:
+        return sum(task.failures for task in step.tasks)
+    return failures
+
+
+@outcome('stopped')
+@outcome('lapsed')
+@outcome('broken')
+@outcome('alone')
+def interrupted(coordinator: 'Coordinator', run: Run) -> None:
+    """Run the task again; the attempt does not count."""
+    coordinator.requeue(run.task)
--- /dev/null
+++ b/packages/berylspread/src/berylspread/coordinator/fleet.py
@@ -0,0 +1,183 @@
+"""What the coordinator believes of each worker and of the runs on it."""
+
+import enum
+from typing import Final, final
+
+from berylspread.coordinator.interface import WorkerEntry
+from berylspread.coordinator.model import Task
+from berylspread.model import Resources
+
+MS_PER_S: Final = 1000
+#: A worker's steady clock may run this much slow; the platform's figure.
+SLOWEST_CLOCK: Final = 0.98
+#: How long a worker that refused as unhealthy gets no new runs.
+UNHEALTHY_S: Final = 1.5
+
+
+@final
+class Stage(enum.Enum):
+    """How far an order to start a run has come."""
+
+    #: Its record is being stored, or the order is on its way.
+    ordered = 'ordered'
+    #: The order got no answer: it may have been carried out, or may yet be.
+    uncertain = 'uncertain'
+    #: Placed by an earlier coordinator; the worker has not been asked yet.
+    inherited = 'inherited'
+    running = 'running'
+
+
+@final
+class Run:
+    """One run of a task on a worker."""
+
+    __slots__ = (
+        'answered_at',
+        'figure',
+        'number',
+        'pace',
+        'percent',
+        'poisoned_at',
+        'reserved',
+        'since',
+        'stage',
+        'stopping',
+        'task',
+        'worker',
+    )
+
+    def __init__(
+        self, task: Task, worker: 'Worker', stage: Stage, since: float
+    ) -> None:
+        """Take the task's newest run."""
+        self.task = task
+        self.number = task.run
+        self.worker = worker
+        self.stage = stage
+        self.since = since
+        self.reserved = task.step.spec.reserved()
+        self.answered_at: float | None = None
+        #: When the worker confirmed that this run can no longer begin.
+        self.poisoned_at: float | None = None
+        self.stopping = ''
+        self.percent = 0
+        self.figure = 0
+        self.pace = 100
+
+
+@final
+class WorkerClock:
+    """A worker's steady clock, estimated from its answers."""
+
+    __slots__ = ('at', 'clock_ms')
+
+    def __init__(self) -> None:
+        """Know nothing yet."""
+        self.clock_ms = 0
+        self.at: float | None = None
+
+    def observe(self, clock_ms: int, received_at: float) -> None:
+        """Take the reading in an answer."""
+        self.clock_ms = clock_ms
+        self.at = received_at
+
+    def read(self, moment: float) -> int:
+        """Return the likely reading in ms; it may lag by a round trip."""
+        if self.at is None:
+            return 0
+        return self.clock_ms + int((moment - self.at) * MS_PER_S)
+
+    def at_least(self, moment: float) -> float:
+        """Return a reading that the clock has surely reached, in ms."""
+        if self.at is None:
+            return 0
+        return self.clock_ms + (moment - self.at) * MS_PER_S * SLOWEST_CLOCK
+
+
+@final
+class Worker:
+    """A worker, what is reserved on it, and what it last answered."""
+
+    __slots__ = (
+        'acked',
+        'avoid_until',
+        'born_ms',
+        'clock',
+        'entry',
+        'free',
+        'heard_at',
+        'lease_until_ms',
+        'lost_after',
+        'present',
+        'reachable',
+        'runs',
+        'serving',
+        'trouble',
+    )
+
+    def __init__(self, entry: WorkerEntry) -> None:
+        """Start with an empty worker that has not answered yet."""
+        self.entry = entry
+        self.runs: dict[str, Run] = {}
+        self.free = entry.capacity
+        self.clock = WorkerClock()
+        self.born_ms = 0
+        self.acked = 0
+        #: The latest end of a lease that was asked for, on the worker's clock.
+        self.lease_until_ms = 0
+        #: The loop's time from which runs of an earlier coordinator are over,
+        #: as long as the worker has not answered this one.
+        self.lost_after = 0.0
+        self.reachable = False
+        self.present = True
+        self.heard_at = 0.0
+        self.avoid_until = 0.0
+        self.serving = 0
+        self.trouble = 0.0
+
+    @property
+    def name(self) -> str:
+        """Return the worker's identity."""
+        return self.entry.worker
+
+    def accepts_runs(self, moment: float) -> bool:
+        """Return whether new runs may be placed here."""
+        return (
+            self.present
+            and self.reachable
+            and self.entry.is_ready
+            and moment >= self.avoid_until
+        )
+
+    def add(self, run: Run) -> None:
+        """Reserve room for a run."""
+        self.runs[run.task.name] = run
+        self.free -= run.reserved
+        if run.task.step.spec.latency_target_ms:
+            self.serving += 1
+
+    def remove(self, run: Run) -> None:
+        """Free the room of a run that has ended or never began."""
+        if self.runs.get(run.task.name) is run:
+            del self.runs[run.task.name]
+            self.free += run.reserved
+            if run.task.step.spec.latency_target_ms:
+                self.serving -= 1
+
+    def update(self, entry: WorkerEntry) -> None:
+        """Take a newer entry of the same worker."""
+        reserved = self.entry.capacity - self.free
+        self.entry = entry
+        self.free = entry.capacity - reserved
+        self.present = True
+
+    def lease_is_over(self, moment: float) -> bool:
+        """Return whether nothing can run here any more, by the clock."""
+        if self.clock.at is None:
+            return moment >= self.lost_after
+        return self.clock.at_least(moment) > self.lease_until_ms
+
+    def load(self, extra: Resources) -> float:
+        """Return the fullest dimension's share with more reserved."""
+        used = self.entry.capacity - self.free + extra
+        return used.dominant_share(self.entry.capacity)
--- /dev/null
+++ b/packages/berylspread/src/berylspread/coordinator/gateway.py
@@ -0,0 +1,89 @@
+"""The way from any node to the coordinator, through changes of it."""
+
+import asyncio
+from collections.abc import Callable
+from typing import Final, TypeVar, final
+
+from berylspread.coordinator.decision_log import DecisionLog
+from berylspread.kernel.clock import now
+from berylspread.kernel.errors import (
+    Failure,
+    NotOwner,
+    NotRun,
+    OutcomeUnknown,
+    PeerUnreachable,
+)
+from berylspread.peers import Message, Peers
+
+ReplyT = TypeVar('ReplyT', bound=Message)
+
+#: Pause before a request is sent again, to the coordinator of that moment.
+RETRY_S: Final = 0.1
+#: Longest wait for one reply; a coordinator that does not answer may be gone.
+ATTEMPT_S: Final = 1.2
+#: What is kept of the deadline for the answer's way to the caller.
+MARGIN_S: Final = 0.15
+
+#: Failures after which the same request is sent again.
+PASSING: Final = (NotOwner, PeerUnreachable)
+
+
+@final
+class Gateway:
+    """Asks the coordinator, whoever it is, until the caller's deadline."""
+
+    __slots__ = ('leader', 'log', 'peers')
+
+    def __init__(
+        self, peers: Peers, leader: Callable[[], str | None], log: DecisionLog
+    ) -> None:
+        """Take the streams and who coordinates now."""
+        self.peers = peers
+        self.leader = leader
+        self.log = log
+
+    async def ask(
+        self,
+        body: Message,
+        reply_type: type[ReplyT],
+        *,
+        request: str,
+        timeout_s: float,
+    ) -> ReplyT | Failure:
+        """Ask until an answer, or return why none came in time.
+
+        ``NotRun`` if the request certainly reached no coordinator,
+        ``OutcomeUnknown`` if one may have acted on it.
+        """
+        began = now()
+        deadline = began + timeout_s - MARGIN_S
+        was_sent = False
+        attempts = 0
+        reason = 'no coordinator is known'
+        while now() < deadline:
+            node = self.leader()
+            if node is not None:
+                attempts += 1
+                reply = await self.peers.ask(
+                    node,
+                    body,
+                    reply_type,
+                    timeout_s=min(ATTEMPT_S, deadline - now()),
+                )
+                if not isinstance(reply, PASSING):
+                    return reply
+                reason = reply.reason
+                was_sent = was_sent or bool(reply.fields.get('sent'))
+            await asyncio.sleep(RETRY_S)
+        self.log.write(
+            'unanswered',
+            request=request,
+            kind=type(body).__name__,
+            attempts=attempts,
+            waited_s=round(now() - began, 3),
+            may_have_run=was_sent,
+            reason=reason,
+        )
+        if was_sent:
+            return OutcomeUnknown(reason)
+        return NotRun(reason)
--- /dev/null
+++ b/packages/berylspread/src/berylspread/coordinator/leadership.py
@@ -0,0 +1,271 @@
+"""Which node coordinates: a record in the store, renewed while its node lives.
+
+The store is the only judge.  A follower waits for the next renewal with a long
+read; an answer without one proves that the store has heard nothing from the
+leader for that long, however slow the follower's own path is.  It then claims
+the next epoch by an append that holds only if nothing was written meanwhile.
+"""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from typing import Final, final
+
+import msgspec
+
+from berylspread.coordinator.decision_log import DecisionLog
+from berylspread.coordinator.interface import (
+    Batch,
+    KeyedItem,
+    KeyedStore,
+    Producer,
+    Snapshot,
+    StoreRejected,
+)
+from berylspread.kernel.clock import now
+from berylspread.kernel.errors import Failure, LogGap, NotOwner
+
+KEY: Final = 'leader'
+#: Renewals are this far apart: three may be lost before a successor claims.
+RENEW_S: Final = 0.3
+#: A leader that the store has not heard for this long is succeeded.
+SILENCE_S: Final = 1.0
+#: Answers of the store that take longer come from another region; such a node
+#: leaves the claim to a nearer one.
+NEAR_S: Final = 0.015
+#: Silences that a far node lets pass for the near ones.
+FAR_PATIENCE: Final = 2
+RETRY_S: Final = 0.2
+CALL_TIMEOUT_S: Final = 1.0
+
+
+@final
+class LeaderRecord(msgspec.Struct, frozen=True, array_like=True):
+    """Who coordinates, since which epoch, and where the node is reached."""
+
+    epoch: int
+    node: str
+    incarnation: int
+    address: str
+    released: bool = False
+
+
+_decoder: Final = msgspec.msgpack.Decoder(LeaderRecord)
+
+#: Serves as the leader of an epoch until authority is lost.
+Serve = Callable[[int], Awaitable[Failure]]
+
+
+@final
+class Leadership:
+    """Follows the leader's record, and claims it when it falls silent."""
+
+    __slots__ = (
+        'address',
+        'authority_clock',
+        'confirmed_at',
+        'current',
+        'end',
+        'heard_at',
+        'incarnation',
+        'leaving',
+        'log',
+        'near_s',
+        'node',
+        'seq',
+        'serve',
+        'store',
+        'topic',
+    )
+
+    def __init__(
+        self,
+        store: KeyedStore,
+        topic: str,
+        own: LeaderRecord,
+        serve: Serve,
+        log: DecisionLog,
+        authority_clock: Callable[[], float],
+    ) -> None:
+        """Take the topic and how this node serves once it leads.
+
+        ``authority_clock`` returns seconds, those of a suspension included.
+        """
+        self.store = store
+        self.topic = topic
+        self.node = own.node
+        self.incarnation = own.incarnation
+        self.address = own.address
+        self.serve = serve
+        self.log = log
+        self.current: LeaderRecord | None = None
+        self.end = 0
+        self.seq = 0
+        self.heard_at = 0.0
+        self.confirmed_at = 0.0
+        self.near_s = float('inf')
+        self.authority_clock = authority_clock
+        self.leaving = asyncio.Event()
+
+    @property
+    def is_leader(self) -> bool:
+        """Return whether the newest record known is this process's."""
+        return (
+            self.current is not None
+            and not self.current.released
+            and self.current.node == self.node
+            and self.current.incarnation == self.incarnation
+        )
+
+    def authority_age(self) -> float:
+        """Return seconds since the store last confirmed this leader."""
+        return self.authority_clock() - self.confirmed_at
+
+    async def run(self) -> None:
+        """Follow and lead in turn until cancelled."""
+        while not self.leaving.is_set():
+            if await self._load():
+                await self._follow()
+                await self._lead()
+            else:
+                await asyncio.sleep(RETRY_S)
+
+    async def release(self) -> None:
+        """Hand over: let a successor claim at once."""
+        self.leaving.set()
+        if self.is_leader and self.current is not None:
+            record = msgspec.structs.replace(self.current, released=True)
+            await self._write(record, None)
+
+    async def _load(self) -> bool:
+        began = now()
+        snapshot = await self.store.newest(
+            self.topic, timeout_s=CALL_TIMEOUT_S
+        )
+        if not isinstance(snapshot, Snapshot):
+            return False
+        self.near_s = min(self.near_s, now() - began)
+        self.end = snapshot.end
+        for item in snapshot.items:
+            self._note(item)
+        return True
+
+    async def _follow(self) -> None:
+        """Return once it is this node's turn to claim."""
+        silences = 0
+        needed = 1 if self.near_s < NEAR_S else FAR_PATIENCE
+        while not self.leaving.is_set() and not self._may_claim_at_once():
+            batch = await self.store.follow(
+                self.topic,
+                self.end,
+                wait_s=SILENCE_S,
+                timeout_s=SILENCE_S + CALL_TIMEOUT_S,
+            )
+            if isinstance(batch, Batch):
+                silences = 0 if batch.items else silences + 1
+                self._advance(batch)
+            elif isinstance(batch, LogGap):
+                await self._load()
+            else:
+                await asyncio.sleep(RETRY_S)
+            if silences >= needed:
+                return
+
+    def _may_claim_at_once(self) -> bool:
+        is_near = self.near_s < NEAR_S
+        current = self.current
+        if current is None:
+            return is_near
+        # An earlier incarnation of this process held it.
+        is_own = current.node == self.node
+        return is_own or (current.released and is_near)
+
+    def _advance(self, batch: Batch) -> None:
+        for item in batch.items:
+            self._note(item)
+            self.end = item.offset + 1
+        self.heard_at = now()
+
+    def _note(self, item: KeyedItem) -> None:
+        try:
+            record = _decoder.decode(item.blob)
+        except msgspec.DecodeError as error:
+            self.log.write('leader-unreadable', reason=str(error))
+            return
+        if self.current is None or record.epoch != self.current.epoch:
+            self.log.write(
+                'leader', epoch=record.epoch, leader=record.node
+            )
+        self.current = record
+        self.heard_at = now()
+
+    async def _lead(self) -> None:
+        if self.leaving.is_set() or not await self._claim():
+            return
+        assert self.current is not None
+        epoch = self.current.epoch
+        serving = asyncio.ensure_future(self.serve(epoch))
+        renewing = asyncio.create_task(self._renew())
+        done, _ = await asyncio.wait(
+            (serving, renewing), return_when=asyncio.FIRST_COMPLETED
+        )
+        for task in (serving, renewing):
+            task.cancel()
+        results = await asyncio.gather(
+            serving, renewing, return_exceptions=True
+        )
+        reasons = [repr(result) for result in results]
+        self.log.write('leader-lost', epoch=epoch, reasons=reasons)
+
+    async def _claim(self) -> bool:
+        epoch = 1 if self.current is None else self.current.epoch + 1
+        record = LeaderRecord(epoch, self.node, self.incarnation, self.address)
+        self.seq = 0
+        self.confirmed_at = self.authority_clock()
+        reply = await self._write(record, self.end)
+        won = not isinstance(reply, Failure)
+        self.log.write(
+            'claim',
+            epoch=epoch,
+            won=won,
+            silent_s=round(now() - self.heard_at, 3),
+            reason=reply.reason if isinstance(reply, Failure) else '',
+        )
+        if won:
+            self.current = record
+        return won
+
+    async def _renew(self) -> Failure:
+        """Renew until another epoch has begun."""
+        assert self.current is not None
+        record = self.current
+        while True:
+            began = self.authority_clock()
+            reply = await self._write(record, None)
+            if isinstance(reply, StoreRejected):
+                self.current = None
+                return NotOwner(reply.reason)
+            if isinstance(reply, Failure):
+                self.seq -= 1
+                await asyncio.sleep(RETRY_S)
+                continue
+            self.confirmed_at = began
+            self.heard_at = now()
+            await asyncio.sleep(RENEW_S)
+
+    async def _write(
+        self, record: LeaderRecord, at: int | None
+    ) -> Failure | None:
+        # A claim is unique by the offset alone: as a producer's append it could
+        # pass for the repeat of another node's claim of the same epoch.
+        producer = None
+        if at is None:
+            self.seq += 1
+            producer = Producer(KEY, record.epoch, self.seq)
+        reply = await self.store.append(
+            self.topic,
+            [(KEY, msgspec.msgpack.encode(record))],
+            producer=producer,
+            at=at,
+            timeout_s=CALL_TIMEOUT_S,
+        )
+        return reply if isinstance(reply, Failure) else None
--- /dev/null
+++ b/packages/berylspread/src/berylspread/coordinator/messages.py
@@ -0,0 +1,98 @@
+"""Messages between the nodes and the coordinator."""
+
+from typing import final
+
+from berylspread.coordinator.model import JobSpec
+from berylspread.peers import Message, message
+
+
+@final
+@message
+class SubmitJob(Message, frozen=True):
+    """Asks to accept a job; answered by ``JobAccepted`` or a failure."""
+
+    spec: JobSpec
+
+
+@final
+@message
+class JobAccepted(Message, frozen=True):
+    """The job is stored, now or by an earlier request."""
+
+
+@final
+@message
+class AskJobStatus(Message, frozen=True):
+    """Asks how far a job has come."""
+
+    job_id: str
+    queue: str
+    tenant: str
+
+
+@final
+@message
+class JobStatusReply(Message, frozen=True):
+    """The name of a ``JobStatus``."""
+
+    status: str
+
+
+@final
+@message
+class CancelJob(Message, frozen=True):
+    """Asks to cancel a job; answered by ``JobCancelled`` or a failure."""
+
+    job_id: str
+    queue: str
+    tenant: str
+
+
+@final
+@message
+class JobCancelled(Message, frozen=True):
+    """The cancellation is stored."""
+
+
+@final
+@message
+class AskBacklog(Message, frozen=True):
+    """Asks how many jobs of a queue have not begun."""
+
+    queue: str
+
+
+@final
+@message
+class BacklogReply(Message, frozen=True):
+    """Jobs that were accepted and of which no task has started."""
+
+    jobs: int
+
+
+@final
+@message
+class NodeUp(Message, frozen=True):
+    """Tells the coordinator that a node is there and where."""
+
+    node: str
+    address: str
+
+
+@final
+@message
+class AskPermissions(Message, frozen=True):
+    """Asks a node to ask for permissions on behalf of the coordinator."""
+
+    step: str
+    workers: list[str]
+    timeout_s: float
+
+
+@final
+@message
+class PermissionsReply(Message, frozen=True):
+    """The permissions that the service gave."""
+
+    tickets: dict[str, str]
+    valid_s: float
--- /dev/null
+++ b/packages/berylspread/src/berylspread/coordinator/model.py
@@ -0,0 +1,263 @@
+"""Jobs, steps and tasks as the coordinator keeps them."""
+
+import asyncio
+import collections
+import enum
+from typing import Final, final
+
+import msgspec
+
+from berylspread.kernel.errors import Failure
+from berylspread.model import Resources
+
+MS_PER_S: Final = 1000
+
+
+@final
+class AdviceTerms(msgspec.Struct, frozen=True, array_like=True):
+    """What a permission request for a queue's steps costs, and how long it holds.
+
+    All three are milliseconds; an answer takes ``base_ms`` and ``each_ms`` for
+    every worker that the request names.
+    """
+
+    base_ms: float
+    each_ms: float
+    valid_ms: float
+
+
+@final
+class Queue(msgspec.Struct, frozen=True, array_like=True):
+    """A queue's policy, as of the newest configuration that had it.
+
+    ``priority`` 0 is the most urgent.  ``stretch`` is the factor by which a
+    job may exceed its longest chain of work, and ``target_ms`` what it may
+    wait besides.
+    """
+
+    name: str
+    service: str
+    priority: int = 0
+    max_attempts: int = 1
+    stretch: float = 1.0
+    target_ms: int = 0
+    advice: AdviceTerms | None = None
+
+
+@final
+class StepSpec(msgspec.Struct, frozen=True, array_like=True):
+    """One step of a job: ``count`` tasks that are alike."""
+
+    count: int
+    demand: Resources
+    estimate_ms: int = 0
+    #: Earlier steps whose tasks must all have succeeded first.
+    after: tuple[int, ...] = ()
+    gang: bool = False
+    same_rack: bool = False
+    label: str = ''
+    data_rack: str = ''
+    #: Most tasks of one occurrence of the step on a worker; 0 is unlimited.
+    per_worker: int = 0
+    speculative: bool = False
+    lasting: bool = False
+    checkpoints: bool = False
+    image: str = ''
+    latency_target_ms: int = 0
+    #: The tasks use what the others leave; their cpu is not reserved.
+    fills: bool = False
+    may_miss: int = 0
+
+    def reserved(self) -> Resources:
+        """Return what one task takes of a worker's capacity."""
+        if self.fills:
+            return Resources(0, self.demand.memory_mib, self.demand.accelerators)
+        return self.demand
+
+
+@final
+class JobSpec(msgspec.Struct, frozen=True, array_like=True):
+    """A job as it was accepted; times are milliseconds since the epoch."""
+
+    job_id: str
+    queue: Queue
+    tenant: str
+    payload: str
+    steps: tuple[StepSpec, ...]
+    accepted_ms: int
+    first_ms: int = 0
+    interval_ms: int = 0
+    repeat: int = 0
+
+    def occurrences(self) -> int:
+        """Return how many times the steps run."""
+        return max(self.repeat, 1)
+
+    def due_ms(self, occurrence: int) -> int:
+        """Return when an occurrence may start."""
+        if not self.repeat:
+            return self.accepted_ms
+        return self.first_ms + occurrence * self.interval_ms
+
+
+@final
+class JobStatus(enum.Enum):
+    """How far a job has come."""
+
+    queued = 'queued'
+    running = 'running'
+    succeeded = 'succeeded'
+    failed = 'failed'
+    cancelled = 'cancelled'
+
+    @property
+    def is_final(self) -> bool:
+        """Return whether nothing of the job runs again."""
+        return self in FINAL_STATUSES
+
+
+FINAL_STATUSES: Final = frozenset(
+    (JobStatus.succeeded, JobStatus.failed, JobStatus.cancelled)
+)
+
+
+@final
+class Phase(enum.IntEnum):
+    """Where a task stands; the numbers are stored."""
+
+    waiting = 0
+    placed = 1
+    done = 2
+
+
+@final
+class Task:
+    """One task of a step: its newest run and what it has behind it."""
+
+    __slots__ = (
+        'avoid',
+        'checkpoint',
+        'failures',
+        'index',
+        'phase',
+        'run',
+        'started',
+        'step',
+        'worker',
+    )
+
+    def __init__(self, step: 'Step', index: int) -> None:
+        """Start without a run."""
+        self.step = step
+        self.index = index
+        self.phase = Phase.waiting
+        self.run = 0
+        self.worker = ''
+        self.failures = 0
+        self.checkpoint = ''
+        self.started = False
+        self.avoid: set[str] = set()
+
+    @property
+    def name(self) -> str:
+        """Return the task's name at the workers."""
+        return f'{self.step.name}.{self.index}'
+
+
+@final
+class Step:
+    """One step of one occurrence of a job."""
+
+    __slots__ = (
+        'job',
+        'name',
+        'number',
+        'occurrence',
+        'remaining',
+        'spec',
+        'tasks',
+        'tickets',
+        'waiting',
+    )
+
+    def __init__(self, job: 'Job', occurrence: int, number: int) -> None:
+        """Start with all tasks waiting."""
+        self.job = job
+        self.occurrence = occurrence
+        self.number = number
+        self.spec = job.spec.steps[number]
+        self.name = f'{job.spec.job_id}.{occurrence}.{number}'
+        self.tasks = [Task(self, index) for index in range(self.spec.count)]
+        self.waiting: collections.deque[Task] = collections.deque(self.tasks)
+        self.remaining = self.spec.count
+        self.tickets: Tickets | None = None
+
+    def is_done(self) -> bool:
+        """Return whether all tasks have succeeded."""
+        return self.remaining == 0
+
+    def requeue(self, task: Task) -> None:
+        """Let a task wait for another run."""
+        task.phase = Phase.waiting
+        task.worker = ''
+        self.waiting.append(task)
+
+
+@final
+class Tickets:
+    """Which workers may run a step, and until when each ticket holds."""
+
+    __slots__ = ('asked', 'asking', 'by_worker', 'forbidden', 'retry_at')
+
+    def __init__(self) -> None:
+        """Know nothing yet."""
+        #: Ticket and the loop's time at which it expires, by worker.
+        self.by_worker: dict[str, tuple[str, float]] = {}
+        self.forbidden: set[str] = set()
+        self.asked: set[str] = set()
+        self.asking = 0
+        self.retry_at = 0.0
+
+
+@final
+class Job:
+    """A job and the state of its steps."""
+
+    __slots__ = (
+        'deadline_ms',
+        'ended_at',
+        'spec',
+        'status',
+        'steps',
+        'stored',
+    )
+
+    def __init__(self, spec: JobSpec) -> None:
+        """Start with every step of every occurrence waiting."""
+        self.spec = spec
+        self.status = JobStatus.queued
+        self.steps = {
+            (occurrence, number): Step(self, occurrence, number)
+            for occurrence in range(spec.occurrences())
+            for number in range(len(spec.steps))
+        }
+        self.ended_at = 0.0
+        #: Done once the newest status is stored.
+        self.stored: asyncio.Future[Failure | None] | None = None
+        self.deadline_ms = spec.accepted_ms + objective_ms(spec)
+
+    def is_runnable(self, step: Step, wall_ms: float) -> bool:
+        """Return whether a step's time has come and all before it is done."""
+        return wall_ms >= self.spec.due_ms(step.occurrence) and all(
+            self.steps[step.occurrence, number].is_done()
+            for number in step.spec.after
+        )
+
+
+def objective_ms(spec: JobSpec) -> float:
+    """Return how long a job may take, by its estimates, in milliseconds."""
+    ends: list[float] = []
+    for step in spec.steps:
+        begin = max((ends[number] for number in step.after), default=0.0)
+        ends.append(begin + step.estimate_ms)
+    return spec.queue.stretch * max(ends, default=0.0) + spec.queue.target_ms
--- /dev/null
+++ b/packages/berylspread/src/berylspread/coordinator/node.py
@@ -0,0 +1,235 @@
+"""One node's part: follow the leader's record, coordinate when it is its turn."""
+
+import asyncio
+from collections.abc import Callable
+from typing import Any, Final, final
+
+from berylspread.coordinator.coordinator import (
+    Coordinator,
+    DecodeEntry,
+    Surroundings,
+    Topics,
+)
+from berylspread.coordinator.decision_log import DecisionLog
+from berylspread.coordinator.gateway import Gateway
+from berylspread.coordinator.interface import (
+    Advisor,
+    KeyedStore,
+    Permissions,
+    Policies,
+    Workers,
+)
+from berylspread.coordinator.leadership import Leadership, LeaderRecord
+from berylspread.coordinator.messages import (
+    AskBacklog,
+    AskJobStatus,
+    AskPermissions,
+    CancelJob,
+    NodeUp,
+    PermissionsReply,
+    SubmitJob,
+)
+from berylspread.coordinator.service import JobService
+from berylspread.kernel.clock import WallClock
+from berylspread.kernel.errors import Failure, NotOwner
+from berylspread.model import NodeRef
+from berylspread.peers import Message, Peers
+
+#: How often a node tells the coordinator that it is there.
+PRESENCE_S: Final = 0.5
+
+
+@final
+class Clients:
+    """The clients of what is outside, and the clocks."""
+
+    __slots__ = (
+        'advisor',
+        'authority_clock',
+        'decode_entry',
+        'policies',
+        'store',
+        'wall',
+        'workers',
+    )
+
+    def __init__(
+        self,
+        store: KeyedStore,
+        workers: Workers,
+        advisor: Advisor,
+        policies: Policies,
+        decode_entry: DecodeEntry,
+        *,
+        wall: WallClock,
+        authority_clock: Callable[[], float],
+    ) -> None:
+        """Keep them.
+
+        ``authority_clock`` returns seconds and counts the time for which the
+        VM was suspended.
+        """
+        self.store = store
+        self.workers = workers
+        self.advisor = advisor
+        self.policies = policies
+        self.decode_entry = decode_entry
+        self.wall = wall
+        self.authority_clock = authority_clock
+
+
+@final
+class CoordinatingNode:
+    """Takes part in choosing the coordinator and serves as it if chosen."""
+
+    __slots__ = (
+        'address',
+        'addresses',
+        'clients',
+        'gateway',
+        'leadership',
+        'log',
+        'peers',
+        'ref',
+        'service',
+        'topics',
+    )
+
+    def __init__(
+        self,
+        ref: NodeRef,
+        address: str,
+        clients: Clients,
+        topics: Topics,
+        log: DecisionLog,
+    ) -> None:
+        """Take the identity and address; ``join`` brings the streams."""
+        self.ref = ref
+        self.address = address
+        self.clients = clients
+        self.topics = topics
+        self.log = log
+        #: Where each node is reached, as far as this one has heard.
+        self.addresses: dict[str, str] = {ref.node: address}
+        self.service: JobService | None = None
+        self.leadership = Leadership(
+            clients.store,
+            topics.leader,
+            LeaderRecord(0, ref.node, ref.incarnation, address),
+            self.serve,
+            log,
+            clients.authority_clock,
+        )
+        self.peers: Peers | None = None
+        self.gateway: Gateway | None = None
+
+    def join(self, peers: Peers) -> None:
+        """Use the streams to the other nodes and serve theirs."""
+        self.peers = peers
+        self.gateway = Gateway(peers, self.leader, self.log)
+        peers.handle(SubmitJob, self._forward('submit'))
+        peers.handle(AskJobStatus, self._forward('status'))
+        peers.handle(CancelJob, self._forward('cancel'))
+        peers.handle(AskBacklog, self._forward('backlog'))
+        peers.handle(NodeUp, self._node_up)
+        peers.handle(AskPermissions, self._ask_permissions)
+
+    def address_of(self, node: str) -> str | None:
+        """Return where a node is reached."""
+        return self.addresses.get(node)
+
+    def leader(self) -> str | None:
+        """Return the node that coordinates, as far as this one knows."""
+        record = self.leadership.current
+        if record is None or record.released:
+            return None
+        self.addresses[record.node] = record.address
+        return record.node
+
+    async def run(self) -> None:
+        """Take part until cancelled."""
+        presence = asyncio.create_task(self._tell_presence())
+        try:
+            await self.leadership.run()
+        finally:
+            presence.cancel()
+
+    async def leave(self) -> None:
+        """Hand over the coordination before the process ends."""
+        await self.leadership.release()
+
+    async def serve(self, epoch: int) -> Failure:
+        """Coordinate for one epoch."""
+        assert self.peers is not None
+        coordinator = Coordinator(self._surroundings(), epoch)
+        coordinator.permits.askers.add(self.ref.node)
+        self.service = JobService(coordinator)
+        try:
+            return await coordinator.run()
+        finally:
+            self.service = None
+
+    def _surroundings(self) -> Surroundings:
+        clients = self.clients
+        return Surroundings(
+            store=clients.store,
+            topics=self.topics,
+            workers=clients.workers,
+            policies=clients.policies,
+            ask_through=self._ask_through,
+            decode_entry=clients.decode_entry,
+            wall=clients.wall,
+            log=self.log,
+            authority_age=self.leadership.authority_age,
+        )
+
+    async def _tell_presence(self) -> None:
+        assert self.peers is not None
+        while True:
+            leader = self.leader()
+            if leader is not None:
+                self.peers.tell(leader, NodeUp(self.ref.node, self.address))
+            await asyncio.sleep(PRESENCE_S)
+
+    async def _node_up(self, source: NodeRef, body: NodeUp) -> None:
+        self.addresses[body.node] = body.address
+        if self.service is not None:
+            await self.service.node_up(body)
+
+    def _forward(self, method: str) -> Any:
+        async def handler(
+            source: NodeRef, body: Message
+        ) -> Message | Failure | None:
+            service = self.service
+            if service is None:
+                return NotOwner('this node does not coordinate')
+            reply: Message | Failure | None = await getattr(service, method)(
+                body
+            )
+            return reply
+
+        return handler
+
+    async def _ask_permissions(
+        self, source: NodeRef, body: AskPermissions
+    ) -> PermissionsReply | Failure:
+        reply = await self.clients.advisor.advise(
+            body.step, body.workers, body.timeout_s
+        )
+        if isinstance(reply, Failure):
+            return reply
+        return PermissionsReply(reply.tickets, reply.valid_s)
+
+    async def _ask_through(
+        self, node: str, step: str, workers: list[str], timeout_s: float
+    ) -> Permissions | Failure:
+        assert self.peers is not None
+        reply = await self.peers.ask(
+            node,
+            AskPermissions(step, workers, timeout_s),
+            PermissionsReply,
+            timeout_s=timeout_s,
+        )
+        if isinstance(reply, Failure):
+            return reply
+        return Permissions(reply.tickets, reply.valid_s)
--- /dev/null
+++ b/packages/berylspread/src/berylspread/coordinator/permits.py
@@ -0,0 +1,188 @@
+"""Who asks for a step's permissions, for which workers, and when.
+
+Load pattern: batch steps whose requests take most of a second each, beside
+urgent steps whose requests take a few hundredths.  The service answers each
+asking node's requests in turn, so long requests are kept to a part of the nodes
+and the others stay free for short ones.  Which workers are good for a step does
+not change: a step whose tickets have expired asks about the good ones only.
+"""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from typing import Final, final
+
+from berylspread.coordinator.decision_log import DecisionLog
+from berylspread.coordinator.fleet import Worker
+from berylspread.coordinator.interface import AdviceBusy, Permissions
+from berylspread.coordinator.model import AdviceTerms, Step, Tickets
+from berylspread.coordinator.planner import TICKET_MARGIN_S
+from berylspread.kernel.clock import now
+from berylspread.kernel.errors import Failure
+
+#: Requests that take longer count as long ones.
+LONG_S: Final = 0.2
+#: One node in this many takes no long requests.
+SHORT_ONLY_EVERY: Final = 3
+#: The service names at most this many workers in a request.
+MOST_WORKERS: Final = 100
+#: Added to a request's expected end as its time limit.
+TIMEOUT_SLACK_S: Final = 1.0
+RETRY_S: Final = 0.3
+MS: Final = 1000
+#: Taken off a ticket's life for the answer's way.
+TRANSIT_S: Final = 0.05
+
+#: Asks the service through a node: node, step, workers, time limit.
+AskThrough = Callable[
+    [str, str, list[str], float], Awaitable[Permissions | Failure]
+]
+
+
+@final
+class Askers:
+    """The nodes that can ask, and until when each is expected to be busy."""
+
+    __slots__ = ('busy_until',)
+
+    def __init__(self) -> None:
+        """Know no node yet."""
+        self.busy_until: dict[str, float] = {}
+
+    def add(self, node: str) -> None:
+        """Take a node into use."""
+        self.busy_until.setdefault(node, 0.0)
+
+    def remove(self, node: str) -> None:
+        """Use a node no more."""
+        self.busy_until.pop(node, None)
+
+    def pick(self, cost_s: float, moment: float) -> tuple[str, float]:
+        """Choose the node that answers first; return when, too."""
+        names = sorted(self.busy_until)
+        if cost_s > LONG_S and len(names) >= SHORT_ONLY_EVERY:
+            names = [
+                name
+                for index, name in enumerate(names)
+                if index % SHORT_ONLY_EVERY
+            ]
+        node = min(names, key=lambda name: self.busy_until[name])
+        done_at = max(self.busy_until[node], moment) + cost_s
+        self.busy_until[node] = done_at
+        return node, done_at
+
+
+def workers_to_ask(
+    step: Step, workers: list[Worker], moment: float
+) -> list[str]:
+    """Return which workers a step should ask about now, if any."""
+    tickets = step.tickets
+    if tickets is None or tickets.asking or moment < tickets.retry_at:
+        return []
+    eligible = {
+        worker.name: worker
+        for worker in workers
+        if worker.entry.service == step.job.spec.queue.service
+        and worker.present
+        and worker.entry.is_ready
+        and (not step.spec.label or step.spec.label in worker.entry.labels)
+    }
+    expired = [
+        name
+        for name, (_, until) in tickets.by_worker.items()
+        if until <= moment + TICKET_MARGIN_S
+        and name in eligible
+        and step.spec.reserved().fits(eligible[name].free)
+    ]
+    unknown = sorted(eligible.keys() - tickets.asked)
+    if any(
+        until > moment + TICKET_MARGIN_S
+        for _, until in tickets.by_worker.values()
+    ):
+        # Some tickets hold; a worker that came later is asked about alone.
+        return unknown[:MOST_WORKERS]
+    return [*expired, *unknown][:MOST_WORKERS]
+
+
+def cost_s(terms: AdviceTerms, workers: int) -> float:
+    """Return how long the service takes for a request."""
+    return (terms.base_ms + terms.each_ms * workers) / MS
+
+
+@final
+class PermitDesk:
+    """Carries out the requests and keeps the tickets with their steps."""
+
+    __slots__ = ('ask_through', 'askers', 'log', 'tasks', 'wake')
+
+    def __init__(
+        self,
+        ask_through: AskThrough,
+        wake: Callable[[], None],
+        log: DecisionLog,
+    ) -> None:
+        """Take the way to the nodes and what to call after an answer."""
+        self.ask_through = ask_through
+        self.wake = wake
+        self.log = log
+        self.askers = Askers()
+        self.tasks: set[asyncio.Task[None]] = set()
+
+    def consider(
+        self, step: Step, workers: list[Worker], moment: float
+    ) -> None:
+        """Ask for a step's permissions if it needs some."""
+        terms = step.job.spec.queue.advice
+        if terms is None or not self.askers.busy_until:
+            return
+        if step.tickets is None:
+            step.tickets = Tickets()
+        wanted = workers_to_ask(step, workers, moment)
+        if not wanted:
+            return
+        step.tickets.asking += 1
+        task = asyncio.create_task(self._ask(step, step.tickets, wanted))
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+
+    def close(self) -> None:
+        """Give up the requests under way."""
+        for task in list(self.tasks):
+            task.cancel()
+
+    async def _ask(
+        self, step: Step, tickets: Tickets, wanted: list[str]
+    ) -> None:
+        terms = step.job.spec.queue.advice
+        assert terms is not None
+        cost = cost_s(terms, len(wanted))
+        node, done_at = self.askers.pick(cost, now())
+        asked_at = now()
+        limit_s = done_at - asked_at + TIMEOUT_SLACK_S
+        reply = await self.ask_through(node, step.name, wanted, limit_s)
+        tickets.asking -= 1
+        if isinstance(reply, Failure):
+            tickets.retry_at = now() + RETRY_S
+            if not isinstance(reply, AdviceBusy):
+                # A node that does not answer is a worse choice for a while.
+                self.askers.busy_until[node] = now() + TIMEOUT_SLACK_S
+        else:
+            self._take(tickets, wanted, reply)
+        self.log.write(
+            'advice',
+            step=step.name,
+            through=node,
+            workers=len(wanted),
+            good=-1 if isinstance(reply, Failure) else len(reply.tickets),
+            took_s=round(now() - asked_at, 3),
+            expected_s=round(done_at - asked_at, 3),
+            reason=reply.reason if isinstance(reply, Failure) else '',
+        )
+        self.wake()
+
+    def _take(
+        self, tickets: Tickets, wanted: list[str], reply: Permissions
+    ) -> None:
+        until = now() + reply.valid_s - TRANSIT_S
+        tickets.asked.update(wanted)
+        for worker, ticket in reply.tickets.items():
+            tickets.by_worker[worker] = (ticket, until)
--- /dev/null
+++ b/packages/berylspread/src/berylspread/coordinator/planner.py
@@ -0,0 +1,194 @@
+"""Which waiting task runs where.
+
+Load pattern: a burst of wide urgent steps while batch work fills the fleet.
+Steps are taken by urgency, then by how much time their job has left, so that an
+urgent job that came late still finds the room which a batch step would take.
+"""
+
+import collections
+from collections.abc import Iterable
+from typing import Final, final
+
+from berylspread.coordinator.fleet import Worker
+from berylspread.coordinator.interface import Policies
+from berylspread.coordinator.model import Step, Task
+from berylspread.model import ZERO, Resources
+
+#: Workers whose recent runs failed more often than this are the last choice.
+TROUBLE_LIMIT: Final = 2.0
+#: A ticket must outlast the storing and sending of an order by this time.
+TICKET_MARGIN_S: Final = 0.15
+
+
+@final
+class Usage:
+    """What each tenant has running, and may."""
+
+    __slots__ = ('in_use', 'policies')
+
+    def __init__(self, policies: Policies) -> None:
+        """Start with nothing in use."""
+        self.policies = policies
+        self.in_use: dict[str, Resources] = {}
+
+    def add(self, task: Task) -> None:
+        """Count a run."""
+        tenant = task.step.job.spec.tenant
+        amount = self.in_use.get(tenant, ZERO)
+        self.in_use[tenant] = amount + task.step.spec.demand
+
+    def remove(self, task: Task) -> None:
+        """Count a run no more."""
+        tenant = task.step.job.spec.tenant
+        self.in_use[tenant] = self.in_use[tenant] - task.step.spec.demand
+
+    def room(self, step: Step) -> int:
+        """Return how many more tasks of a step the tenant may run."""
+        tenant = step.job.spec.tenant
+        cap = self.policies.cap(tenant)
+        if cap is None or not tenant:
+            return step.spec.count
+        used = self.in_use.get(tenant, ZERO)
+        demand = step.spec.demand
+        counts = [
+            (limit - taken) // wanted
+            for limit, taken, wanted in (
+                (cap.cpu_milli, used.cpu_milli, demand.cpu_milli),
+                (cap.memory_mib, used.memory_mib, demand.memory_mib),
+                (cap.accelerators, used.accelerators, demand.accelerators),
+            )
+            if limit and wanted
+        ]
+        return max(min(counts, default=step.spec.count), 0)
+
+
+@final
+class Placement:
+    """A task, the worker chosen for it, and the ticket if one is needed."""
+
+    __slots__ = ('task', 'ticket', 'worker')
+
+    def __init__(self, task: Task, worker: Worker, ticket: str) -> None:
+        """Keep the choice."""
+        self.task = task
+        self.worker = worker
+        self.ticket = ticket
+
+
+def urgency(step: Step) -> tuple[int, float]:
+    """Return the order in which steps are placed."""
+    return step.job.spec.queue.priority, step.job.deadline_ms
+
+
+def candidates(
+    step: Step, workers: Iterable[Worker], moment: float
+) -> list[tuple[Worker, str]]:
+    """Return the workers that may run a step, each with the ticket if any."""
+    spec = step.spec
+    service = step.job.spec.queue.service
+    found = [
+        worker
+        for worker in workers
+        if worker.entry.service == service
+        and worker.accepts_runs(moment)
+        and (not spec.label or spec.label in worker.entry.labels)
+    ]
+    if step.job.spec.queue.advice is None:
+        return [(worker, '') for worker in found]
+    if step.tickets is None:
+        return []
+    held = step.tickets.by_worker
+    limit = moment + TICKET_MARGIN_S
+    return [
+        (worker, held[worker.name][0])
+        for worker in found
+        if worker.name in held and held[worker.name][1] > limit
+    ]
+
+
+@final
+class StepPlan:
+    """Places the waiting tasks of one step."""
+
+    __slots__ = ('choices', 'free', 'on_worker', 'step')
+
+    def __init__(self, step: Step, choices: list[tuple[Worker, str]]) -> None:
+        """Take the workers that may run the step."""
+        self.step = step
+        self.choices = choices
+        self.free = {worker.name: worker.free for worker, _ in choices}
+        self.on_worker = collections.Counter(
+            task.worker for task in step.tasks if task.worker
+        )
+
+    def place(self, limit: int) -> list[Placement]:
+        """Return placements for at most ``limit`` tasks, or all of a gang."""
+        spec = self.step.spec
+        waiting = list(self.step.waiting)[:limit]
+        if spec.gang:
+            return self._place_gang(waiting)
+        placed = []
+        for task in waiting:
+            choice = self._choose(task, self.choices)
+            if choice is None:
+                break
+            placed.append(choice)
+        return placed
+
+    def _place_gang(self, waiting: list[Task]) -> list[Placement]:
+        if len(waiting) < self.step.spec.count:
+            return []
+        for group in self._gang_groups():
+            free, on_worker = dict(self.free), self.on_worker.copy()
+            placed = [self._choose(task, group) for task in waiting]
+            chosen = [choice for choice in placed if choice is not None]
+            if len(chosen) == len(waiting):
+                return chosen
+            self.free, self.on_worker = free, on_worker
+        return []
+
+    def _gang_groups(self) -> list[list[tuple[Worker, str]]]:
+        if not self.step.spec.same_rack:
+            return [self.choices]
+        racks: dict[str, list[tuple[Worker, str]]] = {}
+        for choice in self.choices:
+            racks.setdefault(choice[0].entry.rack, []).append(choice)
+        return [*racks.values(), self.choices]
+
+    def _choose(
+        self, task: Task, choices: list[tuple[Worker, str]]
+    ) -> Placement | None:
+        reserved = self.step.spec.reserved()
+        limit = self.step.spec.per_worker
+        fitting = [
+            choice
+            for choice in choices
+            if reserved.fits(self.free[choice[0].name])
+            and (not limit or self.on_worker[choice[0].name] < limit)
+        ]
+        if not fitting:
+            return None
+        worker, ticket = min(
+            fitting, key=lambda choice: self._cost(task, choice[0])
+        )
+        self.free[worker.name] -= reserved
+        self.on_worker[worker.name] += 1
+        return Placement(task, worker, ticket)
+
+    def _cost(self, task: Task, worker: Worker) -> tuple[float, ...]:
+        spec = self.step.spec
+        conflict = 0
+        if spec.fills:
+            conflict = worker.serving
+        elif spec.latency_target_ms:
+            conflict = sum(
+                run.task.step.spec.fills for run in worker.runs.values()
+            )
+        used = worker.entry.capacity - self.free[worker.name]
+        return (
+            worker.name in task.avoid,
+            worker.trouble > TROUBLE_LIMIT,
+            bool(spec.data_rack) and spec.data_rack != worker.entry.rack,
+            conflict,
+            used.dominant_share(worker.entry.capacity),
+        )
--- /dev/null
+++ b/packages/berylspread/src/berylspread/coordinator/policy.py
@@ -0,0 +1,156 @@
+"""The newest configuration: which queue a call means and whose key it bears.
+
+What is known is trusted only as long as the store has lately confirmed it: a
+withdrawn key must stop working even at a node that cannot hear of it.
+"""
+
+from collections.abc import Callable
+from typing import Final, final
+
+import msgspec
+
+from berylspread.coordinator.model import Queue
+from berylspread.kernel.errors import (
+    Failure,
+    NotRun,
+    Unauthenticated,
+    UnknownName,
+)
+from berylspread.model import Resources
+
+DEFAULT_BODY_BYTES: Final = 262_144
+
+
+@final
+class QueueRoute(msgspec.Struct, frozen=True):
+    """Where calls for a queue arrive; an open queue needs no key."""
+
+    host: str
+    path_prefix: str
+    queue: Queue
+    is_open: bool = False
+
+
+@final
+class Tenant(msgspec.Struct, frozen=True):
+    """An organisation: its keys, its share and what it may have running."""
+
+    name: str
+    keys: tuple[str, ...] = ()
+    weight: float = 1.0
+    #: A dimension of 0 is unlimited.
+    cap: Resources | None = None
+
+
+@final
+class Configuration(msgspec.Struct, frozen=True):
+    """One version of the configuration in full."""
+
+    version: int
+    routes: tuple[QueueRoute, ...]
+    tenants: tuple[Tenant, ...]
+    max_body_bytes: int = DEFAULT_BODY_BYTES
+
+
+@final
+class PolicyBoard:
+    """The newest configuration and when the store last confirmed it."""
+
+    __slots__ = (
+        'by_host',
+        'by_key',
+        'clock',
+        'configuration',
+        'confirmed_at',
+        'queues',
+        'tenants',
+        'trust_s',
+    )
+
+    def __init__(self, clock: Callable[[], float], trust_s: float) -> None:
+        """Trust what is known for ``trust_s`` after each confirmation.
+
+        ``clock`` returns seconds, those of a suspension included.
+        """
+        self.clock = clock
+        self.trust_s = trust_s
+        self.configuration: Configuration | None = None
+        self.confirmed_at = float('-inf')
+        self.by_host: dict[str, list[QueueRoute]] = {}
+        self.by_key: dict[str, Tenant] = {}
+        self.queues: dict[str, Queue] = {}
+        self.tenants: dict[str, Tenant] = {}
+
+    @property
+    def version(self) -> int:
+        """Return the newest version, 0 before the first."""
+        return 0 if self.configuration is None else self.configuration.version
+
+    def take(self, configuration: Configuration) -> bool:
+        """Put a version in force; return ``False`` if a newer one is."""
+        if configuration.version <= self.version:
+            return False
+        self.configuration = configuration
+        by_host: dict[str, list[QueueRoute]] = {}
+        # The longest prefix is found first.
+        for route in sorted(
+            configuration.routes, key=lambda each: -len(each.path_prefix)
+        ):
+            by_host.setdefault(route.host, []).append(route)
+        self.by_host = by_host
+        self.by_key = {
+            key: tenant for tenant in configuration.tenants for key in tenant.keys
+        }
+        self.queues = {
+            route.queue.name: route.queue for route in configuration.routes
+        }
+        self.tenants = {each.name: each for each in configuration.tenants}
+        return True
+
+    def confirm(self, as_of: float) -> None:
+        """Note that nothing newer was there at a moment of the clock."""
+        self.confirmed_at = max(self.confirmed_at, as_of)
+
+    def age_s(self) -> float:
+        """Return seconds since the store confirmed what is known."""
+        return self.clock() - self.confirmed_at
+
+    def find(self, host: str, path: str) -> QueueRoute | Failure:
+        """Return the route with the longest prefix of a path."""
+        if self.configuration is None:
+            return NotRun('no configuration is known yet')
+        for route in self.by_host.get(host, ()):
+            if path.startswith(route.path_prefix):
+                return route
+        return UnknownName('no queue has this address', host=host, path=path)
+
+    def authenticate(self, route: QueueRoute, key: str) -> str | Failure:
+        """Return the name of the tenant whose key a call bears.
+
+        An open queue accepts calls without one, for no tenant.
+        """
+        tenant = self.by_key.get(key) if key else None
+        if route.is_open:
+            return tenant.name if tenant else ''
+        if self.age_s() > self.trust_s:
+            return NotRun(
+                'the keys known here are out of date',
+                age_s=round(self.age_s(), 3),
+            )
+        if tenant is None:
+            return Unauthenticated('the key is missing, unknown or withdrawn')
+        return tenant.name
+
+    def queue(self, name: str) -> Queue | None:
+        """Return a queue's newest policy."""
+        return self.queues.get(name)
+
+    def cap(self, tenant: str) -> Resources | None:
+        """Return what a tenant may have running."""
+        found = self.tenants.get(tenant)
+        return None if found is None else found.cap
+
+    def weight(self, tenant: str) -> float:
+        """Return a tenant's share when all is full."""
+        found = self.tenants.get(tenant)
+        return 1.0 if found is None else found.weight
--- /dev/null
+++ b/packages/berylspread/src/berylspread/coordinator/records.py
@@ -0,0 +1,117 @@
+"""What the coordinator stores: one record a job, one a step that has moved.
+
+The records live in a topic that keeps the newest value of each key.  A key is
+a kind and a name: ``j/JOB`` and ``s/JOB.OCCURRENCE.STEP``.
+"""
+
+from typing import Final, final
+
+import msgspec
+
+from berylspread.coordinator.model import (
+    Job,
+    JobSpec,
+    JobStatus,
+    Phase,
+    Step,
+)
+
+JOB_PREFIX: Final = 'j/'
+STEP_PREFIX: Final = 's/'
+
+TaskRow = tuple[int, int, str, int, str]
+
+
+@final
+class JobRecord(msgspec.Struct, frozen=True, array_like=True):
+    """A job; the specification is dropped when the job has ended."""
+
+    status: str
+    tenant: str
+    queue: str
+    spec: JobSpec | None
+    ended_ms: int = 0
+
+
+@final
+class StepRecord(msgspec.Struct, frozen=True, array_like=True):
+    """The tasks of a step: phase, run, worker, failures and checkpoint."""
+
+    tasks: list[TaskRow]
+
+
+_encoder: Final = msgspec.msgpack.Encoder()
+_jobs: Final = msgspec.msgpack.Decoder(JobRecord)
+_steps: Final = msgspec.msgpack.Decoder(StepRecord)
+
+
+def encode_job(job: Job, wall_ms: int) -> bytes:
+    """Return the record of a job as of now."""
+    ended = job.status.is_final
+    return _encoder.encode(
+        JobRecord(
+            status=job.status.value,
+            tenant=job.spec.tenant,
+            queue=job.spec.queue.name,
+            spec=None if ended else job.spec,
+            ended_ms=wall_ms if ended else 0,
+        )
+    )
+
+
+def encode_step(step: Step) -> bytes:
+    """Return the record of a step as of now."""
+    return _encoder.encode(
+        StepRecord(
+            [
+                (
+                    int(task.phase),
+                    task.run,
+                    task.worker,
+                    task.failures,
+                    task.checkpoint,
+                )
+                for task in step.tasks
+            ]
+        )
+    )
+
+
+def decode_job(blob: bytes) -> JobRecord:
+    """Read a job's record; raises ``msgspec.DecodeError``."""
+    return _jobs.decode(blob)
+
+
+def restore_step(step: Step, blob: bytes) -> None:
+    """Bring a fresh step to what a record says.
+
+    Raises:
+        msgspec.DecodeError: The record is malformed.
+
+    """
+    record = _steps.decode(blob)
+    step.waiting.clear()
+    step.remaining = step.spec.count
+    for task, row in zip(step.tasks, record.tasks, strict=True):
+        phase, task.run, task.worker, task.failures, task.checkpoint = row
+        task.phase = Phase(phase)
+        task.started = task.run > 0
+        if task.phase is Phase.done:
+            step.remaining -= 1
+        elif task.phase is Phase.waiting:
+            step.waiting.append(task)
+
+
+def job_key(job_id: str) -> str:
+    """Return the key of a job's record."""
+    return JOB_PREFIX + job_id
+
+
+def step_key(step: Step) -> str:
+    """Return the key of a step's record."""
+    return STEP_PREFIX + step.name
+
+
+def restored_status(record: JobRecord) -> JobStatus:
+    """Return the status in a job's record."""
+    return JobStatus(record.status)
--- /dev/null
+++ b/packages/berylspread/src/berylspread/coordinator/service.py
@@ -0,0 +1,130 @@
+"""Requests for the coordinator's state: submit, ask, cancel, count."""
+
+from typing import Final, final
+
+from berylspread.coordinator.coordinator import Coordinator
+from berylspread.coordinator.messages import (
+    AskBacklog,
+    AskJobStatus,
+    BacklogReply,
+    CancelJob,
+    JobAccepted,
+    JobCancelled,
+    JobStatusReply,
+    NodeUp,
+    SubmitJob,
+)
+from berylspread.coordinator.model import JobStatus
+from berylspread.kernel.errors import (
+    Failure,
+    NotOwner,
+    RunState,
+    failure,
+)
+
+#: A coordinator whose authority is older answers no question about jobs: a
+#: successor may have accepted some that it does not know.
+ANSWER_GRACE_S: Final = 1.5
+
+
+@failure
+class NoSuchJob(Failure):
+    """No job of that id is known, or its outcome is no longer kept."""
+
+    name = 'no-such-job'
+    http_status = 410
+
+
+@failure
+class NotStored(Failure):
+    """The store did not confirm the change; it may yet be made."""
+
+    name = 'not-stored'
+    http_status = 504
+    run_state = RunState.unknown
+
+
+@final
+class JobService:
+    """Answers requests from the coordinator's table."""
+
+    __slots__ = ('coordinator',)
+
+    def __init__(self, coordinator: Coordinator) -> None:
+        """Take the coordinator whose table is asked."""
+        self.coordinator = coordinator
+
+    async def submit(self, request: SubmitJob) -> JobAccepted | Failure:
+        """Accept a job once it is stored; a repeat changes nothing."""
+        coordinator, spec = self.coordinator, request.spec
+        table = coordinator.table
+        if not coordinator.has_authority(ANSWER_GRACE_S):
+            return NotOwner('the authority is not confirmed')
+        if spec.job_id in table.ended:
+            return JobAccepted()
+        job = table.jobs.get(spec.job_id)
+        if job is None:
+            job = table.add(spec, coordinator.wall_ms())
+            job.stored = coordinator.committer.job(job)
+            coordinator.log.write(
+                'job-accepted',
+                job=spec.job_id,
+                queue=spec.queue.name,
+                tenant=spec.tenant,
+                tasks=sum(step.count for step in spec.steps),
+            )
+            coordinator.wake.set()
+        if job.stored is not None:
+            failure = await job.stored
+            if failure is not None:
+                return NotStored(failure.reason)
+        return JobAccepted()
+
+    async def status(self, request: AskJobStatus) -> JobStatusReply | Failure:
+        """Return how far a job has come, as far as that is stored."""
+        coordinator = self.coordinator
+        if not coordinator.has_authority(ANSWER_GRACE_S):
+            return NotOwner('the authority is not confirmed')
+        table = coordinator.table
+        job = table.jobs.get(request.job_id)
+        if job is not None:
+            if job.status.is_final and job.stored is not None:
+                failure = await job.stored
+                if failure is not None:
+                    return NotStored(failure.reason)
+            return JobStatusReply(job.status.value)
+        ended = table.ended.get(request.job_id)
+        if ended is None:
+            return NoSuchJob('no such job', job=request.job_id)
+        return JobStatusReply(ended.status.value)
+
+    async def cancel(self, request: CancelJob) -> JobCancelled | Failure:
+        """Cancel a job once that is stored; one that has ended stays so."""
+        coordinator = self.coordinator
+        if not coordinator.has_authority(ANSWER_GRACE_S):
+            return NotOwner('the authority is not confirmed')
+        job = coordinator.table.jobs.get(request.job_id)
+        if job is None:
+            if request.job_id in coordinator.table.ended:
+                return JobCancelled()
+            return NoSuchJob('no such job', job=request.job_id)
+        if not job.status.is_final:
+            coordinator.finish(job, JobStatus.cancelled, 'cancelled')
+        if job.stored is not None:
+            failure = await job.stored
+            if failure is not None:
+                return NotStored(failure.reason)
+        return JobCancelled()
+
+    async def backlog(self, request: AskBacklog) -> BacklogReply | Failure:
+        """Return how many jobs of a queue have not begun."""
+        coordinator = self.coordinator
+        if not coordinator.has_authority(ANSWER_GRACE_S):
+            return NotOwner('the authority is not confirmed')
+        return BacklogReply(
+            coordinator.table.backlog(request.queue, coordinator.wall_ms())
+        )
+
+    async def node_up(self, request: NodeUp) -> None:
+        """Take a node into use for permission requests."""
+        self.coordinator.permits.askers.add(request.node)
--- /dev/null
+++ b/packages/berylspread/src/berylspread/coordinator/table.py
@@ -0,0 +1,170 @@
+"""The jobs that the coordinator answers for, and the steps whose turn it is."""
+
+from collections.abc import Iterator
+from typing import Final, final
+
+import msgspec
+
+from berylspread.coordinator.decision_log import DecisionLog
+from berylspread.coordinator.interface import Snapshot
+from berylspread.coordinator.model import (
+    Job,
+    JobSpec,
+    JobStatus,
+    Phase,
+    Step,
+    Task,
+)
+from berylspread.coordinator.records import (
+    JOB_PREFIX,
+    STEP_PREFIX,
+    JobRecord,
+    decode_job,
+    restore_step,
+    restored_status,
+)
+
+MS: Final = 1000
+
+
+@final
+class Ended:
+    """What is kept of a job that has ended, for callers that still ask."""
+
+    __slots__ = ('ended_ms', 'queue', 'status', 'tenant')
+
+    def __init__(
+        self, status: JobStatus, tenant: str, queue: str, ended_ms: int
+    ) -> None:
+        """Keep the outcome and whose job it was."""
+        self.status = status
+        self.tenant = tenant
+        self.queue = queue
+        self.ended_ms = ended_ms
+
+
+@final
+class JobTable:
+    """Jobs by id; those that have ended are kept aside for a while."""
+
+    __slots__ = ('ended', 'jobs', 'log', 'ready', 'timed')
+
+    def __init__(self, log: DecisionLog) -> None:
+        """Start empty."""
+        self.log = log
+        self.jobs: dict[str, Job] = {}
+        self.ended: dict[str, Ended] = {}
+        #: Steps that may run and have tasks waiting, by name.
+        self.ready: dict[str, Step] = {}
+        #: Steps of occurrences that are not due yet.
+        self.timed: dict[str, Step] = {}
+
+    def add(self, spec: JobSpec, wall_ms: float) -> Job:
+        """Take in a job that was not known."""
+        job = Job(spec)
+        self.jobs[spec.job_id] = job
+        self.refresh(job, wall_ms)
+        return job
+
+    def restore(self, snapshot: Snapshot, wall_ms: float) -> None:
+        """Bring an empty table to what the store holds."""
+        steps: dict[str, bytes] = {}
+        for item in snapshot.items:
+            if item.key.startswith(STEP_PREFIX):
+                steps[item.key.removeprefix(STEP_PREFIX)] = item.blob
+            elif item.key.startswith(JOB_PREFIX):
+                self._restore_job(
+                    item.key.removeprefix(JOB_PREFIX), item.blob
+                )
+        for job in self.jobs.values():
+            for step in job.steps.values():
+                if step.name in steps:
+                    restore_step(step, steps[step.name])
+            _restore_status(job)
+            self.refresh(job, wall_ms)
+
+    def refresh(self, job: Job, wall_ms: float) -> None:
+        """Note which steps of a job may run now."""
+        for step in job.steps.values():
+            if step.is_done():
+                continue
+            if wall_ms < job.spec.due_ms(step.occurrence):
+                self.timed[step.name] = step
+            elif job.is_runnable(step, wall_ms) and step.waiting:
+                self.ready[step.name] = step
+
+    def release_due(self, wall_ms: float) -> None:
+        """Let occurrences begin whose time has come."""
+        due = [
+            step
+            for step in self.timed.values()
+            if wall_ms >= step.job.spec.due_ms(step.occurrence)
+        ]
+        for step in due:
+            del self.timed[step.name]
+            self.refresh(step.job, wall_ms)
+
+    def end(self, job: Job, status: JobStatus, wall_ms: int) -> None:
+        """Note that nothing of a job runs again."""
+        job.status = status
+        for step in job.steps.values():
+            self.ready.pop(step.name, None)
+            self.timed.pop(step.name, None)
+        self.ended[job.spec.job_id] = Ended(
+            status, job.spec.tenant, job.spec.queue.name, wall_ms
+        )
+
+    def forget_ended(self, before_ms: float) -> list[str]:
+        """Drop the jobs that ended earlier; return their ids."""
+        old = [
+            job_id
+            for job_id, ended in self.ended.items()
+            if ended.ended_ms < before_ms
+        ]
+        for job_id in old:
+            del self.ended[job_id]
+            self.jobs.pop(job_id, None)
+        return old
+
+    def placed(self) -> Iterator[Task]:
+        """Yield the tasks that have a run which may be under way."""
+        for job in self.jobs.values():
+            for step in job.steps.values():
+                for task in step.tasks:
+                    if task.phase is Phase.placed:
+                        yield task
+
+    def backlog(self, queue: str, wall_ms: float) -> int:
+        """Return how many jobs of a queue are due and have not begun."""
+        return sum(
+            job.status is JobStatus.queued
+            and job.spec.queue.name == queue
+            and wall_ms >= job.spec.due_ms(0)
+            for job in self.jobs.values()
+        )
+
+    def _restore_job(self, job_id: str, blob: bytes) -> None:
+        try:
+            record = decode_job(blob)
+        except msgspec.DecodeError as error:
+            self.log.write('job-unreadable', job=job_id, reason=str(error))
+            return
+        if record.spec is None:
+            self._restore_ended(job_id, record)
+        else:
+            self.jobs[job_id] = Job(record.spec)
+
+    def _restore_ended(self, job_id: str, record: JobRecord) -> None:
+        self.ended[job_id] = Ended(
+            restored_status(record),
+            record.tenant,
+            record.queue,
+            record.ended_ms,
+        )
+
+
+def _restore_status(job: Job) -> None:
+    if any(
+        task.started for step in job.steps.values() for task in step.tasks
+    ):
+        job.status = JobStatus.running
