--- a/packages/berylspread/src/berylspread/coordinator/committer.py
+++ b/packages/berylspread/src/berylspread/coordinator/committer.py
@@ -176,9 +176,7 @@
                 self.appends += 1
                 self.appended_bytes += sum(len(blob) for _, blob in records)
                 return None
-            self.log.write(
-                'append-retry', seq=self.seq, reason=reply.reason
-            )
+            self.log.write('append-retry', seq=self.seq, reason=reply.reason)
             await asyncio.sleep(RETRY_S * (1 + random.random()))
         return self.deposed
 
--- a/packages/berylspread/src/berylspread/coordinator/coordinator.py
+++ b/packages/berylspread/src/berylspread/coordinator/coordinator.py
@@ -1,7 +1,6 @@
 """The coordinator: decides for the whole fleet while its epoch lasts."""
 
 import asyncio
-import functools
 from collections.abc import Callable
 from typing import Any, Final, final
 
@@ -10,8 +9,15 @@
 from berylspread.coordinator.committer import Committer
 from berylspread.coordinator.decision_log import DecisionLog
 from berylspread.coordinator.directory import TopicFollower
+from berylspread.coordinator.dispatcher import Dispatcher
 from berylspread.coordinator.endings import OUTCOMES
-from berylspread.coordinator.fleet import Run, Stage, Worker
+from berylspread.coordinator.fleet import (
+    SLOWEST_CLOCK,
+    Run,
+    Stage,
+    Worker,
+    absent_entry,
+)
 from berylspread.coordinator.interface import (
     NO_TICKET,
     KeyedItem,
@@ -25,30 +31,22 @@
 from berylspread.coordinator.pacing import pace_fillers
 from berylspread.coordinator.permits import AskThrough, PermitDesk
 from berylspread.coordinator.planner import (
-    Placement,
-    StepPlan,
     Usage,
-    candidates,
-    urgency,
 )
-from berylspread.coordinator.records import job_key, step_key
-from berylspread.coordinator.session import Session
+from berylspread.coordinator.records import step_key
+from berylspread.coordinator.session import (
+    AUTHORITY_S,
+    LONGEST_LEASE_S,
+    Session,
+)
 from berylspread.coordinator.table import JobTable
 from berylspread.kernel.clock import WallClock, now
 from berylspread.kernel.errors import Failure, NotOwner
 
-#: Passes are at least this far apart, so that one serves a batch of ends.
-PASS_GAP_S: Final = 0.01
-#: A pass is made at least this often: times come due without an event.
-PASS_EVERY_S: Final = 0.2
 LOAD_TIMEOUT_S: Final = 3.0
-#: Orders are sent only within this time of the last proof of authority.
-ORDER_GRACE_S: Final = 2.0
 #: After an earlier coordinator, how long its leases may still last on a worker
 #: that does not answer: its own grace, the longest lease and the slowest clock.
-INHERITED_S: Final = 6.0 + 6.0 * 1.02
-#: How long the outcome of a job is kept for callers; past the platform's bound.
-KEEP_ENDED_MS: Final = 150_000
+INHERITED_S: Final = AUTHORITY_S + LONGEST_LEASE_S / SLOWEST_CLOCK
 MS: Final = 1000
 
 DecodeEntry = Callable[[KeyedItem], WorkerEntry | None]
@@ -86,6 +84,7 @@
 
     __slots__ = (
         'committer',
+        'dispatcher',
         'given',
         'log',
         'permits',
@@ -112,30 +111,14 @@
         self.permits = PermitDesk(given.ask_through, self.wake.set, given.log)
         self.workers: dict[str, Worker] = {}
         self.sessions: dict[str, Session] = {}
+        self.dispatcher = Dispatcher(self)
         self.tasks: set[asyncio.Task[Any]] = set()
 
     async def run(self) -> Failure:
         """Serve the epoch; return why it is over."""
         try:
             failure = await self._load()
-            if failure is not None:
-                return failure
-            directory = TopicFollower(
-                self.given.store,
-                self.given.topics.workers,
-                self.take_entry,
-                self.log,
-            )
-            self._spawn(directory.run())
-            committing = self._spawn(self.committer.run())
-            planning = self._spawn(self._plan())
-            await asyncio.wait(
-                (committing, planning), return_when=asyncio.FIRST_COMPLETED
-            )
-            if committing.done():
-                return committing.result()
-            planning.result()
-            return NotOwner('planning ended')
+            return await self._serve() if failure is None else failure
         finally:
             self.close()
 
@@ -267,97 +250,31 @@
         self.table.refresh(step.job, self.wall_ms())
         self.wake.set()
 
-    # Planning.
-
-    async def _plan(self) -> None:
-        while True:
-            try:
-                async with asyncio.timeout(PASS_EVERY_S):
-                    await self.wake.wait()
-            except TimeoutError:
-                self._sweep()
-            self.wake.clear()
-            self._pass()
-            await asyncio.sleep(PASS_GAP_S)
-
-    def _sweep(self) -> None:
-        wall_ms = self.wall_ms()
-        self.table.release_due(wall_ms)
-        for job_id in self.table.forget_ended(wall_ms - KEEP_ENDED_MS):
-            self.committer.drop(job_key(job_id))
+    async def _serve(self) -> Failure:
+        directory = TopicFollower(
+            self.given.store,
+            self.given.topics.workers,
+            self.take_entry,
+            self.log,
+        )
+        self._spawn(directory.run())
+        committing = self._spawn(self.committer.run())
+        planning = self._spawn(self.dispatcher.run())
+        await asyncio.wait(
+            (committing, planning), return_when=asyncio.FIRST_COMPLETED
+        )
+        if committing.done():
+            failure: Failure = committing.result()
+            return failure
+        planning.result()
+        return NotOwner('planning ended')
+
+    def forget_workers(self) -> None:
+        """Drop workers that are gone and have nothing left to settle."""
         for name, worker in list(self.workers.items()):
             if not worker.present and name not in self.sessions:
                 del self.workers[name]
 
-    def _pass(self) -> None:
-        if not self.has_authority(ORDER_GRACE_S):
-            return
-        moment = now()
-        workers = list(self.workers.values())
-        for step in sorted(self.table.ready.values(), key=urgency):
-            if not step.waiting:
-                del self.table.ready[step.name]
-                continue
-            self.permits.consider(step, workers, moment)
-            limit = self.usage.room(step)
-            choices = candidates(step, workers, moment) if limit else []
-            if choices:
-                self._book(step, StepPlan(step, choices).place(limit))
-
-    def _book(self, step: Step, placements: list[Placement]) -> None:
-        if not placements:
-            return
-        runs = [self._reserve(placement) for placement in placements]
-        if step.spec.gang:
-            # The members of a gang share the number of their run.
-            number = max(run.number for run in runs)
-            for run in runs:
-                run.number = run.task.run = number
-        stored = self.committer.step(step)
-        tickets = [placement.ticket for placement in placements]
-        stored.add_done_callback(functools.partial(self._send, runs, tickets))
-
-    def _reserve(self, placement: Placement) -> Run:
-        task, worker = placement.task, placement.worker
-        task.step.waiting.remove(task)
-        task.phase = Phase.placed
-        task.run += 1
-        task.worker = worker.name
-        task.started = True
-        job = task.step.job
-        if job.status is JobStatus.queued:
-            job.status = JobStatus.running
-        run = Run(task, worker, Stage.ordered, now())
-        worker.add(run)
-        self.usage.add(task)
-        return run
-
-    def _send(
-        self,
-        runs: list[Run],
-        tickets: list[str],
-        stored: asyncio.Future[Failure | None],
-    ) -> None:
-        """Order the runs whose records are stored."""
-        if stored.cancelled() or stored.result() is not None:
-            return
-        for run, ticket in zip(runs, tickets, strict=True):
-            if run.worker.runs.get(run.task.name) is not run:
-                continue
-            if run.task.step.job.status.is_final:
-                self.lost(run, 'job-ended')
-                continue
-            run.since = now()
-            self.log.write(
-                'start',
-                task=run.task.name,
-                run=run.number,
-                worker=run.worker.name,
-                token=self.token,
-                waited_ms=self.wall_ms() - run.task.step.job.spec.accepted_ms,
-            )
-            self.sessions[run.worker.name].start(run, ticket)
-
     def _leave(self, run: Run) -> None:
         run.worker.remove(run)
         self.usage.remove(run.task)
@@ -399,7 +316,7 @@
             worker = self.workers.get(task.worker)
             if worker is None:
                 # No entry: the worker may still live behind a cut.
-                worker = Worker(WorkerEntry(task.worker, '', '', '', False))
+                worker = Worker(absent_entry(task.worker))
                 worker.present = False
                 self._meet(worker)
             worker.lost_after = lost_after
--- a/packages/berylspread/src/berylspread/coordinator/directory.py
+++ b/packages/berylspread/src/berylspread/coordinator/directory.py
@@ -100,9 +100,7 @@
 
     async def _load(self) -> bool:
         asked_at = self.clock()
-        snapshot = await self.store.newest(
-            self.topic, timeout_s=CALL_TIMEOUT_S
-        )
+        snapshot = await self.store.newest(self.topic, timeout_s=CALL_TIMEOUT_S)
         if not isinstance(snapshot, Snapshot):
             return False
         gone = self.keys - {item.key for item in snapshot.items}
--- /dev/null
+++ b/packages/berylspread/src/berylspread/coordinator/dispatcher.py
@@ -0,0 +1,140 @@
+"""The passes that place waiting tasks, and the orders that follow."""
+
+import asyncio
+import functools
+from typing import TYPE_CHECKING, Final, final
+
+from berylspread.coordinator.fleet import Run, Stage
+from berylspread.coordinator.model import JobStatus, Phase, Step
+from berylspread.coordinator.planner import (
+    Placement,
+    StepPlan,
+    candidates,
+    urgency,
+)
+from berylspread.coordinator.records import job_key
+from berylspread.kernel.clock import now
+from berylspread.kernel.errors import Failure
+
+if TYPE_CHECKING:
+    from berylspread.coordinator.coordinator import Coordinator
+
+#: Passes are at least this far apart, so that one serves a batch of ends.
+PASS_GAP_S: Final = 0.01
+#: A pass is made at least this often: times come due without an event.
+PASS_EVERY_S: Final = 0.2
+#: Orders are sent only within this time of the last proof of authority.
+ORDER_GRACE_S: Final = 2.0
+#: How long the outcome of a job is kept for callers; past the platform's bound.
+KEEP_ENDED_MS: Final = 150_000
+
+
+@final
+class Dispatcher:
+    """Places what waits whenever something has changed."""
+
+    __slots__ = ('coordinator',)
+
+    def __init__(self, coordinator: 'Coordinator') -> None:
+        """Take the coordinator whose books are kept."""
+        self.coordinator = coordinator
+
+    async def run(self) -> None:
+        """Make passes until cancelled."""
+        wake = self.coordinator.wake
+        while True:
+            try:
+                async with asyncio.timeout(PASS_EVERY_S):
+                    await wake.wait()
+            except TimeoutError:
+                self._sweep()
+            wake.clear()
+            self._pass()
+            await asyncio.sleep(PASS_GAP_S)
+
+    def _sweep(self) -> None:
+        coordinator = self.coordinator
+        wall_ms = coordinator.wall_ms()
+        coordinator.table.release_due(wall_ms)
+        for job_id in coordinator.table.forget_ended(wall_ms - KEEP_ENDED_MS):
+            coordinator.committer.drop(job_key(job_id))
+        coordinator.forget_workers()
+
+    def _pass(self) -> None:
+        coordinator = self.coordinator
+        if not coordinator.has_authority(ORDER_GRACE_S):
+            return
+        moment = now()
+        workers = list(coordinator.workers.values())
+        ready = coordinator.table.ready
+        for step in sorted(ready.values(), key=urgency):
+            if not step.waiting:
+                ready.pop(step.name)
+                continue
+            coordinator.permits.consider(step, workers, moment)
+            limit = coordinator.usage.room(step)
+            choices = candidates(step, workers, moment) if limit else []
+            if choices:
+                self._book(step, StepPlan(step, choices).place(limit))
+
+    def _book(self, step: Step, placements: list[Placement]) -> None:
+        if not placements:
+            return
+        runs = [self._reserve(placement) for placement in placements]
+        if step.spec.gang:
+            _share_number(runs)
+        stored = self.coordinator.committer.step(step)
+        tickets = [placement.ticket for placement in placements]
+        stored.add_done_callback(functools.partial(self._send, runs, tickets))
+
+    def _reserve(self, placement: Placement) -> Run:
+        task, worker = placement.task, placement.worker
+        task.step.waiting.remove(task)
+        task.phase = Phase.placed
+        task.run += 1
+        task.worker = worker.name
+        task.started = True
+        job = task.step.job
+        if job.status is JobStatus.queued:
+            job.status = JobStatus.running
+        run = Run(task, worker, Stage.ordered, now())
+        worker.add(run)
+        self.coordinator.usage.add(task)
+        return run
+
+    def _send(
+        self,
+        runs: list[Run],
+        tickets: list[str],
+        stored: asyncio.Future[Failure | None],
+    ) -> None:
+        """Order the runs whose records are stored."""
+        if stored.cancelled() or stored.result() is not None:
+            return
+        for run, ticket in zip(runs, tickets, strict=True):
+            if run.worker.runs.get(run.task.name) is run:
+                self._order(run, ticket)
+
+    def _order(self, run: Run, ticket: str) -> None:
+        coordinator, job = self.coordinator, run.task.step.job
+        if job.status.is_final:
+            coordinator.lost(run, 'job-ended')
+            return
+        run.since = now()
+        coordinator.log.write(
+            'start',
+            task=run.task.name,
+            run=run.number,
+            worker=run.worker.name,
+            token=coordinator.token,
+            waited_ms=coordinator.wall_ms() - job.spec.accepted_ms,
+        )
+        coordinator.sessions[run.worker.name].start(run, ticket)
+
+
+def _share_number(runs: list[Run]) -> None:
+    # The members of a gang share the number of their run.
+    number = max(run.number for run in runs)
+    for run in runs:
+        run.number = number
+        run.task.run = number
--- a/packages/berylspread/src/berylspread/coordinator/fleet.py
+++ b/packages/berylspread/src/berylspread/coordinator/fleet.py
@@ -5,7 +5,7 @@
 
 from berylspread.coordinator.interface import WorkerEntry
 from berylspread.coordinator.model import Task
-from berylspread.model import Resources
+from berylspread.model import ZERO, Resources
 
 MS_PER_S: Final = 1000
 #: A worker's steady clock may run this much slow; the platform's figure.
@@ -14,6 +14,18 @@
 UNHEALTHY_S: Final = 1.5
 
 
+def absent_entry(worker: str) -> WorkerEntry:
+    """Return an entry for a worker that has none, as after a cut."""
+    return WorkerEntry(
+        worker=worker,
+        service='',
+        address='',
+        zone='',
+        is_ready=False,
+        capacity=ZERO,
+    )
+
+
 @final
 class Stage(enum.Enum):
     """How far an order to start a run has come."""
--- a/packages/berylspread/src/berylspread/coordinator/leadership.py
+++ b/packages/berylspread/src/berylspread/coordinator/leadership.py
@@ -138,9 +138,7 @@
 
     async def _load(self) -> bool:
         began = now()
-        snapshot = await self.store.newest(
-            self.topic, timeout_s=CALL_TIMEOUT_S
-        )
+        snapshot = await self.store.newest(self.topic, timeout_s=CALL_TIMEOUT_S)
         if not isinstance(snapshot, Snapshot):
             return False
         self.near_s = min(self.near_s, now() - began)
@@ -192,9 +190,7 @@
             self.log.write('leader-unreadable', reason=str(error))
             return
         if self.current is None or record.epoch != self.current.epoch:
-            self.log.write(
-                'leader', epoch=record.epoch, leader=record.node
-            )
+            self.log.write('leader', epoch=record.epoch, leader=record.node)
         self.current = record
         self.heard_at = now()
 
@@ -205,7 +201,7 @@
         epoch = self.current.epoch
         serving = asyncio.ensure_future(self.serve(epoch))
         renewing = asyncio.create_task(self._renew())
-        done, _ = await asyncio.wait(
+        await asyncio.wait(
             (serving, renewing), return_when=asyncio.FIRST_COMPLETED
         )
         for task in (serving, renewing):
--- a/packages/berylspread/src/berylspread/coordinator/model.py
+++ b/packages/berylspread/src/berylspread/coordinator/model.py
@@ -15,7 +15,7 @@
 
 @final
 class AdviceTerms(msgspec.Struct, frozen=True, array_like=True):
-    """What a permission request for a queue's steps costs, and how long it holds.
+    """What permission requests of a queue cost, and how long answers hold.
 
     All three are milliseconds; an answer takes ``base_ms`` and ``each_ms`` for
     every worker that the request names.
@@ -71,7 +71,9 @@
     def reserved(self) -> Resources:
         """Return what one task takes of a worker's capacity."""
         if self.fills:
-            return Resources(0, self.demand.memory_mib, self.demand.accelerators)
+            return Resources(
+                0, self.demand.memory_mib, self.demand.accelerators
+            )
         return self.demand
 
 
--- a/packages/berylspread/src/berylspread/coordinator/node.py
+++ b/packages/berylspread/src/berylspread/coordinator/node.py
@@ -1,4 +1,4 @@
-"""One node's part: follow the leader's record, coordinate when it is its turn."""
+"""One node's part: follow the leader's record, coordinate when chosen."""
 
 import asyncio
 from collections.abc import Callable
@@ -19,7 +19,7 @@
     Policies,
     Workers,
 )
-from berylspread.coordinator.leadership import Leadership, LeaderRecord
+from berylspread.coordinator.leadership import LeaderRecord, Leadership
 from berylspread.coordinator.messages import (
     AskBacklog,
     AskJobStatus,
--- a/packages/berylspread/src/berylspread/coordinator/policy.py
+++ b/packages/berylspread/src/berylspread/coordinator/policy.py
@@ -93,13 +93,13 @@
         self.configuration = configuration
         by_host: dict[str, list[QueueRoute]] = {}
         # The longest prefix is found first.
-        for route in sorted(
-            configuration.routes, key=lambda each: -len(each.path_prefix)
-        ):
+        for route in sorted(configuration.routes, key=_prefix, reverse=True):
             by_host.setdefault(route.host, []).append(route)
         self.by_host = by_host
         self.by_key = {
-            key: tenant for tenant in configuration.tenants for key in tenant.keys
+            key: tenant
+            for tenant in configuration.tenants
+            for key in tenant.keys
         }
         self.queues = {
             route.queue.name: route.queue for route in configuration.routes
@@ -154,3 +154,7 @@
         """Return a tenant's share when all is full."""
         found = self.tenants.get(tenant)
         return 1.0 if found is None else found.weight
+
+
+def _prefix(route: QueueRoute) -> int:
+    return len(route.path_prefix)
--- a/packages/berylspread/src/berylspread/coordinator/records.py
+++ b/packages/berylspread/src/berylspread/coordinator/records.py
@@ -19,7 +19,16 @@
 JOB_PREFIX: Final = 'j/'
 STEP_PREFIX: Final = 's/'
 
-TaskRow = tuple[int, int, str, int, str]
+
+@final
+class TaskRow(msgspec.Struct, frozen=True, array_like=True):
+    """A task of a step's record."""
+
+    phase: int
+    run: int
+    worker: str
+    failures: int
+    checkpoint: str
 
 
 @final
@@ -35,7 +44,7 @@
 
 @final
 class StepRecord(msgspec.Struct, frozen=True, array_like=True):
-    """The tasks of a step: phase, run, worker, failures and checkpoint."""
+    """The tasks of a step, by index."""
 
     tasks: list[TaskRow]
 
@@ -64,7 +73,7 @@
     return _encoder.encode(
         StepRecord(
             [
-                (
+                TaskRow(
                     int(task.phase),
                     task.run,
                     task.worker,
@@ -93,8 +102,11 @@
     step.waiting.clear()
     step.remaining = step.spec.count
     for task, row in zip(step.tasks, record.tasks, strict=True):
-        phase, task.run, task.worker, task.failures, task.checkpoint = row
-        task.phase = Phase(phase)
+        task.phase = Phase(row.phase)
+        task.run = row.run
+        task.worker = row.worker
+        task.failures = row.failures
+        task.checkpoint = row.checkpoint
         task.started = task.run > 0
         if task.phase is Phase.done:
             step.remaining -= 1
--- a/packages/berylspread/src/berylspread/coordinator/session.py
+++ b/packages/berylspread/src/berylspread/coordinator/session.py
@@ -6,7 +6,7 @@
 """
 
 import asyncio
-from collections.abc import Callable, Coroutine
+from collections.abc import Coroutine
 from typing import Any, Final, Protocol, final
 
 from berylspread.coordinator.decision_log import DecisionLog
@@ -33,6 +33,8 @@
 #: What a renewal asks for.  It outlasts a change of the coordinator, about two
 #: seconds, and bounds how long a lost worker's tasks wait.
 LEASE_MS: Final = 4000
+#: The same in seconds, of this and every earlier coordinator.
+LONGEST_LEASE_S: Final = LEASE_MS / 1000
 #: How long the worker may wait for an end before it answers a renewal.
 WAIT_MS: Final = 900
 #: The same while the outcome of an order is open.
@@ -91,7 +93,14 @@
 class Session:
     """Keeps one worker's leases and carries the orders to it."""
 
-    __slots__ = ('failures', 'owner', 'tasks', 'worker', 'workers')
+    __slots__ = (
+        'failures',
+        'owner',
+        'storing',
+        'tasks',
+        'worker',
+        'workers',
+    )
 
     def __init__(self, worker: Worker, workers: Workers, owner: Owner) -> None:
         """Take the worker's books; nothing is sent before ``run``."""
@@ -100,6 +109,8 @@
         self.owner = owner
         self.tasks: set[asyncio.Task[None]] = set()
         self.failures = 0
+        #: Done once every end that was noted is stored.
+        self.storing: asyncio.Future[Failure | None] | None = None
 
     async def run(self) -> None:
         """Renew the leases and fetch ends until the worker is gone."""
@@ -198,7 +209,8 @@
         if not report.more:
             self._settle_missing(listed, sent_at)
         self.owner.observed(worker)
-        await self._acknowledge(report.ended, stored)
+        self.storing = stored or self.storing
+        await self._acknowledge(report.ended)
         if report.ended:
             await asyncio.sleep(GATHER_S)
 
@@ -228,14 +240,9 @@
             run = self.worker.runs.get(row.task)
             if run is None or run.number != row.run:
                 self._spawn(self._stop_stray(row))
-                continue
-            listed.add(row.task)
-            run.percent, run.figure = row.percent, row.figure
-            if row.checkpoint:
-                run.task.checkpoint = row.checkpoint
-            if run.answered_at is None:
-                run.answered_at = now()
-            run.stage = Stage.running
+            else:
+                listed.add(row.task)
+                _refresh(run, row)
         return listed
 
     def _settle_missing(self, listed: set[str], sent_at: float) -> None:
@@ -244,27 +251,30 @@
                 self._settle(run, sent_at)
 
     def _settle(self, run: Run, sent_at: float) -> None:
-        if run.stage is Stage.inherited:
-            # The report was asked for with a higher token than the order had.
+        """Decide on a run that a report asked for at ``sent_at`` omits."""
+        # An inherited run's order bore a lower token than the report's request.
+        if run.stage is Stage.inherited or _before(run.answered_at, sent_at):
             self.owner.lost(run, GONE)
-        elif run.poisoned_at is not None and run.poisoned_at <= sent_at:
+        elif _before(run.poisoned_at, sent_at):
             self.owner.lost(run, NEVER_BEGAN)
-        elif run.answered_at is not None and run.answered_at <= sent_at:
-            self.owner.lost(run, GONE)
         elif run.stage is Stage.uncertain and run.since <= sent_at:
             self.stop(run, 'unanswered')
 
     async def _acknowledge(
         self,
         rows: list[EndedRow],
-        stored: asyncio.Future[Failure | None] | None,
     ) -> None:
         if not rows:
             return
-        if stored is not None:
-            done, _ = await asyncio.wait((stored,), timeout=STORE_PATIENCE_S)
-            if not done or stored.result() is not None:
+        if self.storing is not None:
+            # Also for ends that an earlier report listed: they are not stored
+            # before this future is done.
+            done, _ = await asyncio.wait(
+                (self.storing,), timeout=STORE_PATIENCE_S
+            )
+            if not done or self.storing.result() is not None:
                 return
+            self.storing = None
         self.worker.acked = max(row.number for row in rows)
 
     async def _start(self, run: Run, ticket: str) -> None:
@@ -362,4 +372,15 @@
         task.add_done_callback(self.tasks.discard)
 
 
-SessionFactory = Callable[[Worker], Session]
+def _refresh(run: Run, row: RunningRow) -> None:
+    run.percent = row.percent
+    run.figure = row.figure
+    if row.checkpoint:
+        run.task.checkpoint = row.checkpoint
+    if run.answered_at is None:
+        run.answered_at = now()
+    run.stage = Stage.running
+
+
+def _before(moment: float | None, limit: float) -> bool:
+    return moment is not None and moment <= limit
--- a/packages/berylspread/src/berylspread/coordinator/table.py
+++ b/packages/berylspread/src/berylspread/coordinator/table.py
@@ -73,13 +73,12 @@
             if item.key.startswith(STEP_PREFIX):
                 steps[item.key.removeprefix(STEP_PREFIX)] = item.blob
             elif item.key.startswith(JOB_PREFIX):
-                self._restore_job(
-                    item.key.removeprefix(JOB_PREFIX), item.blob
-                )
+                self._restore_job(item.key.removeprefix(JOB_PREFIX), item.blob)
         for job in self.jobs.values():
             for step in job.steps.values():
-                if step.name in steps:
-                    restore_step(step, steps[step.name])
+                blob = steps.get(step.name)
+                if blob is not None:
+                    restore_step(step, blob)
             _restore_status(job)
             self.refresh(job, wall_ms)
 
@@ -130,9 +129,9 @@
         """Yield the tasks that have a run which may be under way."""
         for job in self.jobs.values():
             for step in job.steps.values():
-                for task in step.tasks:
-                    if task.phase is Phase.placed:
-                        yield task
+                yield from (
+                    task for task in step.tasks if task.phase is Phase.placed
+                )
 
     def backlog(self, queue: str, wall_ms: float) -> int:
         """Return how many jobs of a queue are due and have not begun."""
@@ -164,7 +163,5 @@
 
 
 def _restore_status(job: Job) -> None:
-    if any(
-        task.started for step in job.steps.values() for task in step.tasks
-    ):
+    if any(task.started for step in job.steps.values() for task in step.tasks):
         job.status = JobStatus.running
