Count a job as begun only when a worker has confirmed a run of it

Besides: a run whose order has no outcome is given up after 3 s, a fault in one worker's conversation no longer ends it, and only running tasks count against a step's limit for a worker.

--- a/packages/berylspread/src/berylspread/coordinator/coordinator.py
+++ b/packages/berylspread/src/berylspread/coordinator/coordinator.py
@@ -47,6 +47,8 @@
 #: After an earlier coordinator, how long its leases may still last on a worker
 #: that does not answer: its own grace, the longest lease and the slowest clock.
 INHERITED_S: Final = AUTHORITY_S + LONGEST_LEASE_S / SLOWEST_CLOCK
+#: Pause after a fault in the conversation with a worker.
+RETRY_S: Final = 0.2
 MS: Final = 1000
 
 DecodeEntry = Callable[[KeyedItem], WorkerEntry | None]
@@ -336,12 +338,25 @@
     async def _converse(self, session: Session) -> None:
         name = session.worker.name
         try:
-            await session.run()
+            await self._converse_safely(session)
         finally:
             session.close()
             if self.sessions.get(name) is session:
                 del self.sessions[name]
 
+    async def _converse_safely(self, session: Session) -> None:
+        while True:
+            try:
+                return await session.run()
+            except Exception as error:  # noqa: BLE001
+                # The books of one worker must not stop for one bad report.
+                self.log.write(
+                    'session-failed',
+                    worker=session.worker.name,
+                    error=repr(error),
+                )
+                await asyncio.sleep(RETRY_S)
+
     def _spawn(self, work: Any) -> asyncio.Task[Any]:
         task = asyncio.create_task(work)
         self.tasks.add(task)
--- a/packages/berylspread/src/berylspread/coordinator/dispatcher.py
+++ b/packages/berylspread/src/berylspread/coordinator/dispatcher.py
@@ -5,7 +5,7 @@
 from typing import TYPE_CHECKING, Final, final
 
 from berylspread.coordinator.fleet import Run, Stage
-from berylspread.coordinator.model import JobStatus, Phase, Step
+from berylspread.coordinator.model import Phase, Step
 from berylspread.coordinator.planner import (
     Placement,
     StepPlan,
@@ -94,9 +94,6 @@
         task.run += 1
         task.worker = worker.name
         task.started = True
-        job = task.step.job
-        if job.status is JobStatus.queued:
-            job.status = JobStatus.running
         run = Run(task, worker, Stage.ordered, now())
         worker.add(run)
         self.coordinator.usage.add(task)
--- a/packages/berylspread/src/berylspread/coordinator/fleet.py
+++ b/packages/berylspread/src/berylspread/coordinator/fleet.py
@@ -4,7 +4,7 @@
 from typing import Final, final
 
 from berylspread.coordinator.interface import WorkerEntry
-from berylspread.coordinator.model import Task
+from berylspread.coordinator.model import JobStatus, Task
 from berylspread.model import ZERO, Resources
 
 MS_PER_S: Final = 1000
@@ -76,6 +76,13 @@
         self.figure = 0
         self.pace = 100
 
+    def begin(self) -> None:
+        """Note that the worker has confirmed the run."""
+        self.stage = Stage.running
+        job = self.task.step.job
+        if job.status is JobStatus.queued:
+            job.status = JobStatus.running
+
 
 @final
 class WorkerClock:
--- a/packages/berylspread/src/berylspread/coordinator/planner.py
+++ b/packages/berylspread/src/berylspread/coordinator/planner.py
@@ -11,7 +11,7 @@
 
 from berylspread.coordinator.fleet import Worker
 from berylspread.coordinator.interface import Policies
-from berylspread.coordinator.model import Step, Task
+from berylspread.coordinator.model import Phase, Step, Task
 from berylspread.model import ZERO, Resources
 
 #: Workers whose recent runs failed more often than this are the last choice.
@@ -118,7 +118,7 @@
         self.choices = choices
         self.free = {worker.name: worker.free for worker, _ in choices}
         self.on_worker = collections.Counter(
-            task.worker for task in step.tasks if task.worker
+            task.worker for task in step.tasks if task.phase is Phase.placed
         )
 
     def place(self, limit: int) -> list[Placement]:
--- a/packages/berylspread/src/berylspread/coordinator/session.py
+++ b/packages/berylspread/src/berylspread/coordinator/session.py
@@ -45,6 +45,9 @@
 #: shorter than the time by which orders have been seen to be delayed.
 START_VALID_MS: Final = 1800
 RETRY_S: Final = 0.2
+#: A run whose order has no outcome by then is given up; an order has its own
+#: time limit well below this.
+ORDER_LIMIT_S: Final = 3.0
 #: A stop is repeated if its run is still listed after this time; a worker needs
 #: up to 400 ms.
 STOP_REPEAT_S: Final = 0.8
@@ -231,6 +234,7 @@
             if row.number <= self.worker.acked or run is None:
                 continue
             if run.number == row.run:
+                run.begin()
                 stored = self.owner.ended(run, row.outcome, row.checkpoint)
         return stored
 
@@ -259,6 +263,9 @@
             self.owner.lost(run, NEVER_BEGAN)
         elif run.stage is Stage.uncertain and run.since <= sent_at:
             self.stop(run, 'unanswered')
+        elif run.since + ORDER_LIMIT_S <= sent_at:
+            # Its record is still being stored, or its order has failed here.
+            self.stop(run, 'not-ordered')
 
     async def _acknowledge(
         self,
@@ -294,7 +301,7 @@
             return
         if isinstance(reply, int):
             run.answered_at = now()
-            run.stage = Stage.running
+            run.begin()
         elif isinstance(reply, OrderRefused):
             self._refused(run, str(reply.fields.get('cause')))
         elif reply.fields.get('sent') is False:
@@ -379,7 +386,7 @@
         run.task.checkpoint = row.checkpoint
     if run.answered_at is None:
         run.answered_at = now()
-    run.stage = Stage.running
+    run.begin()
 
 
 def _before(moment: float | None, limit: float) -> bool:
