--- a/packages/berylspread/src/berylspread/coordinator/table.py
+++ b/packages/berylspread/src/berylspread/coordinator/table.py
@@ -163,5 +163,10 @@
 
 
 def _restore_status(job: Job) -> None:
-    if any(task.started for step in job.steps.values() for task in step.tasks):
+    # A run that is only placed may never have begun; its worker will tell.
+    if any(
+        task.phase is Phase.done or task.failures
+        for step in job.steps.values()
+        for task in step.tasks
+    ):
         job.status = JobStatus.running
