Let steps without a schedule run at once; shield shared futures

Besides, a request that ran into its time limit cancelled the future of its append, which other requests and orders waited for.

--- /dev/null
+++ b/packages/berylspread-standins/src/berylspread_standins/coordinated/fleet.py
@@ -0,0 +1,223 @@
+"""Nodes that coordinate, the store and the workers, in one process."""
+
+import asyncio
+import json
+import random
+from typing import Final, final
+
+import msgspec
+
+from berylspread.coordinator import (
+    Clients,
+    CoordinatingNode,
+    DecisionLog,
+    Topics,
+)
+from berylspread.coordinator.interface import KeyedItem, WorkerEntry
+from berylspread.coordinator.model import JobSpec, Queue, StepSpec
+from berylspread.coordinator.policy import (
+    Configuration,
+    PolicyBoard,
+    QueueRoute,
+    Tenant,
+)
+from berylspread.kernel.clock import WallClock, now
+from berylspread.model import Resources
+from berylspread_standins.coordinated.advisor import AdvisorStandin
+from berylspread_standins.coordinated.store import StoreStandin, StoreView
+from berylspread_standins.coordinated.worker import (
+    RunLog,
+    WorkerPool,
+    WorkerStandin,
+)
+from berylspread_standins.network import Endpoint
+from berylspread_standins.peer_network import PeerNetwork
+
+TOPICS: Final = Topics('jobs', 'leader', 'workers', 'config')
+CAPACITY: Final = Resources(8000, 16_000)
+TASK: Final = Resources(1000, 1000)
+QUEUE: Final = Queue('q', 'desk', max_attempts=2)
+KEY_TRUST_S: Final = 4.0
+FAR_S: Final = 0.02
+
+
+@final
+class NodeStandin:
+    """One node: its way to the store, its clients and its main task."""
+
+    __slots__ = ('board', 'log', 'name', 'node', 'pool', 'task', 'view')
+
+    def __init__(
+        self,
+        name: str,
+        node: CoordinatingNode,
+        view: StoreView,
+        pool: WorkerPool,
+    ) -> None:
+        """Keep the parts."""
+        self.name = name
+        self.node = node
+        self.view = view
+        self.pool = pool
+        self.task = asyncio.create_task(node.run())
+
+
+@final
+class CoordinatedFleet:
+    """A small cell whose faults a test injects."""
+
+    __slots__ = (
+        'advisor',
+        'lines',
+        'nodes',
+        'peers',
+        'store',
+        'wall',
+        'work',
+        'workers',
+    )
+
+    def __init__(self, workers: int, seed: int = 1) -> None:
+        """Start the workers; nodes are started one by one."""
+        self.store = StoreStandin()
+        self.advisor = AdvisorStandin()
+        self.peers = PeerNetwork(random.Random(seed))
+        self.nodes: dict[str, NodeStandin] = {}
+        self.wall = WallClock(1_700_000_000.0)
+        #: Seconds of work and outcome by task; others take a second.
+        self.work: dict[str, tuple[float, str]] = {}
+        self.lines: list[dict[str, object]] = []
+        self.workers = {
+            f'w{index}': WorkerStandin(_entry(f'w{index}'), self.script)
+            for index in range(workers)
+        }
+        for worker in self.workers.values():
+            self.publish(worker.entry)
+
+    def script(self, task: str) -> tuple[float, str]:
+        """Return how a task's next run goes."""
+        return self.work.get(task, (1.0, 'done'))
+
+    def publish(self, entry: WorkerEntry) -> None:
+        """Write a worker's entry to the store."""
+        self.store.append(
+            TOPICS.workers, [(entry.worker, msgspec.msgpack.encode(entry))]
+        )
+
+    def withdraw(self, worker: str) -> None:
+        """Remove a worker's entry."""
+        self.store.append(TOPICS.workers, [(worker, b'')])
+
+    def start_node(
+        self, name: str, *, is_far: bool = False, queue: Queue = QUEUE
+    ) -> NodeStandin:
+        """Start a node, or start it again."""
+        view = StoreView(self.store, far_s=FAR_S if is_far else 0.0)
+        pool = WorkerPool(self.workers)
+        peers = self.peers.start(Endpoint(name, 'r', 'z'))
+        board = PolicyBoard(now, KEY_TRUST_S)
+        board.take(_configuration(queue))
+        clients = Clients(
+            view,
+            pool,
+            self.advisor,
+            board,
+            _decode,
+            wall=self.wall,
+            authority_clock=now,
+        )
+        node = CoordinatingNode(
+            peers.ref, name, clients, TOPICS, _MemoryLog.make(name, self.lines)
+        )
+        node.join(peers)
+        self.nodes[name] = NodeStandin(name, node, view, pool)
+        return self.nodes[name]
+
+    def kill(self, name: str) -> None:
+        """End a node's process at once."""
+        standin = self.nodes.pop(name)
+        standin.task.cancel()
+        if standin.node.service is not None:
+            standin.node.service.coordinator.close()
+        self.peers.stop(name)
+
+    def leader(self) -> str | None:
+        """Return the node that coordinates, if exactly one says so."""
+        leaders = [
+            name
+            for name, standin in self.nodes.items()
+            if standin.node.service is not None
+        ]
+        return leaders[0] if len(leaders) == 1 else None
+
+    def runs(self, task: str = '') -> list[RunLog]:
+        """Return the runs that workers saw, oldest first."""
+        found = [
+            log
+            for worker in self.workers.values()
+            for log in worker.history
+            if not task or log.task == task
+        ]
+        return sorted(found, key=lambda log: log.started_at)
+
+    def events(self, event: str) -> list[dict[str, object]]:
+        """Return the lines that the nodes logged for an event."""
+        return [line for line in self.lines if line['event'] == event]
+
+
+class _MemoryLog:
+    """Makes decision logs that keep their lines."""
+
+    @staticmethod
+    def make(node: str, lines: list[dict[str, object]]) -> DecisionLog:
+        """Return a log whose lines are appended to a list."""
+
+        def emit(line: bytes) -> None:
+            lines.append(json.loads(line))
+
+        return DecisionLog(node, emit=emit)
+
+
+def job(
+    job_id: str,
+    *steps: StepSpec,
+    queue: Queue = QUEUE,
+    tenant: str = 'acme',
+) -> JobSpec:
+    """Return a job; without steps it has one of a single task."""
+    return JobSpec(
+        job_id=job_id,
+        queue=queue,
+        tenant=tenant,
+        payload='payload',
+        steps=steps or (StepSpec(1, TASK, estimate_ms=1000),),
+        accepted_ms=int(now()),
+    )
+
+
+def _configuration(queue: Queue) -> Configuration:
+    return Configuration(
+        version=1,
+        routes=(QueueRoute('host', '/q/', queue),),
+        tenants=(
+            Tenant('acme', ('key',), 1.0, Resources()),
+            Tenant('capped', ('key-2',), 1.0, Resources(2000, 0)),
+        ),
+    )
+
+
+def _entry(name: str) -> WorkerEntry:
+    return WorkerEntry(
+        worker=name,
+        service='desk',
+        address=name,
+        zone='z',
+        is_ready=True,
+        capacity=CAPACITY,
+        rack='r1',
+        born_ms=1,
+    )
+
+
+def _decode(item: KeyedItem) -> WorkerEntry | None:
+    return msgspec.msgpack.decode(item.blob, type=WorkerEntry)
--- /dev/null
+++ b/packages/berylspread-standins/src/berylspread_standins/coordinated/store.py
@@ -0,0 +1,211 @@
+"""The platform's keyed store: offsets, epochs, repeats and newest records."""
+
+import asyncio
+import collections
+from typing import Final, final
+
+from berylspread.coordinator.interface import (
+    Appended,
+    Batch,
+    KeyedItem,
+    Producer,
+    Record,
+    Snapshot,
+    StoreRejected,
+)
+from berylspread.kernel.errors import Failure, LogGap, LogUnavailable
+
+#: A repeat of one of this many newest appends gets its first answer again.
+REMEMBERED: Final = 5
+
+
+@final
+class _Fence:
+    """What a topic remembers of one producer."""
+
+    __slots__ = ('answers', 'epoch', 'seq')
+
+    def __init__(self) -> None:
+        self.epoch = 0
+        self.seq = 0
+        self.answers: collections.OrderedDict[int, Appended] = (
+            collections.OrderedDict()
+        )
+
+
+@final
+class _Topic:
+    """Records in order, and the offset of the oldest that is retained."""
+
+    __slots__ = ('fences', 'first', 'grown', 'records')
+
+    def __init__(self) -> None:
+        self.records: list[Record] = []
+        self.fences: dict[str, _Fence] = {}
+        self.first = 0
+        self.grown = asyncio.Event()
+
+
+@final
+class StoreStandin:
+    """The state of the store, which all nodes' views share."""
+
+    __slots__ = ('answer_s', 'is_down', 'topics')
+
+    def __init__(self, *, answer_s: float = 0.004) -> None:
+        """Start empty; an answer takes ``answer_s`` seconds."""
+        self.answer_s = answer_s
+        self.is_down = False
+        self.topics: dict[str, _Topic] = {}
+
+    def topic(self, name: str) -> _Topic:
+        """Return a topic, created on first use."""
+        return self.topics.setdefault(name, _Topic())
+
+    def append(
+        self,
+        name: str,
+        records: list[Record],
+        producer: Producer | None = None,
+        at: int | None = None,
+    ) -> Appended | StoreRejected:
+        """Append by the store's rules, at once."""
+        topic = self.topic(name)
+        if at is not None and at != len(topic.records):
+            return StoreRejected('the topic has grown', end=len(topic.records))
+        if producer is not None:
+            fence = topic.fences.setdefault(producer.name, _Fence())
+            known = _check(fence, producer)
+            if known is not None:
+                return known
+        offset = len(topic.records)
+        topic.records.extend(records)
+        appended = Appended(offset, len(topic.records))
+        if producer is not None:
+            _remember(topic.fences[producer.name], producer, appended)
+        topic.grown.set()
+        topic.grown = asyncio.Event()
+        return appended
+
+    def newest(self, name: str) -> Snapshot:
+        """Return the newest record of each key that has a value."""
+        topic = self.topic(name)
+        newest = {
+            key: KeyedItem(key, blob, offset)
+            for offset, (key, blob) in enumerate(topic.records)
+        }
+        return Snapshot(
+            [item for item in newest.values() if item.blob],
+            len(topic.records),
+        )
+
+    def forget(self, name: str) -> None:
+        """Drop the history of a topic; the newest records stay."""
+        topic = self.topic(name)
+        topic.first = len(topic.records)
+
+
+@final
+class StoreView:
+    """One node's way to the store; implements ``KeyedStore``.
+
+    ``is_cut`` loses its calls; ``lose_answers`` counts appends that are done
+    and not answered.
+    """
+
+    __slots__ = ('far_s', 'is_cut', 'lose_answers', 'store')
+
+    def __init__(self, store: StoreStandin, *, far_s: float = 0.0) -> None:
+        """Reach the store with ``far_s`` seconds more each time."""
+        self.store = store
+        self.far_s = far_s
+        self.is_cut = False
+        self.lose_answers = 0
+
+    async def append(
+        self,
+        topic: str,
+        records: list[Record],
+        *,
+        producer: Producer | None = None,
+        at: int | None = None,
+        timeout_s: float,
+    ) -> Appended | Failure:
+        """Append after the way there; see ``KeyedStore``."""
+        failure = await self._travel(timeout_s)
+        if failure is not None:
+            return failure
+        reply = self.store.append(topic, records, producer, at)
+        if self.lose_answers > 0:
+            self.lose_answers -= 1
+            await asyncio.sleep(timeout_s)
+            return LogUnavailable('the answer was lost')
+        return reply
+
+    async def newest(
+        self, topic: str, *, timeout_s: float
+    ) -> Snapshot | Failure:
+        """Return the newest records."""
+        failure = await self._travel(timeout_s)
+        return failure or self.store.newest(topic)
+
+    async def follow(
+        self, topic: str, offset: int, *, wait_s: float, timeout_s: float
+    ) -> Batch | Failure:
+        """Return records from an offset on, or none after the wait."""
+        failure = await self._travel(timeout_s)
+        if failure is not None:
+            return failure
+        found = self.store.topic(topic)
+        if offset < found.first:
+            return LogGap('records are no longer retained')
+        if offset >= len(found.records):
+            await self._wait_for_growth(topic, wait_s)
+        return Batch(
+            [
+                KeyedItem(key, blob, offset + index)
+                for index, (key, blob) in enumerate(found.records[offset:])
+            ],
+            len(found.records),
+        )
+
+    async def _wait_for_growth(self, topic: str, wait_s: float) -> None:
+        try:
+            async with asyncio.timeout(wait_s):
+                await self.store.topic(topic).grown.wait()
+        except TimeoutError:
+            # An empty batch tells the caller.
+            return
+
+    async def _travel(self, timeout_s: float) -> LogUnavailable | None:
+        if self.is_cut:
+            await asyncio.sleep(timeout_s)
+            return LogUnavailable('no answer')
+        await asyncio.sleep(self.store.answer_s + self.far_s)
+        if self.store.is_down:
+            return LogUnavailable('status 503', done=False)
+        return None
+
+
+def _check(
+    fence: _Fence, producer: Producer
+) -> Appended | StoreRejected | None:
+    if producer.epoch < fence.epoch:
+        return StoreRejected('fenced')
+    if producer.epoch > fence.epoch:
+        return None
+    if producer.seq in fence.answers:
+        return fence.answers[producer.seq]
+    if producer.seq != fence.seq + 1:
+        return StoreRejected('seq', expected=fence.seq + 1)
+    return None
+
+
+def _remember(fence: _Fence, producer: Producer, appended: Appended) -> None:
+    if producer.epoch > fence.epoch:
+        fence.epoch = producer.epoch
+        fence.answers.clear()
+    fence.seq = producer.seq
+    fence.answers[producer.seq] = appended
+    while len(fence.answers) > REMEMBERED:
+        fence.answers.popitem(last=False)
--- /dev/null
+++ b/packages/berylspread-standins/src/berylspread_standins/coordinated/worker.py
@@ -0,0 +1,309 @@
+"""A worker that fences orders, holds leases on its own clock and lists ends."""
+
+import asyncio
+import collections
+from collections.abc import Callable
+from typing import Any, Final, final
+
+from berylspread.coordinator.interface import (
+    LATE,
+    STALE_FENCE,
+    STALE_RUN,
+    EndedRow,
+    OrderRefused,
+    Renewal,
+    RunningRow,
+    StartOrder,
+    WorkerEntry,
+    WorkerReport,
+)
+from berylspread.kernel.clock import now
+from berylspread.kernel.errors import Failure, WorkerUnreachable
+from berylspread_standins.exchange import detach
+
+MS: Final = 1000
+#: One way between a node and a worker, in seconds.
+WAY_S: Final = 0.001
+#: A client's time limit, in seconds.
+TIMEOUT_S: Final = 0.8
+STOP_S: Final = 0.2
+#: The longest lease that a worker grants, in ms.
+HOLD_MAX_MS: Final = 6000
+
+#: How a run goes: seconds of work and outcome, by task name.
+Script = Callable[[str], tuple[float, str]]
+
+
+@final
+class RunLog:
+    """One run as the worker saw it; ``ended_at`` is ``None`` while it runs."""
+
+    __slots__ = ('ended_at', 'outcome', 'run', 'started_at', 'task', 'worker')
+
+    def __init__(self, worker: str, task: str, run: int) -> None:
+        """Begin now."""
+        self.worker = worker
+        self.task = task
+        self.run = run
+        self.started_at = now()
+        self.ended_at: float | None = None
+        self.outcome = ''
+
+
+@final
+class WorkerStandin:
+    """One worker; its faults are attributes that a test sets.
+
+    ``is_cut`` loses calls before they arrive.  ``mute`` counts orders that are
+    carried out and not answered, ``delay_s`` is how late those are.
+    """
+
+    __slots__ = (
+        'acked',
+        'delay_s',
+        'ended',
+        'entry',
+        'events',
+        'highest',
+        'history',
+        'is_cut',
+        'lease_until_ms',
+        'mute',
+        'number',
+        'poisoned',
+        'refuse_as',
+        'running',
+        'script',
+        'timers',
+        'token',
+    )
+
+    def __init__(self, entry: WorkerEntry, script: Script) -> None:
+        """Start empty."""
+        self.entry = entry
+        self.script = script
+        self.history: list[RunLog] = []
+        self.is_cut = False
+        self.mute = 0
+        self.delay_s = 0.0
+        self.refuse_as = ''
+        self.events: collections.Counter[str] = collections.Counter()
+        self._forget()
+
+    def restart(self) -> None:
+        """Lose everything and begin another life under the same id."""
+        for name in list(self.running):
+            self._end(name, 'crashed')
+        self._forget()
+        self.entry = _reborn(self.entry)
+
+    async def start(self, order: StartOrder) -> int | Failure:
+        """Take an order to start."""
+        return await self._exchange(lambda: self._start(order))
+
+    async def stop(self, task: str, run: int, token: int) -> int | Failure:
+        """Take an order to stop."""
+        return await self._exchange(lambda: self._stop(task, run, token))
+
+    async def renew(self, renewal: Renewal) -> WorkerReport | Failure:
+        """Renew the leases; answer at an end or after the wait."""
+        if self.is_cut:
+            return await self._lost()
+        await asyncio.sleep(WAY_S)
+        if renewal.token < self.token:
+            return OrderRefused('fence', cause=STALE_FENCE)
+        self.token = renewal.token
+        self._hold(renewal.until_ms)
+        self.ended = [row for row in self.ended if row.number > renewal.acked]
+        self.acked = max(self.acked, renewal.acked)
+        await self._wait(renewal.wait_ms / MS)
+        if self.is_cut:
+            return await self._lost()
+        await asyncio.sleep(WAY_S)
+        return WorkerReport(
+            clock_ms=self.clock_ms(),
+            born_ms=self.entry.born_ms,
+            running=[
+                RunningRow(name, log.run, '', 0)
+                for name, log in self.running.items()
+            ],
+            ended=list(self.ended),
+        )
+
+    def clock_ms(self) -> int:
+        """Return the worker's steady clock."""
+        return int(now() * MS) + MS
+
+    def _forget(self) -> None:
+        self.token = 0
+        self.number = 0
+        self.acked = 0
+        self.lease_until_ms = 0
+        self.running: dict[str, RunLog] = {}
+        self.ended: list[EndedRow] = []
+        self.poisoned: dict[str, int] = {}
+        self.timers: dict[str, asyncio.Task[Any]] = {}
+        self.highest: dict[str, int] = {}
+
+    async def _exchange(
+        self, carry_out: Callable[[], int | Failure]
+    ) -> int | Failure:
+        if self.is_cut:
+            return await self._lost()
+        await asyncio.sleep(WAY_S)
+        if self.mute > 0:
+            self.mute -= 1
+            detach(self._carry_out_late(carry_out, self.delay_s))
+            return await self._lost()
+        reply = carry_out()
+        await asyncio.sleep(WAY_S)
+        return reply
+
+    async def _carry_out_late(
+        self, carry_out: Callable[[], int | Failure], delay_s: float
+    ) -> None:
+        await asyncio.sleep(delay_s)
+        carry_out()
+
+    async def _lost(self) -> Failure:
+        await asyncio.sleep(TIMEOUT_S)
+        return WorkerUnreachable('no answer', sent=True)
+
+    def _start(self, order: StartOrder) -> int | Failure:
+        cause = self._refusal(order)
+        if cause:
+            self.events[cause] += 1
+            return OrderRefused(cause, cause=cause)
+        self.token = order.token
+        known = self.running.get(order.task)
+        if known is not None:
+            return self.clock_ms()
+        self._hold(order.until_ms)
+        log = RunLog(self.entry.worker, order.task, order.run)
+        self.running[order.task] = log
+        self.history.append(log)
+        self.timers[order.task] = detach(self._work(order.task))
+        return self.clock_ms()
+
+    def _refusal(self, order: StartOrder) -> str:
+        if self.refuse_as:
+            return self.refuse_as
+        if order.token < self.token:
+            return STALE_FENCE
+        if order.until_ms < self.clock_ms():
+            return LATE
+        known = self.running.get(order.task)
+        if known is not None and known.run == order.run:
+            return ''
+        if order.run <= self.poisoned.get(order.task, 0):
+            return STALE_RUN
+        return ''
+
+    def _stop(self, task: str, run: int, token: int) -> int | Failure:
+        if token < self.token:
+            return OrderRefused('fence', cause=STALE_FENCE)
+        self.token = token
+        self.poisoned[task] = max(self.poisoned.get(task, 0), run)
+        log = self.running.get(task)
+        if log is not None and log.run <= run:
+            detach(self._end_later(task, log))
+        return self.clock_ms()
+
+    async def _end_later(self, task: str, log: RunLog) -> None:
+        await asyncio.sleep(STOP_S)
+        if self.running.get(task) is log:
+            self._end(task, 'stopped')
+
+    async def _work(self, task: str) -> None:
+        work_s, outcome = self.script(task)
+        log = self.running[task]
+        finished_at = now() + work_s
+        while now() < finished_at and self.running.get(task) is log:
+            lease_s = (self.lease_until_ms - self.clock_ms()) / MS
+            if lease_s <= 0:
+                self._end(task, 'lapsed')
+                return
+            await asyncio.sleep(min(lease_s, finished_at - now()))
+        if self.running.get(task) is log:
+            self._end(task, outcome)
+
+    def _end(self, task: str, outcome: str) -> None:
+        log = self.running.pop(task)
+        log.ended_at = now()
+        log.outcome = outcome
+        self.number += 1
+        self.poisoned[task] = max(self.poisoned.get(task, 0), log.run)
+        self.ended.append(EndedRow(self.number, task, log.run, outcome, ''))
+
+    def _hold(self, until_ms: int) -> None:
+        longest = self.clock_ms() + HOLD_MAX_MS
+        self.lease_until_ms = max(self.lease_until_ms, min(until_ms, longest))
+
+    async def _wait(self, wait_s: float) -> None:
+        ends_at = now() + wait_s
+        while now() < ends_at and not self.ended:
+            await asyncio.sleep(min(WAY_S, max(ends_at - now(), 0)))
+
+
+@final
+class WorkerPool:
+    """Calls to the workers by entry; implements ``Workers``."""
+
+    __slots__ = ('by_name', 'is_cut')
+
+    def __init__(self, by_name: dict[str, WorkerStandin]) -> None:
+        """Take the workers; ``is_cut`` loses one node's calls."""
+        self.by_name = by_name
+        self.is_cut = False
+
+    async def start(
+        self, entry: WorkerEntry, order: StartOrder
+    ) -> int | Failure:
+        """Order a start."""
+        worker = self._find(entry)
+        return await (worker.start(order) if worker else _unreachable())
+
+    async def stop(
+        self, entry: WorkerEntry, task: str, run: int, token: int
+    ) -> int | Failure:
+        """Order a stop."""
+        worker = self._find(entry)
+        return await (
+            worker.stop(task, run, token) if worker else _unreachable()
+        )
+
+    async def renew(
+        self, entry: WorkerEntry, renewal: Renewal
+    ) -> WorkerReport | Failure:
+        """Renew the leases."""
+        worker = self._find(entry)
+        return await (worker.renew(renewal) if worker else _unreachable())
+
+    async def pace(
+        self, entry: WorkerEntry, task: str, run: int, percent: int, token: int
+    ) -> int | Failure:
+        """Set a run's pace; nothing here depends on it."""
+        worker = self._find(entry)
+        return WorkerUnreachable('none') if worker is None else 0
+
+    def _find(self, entry: WorkerEntry) -> WorkerStandin | None:
+        return None if self.is_cut else self.by_name.get(entry.worker)
+
+
+async def _unreachable() -> Failure:
+    await asyncio.sleep(TIMEOUT_S)
+    return WorkerUnreachable('no answer', sent=True)
+
+
+def _reborn(entry: WorkerEntry) -> WorkerEntry:
+    return WorkerEntry(
+        worker=entry.worker,
+        service=entry.service,
+        address=entry.address,
+        zone=entry.zone,
+        is_ready=entry.is_ready,
+        capacity=entry.capacity,
+        rack=entry.rack,
+        labels=entry.labels,
+        born_ms=entry.born_ms + 1,
+    )
--- a/packages/berylspread/src/berylspread/coordinator/committer.py
+++ b/packages/berylspread/src/berylspread/coordinator/committer.py
@@ -181,6 +181,16 @@
         return self.deposed
 
 
+async def stored_by(
+    stored: asyncio.Future[Failure | None],
+) -> Failure | None:
+    """Wait for a change to be stored; return why it was not.
+
+    Many wait for one future: a waiter that is cancelled must not cancel it.
+    """
+    return await asyncio.shield(stored)
+
+
 def _chunks(records: list[Record]) -> list[list[Record]]:
     chunks: list[list[Record]] = [[]]
     size = 0
--- a/packages/berylspread/src/berylspread/coordinator/decision_log.py
+++ b/packages/berylspread/src/berylspread/coordinator/decision_log.py
@@ -3,6 +3,7 @@
 import json
 import os
 import time
+from collections.abc import Callable
 from typing import Any, Final, final
 
 #: Lines a second above which the rest of a kind of event is only counted.
@@ -10,29 +11,41 @@
 WINDOW_S: Final = 1.0
 STDOUT_FD: Final = 1
 
+Emit = Callable[[bytes], object]
+
+
+def write_stdout(line: bytes) -> None:
+    """Write to standard output; a full pipe raises instead of blocking."""
+    os.write(STDOUT_FD, line)
+
+
+def open_stdout() -> None:
+    """Make standard output non-blocking, so that a full pipe costs lines."""
+    os.set_blocking(STDOUT_FD, False)
+
 
 @final
 class DecisionLog:
-    """Writes events as JSON lines to a file descriptor.
+    """Writes events as JSON lines.
 
     Each kind of event has a budget a second; what exceeds it, or finds the pipe
     full, is counted and reported with the next line of its kind.
     """
 
-    __slots__ = ('dropped', 'fd', 'node', 'spent', 'window')
+    __slots__ = ('dropped', 'emit', 'node', 'spent', 'window')
+
+    def __init__(self, node: str, emit: Emit | None = None) -> None:
+        """Take the node's name, which every line carries.
 
-    def __init__(self, node: str, fd: int = STDOUT_FD) -> None:
-        """Take the node's name, which every line carries."""
+        ``emit`` takes a line's bytes and raises ``OSError`` if it cannot;
+        standard output does by default.
+        """
         self.node = node
-        self.fd = fd
+        self.emit = emit or write_stdout
         self.window = 0.0
         self.spent: dict[str, int] = {}
         self.dropped: dict[str, int] = {}
 
-    def start(self) -> None:
-        """Make the descriptor non-blocking, so that a full pipe costs lines."""
-        os.set_blocking(self.fd, False)
-
     def write(self, event: str, **fields: Any) -> None:
         """Write one event with its inputs and outcome."""
         moment = time.time()
@@ -57,7 +70,7 @@
 
     def _emit(self, event: str, line: bytes) -> None:
         try:
-            os.write(self.fd, line)
+            self.emit(line)
         except OSError:
             # A full pipe: the reader is slow, and the process does not wait.
             self.dropped[event] = self.dropped.get(event, 0) + 1
--- a/packages/berylspread/src/berylspread/coordinator/dispatcher.py
+++ b/packages/berylspread/src/berylspread/coordinator/dispatcher.py
@@ -42,11 +42,16 @@
     async def run(self) -> None:
         """Make passes until cancelled."""
         wake = self.coordinator.wake
+        swept_at = now()
         while True:
             try:
                 async with asyncio.timeout(PASS_EVERY_S):
                     await wake.wait()
             except TimeoutError:
+                # Nothing has happened; times may have come due.
+                wake.set()
+            if now() - swept_at >= PASS_EVERY_S:
+                swept_at = now()
                 self._sweep()
             wake.clear()
             self._pass()
--- a/packages/berylspread/src/berylspread/coordinator/model.py
+++ b/packages/berylspread/src/berylspread/coordinator/model.py
@@ -96,9 +96,11 @@
         return max(self.repeat, 1)
 
     def due_ms(self, occurrence: int) -> int:
-        """Return when an occurrence may start."""
+        """Return when an occurrence may start; 0 is at once."""
         if not self.repeat:
-            return self.accepted_ms
+            # Not the time of acceptance: the clock of the node that accepted
+            # the job may be ahead of the coordinator's.
+            return 0
         return self.first_ms + occurrence * self.interval_ms
 
 
--- a/packages/berylspread/src/berylspread/coordinator/service.py
+++ b/packages/berylspread/src/berylspread/coordinator/service.py
@@ -2,6 +2,7 @@
 
 from typing import Final, final
 
+from berylspread.coordinator.committer import stored_by
 from berylspread.coordinator.coordinator import Coordinator
 from berylspread.coordinator.messages import (
     AskBacklog,
@@ -75,7 +76,7 @@
             )
             coordinator.wake.set()
         if job.stored is not None:
-            failure = await job.stored
+            failure = await stored_by(job.stored)
             if failure is not None:
                 return NotStored(failure.reason)
         return JobAccepted()
@@ -89,7 +90,7 @@
         job = table.jobs.get(request.job_id)
         if job is not None:
             if job.status.is_final and job.stored is not None:
-                failure = await job.stored
+                failure = await stored_by(job.stored)
                 if failure is not None:
                     return NotStored(failure.reason)
             return JobStatusReply(job.status.value)
@@ -111,7 +112,7 @@
         if not job.status.is_final:
             coordinator.finish(job, JobStatus.cancelled, 'cancelled')
         if job.stored is not None:
-            failure = await job.stored
+            failure = await stored_by(job.stored)
             if failure is not None:
                 return NotStored(failure.reason)
         return JobCancelled()
