--- /dev/null
+++ b/features/coordinator/coordination.feature
@@ -0,0 +1,228 @@
+Feature: One node coordinates the cell
+
+  The coordinator is whoever holds the newest epoch in the store.  Nothing runs
+  twice, whatever happens to the nodes.
+
+  Scenario: A job of two steps runs in order
+    Given a cell of 3 nodes and 4 workers
+    When 1 s passes
+    And a job "a" with steps of 3 and 2 tasks is submitted
+    And 5 s pass
+    Then job "a" is succeeded
+    And each task of job "a" ran once
+    And no task of step 1 of job "a" began before step 0 had ended
+
+  Scenario: Nodes that claim at the same moment do not both win
+    Given a cell of 5 nodes and 1 worker
+    When 1 s passes
+    Then exactly 1 node has claimed the coordination
+    And one node coordinates
+
+  Scenario: A killed coordinator is succeeded while its tasks run on
+    Given a cell of 3 nodes and 4 workers
+    And tasks of job "a" take 6 s
+    When 1 s passes
+    And a job "a" with steps of 4 tasks is submitted
+    And 1 s passes
+    And the coordinator is killed
+    And 2.5 s pass
+    Then one node coordinates
+    When 6 s pass
+    Then job "a" is succeeded
+    And each task of job "a" ran once
+
+  Scenario: A coordinator that stops hands over at once
+    Given a cell of 3 nodes and 4 workers
+    When 1 s passes
+    And the coordinator leaves
+    And 0.3 s pass
+    Then one node coordinates
+
+  Scenario: A coordinator that cannot reach the store is succeeded
+    Given a cell of 3 nodes and 2 workers
+    And tasks of job "a" take 8 s
+    When 1 s passes
+    And a job "a" with steps of 2 tasks is submitted
+    And 1 s passes
+    And the coordinator is cut from the store
+    And 3 s pass
+    Then exactly 2 nodes have claimed the coordination
+    When 9 s pass
+    Then job "a" is succeeded
+    And each task of job "a" ran once
+
+  Scenario: A node far from the store leaves the claim to a near one
+    Given a cell of 2 nodes and 1 worker, and 1 far node
+    When 1 s passes
+    And the coordinator is killed
+    And 2 s pass
+    Then the coordinator is not far
+
+  Scenario: A task is not given to another worker before its lease is over
+    Given a cell of 2 nodes and 2 workers
+    And tasks of job "a" take 3 s
+    When 1 s passes
+    And a job "a" with steps of 1 task is submitted
+    And 0.5 s pass
+    And the worker of job "a" is cut off
+    And 2.5 s pass
+    Then task 0 of job "a" has begun 1 time
+    When 9 s pass
+    Then job "a" is succeeded
+    And no two runs of job "a" overlap
+
+  Scenario: A coordinator that was killed leaves runs on a worker without entry
+    Given a cell of 3 nodes and 1 worker
+    And tasks of job "a" take 4 s
+    When 1 s passes
+    And a job "a" with steps of 1 task is submitted
+    And 0.5 s pass
+    And the entry of the worker is gone
+    And the coordinator is killed
+    And 2.5 s pass
+    Then one node coordinates
+    When the entry of the worker is back
+    And 4 s pass
+    Then job "a" is succeeded
+    And each task of job "a" ran once
+
+  Scenario Outline: An order without an answer is settled before the next
+    Given a cell of 2 nodes and 2 workers
+    When 1 s passes
+    And the next order is carried out <late> s late without an answer
+    And a job "a" with steps of 1 task is submitted
+    And 14 s pass
+    Then job "a" is succeeded
+    And no two runs of job "a" overlap
+    And no task of job "a" succeeded twice
+
+    Examples:
+      | late |
+      | 0    |
+      | 0.5  |
+      | 1    |
+      | 1.5  |
+      | 3    |
+      | 8    |
+
+  Scenario: A lost answer of the store changes nothing
+    Given a cell of 2 nodes and 2 workers
+    When 1 s passes
+    And the coordinator loses the next 3 answers of the store
+    And a job "a" with steps of 2 tasks is submitted
+    And 9 s pass
+    Then job "a" is succeeded
+    And each task of job "a" ran once
+    And exactly 1 node has claimed the coordination
+
+  Scenario: An end is acknowledged only once it is stored
+    Given a cell of 2 nodes and 1 worker
+    When 1 s passes
+    And a job "a" with steps of 1 task is submitted
+    And 0.5 s pass
+    And the store is down
+    And 3 s pass
+    Then the worker still lists the end of job "a"
+    When the coordinator is killed
+    And the store is up
+    And 6 s pass
+    Then job "a" is succeeded
+    And each task of job "a" ran once
+
+  Scenario: A request that runs out of time does not hold up another
+    Given a cell of 2 nodes and 1 worker
+    When 1 s passes
+    And the store is down
+    And a job "a" is submitted and given up after 0.5 s
+    And the store is up
+    And 5 s pass
+    Then job "a" is succeeded
+    And each task of job "a" ran once
+
+  Scenario: A job accepted by a node whose clock is ahead starts at once
+    Given a cell of 2 nodes and 1 worker
+    When 1 s passes
+    And a job "a" accepted 300 s ahead of the clock is submitted
+    And 2 s pass
+    Then job "a" is succeeded
+
+  Scenario: A restarted worker's tasks run again
+    Given a cell of 2 nodes and 1 worker
+    And tasks of job "a" take 3 s
+    When 1 s passes
+    And a job "a" with steps of 2 tasks is submitted
+    And 1 s passes
+    And the worker of job "a" is restarted
+    And 6 s pass
+    Then job "a" is succeeded
+    And no two runs of job "a" overlap
+
+  Scenario: A job whose task fails every attempt is shown as failed
+    Given a cell of 2 nodes and 3 workers
+    And task 1 of job "a" fails
+    When 1 s passes
+    And a job "a" with steps of 3 tasks is submitted
+    And 6 s pass
+    Then job "a" is failed
+    And task 1 of job "a" has begun 2 times
+
+  Scenario: A cancelled job's tasks are stopped and begin no more
+    Given a cell of 2 nodes and 2 workers
+    And tasks of job "a" take 30 s
+    When 1 s passes
+    And a job "a" with steps of 20 tasks is submitted
+    And 1 s passes
+    And job "a" is cancelled
+    And 1 s passes
+    Then job "a" is cancelled
+    And no worker runs a task
+
+  Scenario: A lasting task is started again however it ends
+    Given a cell of 2 nodes and 1 worker
+    When 1 s passes
+    And a job "a" with a lasting step of 2 tasks is submitted
+    And 5 s pass
+    Then job "a" is running
+    And task 0 of job "a" has begun at least 3 times
+    And no two runs of job "a" overlap
+
+  Scenario: A team has no more running than its cap
+    Given a cell of 2 nodes and 3 workers
+    When 1 s passes
+    And a job "a" of the capped team with 6 tasks is submitted
+    And 8 s pass
+    Then job "a" is succeeded
+    And at most 2 tasks of job "a" ran at a time
+
+  Scenario: All tasks of a gang begin together or none does
+    Given a cell of 2 nodes and 1 worker
+    And tasks of job "a" take 3 s
+    When 1 s passes
+    And a job "a" with steps of 5 tasks is submitted
+    And 0.5 s pass
+    And a job "b" with a gang of 6 tasks is submitted
+    And 1 s passes
+    Then job "b" is queued
+    When 6 s pass
+    Then job "b" is succeeded
+    And the tasks of job "b" began within 0.5 s under one run
+
+  Scenario: A job that was only placed counts as waiting
+    Given a cell of 2 nodes and 1 worker
+    And the worker refuses orders as unhealthy
+    When 1 s passes
+    And a job "a" with steps of 1 task is submitted
+    And 1 s passes
+    Then 1 job waits
+    When the coordinator is killed
+    And 4 s pass
+    Then 1 job waits
+
+  Scenario: Permissions are asked for and tickets renewed
+    Given a cell of 2 nodes and 3 workers whose queue needs permissions
+    And worker "w0" is permitted nothing
+    When 1 s passes
+    And a job "a" with steps of 24 and 3 tasks is submitted
+    And 8 s pass
+    Then job "a" is succeeded
+    And no task of job "a" ran on worker "w0"
--- a/packages/berylspread-standins/src/berylspread_standins/coordinated/fleet.py
+++ b/packages/berylspread-standins/src/berylspread_standins/coordinated/fleet.py
@@ -34,9 +34,14 @@
 from berylspread_standins.peer_network import PeerNetwork
 
 TOPICS: Final = Topics('jobs', 'leader', 'workers', 'config')
-CAPACITY: Final = Resources(8000, 16_000)
 TASK: Final = Resources(1000, 1000)
+#: Room for eight tasks.
+CAPACITY: Final = TASK * 8
+TENANT_CAP: Final = Resources(2 * TASK.cpu_milli)
 QUEUE: Final = Queue('q', 'desk', max_attempts=2)
+#: The time of day at the start.
+EPOCH_S: Final = 1.7e9
+MS: Final = 1000
 KEY_TRUST_S: Final = 4.0
 FAR_S: Final = 0.02
 
@@ -83,7 +88,7 @@
         self.advisor = AdvisorStandin()
         self.peers = PeerNetwork(random.Random(seed))
         self.nodes: dict[str, NodeStandin] = {}
-        self.wall = WallClock(1_700_000_000.0)
+        self.wall = WallClock(EPOCH_S)
         #: Seconds of work and outcome by task; others take a second.
         self.work: dict[str, tuple[float, str]] = {}
         self.lines: list[dict[str, object]] = []
@@ -127,7 +132,7 @@
             authority_clock=now,
         )
         node = CoordinatingNode(
-            peers.ref, name, clients, TOPICS, _MemoryLog.make(name, self.lines)
+            peers.ref, name, clients, TOPICS, _memory_log(name, self.lines)
         )
         node.join(peers)
         self.nodes[name] = NodeStandin(name, node, view, pool)
@@ -165,17 +170,13 @@
         return [line for line in self.lines if line['event'] == event]
 
 
-class _MemoryLog:
-    """Makes decision logs that keep their lines."""
+def _memory_log(node: str, lines: list[dict[str, object]]) -> DecisionLog:
+    """Return a log whose lines are appended to a list."""
 
-    @staticmethod
-    def make(node: str, lines: list[dict[str, object]]) -> DecisionLog:
-        """Return a log whose lines are appended to a list."""
+    def emit(line: bytes) -> None:
+        lines.append(json.loads(line))
 
-        def emit(line: bytes) -> None:
-            lines.append(json.loads(line))
-
-        return DecisionLog(node, emit=emit)
+    return DecisionLog(node, emit=emit)
 
 
 def job(
@@ -191,7 +192,7 @@
         tenant=tenant,
         payload='payload',
         steps=steps or (StepSpec(1, TASK, estimate_ms=1000),),
-        accepted_ms=int(now()),
+        accepted_ms=int(EPOCH_S * MS),
     )
 
 
@@ -201,7 +202,7 @@
         routes=(QueueRoute('host', '/q/', queue),),
         tenants=(
             Tenant('acme', ('key',), 1.0, Resources()),
-            Tenant('capped', ('key-2',), 1.0, Resources(2000, 0)),
+            Tenant('capped', ('key-2',), 1.0, TENANT_CAP),
         ),
     )
 
--- a/packages/berylspread-standins/src/berylspread_standins/coordinated/store.py
+++ b/packages/berylspread-standins/src/berylspread_standins/coordinated/store.py
@@ -194,8 +194,9 @@
         return StoreRejected('fenced')
     if producer.epoch > fence.epoch:
         return None
-    if producer.seq in fence.answers:
-        return fence.answers[producer.seq]
+    known = fence.answers.get(producer.seq)
+    if known is not None:
+        return known
     if producer.seq != fence.seq + 1:
         return StoreRejected('seq', expected=fence.seq + 1)
     return None
--- a/packages/berylspread-standins/src/berylspread_standins/coordinated/worker.py
+++ b/packages/berylspread-standins/src/berylspread_standins/coordinated/worker.py
@@ -1,9 +1,8 @@
 """A worker that fences orders, holds leases on its own clock and lists ends."""
 
 import asyncio
-import collections
 from collections.abc import Callable
-from typing import Any, Final, final
+from typing import Final, final
 
 from berylspread.coordinator.interface import (
     LATE,
@@ -59,12 +58,9 @@
     """
 
     __slots__ = (
-        'acked',
         'delay_s',
         'ended',
         'entry',
-        'events',
-        'highest',
         'history',
         'is_cut',
         'lease_until_ms',
@@ -74,7 +70,6 @@
         'refuse_as',
         'running',
         'script',
-        'timers',
         'token',
     )
 
@@ -87,8 +82,12 @@
         self.mute = 0
         self.delay_s = 0.0
         self.refuse_as = ''
-        self.events: collections.Counter[str] = collections.Counter()
-        self._forget()
+        self.token = 0
+        self.number = 0
+        self.lease_until_ms = 0
+        self.running: dict[str, RunLog] = {}
+        self.ended: list[EndedRow] = []
+        self.poisoned: dict[str, int] = {}
 
     def restart(self) -> None:
         """Lose everything and begin another life under the same id."""
@@ -115,8 +114,10 @@
         self.token = renewal.token
         self._hold(renewal.until_ms)
         self.ended = [row for row in self.ended if row.number > renewal.acked]
-        self.acked = max(self.acked, renewal.acked)
         await self._wait(renewal.wait_ms / MS)
+        return await self._report()
+
+    async def _report(self) -> WorkerReport | Failure:
         if self.is_cut:
             return await self._lost()
         await asyncio.sleep(WAY_S)
@@ -137,13 +138,10 @@
     def _forget(self) -> None:
         self.token = 0
         self.number = 0
-        self.acked = 0
         self.lease_until_ms = 0
-        self.running: dict[str, RunLog] = {}
-        self.ended: list[EndedRow] = []
-        self.poisoned: dict[str, int] = {}
-        self.timers: dict[str, asyncio.Task[Any]] = {}
-        self.highest: dict[str, int] = {}
+        self.running.clear()
+        self.ended.clear()
+        self.poisoned.clear()
 
     async def _exchange(
         self, carry_out: Callable[[], int | Failure]
@@ -172,7 +170,6 @@
     def _start(self, order: StartOrder) -> int | Failure:
         cause = self._refusal(order)
         if cause:
-            self.events[cause] += 1
             return OrderRefused(cause, cause=cause)
         self.token = order.token
         known = self.running.get(order.task)
@@ -182,7 +179,7 @@
         log = RunLog(self.entry.worker, order.task, order.run)
         self.running[order.task] = log
         self.history.append(log)
-        self.timers[order.task] = detach(self._work(order.task))
+        detach(self._work(order.task))
         return self.clock_ms()
 
     def _refusal(self, order: StartOrder) -> str:
--- a/packages/berylspread/src/berylspread/coordinator/leadership.py
+++ b/packages/berylspread/src/berylspread/coordinator/leadership.py
@@ -201,14 +201,16 @@
         epoch = self.current.epoch
         serving = asyncio.ensure_future(self.serve(epoch))
         renewing = asyncio.create_task(self._renew())
-        await asyncio.wait(
-            (serving, renewing), return_when=asyncio.FIRST_COMPLETED
-        )
-        for task in (serving, renewing):
-            task.cancel()
-        results = await asyncio.gather(
-            serving, renewing, return_exceptions=True
-        )
+        try:
+            await asyncio.wait(
+                (serving, renewing), return_when=asyncio.FIRST_COMPLETED
+            )
+        finally:
+            serving.cancel()
+            renewing.cancel()
+            results = await asyncio.gather(
+                serving, renewing, return_exceptions=True
+            )
         reasons = [repr(result) for result in results]
         self.log.write('leader-lost', epoch=epoch, reasons=reasons)
 
