Renew the leader's record without waiting for answers; ask peers who leads

A renewal whose answer was lost held up the next for its time limit, and the leader was succeeded although the store had heard it. Renewals now overlap, and one that the store refuses for its number goes on from the number it names. Nodes that the store does not answer learn from others who leads.

--- a/features/coordinator/steps/coordination_steps.py
+++ b/features/coordinator/steps/coordination_steps.py
@@ -50,7 +50,10 @@
 def _submit(context, spec, timeout_s=TIMEOUT_S):
     async def submit():
         return await _gateway(context).ask(
-            SubmitJob(spec), JobAccepted, request=spec.job_id, timeout_s=timeout_s
+            SubmitJob(spec),
+            JobAccepted,
+            request=spec.job_id,
+            timeout_s=timeout_s,
         )
 
     return context.run(submit())
@@ -76,9 +79,7 @@
 
 def _runs(context, job_id):
     return [
-        log
-        for log in context.cell.runs()
-        if log.task.startswith(f'{job_id}.')
+        log for log in context.cell.runs() if log.task.startswith(f'{job_id}.')
     ]
 
 
@@ -92,9 +93,7 @@
     _start(context, nodes, workers)
 
 
-@given(
-    'a cell of {nodes:d} nodes and {workers:d} worker, and {far:d} far node'
-)
+@given('a cell of {nodes:d} nodes and {workers:d} worker, and {far:d} far node')
 def step_cell_far(context, nodes, workers, far):
     _start(context, nodes, workers, far=far)
 
@@ -287,9 +286,7 @@
     assert len(names) == len(set(names)), names
 
 
-@then(
-    'no task of step 1 of job "{job_id}" began before step 0 had ended'
-)
+@then('no task of step 1 of job "{job_id}" began before step 0 had ended')
 def step_order(context, job_id):
     runs = _runs(context, job_id)
     ended = max(
@@ -344,9 +341,7 @@
 
 @then('no task of job "{job_id}" succeeded twice')
 def step_once_done(context, job_id):
-    done = [
-        log.task for log in _runs(context, job_id) if log.outcome == 'done'
-    ]
+    done = [log.task for log in _runs(context, job_id) if log.outcome == 'done']
     assert len(done) == len(set(done)), done
 
 
@@ -378,9 +373,7 @@
         assert len(beside) <= count, len(beside)
 
 
-@then(
-    'the tasks of job "{job_id}" began within {seconds:g} s under one run'
-)
+@then('the tasks of job "{job_id}" began within {seconds:g} s under one run')
 def step_together(context, job_id, seconds):
     runs = _runs(context, job_id)
     assert len({log.run for log in runs}) == 1
--- a/packages/berylspread/src/berylspread/coordinator/committer.py
+++ b/packages/berylspread/src/berylspread/coordinator/committer.py
@@ -22,11 +22,16 @@
 from berylspread.kernel.errors import Failure, NotOwner
 
 PRODUCER: Final = 'coordinator'
-#: An append that has no answer by then is repeated; several times the store's
-#: usual answer from the other region.
-APPEND_TIMEOUT_S: Final = 1.0
+#: An append without an answer is repeated after a multiple of what answers
+#: have lately taken, within these bounds: a repeat is harmless, and the lower
+#: bound is several answers from the other region.
+LEAST_TIMEOUT_S: Final = 0.25
+MOST_TIMEOUT_S: Final = 1.5
+TIMEOUT_ANSWERS: Final = 4
+#: Weight of the newest answer in the moving mean.
+ANSWER_WEIGHT: Final = 0.2
 #: Pause before an append is repeated, up to twice as much by jitter.
-RETRY_S: Final = 0.1
+RETRY_S: Final = 0.05
 #: Payload bytes after which a batch is closed; below the store's limit a call.
 BATCH_BYTES: Final = 1_000_000
 MS: Final = 1000
@@ -42,9 +47,9 @@
     """
 
     __slots__ = (
+        'answer_s',
         'appended_bytes',
         'appends',
-        'confirmed_at',
         'deposed',
         'drops',
         'epoch',
@@ -54,6 +59,7 @@
         'seq',
         'steps',
         'store',
+        'timeout_s',
         'topic',
         'wake',
         'wall',
@@ -80,7 +86,8 @@
         self.wake = asyncio.Event()
         self.next_done: asyncio.Future[Failure | None] = _future()
         self.deposed: Failure | None = None
-        self.confirmed_at = 0.0
+        self.answer_s = 0.0
+        self.timeout_s = LEAST_TIMEOUT_S
         self.appends = 0
         self.appended_bytes = 0
 
@@ -158,6 +165,13 @@
                 return failure
         return None
 
+    def _learn(self, took_s: float) -> None:
+        self.answer_s += ANSWER_WEIGHT * (took_s - self.answer_s)
+        self.timeout_s = min(
+            max(TIMEOUT_ANSWERS * self.answer_s, LEAST_TIMEOUT_S),
+            MOST_TIMEOUT_S,
+        )
+
     async def _append_surely(self, records: list[Record]) -> Failure | None:
         # The sequence number makes a repeat harmless.
         producer = Producer(PRODUCER, self.epoch, self.seq)
@@ -167,15 +181,16 @@
                 self.topic,
                 records,
                 producer=producer,
-                timeout_s=APPEND_TIMEOUT_S,
+                timeout_s=self.timeout_s,
             )
             if isinstance(reply, StoreRejected):
                 return NotOwner(f'epoch {self.epoch} is over: {reply.reason}')
             if not isinstance(reply, Failure):
-                self.confirmed_at = sent_at
+                self._learn(asyncio.get_running_loop().time() - sent_at)
                 self.appends += 1
                 self.appended_bytes += sum(len(blob) for _, blob in records)
                 return None
+            self.timeout_s = min(2 * self.timeout_s, MOST_TIMEOUT_S)
             self.log.write('append-retry', seq=self.seq, reason=reply.reason)
             await asyncio.sleep(RETRY_S * (1 + random.random()))
         return self.deposed
--- a/packages/berylspread/src/berylspread/coordinator/leadership.py
+++ b/packages/berylspread/src/berylspread/coordinator/leadership.py
@@ -27,6 +27,8 @@
 KEY: Final = 'leader'
 #: Renewals are this far apart: three may be lost before a successor claims.
 RENEW_S: Final = 0.3
+#: Renewals that may be under way; more would only load a store that is slow.
+MOST_RENEWALS: Final = 5
 #: A leader that the store has not heard for this long is succeeded.
 SILENCE_S: Final = 1.0
 #: Answers of the store that take longer come from another region; such a node
@@ -64,6 +66,7 @@
         'authority_clock',
         'confirmed_at',
         'current',
+        'deposed',
         'end',
         'heard_at',
         'incarnation',
@@ -102,6 +105,8 @@
         self.seq = 0
         self.heard_at = 0.0
         self.confirmed_at = 0.0
+        #: Done once another epoch has begun, while this node leads.
+        self.deposed: asyncio.Future[Failure] | None = None
         self.near_s = float('inf')
         self.authority_clock = authority_clock
         self.leaving = asyncio.Event()
@@ -120,6 +125,14 @@
         """Return seconds since the store last confirmed this leader."""
         return self.authority_clock() - self.confirmed_at
 
+    def hear(self, record: LeaderRecord | None) -> None:
+        """Take another node's word for who leads, if it is newer."""
+        if record is None:
+            return
+        if self.current is None or record.epoch > self.current.epoch:
+            self.current = record
+            self._end_term(NotOwner(f'epoch {record.epoch} has begun'))
+
     async def run(self) -> None:
         """Follow and lead in turn until cancelled."""
         while not self.leaving.is_set():
@@ -233,22 +246,49 @@
         return won
 
     async def _renew(self) -> Failure:
-        """Renew until another epoch has begun."""
+        """Renew until another epoch has begun.
+
+        The renewals overlap: one whose answer is slow or lost does not delay
+        the next, so followers hear of the leader all the same.
+        """
         assert self.current is not None
         record = self.current
-        while True:
-            began = self.authority_clock()
-            reply = await self._write(record, None)
-            if isinstance(reply, StoreRejected):
+        deposed: asyncio.Future[Failure] = (
+            asyncio.get_running_loop().create_future()
+        )
+        self.deposed = deposed
+        beats: set[asyncio.Task[None]] = set()
+        try:
+            while not deposed.done():
+                if len(beats) < MOST_RENEWALS:
+                    beat = asyncio.create_task(self._beat(record))
+                    beats.add(beat)
+                    beat.add_done_callback(beats.discard)
+                await asyncio.wait((deposed,), timeout=RENEW_S)
+            if self.current is record:
                 self.current = None
-                return NotOwner(reply.reason)
-            if isinstance(reply, Failure):
-                self.seq -= 1
-                await asyncio.sleep(RETRY_S)
-                continue
-            self.confirmed_at = began
+            return deposed.result()
+        finally:
+            for beat in list(beats):
+                beat.cancel()
+
+    def _end_term(self, failure: Failure) -> None:
+        if self.deposed is not None and not self.deposed.done():
+            self.deposed.set_result(failure)
+
+    async def _beat(self, record: LeaderRecord) -> None:
+        began = self.authority_clock()
+        reply = await self._write(record, None)
+        if not isinstance(reply, Failure):
+            self.confirmed_at = max(self.confirmed_at, began)
             self.heard_at = now()
-            await asyncio.sleep(RENEW_S)
+            return
+        expected = reply.fields.get('expected')
+        if expected is not None:
+            # An earlier renewal was lost or is late; go on where the store is.
+            self.seq = int(expected) - 1
+        elif isinstance(reply, StoreRejected):
+            self._end_term(NotOwner(reply.reason))
 
     async def _write(
         self, record: LeaderRecord, at: int | None
--- a/packages/berylspread/src/berylspread/coordinator/messages.py
+++ b/packages/berylspread/src/berylspread/coordinator/messages.py
@@ -2,6 +2,7 @@
 
 from typing import final
 
+from berylspread.coordinator.leadership import LeaderRecord
 from berylspread.coordinator.model import JobSpec
 from berylspread.peers import Message, message
 
@@ -73,12 +74,21 @@
 @final
 @message
 class NodeUp(Message, frozen=True):
-    """Tells the coordinator that a node is there and where."""
+    """Tells that a node is there and where; answered by ``LeaderKnown``."""
 
     node: str
     address: str
 
 
+@final
+@message
+class LeaderKnown(Message, frozen=True):
+    """The newest leader's record that a node knows, and where nodes are."""
+
+    record: LeaderRecord | None
+    addresses: dict[str, str]
+
+
 @final
 @message
 class AskPermissions(Message, frozen=True):
--- a/packages/berylspread/src/berylspread/coordinator/node.py
+++ b/packages/berylspread/src/berylspread/coordinator/node.py
@@ -1,6 +1,7 @@
 """One node's part: follow the leader's record, coordinate when chosen."""
 
 import asyncio
+import random
 from collections.abc import Callable
 from typing import Any, Final, final
 
@@ -25,18 +26,22 @@
     AskJobStatus,
     AskPermissions,
     CancelJob,
+    LeaderKnown,
     NodeUp,
     PermissionsReply,
     SubmitJob,
 )
 from berylspread.coordinator.service import JobService
-from berylspread.kernel.clock import WallClock
+from berylspread.kernel.clock import WallClock, now
 from berylspread.kernel.errors import Failure, NotOwner
 from berylspread.model import NodeRef
 from berylspread.peers import Message, Peers
 
 #: How often a node tells the coordinator that it is there.
 PRESENCE_S: Final = 0.5
+#: A node that has not heard of the leader by the store for this long asks other
+#: nodes; the leader renews its record several times in it.
+UNINFORMED_S: Final = 1.5
 
 
 @final
@@ -148,7 +153,7 @@
 
     async def run(self) -> None:
         """Take part until cancelled."""
-        presence = asyncio.create_task(self._tell_presence())
+        presence = asyncio.create_task(self._keep_in_touch())
         try:
             await self.leadership.run()
         finally:
@@ -183,18 +188,43 @@
             authority_age=self.leadership.authority_age,
         )
 
-    async def _tell_presence(self) -> None:
-        assert self.peers is not None
+    async def _keep_in_touch(self) -> None:
         while True:
-            leader = self.leader()
-            if leader is not None:
-                self.peers.tell(leader, NodeUp(self.ref.node, self.address))
+            target = self._contact()
+            if target is not None:
+                await self._exchange_news(target)
             await asyncio.sleep(PRESENCE_S)
 
-    async def _node_up(self, source: NodeRef, body: NodeUp) -> None:
+    def _contact(self) -> str | None:
+        """Choose the coordinator, or any node while the store is silent."""
+        leader = self.leader()
+        if leader not in {None, self.ref.node} and not self._is_uninformed():
+            return leader
+        others = [name for name in self.addresses if name != self.ref.node]
+        if self._is_uninformed() and others:
+            return random.choice(others)
+        return None
+
+    def _is_uninformed(self) -> bool:
+        return now() - self.leadership.heard_at > UNINFORMED_S
+
+    async def _exchange_news(self, node: str) -> None:
+        assert self.peers is not None
+        reply = await self.peers.ask(
+            node,
+            NodeUp(self.ref.node, self.address),
+            LeaderKnown,
+            timeout_s=PRESENCE_S,
+        )
+        if isinstance(reply, LeaderKnown):
+            self.addresses.update(reply.addresses)
+            self.leadership.hear(reply.record)
+
+    async def _node_up(self, source: NodeRef, body: NodeUp) -> LeaderKnown:
         self.addresses[body.node] = body.address
         if self.service is not None:
-            await self.service.node_up(body)
+            self.service.node_up(body)
+        return LeaderKnown(self.leadership.current, self.addresses)
 
     def _forward(self, method: str) -> Any:
         async def handler(
--- a/packages/berylspread/src/berylspread/coordinator/service.py
+++ b/packages/berylspread/src/berylspread/coordinator/service.py
@@ -126,6 +126,6 @@
             coordinator.table.backlog(request.queue, coordinator.wall_ms())
         )
 
-    async def node_up(self, request: NodeUp) -> None:
+    def node_up(self, request: NodeUp) -> None:
         """Take a node into use for permission requests."""
         self.coordinator.permits.askers.add(request.node)
