--- a/Makefile
+++ b/Makefile
@@ -6,8 +6,8 @@
 PY := $(BIN)/python
 STAMP := $(VENV)/.installed
 
-PACKAGES := $(sort $(wildcard packages/*))
-SOURCES := $(wildcard packages features bench tools)
+PACKAGES := $(sort $(wildcard packages/*) platform)
+SOURCES := $(wildcard packages platform features bench tools)
 PROTO_ROOT := packages/berylspread/src
 PROTOS := $(wildcard $(PROTO_ROOT)/berylspread/proto/*.proto)
 
--- /dev/null
+++ b/features/adapter/documents.feature
@@ -0,0 +1,43 @@
+Feature: The configuration and the workers' entries in the store
+
+  Scenario: A configuration is decoded into queues and teams
+    Given a configuration document
+    When the document is decoded
+    Then queue "r-1" is served by "desk" with priority 2 and 3 attempts
+    And its permissions cost 688 ms and 6.1 ms a worker
+    And team "acme" has key "k1" and may run 4000 thousandths of a core
+
+  Scenario Outline: A configuration that cannot be read changes nothing
+    Given a configuration document <fault>
+    When the document is decoded
+    Then it is refused as "invalid-input"
+
+    Examples:
+      | fault                     |
+      | that is not JSON          |
+      | without a version         |
+      | whose routes are a number |
+      | whose route lacks a host  |
+
+  Scenario: An older configuration does not replace a newer one
+    Given the board has version 7
+    When version 5 arrives
+    Then version 7 is in force
+
+  Scenario: The entry of a worker tells its room and rack
+    Given the entry of a worker
+    When the entry is decoded
+    Then the worker has 16000 thousandths of a core in rack "r1-3"
+    And the worker is ready
+
+  Scenario Outline: An entry of another writer names no worker
+    Given the entry of a worker <fault>
+    When the entry is decoded
+    Then it is refused as "invalid-input"
+
+    Examples:
+      | fault                         |
+      | that is not JSON              |
+      | without capacity              |
+      | with an unknown state         |
+      | with an address of wrong type |
--- /dev/null
+++ b/features/adapter/jobs.feature
@@ -0,0 +1,79 @@
+Feature: Jobs as callers send them
+
+  Background:
+    Given an entry with queue "q" at "host.example" under "/q/" for key "k1"
+
+  Scenario: A job is handed on in the project's own terms
+    When a caller sends POST "/q/5c0e7a21d94b36f8" with a good job
+    Then the answer is 200
+    And the coordinator was asked to accept a job of 2 steps for "acme"
+
+  Scenario Outline: A bad job is refused and nothing is handed on
+    When a caller sends POST "/q/5c0e7a21d94b36f8" with <job>
+    Then the answer is <status>
+    And the coordinator was asked nothing
+
+    Examples:
+      | job                                      | status |
+      | a body that is not JSON                  | 400    |
+      | no steps                                 | 400    |
+      | a step without tasks                     | 400    |
+      | a step that depends on itself            | 400    |
+      | a step that depends on a later one       | 400    |
+      | a step that depends on a negative number | 400    |
+      | a spec that is too long                  | 400    |
+      | a body that is too large                 | 413    |
+
+  Scenario Outline: A call is refused for its address or key
+    When a caller sends <method> "<path>" with key "<key>"
+    Then the answer is <status>
+    And the coordinator was asked nothing
+
+    Examples:
+      | method | path                | key   | status |
+      | GET    | /q/5c0e7a21d94b36f8 |       | 401    |
+      | GET    | /q/5c0e7a21d94b36f8 | other | 401    |
+      | GET    | /none/              | k1    | 404    |
+      | GET    | /q/not-hexadecimal  | k1    | 400    |
+      | PUT    | /q/5c0e7a21d94b36f8 | k1    | 405    |
+      | POST   | /q/                 | k1    | 405    |
+
+  Scenario: A body that ends half-way is not handed on
+    When a caller sends half a job and leaves
+    Then the coordinator was asked nothing
+
+  Scenario: Keys are refused once the store has not confirmed them for too long
+    When 5 s pass without news from the store
+    And a caller sends GET "/q/5c0e7a21d94b36f8" with key "k1"
+    Then the answer is 503 with a time to come back
+    And the coordinator was asked nothing
+
+  Scenario: A node without a configuration says that the job was not run
+    Given an entry without a configuration
+    When a caller sends GET "/q/5c0e7a21d94b36f8" with key "k1"
+    Then the answer is 503 with a time to come back
+
+  Scenario Outline: What the coordinator answers becomes a status
+    Given the coordinator answers <reply>
+    When a caller sends <method> "/q/5c0e7a21d94b36f8" with key "k1"
+    Then the answer is <status>
+
+    Examples:
+      | reply           | method | status |
+      | succeeded       | GET    | 200    |
+      | no such job     | GET    | 410    |
+      | cancelled       | DELETE | 200    |
+      | not run         | GET    | 503    |
+      | outcome unknown | DELETE | 502    |
+
+  Scenario: The state of a job has the word of the platform
+    Given the coordinator answers succeeded
+    When a caller sends GET "/q/5c0e7a21d94b36f8" with key "k1"
+    Then the body says that "state" is "completed"
+
+  Scenario: A node that leaves asks callers to reconnect
+    Given the coordinator answers succeeded
+    And the node is leaving
+    When a caller sends GET "/q/5c0e7a21d94b36f8" with key "k1"
+    Then the answer is 200
+    And the connection is to be closed
--- /dev/null
+++ b/features/adapter/steps/adapter_steps.py
@@ -0,0 +1,614 @@
+"""Steps about the translation between the platform and the project."""
+
+import asyncio
+import json
+import tomllib
+
+from behave import given, then, when
+
+from berylspread.coordinator.interface import (
+    KeyedItem,
+    Renewal,
+    StartOrder,
+    WorkerEntry,
+)
+from berylspread.coordinator.messages import (
+    CancelJob,
+    JobAccepted,
+    JobCancelled,
+    JobStatusReply,
+    SubmitJob,
+)
+from berylspread.coordinator.policy import Configuration, PolicyBoard
+from berylspread.coordinator.service import NoSuchJob
+from berylspread.kernel.clock import WallClock
+from berylspread.kernel.errors import Failure, NotRun, OutcomeUnknown
+from berylspread.model import Resources
+from berylspread_platform.documents import decode_config, decode_entry
+from berylspread_platform.http_calls import Answer, NoAnswer
+from berylspread_platform.ingress import Ingress
+from berylspread_platform.settings import parse_settings
+from berylspread_platform.store import StoreClient, frame, read_batch
+from berylspread_platform.workers import WorkerClient
+
+SETTINGS = """
+nodeName = "entry-1"
+ip = "10.1.0.17"
+zone = "z1"
+region = "r1"
+portRange = [7420,7435]
+newField = "ignored"
+[listenAddrs]
+front = "10.1.0.17:8183"
+readyAddr = "10.1.0.17:8184"
+[bounds]
+revokeMs = 5000
+[platform]
+address = "10.200.1.7:8182"
+"""
+SETTINGS_FAULTS = {
+    'without a node name': ('nodeName = "entry-1"', ''),
+    'with ports as text': ('[7420,7435]', '"7420"'),
+    'that is not TOML': ('nodeName =', 'nodeName'),
+    'without a store address': ('address = "10.200.1.7:8182"', ''),
+}
+CONFIG = {
+    'version': 7,
+    'routes': [
+        {
+            'name': 'r-1',
+            'host': 'host.example',
+            'pathPrefix': '/q/',
+            'service': 'desk',
+            'priority': 2,
+            'maxAttempts': 3,
+            'deadlineFactor': 1.5,
+            'targetLatencyMs': 500,
+            'advice': {'decideMs': 688.0, 'eachMs': 6.1, 'validMs': 2500},
+        }
+    ],
+    'limits': {'maxBodyBytes': 5000},
+    'tenants': [
+        {
+            'name': 'acme',
+            'apiKeys': ['k1'],
+            'weight': 7,
+            'cap': {'cpu': 4000, 'memMb': 0, 'gpu': 0},
+        }
+    ],
+}
+ENTRY = {
+    'service': 'desk',
+    'address': '10.128.0.9:8080',
+    'zone': 'z1',
+    'state': 'ready',
+    'capacity': {'cpu': 16000, 'memMb': 32768, 'gpu': 0},
+    'labels': ['a', 'r1-3'],
+    'seq': 4,
+}
+JOB = {
+    'spec': 'text',
+    'steps': [
+        {'count': 4, 'cpu': 500, 'memMb': 256},
+        {'count': 20, 'cpu': 2000, 'dependsOn': [0], 'checkpointing': True},
+    ],
+}
+JOBS = {
+    'a good job': JOB,
+    'no steps': {'spec': 'text', 'steps': []},
+    'a step without tasks': {'spec': 'text', 'steps': [{'count': 0}]},
+    'a step that depends on itself': {
+        'spec': 'text',
+        'steps': [{'count': 1, 'dependsOn': [0]}],
+    },
+    'a step that depends on a later one': {
+        'spec': 'text',
+        'steps': [{'count': 1, 'dependsOn': [1]}, {'count': 1}],
+    },
+    'a step that depends on a negative number': {
+        'spec': 'text',
+        'steps': [{'count': 1}, {'count': 1, 'dependsOn': [-1]}],
+    },
+    'a spec that is too long': {'spec': 'x' * 4001, 'steps': [{'count': 1}]},
+    'a body that is too large': {'spec': 'x' * 6000, 'steps': [{'count': 1}]},
+}
+REPLIES = {
+    'succeeded': JobStatusReply('succeeded'),
+    'cancelled': JobCancelled(),
+    'no such job': NoSuchJob('no such job'),
+    'not run': NotRun('no coordinator'),
+    'outcome unknown': OutcomeUnknown('no answer'),
+}
+DISCONNECT = {'type': 'http.disconnect'}
+WORKER = WorkerEntry(
+    worker='i-1',
+    service='desk',
+    address='10.128.0.9:8080',
+    zone='z1',
+    is_ready=True,
+    capacity=Resources(),
+)
+
+
+class FakeGateway:
+    """Notes what is asked and answers what a test has set."""
+
+    def __init__(self):
+        self.asked = []
+        self.reply = JobAccepted()
+
+    async def ask(self, body, _reply_type, *, request, timeout_s):
+        self.asked.append(body)
+        return self.reply
+
+
+class FakeNode:
+    """A node whose coordinator is the fake gateway."""
+
+    def __init__(self):
+        self.gateway = FakeGateway()
+
+
+class FakeLog:
+    """A log that nobody reads."""
+
+    def write(self, event, **fields):
+        json.dumps(fields, default=repr)
+
+
+class FakeHttp:
+    """Answers calls in turn."""
+
+    def __init__(self, *answers):
+        self.answers = list(answers)
+
+    async def call(self, method, url, **_rest):
+        return self.answers.pop(0)
+
+
+def _item(document):
+    return KeyedItem('key', document, 3)
+
+
+def _answer(text):
+    if text == 'no answer':
+        return NoAnswer('timeout', sent=True)
+    if text == 'no connection':
+        return NoAnswer('refused', sent=False)
+    status, _, body = text.partition(' ')
+    return Answer(int(status), body.encode())
+
+
+def _send(context, method, path, body=b'', key='k1', events=None):
+    sent = []
+    queue = events or [{'type': 'http.request', 'body': body}]
+
+    async def receive():
+        return queue.pop(0)
+
+    async def send(event):
+        sent.append(event)
+
+    scope = {
+        'type': 'http',
+        'method': method,
+        'path': path,
+        'headers': [
+            (b'host', b'host.example'),
+            (b'x-api-key', key.encode()),
+            (b'deadline-ms', b'3000'),
+        ],
+    }
+    asyncio.run(context.ingress(scope, receive, send))
+    context.sent = sent
+
+
+@given(
+    'a settings file with node "{node}" at "{ip}" and ports {first:d} to '
+    '{last:d}'
+)
+def step_settings(context, node, ip, first, last):
+    context.settings_text = SETTINGS
+    raw = tomllib.loads(SETTINGS)
+    assert (raw['nodeName'], raw['ip']) == (node, ip)
+    assert raw['portRange'] == [first, last]
+
+
+@given('a settings file {fault}')
+def step_bad_settings(context, fault):
+    before, after = SETTINGS_FAULTS[fault]
+    assert before in SETTINGS
+    context.settings_text = SETTINGS.replace(before, after)
+
+
+@when('the settings are read')
+def step_read_settings(context):
+    context.result = parse_settings(context.settings_text, 'local.toml')
+
+
+@when('the settings are read without a file')
+def step_read_none(context):
+    from berylspread_platform.settings import load_settings
+
+    context.result = load_settings('')
+
+
+@then('the other nodes reach it at "{address}"')
+def step_peer_address(context, address):
+    assert context.result.peer_address == address
+
+
+@then('keys are trusted for {seconds:g} s')
+def step_trust(context, seconds):
+    assert abs(context.result.key_trust_s - seconds) < 1e-9
+
+
+@then('they are refused as "{name}" naming "{named}"')
+def step_refused_naming(context, name, named):
+    assert isinstance(context.result, Failure)
+    assert context.result.name == name
+    assert named in context.result.reason, context.result.reason
+
+
+@given('a configuration document')
+def step_config(context):
+    context.document = json.dumps(CONFIG).encode()
+
+
+@given('a configuration document {fault}')
+def step_bad_config(context, fault):
+    route = dict(CONFIG['routes'][0])
+    del route['host']
+    without_version = dict(CONFIG)
+    del without_version['version']
+    context.document = {
+        'that is not JSON': b'{"version":',
+        'without a version': json.dumps(without_version).encode(),
+        'whose routes are a number': json.dumps(
+            CONFIG | {'routes': 3}
+        ).encode(),
+        'whose route lacks a host': json.dumps(
+            CONFIG | {'routes': [route]}
+        ).encode(),
+    }[fault]
+
+
+@when('the document is decoded')
+def step_decode(context):
+    context.result = decode_config(_item(context.document))
+
+
+@then(
+    'queue "{name}" is served by "{service}" with priority {priority:d} and '
+    '{attempts:d} attempts'
+)
+def step_queue(context, name, service, priority, attempts):
+    queue = context.result.routes[0].queue
+    assert queue.name == name
+    assert queue.service == service
+    assert queue.priority == priority
+    assert queue.max_attempts == attempts
+
+
+@then('its permissions cost {base:g} ms and {each:g} ms a worker')
+def step_advice(context, base, each):
+    advice = context.result.routes[0].queue.advice
+    assert (advice.base_ms, advice.each_ms) == (base, each)
+
+
+@then('team "{team}" has key "{key}" and may run {cpu:d} thousandths of a core')
+def step_team(context, team, key, cpu):
+    tenant = context.result.tenants[0]
+    assert tenant.name == team
+    assert tenant.keys == (key,)
+    assert tenant.cap == Resources(cpu)
+
+
+@then('it is refused as "{name}"')
+def step_refused(context, name):
+    assert isinstance(context.result, Failure), context.result
+    assert context.result.name == name
+
+
+@given('the board has version {version:d}')
+def step_board(context, version):
+    context.board = PolicyBoard(lambda: 0.0, 4.0)
+    assert context.board.take(Configuration(version, (), ()))
+
+
+@when('version {version:d} arrives')
+def step_arrives(context, version):
+    context.board.take(Configuration(version, (), ()))
+
+
+@then('version {version:d} is in force')
+def step_in_force(context, version):
+    assert context.board.version == version
+
+
+@given('the entry of a worker')
+def step_entry_document(context):
+    context.document = json.dumps(ENTRY).encode()
+
+
+@given('the entry of a worker {fault}')
+def step_bad_entry(context, fault):
+    without_capacity = dict(ENTRY)
+    del without_capacity['capacity']
+    context.document = {
+        'that is not JSON': b'\xff\xfe',
+        'without capacity': json.dumps(without_capacity).encode(),
+        'with an unknown state': json.dumps(ENTRY | {'state': 'x'}).encode(),
+        'with an address of wrong type': json.dumps(
+            ENTRY | {'address': 5}
+        ).encode(),
+    }[fault]
+
+
+@when('the entry is decoded')
+def step_decode_entry(context):
+    context.result = decode_entry(_item(context.document))
+
+
+@then('the worker has {cpu:d} thousandths of a core in rack "{rack}"')
+def step_worker(context, cpu, rack):
+    assert context.result.capacity.cpu_milli == cpu
+    assert context.result.rack == rack
+
+
+@then('the worker is ready')
+def step_ready(context):
+    assert context.result.is_ready
+
+
+@given(
+    'an entry with queue "{queue}" at "{host}" under "{prefix}" for key "{key}"'
+)
+def step_entry(context, queue, host, prefix, key):
+    context.time = 0.0
+    board = PolicyBoard(lambda: context.time, 4.0)
+    board.take(decode_config(_item(json.dumps(CONFIG).encode())))
+    board.confirm(0.0)
+    context.node = FakeNode()
+    context.ingress = Ingress(board, context.node, WallClock(0.0), FakeLog())
+    found = board.find(host, prefix)
+    assert (found.host, found.path_prefix) == (host, prefix)
+    assert key in board.by_key
+
+
+@given('an entry without a configuration')
+def step_entry_empty(context):
+    context.node = FakeNode()
+    board = PolicyBoard(lambda: 0.0, 4.0)
+    context.ingress = Ingress(board, context.node, WallClock(0.0), FakeLog())
+
+
+@given('the coordinator answers {reply}')
+def step_coordinator_answers(context, reply):
+    context.node.gateway.reply = REPLIES[reply]
+
+
+@given('the node is leaving')
+def step_leaving(context):
+    context.ingress.leaving = True
+
+
+@when('a caller sends POST "{path}" with {job}')
+def step_post(context, path, job):
+    key = 'k1'
+    body = json.dumps(JOBS.get(job, JOB)).encode()
+    if job.startswith('key '):
+        key = job.removeprefix('key ').strip('"')
+    elif job == 'a body that is not JSON':
+        body = b'{"spec":'
+    _send(context, 'POST', path, body, key=key)
+
+
+@when('a caller sends half a job and leaves')
+def step_half(context):
+    half = {'type': 'http.request', 'body': b'{"sp', 'more_body': True}
+    _send(
+        context,
+        'POST',
+        '/q/5c0e7a21d94b36f8',
+        events=[half, DISCONNECT],
+    )
+    assert not context.sent
+
+
+@when('a caller sends GET "{path}" with key "{key}"')
+def step_get(context, path, key):
+    _send(context, 'GET', path, key=key)
+
+
+@when('a caller sends DELETE "{path}" with key "{key}"')
+def step_delete(context, path, key):
+    _send(context, 'DELETE', path, key=key)
+
+
+@when('a caller sends PUT "{path}" with key "{key}"')
+def step_put(context, path, key):
+    _send(context, 'PUT', path, key=key)
+
+
+@when('a caller sends GET "{path}" with key ""')
+def step_get_no_key(context, path):
+    _send(context, 'GET', path, key='')
+
+
+@when('{seconds:g} s pass without news from the store')
+def step_no_news(context, seconds):
+    context.time += seconds
+
+
+@then('the answer is {status:d}')
+def step_answer(context, status):
+    assert context.sent[0]['status'] == status, context.sent
+
+
+@then('the answer is {status:d} with a time to come back')
+def step_answer_retry(context, status):
+    assert context.sent[0]['status'] == status, context.sent
+    assert 'retry-after' in {
+        name.decode() for name, _ in context.sent[0]['headers']
+    }
+
+
+@then('the coordinator was asked nothing')
+def step_asked_nothing(context):
+    assert not context.node.gateway.asked
+
+
+@then(
+    'the coordinator was asked to accept a job of {steps:d} steps for "{team}"'
+)
+def step_asked_submit(context, steps, team):
+    (asked,) = context.node.gateway.asked
+    assert isinstance(asked, SubmitJob)
+    assert not isinstance(asked, CancelJob)
+    assert len(asked.spec.steps) == steps
+    assert asked.spec.steps[1].after == (0,)
+    assert asked.spec.tenant == team
+
+
+@then('the body says that "{field}" is "{value}"')
+def step_body(context, field, value):
+    assert json.loads(context.sent[1]['body'])[field] == value
+
+
+@then('the connection is to be closed')
+def step_closed(context):
+    assert (b'connection', b'close') in context.sent[0]['headers']
+
+
+@given('the records "{first}" and "{second}"')
+def step_records(context, first, second):
+    context.records = [each.split('=') for each in (first, second)]
+
+
+@when('they are framed as the answer to a read from offset {offset:d}')
+def step_frame(context, offset):
+    body = b''.join(
+        frame(key, value.encode()) for key, value in context.records
+    )
+    head = (offset + 2).to_bytes(8, 'big') + bytes(8)
+    context.batch = read_batch(head + body, offset)
+
+
+@then('the read has "{first}" at {at:d} and "{second}" at {then:d}')
+def step_batch(context, first, at, second, then):
+    found = [
+        (f'{item.key}={item.blob.decode()}', item.offset)
+        for item in context.batch.items
+    ]
+    assert found == [(first, at), (second, then)]
+
+
+@given('the platform answers an append with {answer}')
+@given('the platform answers an order with {answer}')
+def step_platform_answers(context, answer):
+    context.http = FakeHttp(_answer(answer))
+
+
+@given('the platform answers with two pages of newest records')
+def step_pages(context):
+    context.http = FakeHttp(
+        _answer(
+            '200 {"items":[{"key":"a","value":"MQ==","offset":3}],'
+            '"hasMore":true,"end":5}'
+        ),
+        _answer(
+            '200 {"items":[{"key":"b","value":"Mg==","offset":5}],'
+            '"hasMore":false,"end":6}'
+        ),
+    )
+
+
+@when('a record is appended')
+def step_append(context):
+    store = StoreClient(context.http, 'store')
+    context.result = asyncio.run(
+        store.append('keyed.t', [('k', b'v')], timeout_s=1.0)
+    )
+
+
+@when('the newest records are read')
+def step_newest(context):
+    store = StoreClient(context.http, 'store')
+    context.result = asyncio.run(store.newest('keyed.t', timeout_s=1.0))
+
+
+@then('keys "{first}" and "{second}" are known, to be followed from {end:d}')
+def step_known(context, first, second, end):
+    assert [item.key for item in context.result.items] == [first, second]
+    assert context.result.end == end
+
+
+@when('a run is started')
+def step_start(context):
+    client = WorkerClient(context.http)
+    order = StartOrder('t', 1, 'text', 9, 1)
+    context.result = asyncio.run(client.start(WORKER, order))
+
+
+@when('a lease is renewed')
+def step_renew(context):
+    client = WorkerClient(context.http)
+    context.result = asyncio.run(client.renew(WORKER, Renewal(1, 0)))
+
+
+@then('the outcome is appended up to {end:d}')
+def step_appended(context, end):
+    assert context.result.end == end
+
+
+@then('the outcome is store-rejected with {seq:d} next')
+def step_seq(context, seq):
+    assert context.result.name == 'store-rejected'
+    assert context.result.fields['expected'] == seq
+
+
+@then('the outcome is log-unavailable and nothing done')
+def step_nothing_done(context):
+    assert context.result.name == 'log-unavailable'
+    assert context.result.fields['done'] is False
+
+
+@then('the outcome is log-unavailable and perhaps done')
+def step_perhaps_done(context):
+    assert context.result.name == 'log-unavailable'
+    assert context.result.fields['done'] is None
+
+
+@then('the outcome is clock {clock:d}')
+def step_clock(context, clock):
+    assert context.result == clock
+
+
+@then('the outcome is refused as {cause}')
+def step_cause(context, cause):
+    assert context.result.name == 'order-refused', context.result
+    assert context.result.fields['cause'] == cause
+
+
+@then('the outcome is store-rejected')
+def step_store_rejected(context):
+    assert context.result.name == 'store-rejected'
+
+
+@then('the outcome is worker-unreachable')
+def step_unreachable(context):
+    assert context.result.name == 'worker-unreachable', context.result
+
+
+@then('run {run:d} of "{task}" is at {percent:d} percent')
+def step_running(context, run, task, percent):
+    (row,) = context.result.running
+    assert (row.task, row.run, row.percent) == (task, run, percent)
+
+
+@then('end {number:d} is that of run {run:d} of "{task}" as "{outcome}"')
+def step_ended(context, number, run, task, outcome):
+    (row,) = context.result.ended
+    assert (row.number, row.run) == (number, run)
+    assert (row.task, row.outcome) == (task, outcome)
