--- a/features/coordinator/coordination.feature
+++ b/features/coordinator/coordination.feature
@@ -177,6 +177,20 @@
     Then job "a" is cancelled
     And no worker runs a task
 
+  Scenario: What a cancelled job still runs counts against the worker's room
+    Given a cell of 3 nodes and 1 worker
+    And tasks of job "a" take 30 s
+    When 1 s passes
+    And a job "a" with steps of 8 tasks is submitted
+    And 1 s passes
+    And a job "b" with steps of 8 tasks is submitted
+    And the coordinator is cut from the workers
+    And job "a" is cancelled
+    And the coordinator is killed
+    And 6 s pass
+    Then job "b" is succeeded
+    And no worker ever ran more than 8 tasks
+
   Scenario: A lasting task is started again however it ends
     Given a cell of 2 nodes and 1 worker
     When 1 s passes
--- a/features/coordinator/steps/coordination_steps.py
+++ b/features/coordinator/steps/coordination_steps.py
@@ -220,6 +220,11 @@
     context.cell.nodes[_coordinator(context)].view.is_cut = True
 
 
+@when('the coordinator is cut from the workers')
+def step_cut_workers(context):
+    context.cell.nodes[_coordinator(context)].pool.is_cut = True
+
+
 @when('the coordinator loses the next {count:d} answers of the store')
 def step_lose_answers(context, count):
     context.cell.nodes[_coordinator(context)].view.lose_answers = count
@@ -361,6 +366,19 @@
     assert not running, running
 
 
+@then('no worker ever ran more than {count:d} tasks')
+def step_room(context, count):
+    for worker in context.cell.workers.values():
+        for log in worker.history:
+            beside = [
+                other
+                for other in worker.history
+                if other.started_at <= log.started_at
+                and (other.ended_at is None or other.ended_at > log.started_at)
+            ]
+            assert len(beside) <= count, [each.task for each in beside]
+
+
 @then('at most {count:d} tasks of job "{job_id}" ran at a time')
 def step_at_a_time(context, count, job_id):
     runs = _runs(context, job_id)
--- a/packages/berylspread/src/berylspread/coordinator/decision_log.py
+++ b/packages/berylspread/src/berylspread/coordinator/decision_log.py
@@ -7,7 +7,7 @@
 from typing import Any, Final, final
 
 #: Lines a second above which the rest of a kind of event is only counted.
-LINES_PER_S: Final = 60
+LINES_PER_S: Final = 200
 WINDOW_S: Final = 1.0
 STDOUT_FD: Final = 1
 
--- a/packages/berylspread/src/berylspread/coordinator/fleet.py
+++ b/packages/berylspread/src/berylspread/coordinator/fleet.py
@@ -131,6 +131,7 @@
         'reachable',
         'runs',
         'serving',
+        'strays',
         'trouble',
     )
 
@@ -152,6 +153,8 @@
         self.heard_at = 0.0
         self.avoid_until = 0.0
         self.serving = 0
+        #: Runs of ended jobs that are being stopped; what they take is unknown.
+        self.strays = 0
         self.trouble = 0.0
 
     @property
@@ -161,12 +164,8 @@
 
     def accepts_runs(self, moment: float) -> bool:
         """Return whether new runs may be placed here."""
-        return (
-            self.present
-            and self.reachable
-            and self.entry.is_ready
-            and moment >= self.avoid_until
-        )
+        is_known = self.present and self.reachable and not self.strays
+        return is_known and self.entry.is_ready and moment >= self.avoid_until
 
     def add(self, run: Run) -> None:
         """Reserve room for a run."""
--- a/packages/berylspread/src/berylspread/coordinator/session.py
+++ b/packages/berylspread/src/berylspread/coordinator/session.py
@@ -162,9 +162,13 @@
         if worker.clock.at is not None and worker.reachable:
             until_ms = worker.clock.read(now()) + LEASE_MS
             worker.lease_until_ms = max(worker.lease_until_ms, until_ms)
-        is_open = until_ms == 0 or any(
-            run.stopping or run.stage is Stage.uncertain
-            for run in worker.runs.values()
+        is_open = (
+            until_ms == 0
+            or worker.strays
+            or any(
+                run.stopping or run.stage is Stage.uncertain
+                for run in worker.runs.values()
+            )
         )
         return Renewal(
             token=self.owner.token,
@@ -242,13 +246,16 @@
 
     def _take_running(self, rows: list[RunningRow]) -> set[str]:
         listed = set()
+        strays = 0
         for row in rows:
             run = self.worker.runs.get(row.task)
             if run is None or run.number != row.run:
+                strays += 1
                 self._spawn(self._stop_stray(row))
             else:
                 listed.add(row.task)
                 _refresh(run, row)
+        self.worker.strays = strays
         return listed
 
     def _settle_missing(self, listed: set[str], sent_at: float) -> None:
