Answer nothing about jobs before they are loaded

Ruled out: the fence, the sequence numbers and the paging of the newest records (the loaded counts were whole).

--- a/features/coordinator/coordination.feature
+++ b/features/coordinator/coordination.feature
@@ -31,6 +31,20 @@
     Then job "a" is succeeded
     And each task of job "a" ran once
 
+  Scenario: A coordinator that has not loaded the jobs answers nothing on them
+    Given a cell of 3 nodes and 4 workers
+    And tasks of job "a" take 6 s
+    When 1 s passes
+    And a job "a" with steps of 4 tasks is submitted
+    And 1 s passes
+    And the store takes 0.3 s for an answer
+    And the coordinator is killed
+    And job "a" is submitted and asked about again and again for 4 s
+    Then no answer said that there is no job "a"
+    When 6 s pass
+    Then job "a" is succeeded
+    And each task of job "a" ran once
+
   Scenario: A coordinator that stops hands over at once
     Given a cell of 3 nodes and 4 workers
     When 1 s passes
--- a/features/coordinator/steps/coordination_steps.py
+++ b/features/coordinator/steps/coordination_steps.py
@@ -225,6 +225,55 @@
     context.cell.nodes[_coordinator(context)].pool.is_cut = True
 
 
+@when('the store takes {seconds:g} s for an answer')
+def step_slow_store(context, seconds):
+    context.cell.store.answer_s = seconds
+
+
+@when(
+    'job "{job_id}" is submitted and asked about again and again for '
+    '{seconds:g} s'
+)
+def step_ask_again(context, job_id, seconds):
+    spec = job(job_id, StepSpec(4, TASK, estimate_ms=1000))
+    context.replies = []
+
+    async def ask(node):
+        gateway = node.node.gateway
+        for body, kind in (
+            (AskJobStatus(job_id, 'q', 'acme'), JobStatusReply),
+            (SubmitJob(spec), JobAccepted),
+        ):
+            context.replies.append(
+                await gateway.ask(
+                    body, kind, request=job_id, timeout_s=TIMEOUT_S
+                )
+            )
+
+    async def ask_all():
+        ends_at = now() + seconds
+        asking = []
+        while now() < ends_at:
+            asking.extend(
+                asyncio.create_task(ask(node))
+                for node in context.cell.nodes.values()
+            )
+            await asyncio.sleep(0.05)
+        await asyncio.gather(*asking)
+
+    context.run(ask_all())
+
+
+@then('no answer said that there is no job "{job_id}"')
+def step_known(context, job_id):
+    assert context.replies
+    assert not [
+        reply
+        for reply in context.replies
+        if getattr(reply, 'name', '') == 'no-such-job'
+    ]
+
+
 @when('the coordinator loses the next {count:d} answers of the store')
 def step_lose_answers(context, count):
     context.cell.nodes[_coordinator(context)].view.lose_answers = count
--- a/packages/berylspread/src/berylspread/coordinator/coordinator.py
+++ b/packages/berylspread/src/berylspread/coordinator/coordinator.py
@@ -88,6 +88,7 @@
         'committer',
         'dispatcher',
         'given',
+        'is_loaded',
         'log',
         'permits',
         'sessions',
@@ -104,6 +105,7 @@
         self.given = given
         self.log = given.log
         self.token = epoch
+        self.is_loaded = False
         self.committer = Committer(
             given.store, given.topics.jobs, epoch, given.wall, given.log
         )
@@ -299,6 +301,7 @@
         for item in snapshots[0].items:
             self.take_entry(item)
         inherited = self._inherit()
+        self.is_loaded = True
         self.log.write(
             'coordinating',
             epoch=self.token,
--- a/packages/berylspread/src/berylspread/coordinator/service.py
+++ b/packages/berylspread/src/berylspread/coordinator/service.py
@@ -59,8 +59,8 @@
         """Accept a job once it is stored; a repeat changes nothing."""
         coordinator, spec = self.coordinator, request.spec
         table = coordinator.table
-        if not coordinator.has_authority(ANSWER_GRACE_S):
-            return NotOwner('the authority is not confirmed')
+        if not self._may_answer():
+            return NotOwner('the coordinator is not ready to answer')
         if spec.job_id in table.ended:
             return JobAccepted()
         job = table.jobs.get(spec.job_id)
@@ -84,8 +84,8 @@
     async def status(self, request: AskJobStatus) -> JobStatusReply | Failure:
         """Return how far a job has come, as far as that is stored."""
         coordinator = self.coordinator
-        if not coordinator.has_authority(ANSWER_GRACE_S):
-            return NotOwner('the authority is not confirmed')
+        if not self._may_answer():
+            return NotOwner('the coordinator is not ready to answer')
         table = coordinator.table
         job = table.jobs.get(request.job_id)
         if job is not None:
@@ -102,8 +102,8 @@
     async def cancel(self, request: CancelJob) -> JobCancelled | Failure:
         """Cancel a job once that is stored; one that has ended stays so."""
         coordinator = self.coordinator
-        if not coordinator.has_authority(ANSWER_GRACE_S):
-            return NotOwner('the authority is not confirmed')
+        if not self._may_answer():
+            return NotOwner('the coordinator is not ready to answer')
         job = coordinator.table.jobs.get(request.job_id)
         if job is None:
             if request.job_id in coordinator.table.ended:
@@ -117,11 +117,17 @@
                 return NotStored(failure.reason)
         return JobCancelled()
 
+    def _may_answer(self) -> bool:
+        # Before the table is loaded every job would pass for a new one.
+        return self.coordinator.is_loaded and self.coordinator.has_authority(
+            ANSWER_GRACE_S
+        )
+
     async def backlog(self, request: AskBacklog) -> BacklogReply | Failure:
         """Return how many jobs of a queue have not begun."""
         coordinator = self.coordinator
-        if not coordinator.has_authority(ANSWER_GRACE_S):
-            return NotOwner('the authority is not confirmed')
+        if not self._may_answer():
+            return NotOwner('the coordinator is not ready to answer')
         return BacklogReply(
             coordinator.table.backlog(request.queue, coordinator.wall_ms())
         )
