Preempt, evacuate, and refuse at once what the store cannot take

Urgent steps that find no room stop batch runs that save their progress; lasting tasks and long batch runs leave a draining worker before it goes; a job that cannot be stored because the store takes no appends is refused as not run, in place of waiting out the caller's time.

--- a/features/coordinator/coordination.feature
+++ b/features/coordinator/coordination.feature
@@ -205,6 +205,59 @@
     Then job "b" is succeeded
     And no worker ever ran more than 8 tasks
 
+  Scenario: Urgent work does not wait for batch work that saves its progress
+    Given a cell of 2 nodes and 2 workers
+    And tasks of job "batch" take 30 s
+    When 1 s passes
+    And a batch job "batch" of 16 tasks that save their progress is submitted
+    And 2 s pass
+    And a job "a" with steps of 3 tasks is submitted
+    And 2 s pass
+    Then job "a" is succeeded
+    And at most 3 runs of job "batch" were stopped
+
+  Scenario: Urgent work waits for batch work that saves nothing
+    Given a cell of 2 nodes and 1 worker
+    And tasks of job "batch" take 3 s
+    When 1 s passes
+    And a batch job "batch" of 8 tasks that save nothing is submitted
+    And 1 s passes
+    And a job "a" with steps of 3 tasks is submitted
+    And 1 s passes
+    Then job "a" is queued
+    And at most 0 runs of job "batch" were stopped
+
+  Scenario: Tasks that last leave a draining worker before it goes
+    Given a cell of 2 nodes and 1 worker
+    And tasks of job "a" take 300 s
+    When 1 s passes
+    And a job "a" with a lasting step of 2 tasks is submitted
+    And 1 s passes
+    And another worker joins
+    And the worker of job "a" drains
+    And 1.5 s pass
+    Then all tasks of job "a" run on the other worker
+    And no two runs of job "a" overlap
+
+  Scenario: A job is refused at once while the store takes nothing
+    Given a cell of 2 nodes and 1 worker
+    When 1 s passes
+    And the store is down
+    And a job "a" is submitted and given up after 2 s
+    And a job "b" is refused within 0.2 s as not run
+    And the store is up
+    And 3 s pass
+    Then job "a" is succeeded
+    And there is no job "b"
+
+  Scenario: A report asked for in the moment of an answer proves nothing
+    Given a cell of 2 nodes and 1 worker
+    When 1 s passes
+    And a job "a" with steps of 1 task is submitted
+    And 0.2 s pass
+    And a report of the moment in which the start was answered omits the run
+    Then task 0 of job "a" is still booked
+
   Scenario: A lasting task is started again however it ends
     Given a cell of 2 nodes and 1 worker
     When 1 s passes
--- a/features/coordinator/steps/coordination_steps.py
+++ b/features/coordinator/steps/coordination_steps.py
@@ -15,7 +15,9 @@
     SubmitJob,
 )
 from berylspread.coordinator.model import AdviceTerms, JobSpec, Queue, StepSpec
+from berylspread.coordinator.service import NoSuchJob
 from berylspread.kernel.clock import now
+from berylspread.kernel.errors import NotRun
 from berylspread_standins.coordinated import CoordinatedFleet
 from berylspread_standins.coordinated.fleet import (
     EPOCH_S,
@@ -26,6 +28,7 @@
 )
 
 TIMEOUT_S = 2.5
+ASK_EVERY_S = 0.05
 PERMITTED = Queue(
     'q', 'desk', max_attempts=2, advice=AdviceTerms(30.0, 1.0, 2000.0)
 )
@@ -60,6 +63,10 @@
 
 
 def _status(context, job_id):
+    return _ask_status(context, job_id).status
+
+
+def _ask_status(context, job_id):
     async def ask():
         return await _gateway(context).ask(
             AskJobStatus(job_id, 'q', 'acme'),
@@ -68,7 +75,7 @@
             timeout_s=TIMEOUT_S,
         )
 
-    return context.run(ask()).status
+    return context.run(ask())
 
 
 def _coordinator(context):
@@ -162,6 +169,51 @@
     assert isinstance(_submit(context, job(job_id, step)), JobAccepted)
 
 
+@when(
+    'a batch job "{job_id}" of {count:d} tasks that save their progress is '
+    'submitted'
+)
+def step_submit_batch(context, job_id, count):
+    _submit_batch(context, job_id, StepSpec(count, TASK, checkpoints=True))
+
+
+@when(
+    'a batch job "{job_id}" of {count:d} tasks that save nothing is submitted'
+)
+def step_submit_batch_plain(context, job_id, count):
+    _submit_batch(context, job_id, StepSpec(count, TASK))
+
+
+def _submit_batch(context, job_id, step):
+    spec = job(job_id, step, queue=Queue('batch', 'desk', priority=2))
+    assert isinstance(_submit(context, spec), JobAccepted)
+
+
+@when('a report of the moment in which the start was answered omits the run')
+def step_same_moment(context):
+    async def settle():
+        node = context.cell.nodes[_coordinator(context)].node
+        coordinator = node.service.coordinator
+        context.session = next(iter(coordinator.sessions.values()))
+        run = next(iter(context.session.worker.runs.values()))
+        context.session.settle_missing(set(), run.answered_at)
+
+    context.run(settle())
+
+
+@then('task {index:d} of job "{job_id}" is still booked')
+def step_booked(context, index, job_id):
+    assert f'{job_id}.0.0.{index}' in context.session.worker.runs
+
+
+@then('at most {count:d} runs of job "{job_id}" were stopped')
+def step_stopped(context, count, job_id):
+    stopped = [
+        log for log in _runs(context, job_id) if log.outcome == 'stopped'
+    ]
+    assert len(stopped) <= count, len(stopped)
+
+
 @when('a job "{job_id}" of the capped team with {count:d} tasks is submitted')
 def step_submit_capped(context, job_id, count):
     spec = job(job_id, StepSpec(count, TASK), tenant='capped')
@@ -251,14 +303,13 @@
             )
 
     async def ask_all():
-        ends_at = now() + seconds
         asking = []
-        while now() < ends_at:
+        for _ in range(round(seconds / ASK_EVERY_S)):
             asking.extend(
                 asyncio.create_task(ask(node))
                 for node in context.cell.nodes.values()
             )
-            await asyncio.sleep(0.05)
+            await asyncio.sleep(ASK_EVERY_S)
         await asyncio.gather(*asking)
 
     context.run(ask_all())
@@ -267,11 +318,60 @@
 @then('no answer said that there is no job "{job_id}"')
 def step_known(context, job_id):
     assert context.replies
-    assert not [
-        reply
-        for reply in context.replies
-        if getattr(reply, 'name', '') == 'no-such-job'
+    unknown = [
+        reply for reply in context.replies if isinstance(reply, NoSuchJob)
     ]
+    assert not unknown, len(unknown)
+
+
+@when('another worker joins')
+def step_join(context):
+    async def join():
+        context.cell.add_worker('other')
+
+    context.run(join())
+
+
+@when('the worker of job "{job_id}" drains')
+def step_drain(context, job_id):
+    async def drain():
+        context.cell.drain(_worker_of(context, job_id).entry.worker)
+
+    context.run(drain())
+
+
+@then('all tasks of job "{job_id}" run on the other worker')
+def step_on_other(context, job_id):
+    running = {
+        log.task: log.worker
+        for log in _runs(context, job_id)
+        if log.ended_at is None
+    }
+    assert set(running.values()) == {'other'}, running
+
+
+@when('a job "{job_id}" is refused within {seconds:g} s as not run')
+def step_refused_at_once(context, job_id, seconds):
+    async def submit():
+        began = now()
+        reply = await _gateway(context).ask(
+            SubmitJob(job(job_id)),
+            JobAccepted,
+            request=job_id,
+            timeout_s=TIMEOUT_S,
+        )
+        return reply, now() - began
+
+    reply, took_s = context.run(submit())
+    assert isinstance(reply, NotRun), reply
+    assert took_s <= seconds, took_s
+
+
+@then('there is no job "{job_id}"')
+def step_no_job(context, job_id):
+    assert not _runs(context, job_id)
+    reply = _ask_status(context, job_id)
+    assert isinstance(reply, NoSuchJob), reply
 
 
 @when('the coordinator loses the next {count:d} answers of the store')
--- a/packages/berylspread-standins/src/berylspread_standins/coordinated/fleet.py
+++ b/packages/berylspread-standins/src/berylspread_standins/coordinated/fleet.py
@@ -92,17 +92,25 @@
         #: Seconds of work and outcome by task; others take a second.
         self.work: dict[str, tuple[float, str]] = {}
         self.lines: list[dict[str, object]] = []
-        self.workers = {
-            f'w{index}': WorkerStandin(_entry(f'w{index}'), self.script)
-            for index in range(workers)
-        }
-        for worker in self.workers.values():
-            self.publish(worker.entry)
+        self.workers: dict[str, WorkerStandin] = {}
+        for index in range(workers):
+            self.add_worker(f'w{index}')
 
     def script(self, task: str) -> tuple[float, str]:
         """Return how a task's next run goes."""
         return self.work.get(task, (1.0, 'done'))
 
+    def add_worker(self, name: str) -> None:
+        """Let a worker join."""
+        worker = WorkerStandin(_entry(name), self.script)
+        self.workers[name] = worker
+        self.publish(worker.entry)
+
+    def drain(self, name: str) -> None:
+        """Let a worker announce that it leaves."""
+        entry = self.workers[name].entry
+        self.publish(msgspec.structs.replace(entry, is_ready=False))
+
     def publish(self, entry: WorkerEntry) -> None:
         """Write a worker's entry to the store."""
         self.store.append(
--- a/packages/berylspread/src/berylspread/coordinator/committer.py
+++ b/packages/berylspread/src/berylspread/coordinator/committer.py
@@ -1,6 +1,7 @@
 """Makes changes of the job table durable, in batches, fenced by the epoch."""
 
 import asyncio
+import collections
 import random
 from typing import Final, final
 
@@ -18,7 +19,7 @@
     job_key,
     step_key,
 )
-from berylspread.kernel.clock import WallClock
+from berylspread.kernel.clock import WallClock, now
 from berylspread.kernel.errors import Failure, NotOwner
 
 PRODUCER: Final = 'coordinator'
@@ -30,6 +31,9 @@
 TIMEOUT_ANSWERS: Final = 4
 #: Weight of the newest answer in the moving mean.
 ANSWER_WEIGHT: Final = 0.2
+#: After this time of failed appends the store counts as out of service: several
+#: repeats of an append whose answer was lost fit into it.
+STALL_S: Final = 0.6
 #: Pause before an append is repeated, up to twice as much by jitter.
 RETRY_S: Final = 0.05
 #: Payload bytes after which a batch is closed; below the store's limit a call.
@@ -48,8 +52,7 @@
 
     __slots__ = (
         'answer_s',
-        'appended_bytes',
-        'appends',
+        'counts',
         'deposed',
         'drops',
         'epoch',
@@ -57,6 +60,7 @@
         'log',
         'next_done',
         'seq',
+        'stalled_since',
         'steps',
         'store',
         'timeout_s',
@@ -88,8 +92,10 @@
         self.deposed: Failure | None = None
         self.answer_s = 0.0
         self.timeout_s = LEAST_TIMEOUT_S
-        self.appends = 0
-        self.appended_bytes = 0
+        #: When the append that still fails was first sent.
+        self.stalled_since: float | None = None
+        #: Appends and their bytes.
+        self.counts: collections.Counter[str] = collections.Counter()
 
     def job(self, job: Job) -> asyncio.Future[Failure | None]:
         """Store a job's record."""
@@ -165,7 +171,13 @@
                 return failure
         return None
 
+    def is_stalled(self) -> bool:
+        """Return whether the store has not taken an append for a while."""
+        since = self.stalled_since
+        return since is not None and now() - since >= STALL_S
+
     def _learn(self, took_s: float) -> None:
+        self.stalled_since = None
         self.answer_s += ANSWER_WEIGHT * (took_s - self.answer_s)
         self.timeout_s = min(
             max(TIMEOUT_ANSWERS * self.answer_s, LEAST_TIMEOUT_S),
@@ -176,7 +188,7 @@
         # The sequence number makes a repeat harmless.
         producer = Producer(PRODUCER, self.epoch, self.seq)
         while self.deposed is None:
-            sent_at = asyncio.get_running_loop().time()
+            sent_at = now()
             reply = await self.store.append(
                 self.topic,
                 records,
@@ -186,11 +198,13 @@
             if isinstance(reply, StoreRejected):
                 return NotOwner(f'epoch {self.epoch} is over: {reply.reason}')
             if not isinstance(reply, Failure):
-                self._learn(asyncio.get_running_loop().time() - sent_at)
-                self.appends += 1
-                self.appended_bytes += sum(len(blob) for _, blob in records)
+                self._learn(now() - sent_at)
+                self.counts['appends'] += 1
+                self.counts['bytes'] += sum(len(blob) for _, blob in records)
                 return None
             self.timeout_s = min(2 * self.timeout_s, MOST_TIMEOUT_S)
+            if self.stalled_since is None:
+                self.stalled_since = sent_at
             self.log.write('append-retry', seq=self.seq, reason=reply.reason)
             await asyncio.sleep(RETRY_S * (1 + random.random()))
         return self.deposed
--- a/packages/berylspread/src/berylspread/coordinator/coordinator.py
+++ b/packages/berylspread/src/berylspread/coordinator/coordinator.py
@@ -11,6 +11,7 @@
 from berylspread.coordinator.directory import TopicFollower
 from berylspread.coordinator.dispatcher import Dispatcher
 from berylspread.coordinator.endings import OUTCOMES
+from berylspread.coordinator.evacuation import runs_to_evacuate
 from berylspread.coordinator.fleet import (
     SLOWEST_CLOCK,
     Run,
@@ -164,20 +165,27 @@
             self._meet(Worker(entry))
             return
         if known.entry.is_ready != entry.is_ready:
+            known.draining_since = now()
             self.log.write(
-                'worker-state', worker=entry.worker, ready=entry.is_ready
+                'worker-state',
+                worker=entry.worker,
+                ready=entry.is_ready,
+                remaining_ms=entry.remaining_ms,
             )
         known.update(entry)
         if entry.worker not in self.sessions:
             self._meet(known)
 
     def observed(self, worker: Worker) -> None:
-        """Adjust the fillers beside serving tasks after a report."""
+        """Adjust fillers and empty a worker that leaves, after a report."""
         session = self.sessions.get(worker.name)
         if session is None:
             return
         for run, percent in pace_fillers(worker):
             session.pace(run, percent)
+        if not worker.entry.is_ready:
+            for run in runs_to_evacuate(worker):
+                session.stop(run, 'evacuated')
         self.wake.set()
 
     # Runs.
--- a/packages/berylspread/src/berylspread/coordinator/dispatcher.py
+++ b/packages/berylspread/src/berylspread/coordinator/dispatcher.py
@@ -4,7 +4,7 @@
 import functools
 from typing import TYPE_CHECKING, Final, final
 
-from berylspread.coordinator.fleet import Run, Stage
+from berylspread.coordinator.fleet import Run, Stage, Worker
 from berylspread.coordinator.model import Phase, Step
 from berylspread.coordinator.planner import (
     Placement,
@@ -12,6 +12,7 @@
     candidates,
     urgency,
 )
+from berylspread.coordinator.preemption import PAUSE_S, choose_victims
 from berylspread.coordinator.records import job_key
 from berylspread.kernel.clock import now
 from berylspread.kernel.errors import Failure
@@ -80,14 +81,43 @@
             limit = coordinator.usage.room(step)
             choices = candidates(step, workers, moment) if limit else []
             if choices:
-                self._book(step, StepPlan(step, choices).place(limit))
+                placements = StepPlan(step, choices).place(limit)
+                self._book(step, placements)
+                self._preempt(step, limit - len(placements), choices, moment)
+
+    def _preempt(
+        self,
+        step: Step,
+        limit: int,
+        choices: list[tuple[Worker, str]],
+        moment: float,
+    ) -> None:
+        """Stop runs of less urgent work for the tasks that found no room."""
+        wanted = min(len(step.waiting), limit)
+        if wanted <= 0 or moment < step.preempt_after:
+            return
+        victims = choose_victims(
+            step, wanted, (worker for worker, _ in choices), moment
+        )
+        if not victims:
+            return
+        step.preempt_after = moment + PAUSE_S
+        coordinator = self.coordinator
+        coordinator.log.write(
+            'preempt',
+            step=step.name,
+            waiting=wanted,
+            runs=[run.task.name for run in victims],
+        )
+        for run in victims:
+            coordinator.sessions[run.worker.name].stop(run, 'preempted')
 
     def _book(self, step: Step, placements: list[Placement]) -> None:
         if not placements:
             return
         runs = [self._reserve(placement) for placement in placements]
         if step.spec.gang:
-            _share_number(runs)
+            _share_start(runs)
         stored = self.coordinator.committer.step(step)
         tickets = [placement.ticket for placement in placements]
         stored.add_done_callback(functools.partial(self._send, runs, tickets))
@@ -134,9 +164,12 @@
         coordinator.sessions[run.worker.name].start(run, ticket)
 
 
-def _share_number(runs: list[Run]) -> None:
-    # The members of a gang share the number of their run.
+def _share_start(runs: list[Run]) -> None:
+    # The members of a gang share the number of their run and resume from one
+    # checkpoint; that of any member holds for all.
     number = max(run.number for run in runs)
+    checkpoint = max(run.task.checkpoint for run in runs)
     for run in runs:
+        run.task.checkpoint = checkpoint
         run.number = number
         run.task.run = number
--- /dev/null
+++ b/packages/berylspread/src/berylspread/coordinator/evacuation.py
@@ -0,0 +1,47 @@
+"""Which runs leave a draining worker before it does.
+
+Load pattern: a worker announces that it leaves while tasks that last, or that
+have long to go, run on it.  Left there they end with the worker and begin again
+only when their lease is surely over; stopped in time they go on elsewhere, from
+what they have saved.
+"""
+
+from typing import Final
+
+from berylspread.coordinator.fleet import Run, Stage, Worker
+from berylspread.kernel.clock import now
+
+#: A worker stays at least this long after its announcement, if it does not say.
+USUAL_STAY_S: Final = 2.5
+#: A stop and its report take up to this time.
+STOP_MARGIN_S: Final = 0.8
+MS: Final = 1000
+WHOLE_PERCENT: Final = 100
+
+
+def runs_to_evacuate(worker: Worker) -> list[Run]:
+    """Return the runs on a draining worker that would end with it."""
+    left_s = worker.entry.remaining_ms / MS or USUAL_STAY_S
+    left_s -= now() - worker.draining_since + STOP_MARGIN_S
+    return [
+        run
+        for run in worker.runs.values()
+        if run.stage is Stage.running
+        and not run.stopping
+        and _is_worth_moving(run, left_s)
+    ]
+
+
+def _is_worth_moving(run: Run, left_s: float) -> bool:
+    spec = run.task.step.spec
+    if spec.lasting:
+        return True
+    return spec.checkpoints and not spec.gang and remaining_s(run) > left_s
+
+
+def remaining_s(run: Run) -> float:
+    """Estimate how long a run still takes, from its progress or its size."""
+    ran_s = now() - run.since
+    if run.percent > 0:
+        return ran_s * (WHOLE_PERCENT - run.percent) / run.percent
+    return max(run.task.step.spec.estimate_ms / MS - ran_s, 0)
--- a/packages/berylspread/src/berylspread/coordinator/fleet.py
+++ b/packages/berylspread/src/berylspread/coordinator/fleet.py
@@ -122,6 +122,7 @@
         'avoid_until',
         'born_ms',
         'clock',
+        'draining_since',
         'entry',
         'free',
         'heard_at',
@@ -152,6 +153,8 @@
         self.present = True
         self.heard_at = 0.0
         self.avoid_until = 0.0
+        #: When the entry first said that the worker leaves.
+        self.draining_since = 0.0
         self.serving = 0
         #: Runs of ended jobs that are being stopped; what they take is unknown.
         self.strays = 0
--- a/packages/berylspread/src/berylspread/coordinator/model.py
+++ b/packages/berylspread/src/berylspread/coordinator/model.py
@@ -177,6 +177,7 @@
         'name',
         'number',
         'occurrence',
+        'preempt_after',
         'remaining',
         'spec',
         'tasks',
@@ -195,6 +196,13 @@
         self.waiting: collections.deque[Task] = collections.deque(self.tasks)
         self.remaining = self.spec.count
         self.tickets: Tickets | None = None
+        #: The loop's time before which no run is stopped for this step.
+        self.preempt_after = 0.0
+
+    @property
+    def priority(self) -> int:
+        """Return the priority of the job's queue; 0 is the most urgent."""
+        return self.job.spec.queue.priority
 
     def is_done(self) -> bool:
         """Return whether all tasks have succeeded."""
--- a/packages/berylspread/src/berylspread/coordinator/permits.py
+++ b/packages/berylspread/src/berylspread/coordinator/permits.py
@@ -29,6 +29,8 @@
 TIMEOUT_SLACK_S: Final = 1.0
 RETRY_S: Final = 0.3
 MS: Final = 1000
+#: Weight of the newest answer in what is known of a node.
+OVERHEAD_WEIGHT: Final = 0.3
 #: Taken off a ticket's life for the answer's way.
 TRANSIT_S: Final = 0.05
 
@@ -42,11 +44,13 @@
 class Askers:
     """The nodes that can ask, and until when each is expected to be busy."""
 
-    __slots__ = ('busy_until',)
+    __slots__ = ('busy_until', 'overhead_s')
 
     def __init__(self) -> None:
         """Know no node yet."""
         self.busy_until: dict[str, float] = {}
+        #: What an answer takes beyond the service's own time, by node.
+        self.overhead_s: dict[str, float] = {}
 
     def add(self, node: str) -> None:
         """Take a node into use."""
@@ -65,11 +69,21 @@
                 for index, name in enumerate(names)
                 if index % SHORT_ONLY_EVERY
             ]
-        node = min(names, key=lambda name: self.busy_until[name])
-        done_at = max(self.busy_until[node], moment) + cost_s
-        self.busy_until[node] = done_at
+
+        def answers_at(name: str) -> float:
+            free_at = max(self.busy_until[name], moment)
+            return free_at + self.overhead_s.get(name, 0.0)
+
+        node = min(names, key=answers_at)
+        done_at = answers_at(node) + cost_s
+        self.busy_until[node] = max(self.busy_until[node], moment) + cost_s
         return node, done_at
 
+    def learn(self, node: str, late_s: float) -> None:
+        """Note by how much an answer through a node missed its time."""
+        known = self.overhead_s.get(node, 0.0)
+        self.overhead_s[node] = max(known + OVERHEAD_WEIGHT * late_s, 0.0)
+
 
 def workers_to_ask(
     step: Step, workers: list[Worker], moment: float
@@ -166,6 +180,7 @@
                 # A node that does not answer is a worse choice for a while.
                 self.askers.busy_until[node] = now() + TIMEOUT_SLACK_S
         else:
+            self.askers.learn(node, now() - done_at)
             self._take(tickets, wanted, reply)
         self.log.write(
             'advice',
--- a/packages/berylspread/src/berylspread/coordinator/planner.py
+++ b/packages/berylspread/src/berylspread/coordinator/planner.py
@@ -77,7 +77,7 @@
 
 def urgency(step: Step) -> tuple[int, float]:
     """Return the order in which steps are placed."""
-    return step.job.spec.queue.priority, step.job.deadline_ms
+    return step.priority, step.job.deadline_ms
 
 
 def candidates(
--- /dev/null
+++ b/packages/berylspread/src/berylspread/coordinator/preemption.py
@@ -0,0 +1,85 @@
+"""Which runs make way for a more urgent step.
+
+Load pattern: a burst of urgent steps while batch work that saves its progress
+fills the fleet.  A stop saves what has been done, so a victim loses its place
+and the time to start again, and the urgent step waits for the stop instead of
+for the end of a task that is ten times as long.
+"""
+
+from collections.abc import Iterable
+from typing import Final
+
+from berylspread.coordinator.fleet import Run, Stage, Worker
+from berylspread.coordinator.model import Step
+from berylspread.model import Resources
+
+#: A run is left alone this long: it has yet to pay for its start.
+LEAST_RUN_S: Final = 0.5
+#: After runs were stopped for a step, the next choice waits for the room that
+#: they leave; a stop takes up to 0.4 s.
+PAUSE_S: Final = 0.6
+
+
+def choose_victims(
+    step: Step, wanted: int, workers: Iterable[Worker], moment: float
+) -> list[Run]:
+    """Return the runs to stop so that ``wanted`` tasks of a step find room.
+
+    Only workers that may run the step are given.  A gang or a step that must
+    be spread is not worth the stops: its tasks could still lack their places.
+    """
+    spec = step.spec
+    if spec.gang or spec.per_worker or spec.fills:
+        return []
+    reserved = spec.reserved()
+    victims: list[Run] = []
+    for worker in workers:
+        if wanted <= 0:
+            break
+        freed = _victims_on(worker, step, reserved, moment)
+        if freed:
+            victims.extend(freed)
+            wanted -= 1
+    return victims
+
+
+def _victims_on(
+    worker: Worker, step: Step, reserved: Resources, moment: float
+) -> list[Run]:
+    """Return the fewest runs whose room holds one task more, or none."""
+    if any(run.stopping for run in worker.runs.values()):
+        # Room is about to come free here already.
+        return []
+    room = worker.free
+    chosen: list[Run] = []
+    for run in sorted(_candidates(worker, step, moment), key=_cost):
+        room += run.reserved
+        chosen.append(run)
+        if reserved.fits(room):
+            return chosen
+    return []
+
+
+def _candidates(worker: Worker, step: Step, moment: float) -> list[Run]:
+    return [
+        run
+        for run in worker.runs.values()
+        if run.task.step.priority > step.priority
+        and run.stage is Stage.running
+        and moment - run.since >= LEAST_RUN_S
+        and _is_cheap(run)
+    ]
+
+
+def _is_cheap(run: Run) -> bool:
+    spec = run.task.step.spec
+    return spec.checkpoints and not (spec.lasting or spec.gang or spec.fills)
+
+
+def _cost(run: Run) -> tuple[int, int, float]:
+    # Least urgent first, then the largest, so that few runs are stopped.
+    return (
+        -run.task.step.priority,
+        -run.reserved.cpu_milli,
+        -run.since,
+    )
--- a/packages/berylspread/src/berylspread/coordinator/service.py
+++ b/packages/berylspread/src/berylspread/coordinator/service.py
@@ -15,10 +15,11 @@
     NodeUp,
     SubmitJob,
 )
-from berylspread.coordinator.model import JobStatus
+from berylspread.coordinator.model import Job, JobSpec, JobStatus
 from berylspread.kernel.errors import (
     Failure,
     NotOwner,
+    NotRun,
     RunState,
     failure,
 )
@@ -59,41 +60,30 @@
         """Accept a job once it is stored; a repeat changes nothing."""
         coordinator, spec = self.coordinator, request.spec
         table = coordinator.table
+        if self._must_refuse(spec.job_id):
+            # It would wait out the caller's time; nothing is kept of it.
+            return NotRun('the store takes no appends at present')
         if not self._may_answer():
             return NotOwner('the coordinator is not ready to answer')
         if spec.job_id in table.ended:
             return JobAccepted()
         job = table.jobs.get(spec.job_id)
         if job is None:
-            job = table.add(spec, coordinator.wall_ms())
-            job.stored = coordinator.committer.job(job)
-            coordinator.log.write(
-                'job-accepted',
-                job=spec.job_id,
-                queue=spec.queue.name,
-                tenant=spec.tenant,
-                tasks=sum(step.count for step in spec.steps),
-            )
-            coordinator.wake.set()
-        if job.stored is not None:
-            failure = await stored_by(job.stored)
-            if failure is not None:
-                return NotStored(failure.reason)
-        return JobAccepted()
+            job = self._accept(spec)
+        failure = await _stored(job)
+        return JobAccepted() if failure is None else failure
 
     async def status(self, request: AskJobStatus) -> JobStatusReply | Failure:
         """Return how far a job has come, as far as that is stored."""
-        coordinator = self.coordinator
-        if not self._may_answer():
-            return NotOwner('the coordinator is not ready to answer')
-        table = coordinator.table
+        table = self.coordinator.table
         job = table.jobs.get(request.job_id)
         if job is not None:
-            if job.status.is_final and job.stored is not None:
-                failure = await stored_by(job.stored)
-                if failure is not None:
-                    return NotStored(failure.reason)
+            failure = await _stored(job) if job.status.is_final else None
+            if failure is not None:
+                return failure
             return JobStatusReply(job.status.value)
+        if not self._may_answer():
+            return NotOwner('the coordinator is not ready to answer')
         ended = table.ended.get(request.job_id)
         if ended is None:
             return NoSuchJob('no such job', job=request.job_id)
@@ -111,11 +101,30 @@
             return NoSuchJob('no such job', job=request.job_id)
         if not job.status.is_final:
             coordinator.finish(job, JobStatus.cancelled, 'cancelled')
-        if job.stored is not None:
-            failure = await stored_by(job.stored)
-            if failure is not None:
-                return NotStored(failure.reason)
-        return JobCancelled()
+        failure = await _stored(job)
+        return JobCancelled() if failure is None else failure
+
+    def _must_refuse(self, job_id: str) -> bool:
+        coordinator = self.coordinator
+        return (
+            coordinator.is_loaded
+            and job_id not in coordinator.table.jobs
+            and coordinator.committer.is_stalled()
+        )
+
+    def _accept(self, spec: JobSpec) -> Job:
+        coordinator = self.coordinator
+        job = coordinator.table.add(spec, coordinator.wall_ms())
+        job.stored = coordinator.committer.job(job)
+        coordinator.log.write(
+            'job-accepted',
+            job=spec.job_id,
+            queue=spec.queue.name,
+            tenant=spec.tenant,
+            tasks=sum(step.count for step in spec.steps),
+        )
+        coordinator.wake.set()
+        return job
 
     def _may_answer(self) -> bool:
         # Before the table is loaded every job would pass for a new one.
@@ -135,3 +144,11 @@
     def node_up(self, request: NodeUp) -> None:
         """Take a node into use for permission requests."""
         self.coordinator.permits.askers.add(request.node)
+
+
+async def _stored(job: Job) -> Failure | None:
+    """Wait until a job's newest status is stored; return why it is not."""
+    if job.stored is None:
+        return None
+    failure = await stored_by(job.stored)
+    return None if failure is None else NotStored(failure.reason)
--- a/packages/berylspread/src/berylspread/coordinator/session.py
+++ b/packages/berylspread/src/berylspread/coordinator/session.py
@@ -150,6 +150,12 @@
         run.pace = percent
         self._spawn(self._pace(run, percent))
 
+    def settle_missing(self, listed: set[str], sent_at: float) -> None:
+        """Decide on the runs that a report asked for at ``sent_at`` omits."""
+        for name, run in list(self.worker.runs.items()):
+            if name not in listed:
+                self._settle(run, sent_at)
+
     def _is_retired(self) -> bool:
         worker = self.worker
         return not worker.present and not worker.reachable and not worker.runs
@@ -216,7 +222,7 @@
         stored = self._take_ended(report.ended)
         listed = self._take_running(report.running)
         if not report.more:
-            self._settle_missing(listed, sent_at)
+            self.settle_missing(listed, sent_at)
         self.owner.observed(worker)
         self.storing = stored or self.storing
         await self._acknowledge(report.ended)
@@ -258,11 +264,6 @@
         self.worker.strays = strays
         return listed
 
-    def _settle_missing(self, listed: set[str], sent_at: float) -> None:
-        for name, run in list(self.worker.runs.items()):
-            if name not in listed:
-                self._settle(run, sent_at)
-
     def _settle(self, run: Run, sent_at: float) -> None:
         """Decide on a run that a report asked for at ``sent_at`` omits."""
         # An inherited run's order bore a lower token than the report's request.
@@ -399,4 +400,6 @@
 
 
 def _before(moment: float | None, limit: float) -> bool:
-    return moment is not None and moment <= limit
+    # The loop's time is the same all through one of its turns: what happened at
+    # the same time may have come after.
+    return moment is not None and moment < limit
