--- a/features/adapter/steps/adapter_steps.py
+++ b/features/adapter/steps/adapter_steps.py
@@ -13,6 +13,7 @@
     StartOrder,
     WorkerEntry,
 )
+from berylspread.coordinator.measures import Measures
 from berylspread.coordinator.messages import (
     CancelJob,
     JobAccepted,
@@ -155,6 +156,9 @@
 class FakeLog:
     """A log that nobody reads."""
 
+    def __init__(self):
+        self.measures = Measures()
+
     def write(self, event, **fields):
         json.dumps(fields, default=repr)
 
--- /dev/null
+++ b/features/coordinator/steps/observation_steps.py
@@ -0,0 +1,102 @@
+"""Steps about the log of decisions and the metrics."""
+
+import json
+import time
+from unittest import mock
+
+from behave import given, then, when
+
+from berylspread.coordinator import DecisionLog
+
+
+class Pipe:
+    """Keeps lines, or refuses them like a full pipe."""
+
+    def __init__(self):
+        self.lines = []
+        self.is_full = False
+
+    def emit(self, line):
+        if self.is_full:
+            raise BlockingIOError
+        self.lines.append(json.loads(line))
+
+
+def _write(context, event, count, at):
+    with mock.patch.object(time, 'time', return_value=at):
+        for index in range(count):
+            context.log.write(event, task=f'{index}')
+
+
+@given('a decision log of node "{node}"')
+def step_log(context, node):
+    context.pipe = Pipe()
+    context.log = DecisionLog(node, context.pipe.emit)
+
+
+@given('a decision log of node "{node}" whose pipe is full')
+def step_log_full(context, node):
+    step_log(context, node)
+    context.pipe.is_full = True
+
+
+@when('the event "{event}" is written with task "{task}"')
+def step_write(context, event, task):
+    context.log.write(event, task=task)
+
+
+@when('{count:d} events "{event}" are written within a second')
+def step_write_many(context, count, event):
+    _write(context, event, count, 100.0)
+
+
+@when('a second later another is written')
+def step_write_later(context):
+    _write(context, 'start', 1, 101.5)
+
+
+@when('the pipe is read and another is written')
+def step_pipe_read(context):
+    context.pipe.is_full = False
+    _write(context, 'start', 1, 100.1)
+
+
+@when('durations of {first:g} s and {second:g} s are observed for "{name}"')
+def step_observe(context, first, second, name):
+    context.log.measures.observe(name, first)
+    context.log.measures.observe(name, second)
+
+
+@then('the last line has node "{node}", event "{event}" and task "{task}"')
+def step_line(context, node, event, task):
+    line = context.pipe.lines[-1]
+    assert line['node'] == node
+    assert line['event'] == event
+    assert line['task'] == task
+
+
+@then('{count:d} lines were written')
+def step_count(context, count):
+    assert len(context.pipe.lines) == count
+
+
+@then('the last line says that {count:d} were dropped')
+def step_dropped(context, count):
+    assert context.pipe.lines[-1]['dropped'] == count
+
+
+@then('the metrics count {count:d} events "{event}"')
+def step_counted(context, count, event):
+    text = context.log.measures.render().decode()
+    wanted = f'berylspread_events_total{{event="{event}"}} {float(count)}'
+    assert wanted in text
+
+
+@then(
+    'the metrics have {few:d} of "{name}" up to {bound:g} s and {most:d} in all'
+)
+def step_buckets(context, few, name, bound, most):
+    text = context.log.measures.render().decode()
+    base = 'berylspread_duration_seconds'
+    assert f'{base}_bucket{{le="{bound}",of="{name}"}} {float(few)}' in text
+    assert f'{base}_count{{of="{name}"}} {float(most)}' in text
--- a/packages/berylspread/src/berylspread/coordinator/committer.py
+++ b/packages/berylspread/src/berylspread/coordinator/committer.py
@@ -1,7 +1,6 @@
 """Makes changes of the job table durable, in batches, fenced by the epoch."""
 
 import asyncio
-import collections
 import random
 from typing import Final, final
 
@@ -52,7 +51,7 @@
 
     __slots__ = (
         'answer_s',
-        'counts',
+        'appended',
         'deposed',
         'drops',
         'epoch',
@@ -94,8 +93,8 @@
         self.timeout_s = LEAST_TIMEOUT_S
         #: When the append that still fails was first sent.
         self.stalled_since: float | None = None
-        #: Appends and their bytes.
-        self.counts: collections.Counter[str] = collections.Counter()
+        #: Bytes of the records that were stored.
+        self.appended = 0
 
     def job(self, job: Job) -> asyncio.Future[Failure | None]:
         """Store a job's record."""
@@ -199,8 +198,8 @@
                 return NotOwner(f'epoch {self.epoch} is over: {reply.reason}')
             if not isinstance(reply, Failure):
                 self._learn(now() - sent_at)
-                self.counts['appends'] += 1
-                self.counts['bytes'] += sum(len(blob) for _, blob in records)
+                self.log.measures.observe('append', now() - sent_at)
+                self.appended += sum(len(blob) for _, blob in records)
                 return None
             self.timeout_s = min(2 * self.timeout_s, MOST_TIMEOUT_S)
             if self.stalled_since is None:
--- a/packages/berylspread/src/berylspread/coordinator/coordinator.py
+++ b/packages/berylspread/src/berylspread/coordinator/coordinator.py
@@ -245,12 +245,14 @@
             if any(task.started for task in step.tasks):
                 self.committer.drop(step_key(step))
         job.stored = self.committer.job(job)
+        took_ms = self.wall_ms() - job.spec.accepted_ms
+        self.log.measures.observe('job', took_ms / MS)
         self.log.write(
             'job-ended',
             job=job.spec.job_id,
             status=status.value,
             cause=cause,
-            took_ms=self.wall_ms() - job.spec.accepted_ms,
+            took_ms=took_ms,
         )
         for worker in self.workers.values():
             for run in list(worker.runs.values()):
--- a/packages/berylspread/src/berylspread/coordinator/decision_log.py
+++ b/packages/berylspread/src/berylspread/coordinator/decision_log.py
@@ -6,6 +6,8 @@
 from collections.abc import Callable
 from typing import Any, Final, final
 
+from berylspread.coordinator.measures import Measures
+
 #: Lines a second above which the rest of a kind of event is only counted.
 LINES_PER_S: Final = 200
 WINDOW_S: Final = 1.0
@@ -32,7 +34,7 @@
     full, is counted and reported with the next line of its kind.
     """
 
-    __slots__ = ('dropped', 'emit', 'node', 'spent', 'window')
+    __slots__ = ('dropped', 'emit', 'measures', 'node', 'spent', 'window')
 
     def __init__(self, node: str, emit: Emit | None = None) -> None:
         """Take the node's name, which every line carries.
@@ -42,12 +44,14 @@
         """
         self.node = node
         self.emit = emit or write_stdout
+        self.measures = Measures()
         self.window = 0.0
         self.spent: dict[str, int] = {}
         self.dropped: dict[str, int] = {}
 
     def write(self, event: str, **fields: Any) -> None:
         """Write one event with its inputs and outcome."""
+        self.measures.events[event] += 1
         moment = time.time()
         if not self._within_budget(event, moment):
             self.dropped[event] = self.dropped.get(event, 0) + 1
@@ -58,7 +62,11 @@
         missed = self.dropped.pop(event, 0)
         if missed:
             line['dropped'] = missed
-        self._emit(event, f'{json.dumps(line, default=repr)}\n'.encode())
+        try:
+            self.emit(f'{json.dumps(line, default=repr)}\n'.encode())
+        except OSError:
+            # A full pipe: the reader is slow, and the process does not wait.
+            self.dropped[event] = missed + 1
 
     def _within_budget(self, event: str, moment: float) -> bool:
         if moment - self.window >= WINDOW_S or moment < self.window:
@@ -67,10 +75,3 @@
         spent = self.spent.get(event, 0)
         self.spent[event] = spent + 1
         return spent < LINES_PER_S
-
-    def _emit(self, event: str, line: bytes) -> None:
-        try:
-            self.emit(line)
-        except OSError:
-            # A full pipe: the reader is slow, and the process does not wait.
-            self.dropped[event] = self.dropped.get(event, 0) + 1
--- a/packages/berylspread/src/berylspread/coordinator/dispatcher.py
+++ b/packages/berylspread/src/berylspread/coordinator/dispatcher.py
@@ -28,6 +28,7 @@
 ORDER_GRACE_S: Final = 2.0
 #: How long the outcome of a job is kept for callers; past the platform's bound.
 KEEP_ENDED_MS: Final = 150_000
+MS: Final = 1000
 
 
 @final
@@ -153,13 +154,15 @@
             coordinator.lost(run, 'job-ended')
             return
         run.since = now()
+        waited_ms = coordinator.wall_ms() - job.spec.accepted_ms
+        coordinator.log.measures.observe('wait', waited_ms / MS)
         coordinator.log.write(
             'start',
             task=run.task.name,
             run=run.number,
             worker=run.worker.name,
             token=coordinator.token,
-            waited_ms=coordinator.wall_ms() - job.spec.accepted_ms,
+            waited_ms=waited_ms,
         )
         coordinator.sessions[run.worker.name].start(run, ticket)
 
