Order steps by share, priority and whether they can be on time

Under overload every job waited until it was late, since the earliest deadline went first: of 48 jobs that a cell could do in 6 s with twice as many arriving, 16 were on time.

--- a/packages/berylspread-standins/src/berylspread_standins/coordinated/fleet.py
+++ b/packages/berylspread-standins/src/berylspread_standins/coordinated/fleet.py
@@ -37,11 +37,14 @@
 TASK: Final = Resources(1000, 1000)
 #: Room for eight tasks.
 CAPACITY: Final = TASK * 8
+#: Shares of organisations in jobs a second.
+ACME_PER_S: Final = 20.0
+HOT_PER_S: Final = 2.0
 TENANT_CAP: Final = Resources(2 * TASK.cpu_milli)
 QUEUE: Final = Queue('q', 'desk', max_attempts=2)
 #: The time of day at the start.
 EPOCH_S: Final = 1.7e9
-MS: Final = 1000
+WALL_MS: Final = int(EPOCH_S * 1000)
 KEY_TRUST_S: Final = 4.0
 FAR_S: Final = 0.02
 
@@ -192,6 +195,7 @@
     *steps: StepSpec,
     queue: Queue = QUEUE,
     tenant: str = 'acme',
+    accepted_ms: int = WALL_MS,
 ) -> JobSpec:
     """Return a job; without steps it has one of a single task."""
     return JobSpec(
@@ -200,7 +204,7 @@
         tenant=tenant,
         payload='payload',
         steps=steps or (StepSpec(1, TASK, estimate_ms=1000),),
-        accepted_ms=int(EPOCH_S * MS),
+        accepted_ms=accepted_ms,
     )
 
 
@@ -209,7 +213,8 @@
         version=1,
         routes=(QueueRoute('host', '/q/', queue),),
         tenants=(
-            Tenant('acme', ('key',), 1.0, Resources()),
+            Tenant('acme', ('key',), ACME_PER_S, Resources()),
+            Tenant('hot', ('key-3',), HOT_PER_S, Resources()),
             Tenant('capped', ('key-2',), 1.0, TENANT_CAP),
         ),
     )
--- a/packages/berylspread/src/berylspread/coordinator/coordinator.py
+++ b/packages/berylspread/src/berylspread/coordinator/coordinator.py
@@ -110,7 +110,7 @@
         self.committer = Committer(
             given.store, given.topics.jobs, epoch, given.wall, given.log
         )
-        self.table = JobTable(given.log)
+        self.table = JobTable(given.policies, given.log)
         self.usage = Usage(given.policies)
         self.wake = asyncio.Event()
         self.permits = PermitDesk(given.ask_through, self.wake.set, given.log)
--- a/packages/berylspread/src/berylspread/coordinator/dispatcher.py
+++ b/packages/berylspread/src/berylspread/coordinator/dispatcher.py
@@ -10,10 +10,10 @@
     Placement,
     StepPlan,
     candidates,
-    urgency,
 )
 from berylspread.coordinator.preemption import PAUSE_S, choose_victims
 from berylspread.coordinator.records import job_key
+from berylspread.coordinator.urgency import urgency
 from berylspread.kernel.clock import now
 from berylspread.kernel.errors import Failure
 
@@ -74,7 +74,9 @@
         moment = now()
         workers = list(coordinator.workers.values())
         ready = coordinator.table.ready
-        for step in sorted(ready.values(), key=urgency):
+        wall_ms = coordinator.wall_ms()
+        by_urgency = functools.partial(urgency, wall_ms=wall_ms)
+        for step in sorted(ready.values(), key=by_urgency):
             if not step.waiting:
                 ready.pop(step.name)
                 continue
--- /dev/null
+++ b/packages/berylspread/src/berylspread/coordinator/durations.py
@@ -0,0 +1,56 @@
+"""How long tasks take, learned from those that have succeeded.
+
+Load pattern: callers' estimates are off by half and more, while tasks of one
+image are alike.
+"""
+
+from collections.abc import Callable
+from typing import Final, final
+
+from berylspread.coordinator.model import JobSpec, StepSpec
+
+#: Weight of the newest task in an image's mean.
+WEIGHT: Final = 0.1
+MS: Final = 1000
+
+#: Milliseconds that a task of a step takes.
+DurationMs = Callable[[StepSpec], float]
+
+
+@final
+class LearnedDurations:
+    """Mean durations by image."""
+
+    __slots__ = ('mean_ms',)
+
+    def __init__(self) -> None:
+        """Start without any."""
+        self.mean_ms: dict[str, float] = {}
+
+    def learn(self, step: StepSpec, ran_s: float) -> None:
+        """Take in a task that has succeeded."""
+        if not step.image:
+            return
+        ran_ms = ran_s * MS
+        known = self.mean_ms.get(step.image, ran_ms)
+        self.mean_ms[step.image] = known + WEIGHT * (ran_ms - known)
+
+    def expect_ms(self, step: StepSpec) -> float:
+        """Return what a task of a step is expected to take."""
+        return self.mean_ms.get(step.image, step.estimate_ms)
+
+
+def tails_ms(spec: JobSpec, expect_ms: DurationMs) -> list[float]:
+    """Return, for each step, the longest chain of work from it on, in ms."""
+    tails = [0.0 for _ in spec.steps]
+    for number in range(len(spec.steps) - 1, -1, -1):
+        step = spec.steps[number]
+        tails[number] += expect_ms(step)
+        for before in step.after:
+            tails[before] = max(tails[before], tails[number])
+    return tails
+
+
+def objective_ms(spec: JobSpec, tails: list[float]) -> float:
+    """Return how long a job may take in milliseconds."""
+    return spec.queue.stretch * max(tails, default=0.0) + spec.queue.target_ms
--- a/packages/berylspread/src/berylspread/coordinator/endings.py
+++ b/packages/berylspread/src/berylspread/coordinator/endings.py
@@ -5,6 +5,7 @@
 
 from berylspread.coordinator.fleet import Run
 from berylspread.coordinator.model import JobStatus, Phase, Step
+from berylspread.kernel.clock import now
 
 if TYPE_CHECKING:
     from berylspread.coordinator.coordinator import Coordinator
@@ -33,6 +34,8 @@
     """Count the task as done, and the job with its last task."""
     task, step, job = run.task, run.task.step, run.task.step.job
     run.worker.trouble *= SUCCESS_DECAY
+    if run.is_timed:
+        coordinator.table.durations.learn(step.spec, now() - run.since)
     if job.status.is_final:
         return
     if step.spec.lasting:
--- a/packages/berylspread/src/berylspread/coordinator/fleet.py
+++ b/packages/berylspread/src/berylspread/coordinator/fleet.py
@@ -46,6 +46,7 @@
     __slots__ = (
         'answered_at',
         'figure',
+        'is_timed',
         'number',
         'pace',
         'percent',
@@ -67,6 +68,8 @@
         self.worker = worker
         self.stage = stage
         self.since = since
+        #: Whether ``since`` is when it began: not for an inherited run.
+        self.is_timed = stage is not Stage.inherited
         self.reserved = task.step.spec.reserved()
         self.answered_at: float | None = None
         #: When the worker confirmed that this run can no longer begin.
--- a/packages/berylspread/src/berylspread/coordinator/model.py
+++ b/packages/berylspread/src/berylspread/coordinator/model.py
@@ -238,10 +238,12 @@
     __slots__ = (
         'deadline_ms',
         'ended_at',
+        'over_share',
         'spec',
         'status',
         'steps',
         'stored',
+        'tails_ms',
     )
 
     def __init__(self, spec: JobSpec) -> None:
@@ -254,9 +256,14 @@
             for number in range(len(spec.steps))
         }
         self.ended_at = 0.0
+        #: Whether the organisation had used up its share when it was accepted.
+        self.over_share = False
         #: Done once the newest status is stored.
         self.stored: asyncio.Future[Failure | None] | None = None
-        self.deadline_ms = spec.accepted_ms + objective_ms(spec)
+        #: When the job is late, ms since the epoch.
+        self.deadline_ms = 0.0
+        #: For each step, the longest chain of work from it on, in ms.
+        self.tails_ms: list[float] = []
 
     def is_runnable(self, step: Step, wall_ms: float) -> bool:
         """Return whether a step's time has come and all before it is done."""
@@ -264,12 +271,3 @@
             self.steps[step.occurrence, number].is_done()
             for number in step.spec.after
         )
-
-
-def objective_ms(spec: JobSpec) -> float:
-    """Return how long a job may take, by its estimates, in milliseconds."""
-    ends: list[float] = []
-    for step in spec.steps:
-        begin = max((ends[number] for number in step.after), default=0.0)
-        ends.append(begin + step.estimate_ms)
-    return spec.queue.stretch * max(ends, default=0.0) + spec.queue.target_ms
--- a/packages/berylspread/src/berylspread/coordinator/planner.py
+++ b/packages/berylspread/src/berylspread/coordinator/planner.py
@@ -75,11 +75,6 @@
         self.ticket = ticket
 
 
-def urgency(step: Step) -> tuple[int, float]:
-    """Return the order in which steps are placed."""
-    return step.priority, step.job.deadline_ms
-
-
 def candidates(
     step: Step, workers: Iterable[Worker], moment: float
 ) -> list[tuple[Worker, str]]:
--- /dev/null
+++ b/packages/berylspread/src/berylspread/coordinator/shares.py
@@ -0,0 +1,49 @@
+"""Which jobs exceed the share of their organisation.
+
+Load pattern: one organisation sends several times its usual from one second to
+the next.  Its jobs within its share keep their place; the rest run on what the
+others leave, so that the others notice nothing.
+"""
+
+from typing import Final, final
+
+#: An organisation may use this many seconds of its share at once: usual traffic
+#: comes in clumps, and its waves last longer than its clumps.
+DEPTH_S: Final = 3.0
+
+
+@final
+class _Bucket:
+    """What is left of a share, and as of when."""
+
+    __slots__ = ('at', 'level')
+
+    def __init__(self, at: float, level: float) -> None:
+        self.at = at
+        self.level = level
+
+
+@final
+class ShareMeter:
+    """Token buckets filled by the organisations' shares in jobs a second."""
+
+    __slots__ = ('buckets',)
+
+    def __init__(self) -> None:
+        """Start with full buckets."""
+        self.buckets: dict[str, _Bucket] = {}
+
+    def takes(self, tenant: str, rate_per_s: float, at_s: float) -> bool:
+        """Count a job accepted at a time; return whether the share holds it."""
+        depth = max(rate_per_s * DEPTH_S, 1.0)
+        bucket = self.buckets.get(tenant)
+        if bucket is None:
+            bucket = _Bucket(at_s, depth)
+            self.buckets[tenant] = bucket
+        gained = max(at_s - bucket.at, 0.0) * rate_per_s
+        bucket.level = min(bucket.level + gained, depth)
+        bucket.at = max(bucket.at, at_s)
+        if bucket.level < 1:
+            return False
+        bucket.level -= 1
+        return True
--- a/packages/berylspread/src/berylspread/coordinator/table.py
+++ b/packages/berylspread/src/berylspread/coordinator/table.py
@@ -6,7 +6,12 @@
 import msgspec
 
 from berylspread.coordinator.decision_log import DecisionLog
-from berylspread.coordinator.interface import Snapshot
+from berylspread.coordinator.durations import (
+    LearnedDurations,
+    objective_ms,
+    tails_ms,
+)
+from berylspread.coordinator.interface import Policies, Snapshot
 from berylspread.coordinator.model import (
     Job,
     JobSpec,
@@ -23,6 +28,7 @@
     restore_step,
     restored_status,
 )
+from berylspread.coordinator.shares import ShareMeter
 
 MS: Final = 1000
 
@@ -47,11 +53,23 @@
 class JobTable:
     """Jobs by id; those that have ended are kept aside for a while."""
 
-    __slots__ = ('ended', 'jobs', 'log', 'ready', 'timed')
-
-    def __init__(self, log: DecisionLog) -> None:
+    __slots__ = (
+        'durations',
+        'ended',
+        'jobs',
+        'log',
+        'meter',
+        'policies',
+        'ready',
+        'timed',
+    )
+
+    def __init__(self, policies: Policies, log: DecisionLog) -> None:
         """Start empty."""
+        self.policies = policies
         self.log = log
+        self.meter = ShareMeter()
+        self.durations = LearnedDurations()
         self.jobs: dict[str, Job] = {}
         self.ended: dict[str, Ended] = {}
         #: Steps that may run and have tasks waiting, by name.
@@ -63,6 +81,7 @@
         """Take in a job that was not known."""
         job = Job(spec)
         self.jobs[spec.job_id] = job
+        self._assess(job)
         self.refresh(job, wall_ms)
         return job
 
@@ -74,7 +93,8 @@
                 steps[item.key.removeprefix(STEP_PREFIX)] = item.blob
             elif item.key.startswith(JOB_PREFIX):
                 self._restore_job(item.key.removeprefix(JOB_PREFIX), item.blob)
-        for job in self.jobs.values():
+        for job in sorted(self.jobs.values(), key=_accepted):
+            self._assess(job)
             for step in job.steps.values():
                 blob = steps.get(step.name)
                 if blob is not None:
@@ -142,6 +162,18 @@
             for job in self.jobs.values()
         )
 
+    def _assess(self, job: Job) -> None:
+        """Work out a job's objective, and whether its share holds it."""
+        spec = job.spec
+        job.tails_ms = tails_ms(spec, self.durations.expect_ms)
+        job.deadline_ms = spec.accepted_ms + objective_ms(spec, job.tails_ms)
+        if spec.tenant:
+            job.over_share = not self.meter.takes(
+                spec.tenant,
+                self.policies.weight(spec.tenant),
+                spec.accepted_ms / MS,
+            )
+
     def _restore_job(self, job_id: str, blob: bytes) -> None:
         try:
             record = decode_job(blob)
@@ -170,3 +202,7 @@
         for task in step.tasks
     ):
         job.status = JobStatus.running
+
+
+def _accepted(job: Job) -> int:
+    return job.spec.accepted_ms
