--- a/features/coordinator/coordination.feature
+++ b/features/coordinator/coordination.feature
@@ -52,6 +52,21 @@
     And 0.3 s pass
     Then one node coordinates
 
+  Scenario: A node that leaves still finds the coordinator
+    Given a cell of 3 nodes and 2 workers
+    When 1 s passes
+    And the coordinator leaves
+    And another node leaves
+    And 0.5 s pass
+    Then every node finds the coordinator
+
+  Scenario: A node that reaches nobody refuses at once
+    Given a cell of 3 nodes and 2 workers
+    When 1 s passes
+    And a node that does not coordinate is cut off
+    And 2.5 s pass
+    Then that node refuses a job within 0.1 s as not run
+
   Scenario: A coordinator that cannot reach the store is succeeded
     Given a cell of 3 nodes and 2 workers
     And tasks of job "a" take 8 s
--- a/features/coordinator/steps/coordination_steps.py
+++ b/features/coordinator/steps/coordination_steps.py
@@ -267,6 +267,55 @@
     context.run(context.cell.nodes[name].node.leave())
 
 
+@when('another node leaves')
+def step_other_leaves(context):
+    name = next(
+        name
+        for name, node in context.cell.nodes.items()
+        if node.node.service is None
+    )
+    context.run(context.cell.nodes[name].node.leave())
+
+
+@then('every node finds the coordinator')
+def step_all_find(context):
+    async def ask(node):
+        return await node.node.gateway.ask(
+            AskBacklog('q'), BacklogReply, request='q', timeout_s=TIMEOUT_S
+        )
+
+    for node in context.cell.nodes.values():
+        reply = context.run(ask(node))
+        assert isinstance(reply, BacklogReply), (node.name, reply)
+
+
+@when('a node that does not coordinate is cut off')
+def step_cut_off(context):
+    name = next(
+        name
+        for name, node in context.cell.nodes.items()
+        if node.node.service is None
+    )
+    context.lone = context.cell.nodes[name]
+    context.lone.view.is_cut = True
+    for source, target in ((name, '*'), ('*', name)):
+        context.cell.peers.network.cut(source, target)
+
+
+@then('that node refuses a job within {seconds:g} s as not run')
+def step_lone_refuses(context, seconds):
+    async def submit():
+        began = now()
+        reply = await context.lone.node.gateway.ask(
+            SubmitJob(job('z')), JobAccepted, request='z', timeout_s=TIMEOUT_S
+        )
+        return reply, now() - began
+
+    reply, took_s = context.run(submit())
+    assert isinstance(reply, NotRun), reply
+    assert took_s <= seconds, took_s
+
+
 @when('the coordinator is cut from the store')
 def step_cut_store(context):
     context.cell.nodes[_coordinator(context)].view.is_cut = True
--- a/packages/berylspread/src/berylspread/coordinator/gateway.py
+++ b/packages/berylspread/src/berylspread/coordinator/gateway.py
@@ -32,15 +32,22 @@
 class Gateway:
     """Asks the coordinator, whoever it is, until the caller's deadline."""
 
-    __slots__ = ('leader', 'log', 'peers')
+    __slots__ = ('answered_at', 'is_cut_off', 'leader', 'log', 'peers')
 
     def __init__(
-        self, peers: Peers, leader: Callable[[], str | None], log: DecisionLog
+        self,
+        peers: Peers,
+        leader: Callable[[], str | None],
+        is_cut_off: Callable[[], bool],
+        log: DecisionLog,
     ) -> None:
-        """Take the streams and who coordinates now."""
+        """Take the streams, who coordinates now, and whether none is heard."""
         self.peers = peers
         self.leader = leader
+        self.is_cut_off = is_cut_off
         self.log = log
+        #: When the coordinator last answered.
+        self.answered_at = now()
 
     async def ask(
         self,
@@ -59,8 +66,8 @@
         deadline = began + timeout_s - MARGIN_S
         was_sent = False
         attempts = 0
-        reason = 'no coordinator is known'
-        while now() < deadline:
+        reason = 'no coordinator is known or can be reached'
+        while now() < deadline and not self.is_cut_off():
             node = self.leader()
             if node is not None:
                 attempts += 1
@@ -71,6 +78,7 @@
                     timeout_s=min(ATTEMPT_S, deadline - now()),
                 )
                 if not isinstance(reply, PASSING):
+                    self.answered_at = now()
                     return reply
                 reason = reply.reason
                 was_sent = was_sent or bool(reply.fields.get('sent'))
--- a/packages/berylspread/src/berylspread/coordinator/leadership.py
+++ b/packages/berylspread/src/berylspread/coordinator/leadership.py
@@ -134,8 +134,11 @@
             self._end_term(NotOwner(f'epoch {record.epoch} has begun'))
 
     async def run(self) -> None:
-        """Follow and lead in turn until cancelled."""
-        while not self.leaving.is_set():
+        """Follow and lead in turn until cancelled.
+
+        A node that leaves goes on following: callers still ask through it.
+        """
+        while True:
             if await self._load():
                 await self._follow()
                 await self._lead()
@@ -164,7 +167,7 @@
         """Return once it is this node's turn to claim."""
         silences = 0
         needed = 1 if self.near_s < NEAR_S else FAR_PATIENCE
-        while not self.leaving.is_set() and not self._may_claim_at_once():
+        while not self._may_claim_at_once():
             batch = await self.store.follow(
                 self.topic,
                 self.end,
@@ -178,12 +181,14 @@
                 await self._load()
             else:
                 await asyncio.sleep(RETRY_S)
-            if silences >= needed:
+            if silences >= needed and not self.leaving.is_set():
                 return
 
     def _may_claim_at_once(self) -> bool:
         is_near = self.near_s < NEAR_S
         current = self.current
+        if self.leaving.is_set():
+            return False
         if current is None:
             return is_near
         # An earlier incarnation of this process held it.
--- a/packages/berylspread/src/berylspread/coordinator/node.py
+++ b/packages/berylspread/src/berylspread/coordinator/node.py
@@ -42,6 +42,9 @@
 #: A node that has not heard of the leader by the store for this long asks other
 #: nodes; the leader renews its record several times in it.
 UNINFORMED_S: Final = 1.5
+#: A node that neither the store nor a node has answered for this long refuses
+#: requests at once: it outlasts a change of the leader, which the store tells.
+CUT_OFF_S: Final = 2.0
 
 
 @final
@@ -97,6 +100,7 @@
         'peers',
         'ref',
         'service',
+        'told_at',
         'topics',
     )
 
@@ -117,6 +121,8 @@
         #: Where each node is reached, as far as this one has heard.
         self.addresses: dict[str, str] = {ref.node: address}
         self.service: JobService | None = None
+        #: When another node last answered.
+        self.told_at = 0.0
         self.leadership = Leadership(
             clients.store,
             topics.leader,
@@ -131,7 +137,7 @@
     def join(self, peers: Peers) -> None:
         """Use the streams to the other nodes and serve theirs."""
         self.peers = peers
-        self.gateway = Gateway(peers, self.leader, self.log)
+        self.gateway = Gateway(peers, self.leader, self.is_cut_off, self.log)
         peers.handle(SubmitJob, self._forward('submit'))
         peers.handle(AskJobStatus, self._forward('status'))
         peers.handle(CancelJob, self._forward('cancel'))
@@ -205,6 +211,13 @@
             return random.choice(others)
         return None
 
+    def is_cut_off(self) -> bool:
+        """Return whether neither the store nor any node has answered lately."""
+        heard_at = max(self.leadership.heard_at, self.told_at)
+        if self.gateway is not None:
+            heard_at = max(heard_at, self.gateway.answered_at)
+        return now() - heard_at > CUT_OFF_S
+
     def _is_uninformed(self) -> bool:
         return now() - self.leadership.heard_at > UNINFORMED_S
 
@@ -217,6 +230,7 @@
             timeout_s=PRESENCE_S,
         )
         if isinstance(reply, LeaderKnown):
+            self.told_at = now()
             self.addresses.update(reply.addresses)
             self.leadership.hear(reply.record)
 
