--- a/features/coordinator/coordination.feature
+++ b/features/coordinator/coordination.feature
@@ -231,6 +231,18 @@
     Then job "a" is succeeded
     And at most 3 runs of job "batch" were stopped
 
+  Scenario: Urgent work does not wait for its own organisation's batch work
+    Given a cell of 2 nodes and 3 workers
+    And tasks of job "batch" take 30 s
+    When 1 s passes
+    And a batch job "batch" of the capped team with 2 tasks is submitted
+    And 2 s pass
+    And a job "a" of the capped team with 1 tasks is submitted
+    And 2.5 s pass
+    Then job "a" is succeeded
+    And at most 1 runs of job "batch" were stopped
+    And at most 2 tasks of job "batch" ran at a time
+
   Scenario: Urgent work waits for batch work that saves nothing
     Given a cell of 2 nodes and 1 worker
     And tasks of job "batch" take 3 s
--- a/features/coordinator/steps/coordination_steps.py
+++ b/features/coordinator/steps/coordination_steps.py
@@ -1,6 +1,7 @@
 """Steps about nodes that coordinate a cell."""
 
 import asyncio
+import math
 
 from behave import given, then, when
 
@@ -184,8 +185,20 @@
     _submit_batch(context, job_id, StepSpec(count, TASK))
 
 
-def _submit_batch(context, job_id, step):
-    spec = job(job_id, step, queue=Queue('batch', 'desk', priority=2))
+@when(
+    'a batch job "{job_id}" of the capped team with {count:d} tasks is '
+    'submitted'
+)
+def step_submit_batch_capped(context, job_id, count):
+    _submit_batch(
+        context, job_id, StepSpec(count, TASK, checkpoints=True), 'capped'
+    )
+
+
+def _submit_batch(context, job_id, step, tenant='acme'):
+    spec = job(
+        job_id, step, queue=Queue('batch', 'desk', priority=2), tenant=tenant
+    )
     assert isinstance(_submit(context, spec), JobAccepted)
 
 
@@ -584,7 +597,7 @@
         beside = [
             other
             for other in runs
-            if other.started_at <= log.started_at < (other.ended_at or now())
+            if other.started_at <= log.started_at < (other.ended_at or math.inf)
         ]
         assert len(beside) <= count, len(beside)
 
--- a/packages/berylspread/src/berylspread/coordinator/dispatcher.py
+++ b/packages/berylspread/src/berylspread/coordinator/dispatcher.py
@@ -11,7 +11,11 @@
     StepPlan,
     candidates,
 )
-from berylspread.coordinator.preemption import PAUSE_S, choose_victims
+from berylspread.coordinator.preemption import (
+    PAUSE_S,
+    choose_victims,
+    choose_within_quota,
+)
 from berylspread.coordinator.records import job_key
 from berylspread.coordinator.urgency import urgency
 from berylspread.kernel.clock import now
@@ -24,6 +28,10 @@
 PASS_GAP_S: Final = 0.01
 #: A pass is made at least this often: times come due without an event.
 PASS_EVERY_S: Final = 0.2
+#: Due times are looked at, and what waits is told, this often.
+SWEEP_S: Final = 0.2
+#: Steps of which a sweep tells what they wait for.
+WAITING_TOLD: Final = 5
 #: Orders are sent only within this time of the last proof of authority.
 ORDER_GRACE_S: Final = 2.0
 #: How long the outcome of a job is kept for callers; past the platform's bound.
@@ -52,7 +60,7 @@
             except TimeoutError:
                 # Nothing has happened; times may have come due.
                 wake.set()
-            if now() - swept_at >= PASS_EVERY_S:
+            if now() - swept_at >= SWEEP_S:
                 swept_at = now()
                 self._sweep()
             wake.clear()
@@ -66,6 +74,26 @@
         for job_id in coordinator.table.forget_ended(wall_ms - KEEP_ENDED_MS):
             coordinator.committer.drop(job_key(job_id))
         coordinator.forget_workers()
+        self._tell_waiting()
+
+    def _tell_waiting(self) -> None:
+        """Log what the most urgent steps wait for."""
+        coordinator = self.coordinator
+        wall_ms = coordinator.wall_ms()
+        waiting = [
+            step for step in coordinator.table.ready.values() if step.waiting
+        ]
+        by_urgency = functools.partial(urgency, wall_ms=wall_ms)
+        for step in sorted(waiting, key=by_urgency)[:WAITING_TOLD]:
+            coordinator.log.write(
+                'step-waits',
+                step=step.name,
+                tenant=step.job.spec.tenant,
+                tasks=len(step.waiting),
+                blocked_by=step.blocked_by,
+                over_share=step.job.over_share,
+                left_ms=round(step.job.deadline_ms - wall_ms),
+            )
 
     def _pass(self) -> None:
         coordinator = self.coordinator
@@ -81,35 +109,37 @@
                 ready.pop(step.name)
                 continue
             coordinator.permits.consider(step, workers, moment)
-            limit = coordinator.usage.room(step)
-            choices = candidates(step, workers, moment) if limit else []
-            if choices:
-                placements = StepPlan(step, choices).place(limit)
-                self._book(step, placements)
-                self._preempt(step, limit - len(placements), choices, moment)
+            choices = candidates(step, workers, moment)
+            limit = coordinator.usage.room(step) if choices else 0
+            step.blocked_by = _obstacle(limit, choices)
+            if limit:
+                self._book(step, StepPlan(step, choices).place(limit))
+            if choices and step.waiting and moment >= step.preempt_after:
+                self._preempt(step, choices, moment)
 
     def _preempt(
-        self,
-        step: Step,
-        limit: int,
-        choices: list[tuple[Worker, str]],
-        moment: float,
+        self, step: Step, choices: list[tuple[Worker, str]], moment: float
     ) -> None:
-        """Stop runs of less urgent work for the tasks that found no room."""
-        wanted = min(len(step.waiting), limit)
-        if wanted <= 0 or moment < step.preempt_after:
-            return
-        victims = choose_victims(
-            step, wanted, (worker for worker, _ in choices), moment
-        )
+        """Stop less urgent work for the tasks that could not be placed."""
+        coordinator = self.coordinator
+        wanted = len(step.waiting)
+        room = coordinator.usage.room(step)
+        if room < wanted:
+            victims = choose_within_quota(
+                step, wanted - room, coordinator.workers.values(), moment
+            )
+        else:
+            victims = choose_victims(
+                step, wanted, (worker for worker, _ in choices), moment
+            )
         if not victims:
             return
         step.preempt_after = moment + PAUSE_S
-        coordinator = self.coordinator
         coordinator.log.write(
             'preempt',
             step=step.name,
             waiting=wanted,
+            within_quota=room < wanted,
             runs=[run.task.name for run in victims],
         )
         for run in victims:
@@ -169,6 +199,12 @@
         coordinator.sessions[run.worker.name].start(run, ticket)
 
 
+def _obstacle(limit: int, choices: list[tuple[Worker, str]]) -> str:
+    if not choices:
+        return 'permission or worker'
+    return 'room' if limit else 'quota'
+
+
 def _share_start(runs: list[Run]) -> None:
     # The members of a gang share the number of their run and resume from one
     # checkpoint; that of any member holds for all.
--- a/packages/berylspread/src/berylspread/coordinator/model.py
+++ b/packages/berylspread/src/berylspread/coordinator/model.py
@@ -173,6 +173,7 @@
     """One step of one occurrence of a job."""
 
     __slots__ = (
+        'blocked_by',
         'job',
         'name',
         'number',
@@ -198,6 +199,8 @@
         self.tickets: Tickets | None = None
         #: The loop's time before which no run is stopped for this step.
         self.preempt_after = 0.0
+        #: Why its waiting tasks were not all placed in the last pass.
+        self.blocked_by = ''
 
     @property
     def priority(self) -> int:
--- a/packages/berylspread/src/berylspread/coordinator/preemption.py
+++ b/packages/berylspread/src/berylspread/coordinator/preemption.py
@@ -1,9 +1,10 @@
 """Which runs make way for a more urgent step.
 
 Load pattern: a burst of urgent steps while batch work that saves its progress
-fills the fleet.  A stop saves what has been done, so a victim loses its place
-and the time to start again, and the urgent step waits for the stop instead of
-for the end of a task that is ten times as long.
+fills the fleet, or what the steps' own organisation may have running.  A stop
+saves what has been done, so a victim loses its place and the time to start
+again, and the urgent step waits for the stop instead of for the end of a task
+that is ten times as long.
 """
 
 from collections.abc import Iterable
@@ -11,7 +12,7 @@
 
 from berylspread.coordinator.fleet import Run, Stage, Worker
 from berylspread.coordinator.model import Step
-from berylspread.model import Resources
+from berylspread.model import ZERO, Resources
 
 #: A run is left alone this long: it has yet to pay for its start.
 LEAST_RUN_S: Final = 0.5
@@ -43,6 +44,39 @@
     return victims
 
 
+def choose_within_quota(
+    step: Step, wanted: int, workers: Iterable[Worker], moment: float
+) -> list[Run]:
+    """Return runs of the step's own organisation to stop for ``wanted`` tasks.
+
+    Together they free at least what the tasks need of the quota, or as much of
+    it as less urgent work holds.
+    """
+    if step.spec.gang:
+        return []
+    tenant = step.job.spec.tenant
+    runs = [
+        run
+        for worker in workers
+        for run in worker.runs.values()
+        if run.task.step.job.spec.tenant == tenant
+    ]
+    needed = step.spec.demand * wanted
+    freed = sum_demands(run for run in runs if run.stopping)
+    victims: list[Run] = []
+    for run in sorted(_preemptible(runs, step, moment), key=_cost):
+        if needed.fits(freed):
+            break
+        victims.append(run)
+        freed += run.task.step.spec.demand
+    return victims
+
+
+def sum_demands(runs: Iterable[Run]) -> Resources:
+    """Return what some runs use of a quota."""
+    return sum((run.task.step.spec.demand for run in runs), start=ZERO)
+
+
 def _victims_on(
     worker: Worker, step: Step, reserved: Resources, moment: float
 ) -> list[Run]:
@@ -52,7 +86,9 @@
         return []
     room = worker.free
     chosen: list[Run] = []
-    for run in sorted(_candidates(worker, step, moment), key=_cost):
+    for run in sorted(
+        _preemptible(worker.runs.values(), step, moment), key=_cost
+    ):
         room += run.reserved
         chosen.append(run)
         if reserved.fits(room):
@@ -60,26 +96,30 @@
     return []
 
 
-def _candidates(worker: Worker, step: Step, moment: float) -> list[Run]:
+def _preemptible(runs: Iterable[Run], step: Step, moment: float) -> list[Run]:
     return [
         run
-        for run in worker.runs.values()
+        for run in runs
         if run.task.step.priority > step.priority
-        and run.stage is Stage.running
-        and moment - run.since >= LEAST_RUN_S
         and _is_cheap(run)
+        and _has_settled(run, moment)
     ]
 
 
+def _has_settled(run: Run, moment: float) -> bool:
+    is_running = run.stage is Stage.running and not run.stopping
+    return is_running and moment - run.since >= LEAST_RUN_S
+
+
 def _is_cheap(run: Run) -> bool:
     spec = run.task.step.spec
     return spec.checkpoints and not (spec.lasting or spec.gang or spec.fills)
 
 
-def _cost(run: Run) -> tuple[int, int, float]:
-    # Least urgent first, then the largest, so that few runs are stopped.
+def _cost(run: Run) -> tuple[int, float, int]:
+    # Least urgent first, then the job with the most time, then the largest.
     return (
         -run.task.step.priority,
+        -run.task.step.job.deadline_ms,
         -run.reserved.cpu_milli,
-        -run.since,
     )
