Send permission requests only where they are answered soon

Requests queued at a node in the order in which they were made, up to 5 s after a change of the coordinator, when it knew no other node. They now wait at the coordinator, in the order of urgency, until a node is free, and a new coordinator uses every node that it has heard of.

--- a/packages/berylspread/src/berylspread/coordinator/dispatcher.py
+++ b/packages/berylspread/src/berylspread/coordinator/dispatcher.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING, Final, final
 
 from berylspread.coordinator.fleet import Run, Stage, Worker
+from berylspread.coordinator.interface import NO_TICKET
 from berylspread.coordinator.model import Phase, Step
 from berylspread.coordinator.planner import (
     Placement,
@@ -185,6 +186,10 @@
         if job.status.is_final:
             coordinator.lost(run, 'job-ended')
             return
+        if ticket and _has_expired(run):
+            # Its record took longer to store than the ticket holds.
+            coordinator.refused(run, NO_TICKET)
+            return
         run.since = now()
         waited_ms = coordinator.wall_ms() - job.spec.accepted_ms
         coordinator.log.measures.observe('wait', waited_ms / MS)
@@ -199,6 +204,14 @@
         coordinator.sessions[run.worker.name].start(run, ticket)
 
 
+def _has_expired(run: Run) -> bool:
+    tickets = run.task.step.tickets
+    if tickets is None:
+        return True
+    _, until = tickets.by_worker.get(run.worker.name, ('', 0.0))
+    return until <= now()
+
+
 def _obstacle(limit: int, choices: list[tuple[Worker, str]]) -> str:
     if not choices:
         return 'permission or worker'
--- a/packages/berylspread/src/berylspread/coordinator/node.py
+++ b/packages/berylspread/src/berylspread/coordinator/node.py
@@ -173,7 +173,8 @@
         """Coordinate for one epoch."""
         assert self.peers is not None
         coordinator = Coordinator(self._surroundings(), epoch)
-        coordinator.permits.askers.add(self.ref.node)
+        for name in self.addresses:
+            coordinator.permits.askers.add(name)
         self.service = JobService(coordinator)
         try:
             return await coordinator.run()
--- a/packages/berylspread/src/berylspread/coordinator/permits.py
+++ b/packages/berylspread/src/berylspread/coordinator/permits.py
@@ -23,6 +23,8 @@
 LONG_S: Final = 0.2
 #: One node in this many takes no long requests.
 SHORT_ONLY_EVERY: Final = 3
+#: A request is sent to a node only if those before it are done by then.
+MOST_QUEUED_S: Final = 0.1
 #: The service names at most this many workers in a request.
 MOST_WORKERS: Final = 100
 #: Added to a request's expected end as its time limit.
@@ -60,8 +62,12 @@
         """Use a node no more."""
         self.busy_until.pop(node, None)
 
-    def pick(self, cost_s: float, moment: float) -> tuple[str, float]:
-        """Choose the node that answers first; return when, too."""
+    def pick(self, cost_s: float, moment: float) -> tuple[str, float] | None:
+        """Choose the node that answers first; return when, too.
+
+        ``None`` if every node has so much to ask that the request had better
+        wait here, where a more urgent one may still go first.
+        """
         names = sorted(self.busy_until)
         if cost_s > LONG_S and len(names) >= SHORT_ONLY_EVERY:
             names = [
@@ -75,8 +81,11 @@
             return free_at + self.overhead_s.get(name, 0.0)
 
         node = min(names, key=answers_at)
+        free_at = max(self.busy_until[node], moment)
+        if free_at - moment > MOST_QUEUED_S:
+            return None
         done_at = answers_at(node) + cost_s
-        self.busy_until[node] = max(self.busy_until[node], moment) + cost_s
+        self.busy_until[node] = free_at + cost_s
         return node, done_at
 
     def learn(self, node: str, late_s: float) -> None:
@@ -153,8 +162,13 @@
         wanted = workers_to_ask(step, workers, moment)
         if not wanted:
             return
+        picked = self.askers.pick(cost_s(terms, len(wanted)), moment)
+        if picked is None:
+            return
         step.tickets.asking += 1
-        task = asyncio.create_task(self._ask(step, step.tickets, wanted))
+        task = asyncio.create_task(
+            self._ask(step, step.tickets, wanted, *picked)
+        )
         self.tasks.add(task)
         task.add_done_callback(self.tasks.discard)
 
@@ -164,12 +178,13 @@
             task.cancel()
 
     async def _ask(
-        self, step: Step, tickets: Tickets, wanted: list[str]
+        self,
+        step: Step,
+        tickets: Tickets,
+        wanted: list[str],
+        node: str,
+        done_at: float,
     ) -> None:
-        terms = step.job.spec.queue.advice
-        assert terms is not None
-        cost = cost_s(terms, len(wanted))
-        node, done_at = self.askers.pick(cost, now())
         asked_at = now()
         limit_s = done_at - asked_at + TIMEOUT_SLACK_S
         reply = await self.ask_through(node, step.name, wanted, limit_s)
