Overlap appends while the store is slow

Each change waited for the answer to the append before it and then for its own. Sequence numbers keep the order; an append that overtakes is repeated, one whose answer is lost is settled by the next.

--- a/features/coordinator/coordination.feature
+++ b/features/coordinator/coordination.feature
@@ -134,6 +134,27 @@
       | 3    |
       | 8    |
 
+  Scenario: A slow store delays a job less than its objective allows
+    Given a cell of 2 nodes and 2 workers
+    When 1 s passes
+    And the store takes 0.45 s for an answer
+    And a job "a" with steps of 3 and 2 tasks is submitted
+    Then callers see within 3.5 s that job "a" has succeeded
+
+  Scenario: Appends that overtake each other are stored in order
+    Given a cell of 3 nodes and 2 workers
+    And tasks of job "b" take 6 s
+    When 1 s passes
+    And calls to the store overtake each other by up to 0.4 s
+    And jobs "a" and "b" of 8 tasks are submitted 0.1 s apart
+    And 5 s pass
+    Then job "a" is succeeded
+    When the coordinator is killed
+    And 8 s pass
+    Then job "b" is succeeded
+    And each task of job "a" ran once
+    And each task of job "b" ran once
+
   Scenario: A lost answer of the store changes nothing
     Given a cell of 2 nodes and 2 workers
     When 1 s passes
--- a/features/coordinator/steps/coordination_steps.py
+++ b/features/coordinator/steps/coordination_steps.py
@@ -47,6 +47,10 @@
     context.run(start())
 
 
+async def _now():
+    return now()
+
+
 def _gateway(context):
     return next(iter(context.cell.nodes.values())).node.gateway
 
@@ -154,6 +158,7 @@
         )
         for number, count in enumerate(counts.split(' and '))
     ]
+    context.submitted_at = context.run(_now())
     reply = _submit(context, job(job_id, *steps, queue=context.queue))
     assert isinstance(reply, JobAccepted), reply
 
@@ -339,6 +344,32 @@
     context.cell.nodes[_coordinator(context)].pool.is_cut = True
 
 
+@when('calls to the store overtake each other by up to {seconds:g} s')
+def step_jitter(context, seconds):
+    context.cell.store.jitter_s = seconds
+
+
+@when(
+    'jobs "{first}" and "{second}" of {count:d} tasks are submitted '
+    '{seconds:g} s apart'
+)
+def step_submit_apart(context, first, second, count, seconds):
+    async def submit(job_id, delay_s):
+        await asyncio.sleep(delay_s)
+        return await _gateway(context).ask(
+            SubmitJob(job(job_id, StepSpec(count, TASK))),
+            JobAccepted,
+            request=job_id,
+            timeout_s=TIMEOUT_S,
+        )
+
+    async def submit_both():
+        return await asyncio.gather(submit(first, 0), submit(second, seconds))
+
+    for reply in context.run(submit_both()):
+        assert isinstance(reply, JobAccepted), reply
+
+
 @when('the store takes {seconds:g} s for an answer')
 def step_slow_store(context, seconds):
     context.cell.store.answer_s = seconds
@@ -495,6 +526,14 @@
     assert found == status, found
 
 
+@then('callers see within {seconds:g} s that job "{job_id}" has succeeded')
+def step_shown(context, seconds, job_id):
+    while _status(context, job_id) != 'succeeded':
+        context.run(asyncio.sleep(ASK_EVERY_S))
+    took_s = context.run(_now()) - context.submitted_at
+    assert took_s <= seconds, took_s
+
+
 @then('each task of job "{job_id}" ran once')
 def step_ran_once(context, job_id):
     names = [log.task for log in _runs(context, job_id)]
--- a/packages/berylspread-standins/src/berylspread_standins/coordinated/store.py
+++ b/packages/berylspread-standins/src/berylspread_standins/coordinated/store.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections
+import random
 from typing import Final, final
 
 from berylspread.coordinator.interface import (
@@ -50,11 +51,16 @@
 class StoreStandin:
     """The state of the store, which all nodes' views share."""
 
-    __slots__ = ('answer_s', 'is_down', 'topics')
+    __slots__ = ('answer_s', 'is_down', 'jitter_s', 'rng', 'topics')
 
-    def __init__(self, *, answer_s: float = 0.004) -> None:
-        """Start empty; an answer takes ``answer_s`` seconds."""
+    def __init__(self, *, answer_s: float = 0.004, seed: int = 1) -> None:
+        """Start empty; an answer takes ``answer_s`` seconds.
+
+        Calls overtake each other if ``jitter_s`` is set: up to so much more.
+        """
         self.answer_s = answer_s
+        self.jitter_s = 0.0
+        self.rng = random.Random(seed)
         self.is_down = False
         self.topics: dict[str, _Topic] = {}
 
@@ -181,7 +187,8 @@
         if self.is_cut:
             await asyncio.sleep(timeout_s)
             return LogUnavailable('no answer')
-        await asyncio.sleep(self.store.answer_s + self.far_s)
+        jitter_s = self.store.jitter_s * self.store.rng.random()
+        await asyncio.sleep(self.store.answer_s + self.far_s + jitter_s)
         if self.store.is_down:
             return LogUnavailable('status 503', done=False)
         return None
--- a/packages/berylspread/src/berylspread/coordinator/coordinator.py
+++ b/packages/berylspread/src/berylspread/coordinator/coordinator.py
@@ -12,6 +12,7 @@
 from berylspread.coordinator.dispatcher import Dispatcher
 from berylspread.coordinator.endings import OUTCOMES
 from berylspread.coordinator.evacuation import runs_to_evacuate
+from berylspread.coordinator.fenced_log import FencedLog
 from berylspread.coordinator.fleet import (
     SLOWEST_CLOCK,
     Run,
@@ -93,6 +94,7 @@
         'log',
         'permits',
         'sessions',
+        'stream',
         'table',
         'tasks',
         'token',
@@ -107,9 +109,10 @@
         self.log = given.log
         self.token = epoch
         self.is_loaded = False
-        self.committer = Committer(
-            given.store, given.topics.jobs, epoch, given.wall, given.log
+        self.stream = FencedLog(
+            given.store, given.topics.jobs, epoch, given.log
         )
+        self.committer = Committer(self.stream, given.wall)
         self.table = JobTable(given.policies, given.log)
         self.usage = Usage(given.policies)
         self.wake = asyncio.Event()
@@ -139,7 +142,7 @@
     def has_authority(self, grace_s: float) -> bool:
         """Return whether the authority was confirmed within the grace."""
         return (
-            self.committer.deposed is None
+            self.stream.deposed is None
             and self.given.authority_age() <= grace_s
         )
 
@@ -277,11 +280,10 @@
         await asyncio.wait(
             (committing, planning), return_when=asyncio.FIRST_COMPLETED
         )
-        if committing.done():
-            failure: Failure = committing.result()
-            return failure
-        planning.result()
-        return NotOwner('planning ended')
+        if self.stream.deposed is not None:
+            return self.stream.deposed
+        committing.result() if committing.done() else planning.result()
+        return NotOwner('the coordinator has stopped')
 
     def forget_workers(self) -> None:
         """Drop workers that are gone and have nothing left to settle."""
@@ -297,7 +299,7 @@
 
     async def _load(self) -> Failure | None:
         began = now()
-        failure = await self.committer.fence()
+        failure = await self.stream.raise_epoch()
         if failure is not None:
             return failure
         store, topics = self.given.store, self.given.topics
--- /dev/null
+++ b/packages/berylspread/src/berylspread/coordinator/fenced_log.py
@@ -0,0 +1,200 @@
+"""Appends of one epoch to a topic: in order, repeated until stored, fenced.
+
+Load pattern: a store whose answers take 0.3 s for a while.  Appends overlap, so
+that a change does not wait for the answer to the one before; sequence numbers
+keep their order and make a repeat harmless.
+"""
+
+import asyncio
+import collections
+import contextlib
+import random
+from typing import Final, final
+
+from berylspread.coordinator.decision_log import DecisionLog
+from berylspread.coordinator.interface import (
+    KeyedStore,
+    Producer,
+    Record,
+    StoreRejected,
+)
+from berylspread.kernel.clock import now
+from berylspread.kernel.errors import Failure, NotOwner
+
+PRODUCER: Final = 'coordinator'
+#: An append without an answer is repeated after a multiple of what answers
+#: have lately taken, within these bounds: a repeat is harmless, and the lower
+#: bound is several answers from the other region.
+LEAST_TIMEOUT_S: Final = 0.25
+MOST_TIMEOUT_S: Final = 1.5
+TIMEOUT_ANSWERS: Final = 4
+#: Weight of the newest answer in the moving mean.
+ANSWER_WEIGHT: Final = 0.2
+#: After this time of failed appends the store counts as out of service: several
+#: repeats of an append whose answer was lost fit into it.
+STALL_S: Final = 0.6
+#: Pause before an append is repeated, up to twice as much by jitter.
+RETRY_S: Final = 0.05
+#: Appends under way; the store answers a repeat of the last five alike, and a
+#: repeat must be among them.
+MOST_UNDER_WAY: Final = 4
+#: Another append begins while one is under way only after this time: answers
+#: usually take less, and fuller batches cost less.
+OVERLAP_S: Final = 0.03
+
+Stored = asyncio.Future[Failure | None]
+
+
+@final
+class FencedLog:
+    """Appends batches under one epoch until it is over."""
+
+    __slots__ = (
+        'answer_s',
+        'appended',
+        'begun_at',
+        'deposed',
+        'epoch',
+        'free',
+        'log',
+        'seq',
+        'stalled_since',
+        'store',
+        'tasks',
+        'timeout_s',
+        'topic',
+        'waiting',
+    )
+
+    def __init__(
+        self, store: KeyedStore, topic: str, epoch: int, log: DecisionLog
+    ) -> None:
+        """Take the topic and the epoch."""
+        self.store = store
+        self.topic = topic
+        self.epoch = epoch
+        self.log = log
+        self.seq = 0
+        #: Futures by the sequence number that they wait for, in order.
+        self.waiting: collections.deque[tuple[int, Stored]] = (
+            collections.deque()
+        )
+        self.tasks: set[asyncio.Task[None]] = set()
+        self.free = asyncio.Event()
+        self.deposed: Failure | None = None
+        self.begun_at = 0.0
+        self.answer_s = 0.0
+        self.timeout_s = LEAST_TIMEOUT_S
+        #: When the appends that fail since were first sent.
+        self.stalled_since: float | None = None
+        #: Bytes of the records that were stored.
+        self.appended = 0
+
+    async def raise_epoch(self) -> Failure | None:
+        """Let the topic refuse appends of earlier epochs."""
+        stored: Stored = asyncio.get_running_loop().create_future()
+        self.begin([], stored)
+        return await stored
+
+    def begin(self, records: list[Record], stored: Stored) -> None:
+        """Send an append; the future is done once it and all before are."""
+        self.seq += 1
+        self.begun_at = now()
+        self.waiting.append((self.seq, stored))
+        task = asyncio.create_task(self._append(self.seq, records))
+        self.tasks.add(task)
+        task.add_done_callback(self._ended)
+
+    async def wait_turn(self) -> None:
+        """Wait until another append is due."""
+        while self.deposed is None and self.tasks:
+            if len(self.tasks) < MOST_UNDER_WAY:
+                left_s = self.begun_at + OVERLAP_S - now()
+                if left_s <= 0:
+                    return
+            else:
+                left_s = MOST_TIMEOUT_S
+            self.free.clear()
+            # One that takes longer than usual is overlapped.
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(left_s):
+                    await self.free.wait()
+
+    def is_stalled(self) -> bool:
+        """Return whether the store has not taken an append for a while."""
+        since = self.stalled_since
+        return since is not None and now() - since >= STALL_S
+
+    def depose(self, failure: Failure) -> None:
+        """End the epoch: what waits is answered by the failure."""
+        if self.deposed is None:
+            self.deposed = failure
+        self.free.set()
+        while self.waiting:
+            _, stored = self.waiting.popleft()
+            if not stored.done():
+                stored.set_result(failure)
+
+    def _ended(self, task: asyncio.Task[None]) -> None:
+        self.tasks.discard(task)
+        self.free.set()
+
+    async def _append(self, seq: int, records: list[Record]) -> None:
+        producer = Producer(PRODUCER, self.epoch, seq)
+        while self.deposed is None:
+            sent_at = now()
+            reply = await self.store.append(
+                self.topic,
+                records,
+                producer=producer,
+                timeout_s=self.timeout_s,
+            )
+            if not isinstance(reply, Failure):
+                self._learn(now() - sent_at)
+                self.appended += sum(len(blob) for _, blob in records)
+                self._stored(seq)
+                return
+            if self._is_settled(seq, reply):
+                return
+            self._note_failure(seq, reply, sent_at)
+            await asyncio.sleep(RETRY_S * (1 + random.random()))
+
+    def _is_settled(self, seq: int, failure: Failure) -> bool:
+        if not isinstance(failure, StoreRejected):
+            return False
+        expected = failure.fields.get('expected')
+        if expected is None:
+            self.depose(
+                NotOwner(f'epoch {self.epoch} is over: {failure.reason}')
+            )
+            return True
+        if int(expected) > seq:
+            # It was stored, and its answer lost.
+            self._stored(seq)
+            return True
+        return False
+
+    def _note_failure(self, seq: int, failure: Failure, sent_at: float) -> None:
+        if isinstance(failure, StoreRejected):
+            # It has overtaken the one before.
+            return
+        self.timeout_s = min(2 * self.timeout_s, MOST_TIMEOUT_S)
+        if self.stalled_since is None:
+            self.stalled_since = sent_at
+        self.log.write('append-retry', seq=seq, reason=failure.reason)
+
+    def _stored(self, seq: int) -> None:
+        # The store takes them in order: all before are stored, too.
+        self.stalled_since = None
+        while self.waiting and self.waiting[0][0] <= seq:
+            _, stored = self.waiting.popleft()
+            if not stored.done():
+                stored.set_result(None)
+
+    def _learn(self, took_s: float) -> None:
+        self.log.measures.observe('append', took_s)
+        self.answer_s += ANSWER_WEIGHT * (took_s - self.answer_s)
+        self.timeout_s = min(
+            max(TIMEOUT_ANSWERS * self.answer_s, LEAST_TIMEOUT_S),
+            MOST_TIMEOUT_S,
+        )
--- a/packages/berylspread/src/berylspread/coordinator/service.py
+++ b/packages/berylspread/src/berylspread/coordinator/service.py
@@ -109,7 +109,7 @@
         return (
             coordinator.is_loaded
             and job_id not in coordinator.table.jobs
-            and coordinator.committer.is_stalled()
+            and coordinator.stream.is_stalled()
         )
 
     def _accept(self, spec: JobSpec) -> Job:
