--- /dev/null
+++ b/features/coordinator/steps/placing_steps.py
@@ -0,0 +1,125 @@
+"""Steps about pacing and about the choice of workers."""
+
+import collections
+
+from behave import given, then, when
+
+from berylspread.coordinator.fleet import Run, Stage, Worker
+from berylspread.coordinator.interface import WorkerEntry
+from berylspread.coordinator.model import Job, StepSpec
+from berylspread.coordinator.pacing import next_percent, pace_fillers
+from berylspread.coordinator.planner import StepPlan, candidates
+from berylspread_standins.coordinated.fleet import CAPACITY, TASK, job
+
+SERVING = StepSpec(1, TASK, lasting=True, latency_target_ms=100)
+FILLER = StepSpec(1, TASK, fills=True)
+
+
+def _worker(name, label='', capacity=CAPACITY):
+    worker = Worker(
+        WorkerEntry(
+            worker=name,
+            service='desk',
+            address=name,
+            zone='z',
+            is_ready=True,
+            capacity=capacity,
+            labels=(label,),
+        )
+    )
+    worker.reachable = True
+    return worker
+
+
+def _step(spec, job_id='a'):
+    return Job(job(job_id, spec)).steps[0, 0]
+
+
+def _run(worker, spec, job_id):
+    run = Run(_step(spec, job_id).tasks[0], worker, Stage.running, 0.0)
+    worker.add(run)
+    return run
+
+
+def _place(context, spec):
+    step = _step(spec)
+    choices = candidates(step, context.workers, 1.0)
+    context.placed = StepPlan(step, choices).place(spec.count)
+
+
+@given('a filler at {percent:d} percent')
+def step_filler(context, percent):
+    context.percent = percent
+
+
+@given('the worst serving task is at {pressure:g} of its latency target')
+def step_pressure(context, pressure):
+    context.pressure = pressure
+
+
+@then("the filler's next speed is {percent:d} percent")
+def step_next(context, percent):
+    assert next_percent(context.percent, context.pressure) == percent
+
+
+@given(
+    'a worker with a serving task at {figure:d} of {target:d} ms and a filler'
+)
+def step_beside(context, figure, target):
+    context.worker = _worker('w1')
+    assert target == SERVING.latency_target_ms
+    _run(context.worker, SERVING, 'serving').figure = figure
+    _run(context.worker, StepSpec(1, TASK), 'other')
+    context.filler = _run(context.worker, FILLER, 'filler')
+    context.paced = pace_fillers(context.worker)
+
+
+@then('the filler is slowed to {percent:d} percent')
+def step_slowed(context, percent):
+    assert (context.filler, percent) in context.paced
+
+
+@then("no other task's speed changes")
+def step_no_other(context):
+    assert len(context.paced) == 1
+
+
+@given('workers "{serves}", which serves, and "{other}", which has less room')
+def step_serving_worker(context, serves, other):
+    context.workers = [_worker(serves), _worker(other, capacity=TASK * 2)]
+    _run(context.workers[0], SERVING, 'serving')
+    _run(context.workers[1], StepSpec(1, TASK), 'other')
+
+
+@given('workers "{first}" with label "{a}" and "{second}" with label "{b}"')
+def step_labelled(context, first, a, second, b):
+    context.workers = [_worker(first, a), _worker(second, b)]
+
+
+@when('a filler is placed')
+def step_place_filler(context):
+    _place(context, FILLER)
+
+
+@when('a task that requires "{label}" is placed')
+def step_place_label(context, label):
+    _place(context, StepSpec(1, TASK, label=label))
+
+
+@when('{count:d} tasks of a step that allows {limit:d} on a worker are placed')
+def step_place_spread(context, count, limit):
+    _place(context, StepSpec(count, TASK, per_worker=limit))
+
+
+@then('it is placed on "{worker}"')
+def step_placed_on(context, worker):
+    assert [each.worker.name for each in context.placed] == [worker]
+
+
+@then('{count:d} of them are placed, {each:d} on each worker')
+def step_placed_spread(context, count, each):
+    found = collections.Counter(
+        placement.worker.name for placement in context.placed
+    )
+    assert found.total() == count
+    assert set(found.values()) == {each}, found
