--- /dev/null
+++ b/features/adapter/program.feature
@@ -0,0 +1,21 @@
+Feature: The program on loopback, against the platform's published protocol
+
+  Scenario: A job handed in over HTTP runs on a worker and is shown as completed
+    Given the platform's store, one worker and the permission service on loopback
+    And the program with its settings file
+    When the node reports that it is ready
+    And a caller hands in a job of 2 steps
+    Then the job is accepted
+    And within 10 s the job is shown as "completed"
+    And the worker ran each of its 3 tasks once
+    And the metrics count 3 runs that have ended
+
+  Scenario: A job is cancelled over HTTP
+    Given the platform's store, one worker and the permission service on loopback
+    And tasks that take 60 s
+    And the program with its settings file
+    When the node reports that it is ready
+    And a caller hands in a job of 2 steps
+    And the caller cancels it once it is shown as "running"
+    Then within 10 s the job is shown as "canceled"
+    And within 10 s the worker runs nothing
