--- a/packages/berylspread-standins/src/berylspread_standins/coordinated/wire.py
+++ b/packages/berylspread-standins/src/berylspread_standins/coordinated/wire.py
@@ -100,11 +100,12 @@
 
     async def append(self, query: dict[str, str], body: bytes) -> Reply:
         """Append framed records."""
-        producer = None
-        if 'producer' in query:
-            producer = Producer(
-                query['producer'], int(query['epoch']), int(query['seq'])
-            )
+        name = query.get('producer')
+        producer = (
+            None
+            if name is None
+            else Producer(name, int(query['epoch']), int(query['seq']))
+        )
         at = query.get('at')
         reply = await self.view.append(
             query['topic'],
