--- a/features/adapter/steps/program_steps.py
+++ b/features/adapter/steps/program_steps.py
@@ -23,8 +23,8 @@
     AdviceApp,
     StoreApp,
     WorkerApp,
-    serving,
 )
+from berylspread_standins.serving import HttpServer
 
 JOB_ID = '5c0e7a21d94b36f8'
 HEADERS = {'Host': 'host.example', 'X-Api-Key': 'k1', 'Deadline-Ms': '3000'}
@@ -110,9 +110,9 @@
             (WorkerApp(self.worker), 'worker'),
             (AdviceApp(AdvisorStandin()), 'advice'),
         ):
-            await self.stack.enter_async_context(
-                serving(app, self.ports[place])
-            )
+            server = HttpServer(app, [self.ports[place]])
+            await server.start()
+            self.stack.push_async_callback(server.stop)
         self.session = await self.stack.enter_async_context(
             aiohttp.ClientSession()
         )
--- a/packages/berylspread-standins/src/berylspread_standins/coordinated/wire.py
+++ b/packages/berylspread-standins/src/berylspread_standins/coordinated/wire.py
@@ -4,17 +4,13 @@
 the service that grants permissions.  Names on the wire are the platform's.
 """
 
-import asyncio
 import base64
-import contextlib
 import json
 import struct
 from collections.abc import Awaitable, Callable, Iterator
 from typing import Any, Final, final
 from urllib.parse import parse_qs
 
-import uvicorn
-
 from berylspread.coordinator.interface import (
     Appended,
     OrderRefused,
@@ -250,37 +246,6 @@
         )
 
 
-class _LoopServer(uvicorn.Server):
-    """A server that leaves the process's signals alone."""
-
-    @contextlib.contextmanager
-    def capture_signals(self) -> Iterator[None]:
-        yield
-
-
-@contextlib.asynccontextmanager
-async def serving(app: WireApp, port: int) -> Any:
-    """Serve an application at a port of 127.0.0.1 for a while."""
-    server = _LoopServer(
-        uvicorn.Config(
-            app,
-            host='127.0.0.1',
-            port=port,
-            lifespan='off',
-            ws='none',
-            log_config=None,
-            access_log=False,
-            timeout_graceful_shutdown=1,
-        )
-    )
-    task = asyncio.create_task(server.serve())
-    try:
-        yield server
-    finally:
-        server.should_exit = True
-        await task
-
-
 def _records(body: bytes) -> Iterator[Record]:
     position = 0
     while position < len(body):
--- a/packages/berylspread-standins/src/berylspread_standins/serving.py
+++ b/packages/berylspread-standins/src/berylspread_standins/serving.py
@@ -2,12 +2,11 @@
 
 import asyncio
 from collections.abc import Sequence
-from typing import Final, final
+from typing import Any, Final, final
 
 import uvicorn
-from litestar import Litestar
 
-from berylspread_daemon.server import QuietServer, listen
+from berylspread.serving import QuietServer, listen
 
 LOOPBACK: Final = '127.0.0.1'
 #: Idle connections stay open for longer than any client keeps them.
@@ -21,8 +20,11 @@
 
     __slots__ = ('ports', 'server', 'sockets', 'task')
 
-    def __init__(self, app: Litestar, ports: Sequence[int] = (0,)) -> None:
-        """Bind the ports at once; 0 takes any free one, told by ``ports``."""
+    def __init__(self, app: Any, ports: Sequence[int] = (0,)) -> None:
+        """Bind the ports at once; 0 takes any free one, told by ``ports``.
+
+        ``app`` is an ASGI application.
+        """
         config = uvicorn.Config(
             app,
             lifespan='off',
--- /dev/null
+++ b/packages/berylspread/src/berylspread/serving/__init__.py
@@ -0,0 +1,5 @@
+"""HTTP servers within a program's own event loop."""
+
+from berylspread.serving.quiet_server import QuietServer, listen
+
+__all__ = ('QuietServer', 'listen')
