Quiesce before a handover; keep jobs from other organisations

A coordinator that stopped went on beating after its release, so in a slow store it could take the release back; and its callers' last changes were answered as not stored when the successor raised the epoch. It now stores what it has decided, releases, and decides no more. A key of another organisation may neither see nor cancel a job.

--- a/features/coordinator/coordination.feature
+++ b/features/coordinator/coordination.feature
@@ -52,6 +52,14 @@
     And 0.3 s pass
     Then one node coordinates
 
+  Scenario: A coordinator that stops while the store is slow hands over
+    Given a cell of 3 nodes and 4 workers
+    When 1 s passes
+    And calls to the store overtake each other by up to 0.4 s
+    And the coordinator leaves
+    And 3 s pass
+    Then one node coordinates
+
   Scenario: A node that leaves still finds the coordinator
     Given a cell of 3 nodes and 2 workers
     When 1 s passes
@@ -239,6 +247,15 @@
     Then job "a" is cancelled
     And no worker runs a task
 
+  Scenario: Another organisation may neither see nor cancel a job
+    Given a cell of 2 nodes and 2 workers
+    When 1 s passes
+    And a job "a" with steps of 1 task is submitted
+    Then organisation "hot" is forbidden to see or cancel job "a"
+    When 2 s pass
+    Then job "a" is succeeded
+    And organisation "hot" is forbidden to see or cancel job "a"
+
   Scenario: What a cancelled job still runs counts against the worker's room
     Given a cell of 3 nodes and 1 worker
     And tasks of job "a" take 30 s
--- a/features/coordinator/steps/coordination_steps.py
+++ b/features/coordinator/steps/coordination_steps.py
@@ -18,7 +18,7 @@
 from berylspread.coordinator.model import AdviceTerms, JobSpec, Queue, StepSpec
 from berylspread.coordinator.service import NoSuchJob
 from berylspread.kernel.clock import now
-from berylspread.kernel.errors import NotRun
+from berylspread.kernel.errors import Forbidden, NotRun
 from berylspread_standins.coordinated import CoordinatedFleet
 from berylspread_standins.coordinated.fleet import (
     EPOCH_S,
@@ -74,7 +74,7 @@
 def _ask_status(context, job_id):
     async def ask():
         return await _gateway(context).ask(
-            AskJobStatus(job_id, 'q', 'acme'),
+            AskJobStatus(job_id, 'q', ''),
             JobStatusReply,
             request=job_id,
             timeout_s=TIMEOUT_S,
@@ -460,6 +460,21 @@
     assert took_s <= seconds, took_s
 
 
+@then('organisation "{tenant}" is forbidden to see or cancel job "{job_id}"')
+def step_forbidden(context, tenant, job_id):
+    async def ask(body, reply_type):
+        return await _gateway(context).ask(
+            body, reply_type, request=job_id, timeout_s=TIMEOUT_S
+        )
+
+    for body, reply_type in (
+        (AskJobStatus(job_id, 'q', tenant), JobStatusReply),
+        (CancelJob(job_id, 'q', tenant), JobCancelled),
+    ):
+        reply = context.run(ask(body, reply_type))
+        assert isinstance(reply, Forbidden), reply
+
+
 @then('there is no job "{job_id}"')
 def step_no_job(context, job_id):
     assert not _runs(context, job_id)
--- a/packages/berylspread/src/berylspread/coordinator/committer.py
+++ b/packages/berylspread/src/berylspread/coordinator/committer.py
@@ -63,6 +63,12 @@
         """Drop a record with the next append."""
         self.drops.add(key)
 
+    def is_busy(self) -> bool:
+        """Return whether a change is not stored yet."""
+        return bool(
+            self.jobs or self.steps or self.drops or self.stream.waiting
+        )
+
     async def run(self) -> Failure:
         """Append until the authority is lost; return why."""
         while True:
--- a/packages/berylspread/src/berylspread/coordinator/coordinator.py
+++ b/packages/berylspread/src/berylspread/coordinator/coordinator.py
@@ -49,6 +49,10 @@
 #: After an earlier coordinator, how long its leases may still last on a worker
 #: that does not answer: its own grace, the longest lease and the slowest clock.
 INHERITED_S: Final = AUTHORITY_S + LONGEST_LEASE_S / SLOWEST_CLOCK
+#: Longest wait for the last changes to be stored before a handover; a slow
+#: store's answer takes 0.3 s.
+QUIESCE_S: Final = 0.5
+QUIESCE_STEP_S: Final = 0.01
 #: Pause after a fault in the conversation with a worker.
 RETRY_S: Final = 0.2
 MS: Final = 1000
@@ -139,6 +143,13 @@
         for task in list(self.tasks):
             task.cancel()
 
+    async def quiesce(self) -> None:
+        """Decide and answer nothing more, and store what is decided."""
+        self.is_loaded = False
+        ends_at = now() + QUIESCE_S
+        while self.committer.is_busy() and now() < ends_at:
+            await asyncio.sleep(QUIESCE_STEP_S)
+
     def has_authority(self, grace_s: float) -> bool:
         """Return whether the authority was confirmed within the grace."""
         return (
--- a/packages/berylspread/src/berylspread/coordinator/dispatcher.py
+++ b/packages/berylspread/src/berylspread/coordinator/dispatcher.py
@@ -98,25 +98,30 @@
 
     def _pass(self) -> None:
         coordinator = self.coordinator
-        if not coordinator.has_authority(ORDER_GRACE_S):
+        is_deciding = coordinator.is_loaded
+        if not is_deciding or not coordinator.has_authority(ORDER_GRACE_S):
             return
         moment = now()
         workers = list(coordinator.workers.values())
         ready = coordinator.table.ready
-        wall_ms = coordinator.wall_ms()
-        by_urgency = functools.partial(urgency, wall_ms=wall_ms)
+        by_urgency = functools.partial(urgency, wall_ms=coordinator.wall_ms())
         for step in sorted(ready.values(), key=by_urgency):
-            if not step.waiting:
+            if step.waiting:
+                self._place(step, workers, moment)
+            else:
                 ready.pop(step.name)
-                continue
-            coordinator.permits.consider(step, workers, moment)
-            choices = candidates(step, workers, moment)
-            limit = coordinator.usage.room(step) if choices else 0
-            step.blocked_by = _obstacle(limit, choices)
-            if limit:
-                self._book(step, StepPlan(step, choices).place(limit))
-            if choices and step.waiting and moment >= step.preempt_after:
-                self._preempt(step, choices, moment)
+
+    def _place(self, step: Step, workers: list[Worker], moment: float) -> None:
+        """Place what can be placed of a step, or make room for it."""
+        coordinator = self.coordinator
+        coordinator.permits.consider(step, workers, moment)
+        choices = candidates(step, workers, moment)
+        limit = coordinator.usage.room(step) if choices else 0
+        step.blocked_by = _obstacle(limit, choices)
+        if limit:
+            self._book(step, StepPlan(step, choices).place(limit))
+        if choices and step.waiting and moment >= step.preempt_after:
+            self._preempt(step, choices, moment)
 
     def _preempt(
         self, step: Step, choices: list[tuple[Worker, str]], moment: float
--- a/packages/berylspread/src/berylspread/coordinator/leadership.py
+++ b/packages/berylspread/src/berylspread/coordinator/leadership.py
@@ -151,6 +151,7 @@
         if self.is_leader and self.current is not None:
             record = msgspec.structs.replace(self.current, released=True)
             await self._write(record, None)
+            self._end_term(NotOwner('the coordination is handed over'))
 
     async def _load(self) -> bool:
         began = now()
@@ -265,7 +266,8 @@
         beats: set[asyncio.Task[None]] = set()
         try:
             while not deposed.done():
-                if len(beats) < MOST_RENEWALS:
+                # A leader that leaves must not take its release back.
+                if len(beats) < MOST_RENEWALS and not self.leaving.is_set():
                     beat = asyncio.create_task(self._beat(record))
                     beats.add(beat)
                     beat.add_done_callback(beats.discard)
--- a/packages/berylspread/src/berylspread/coordinator/node.py
+++ b/packages/berylspread/src/berylspread/coordinator/node.py
@@ -168,6 +168,8 @@
 
     async def leave(self) -> None:
         """Hand over the coordination before the process ends."""
+        if self.service is not None:
+            await self.service.coordinator.quiesce()
         await self.leadership.release()
 
     async def serve(self, epoch: int) -> Failure:
--- a/packages/berylspread/src/berylspread/coordinator/service.py
+++ b/packages/berylspread/src/berylspread/coordinator/service.py
@@ -18,6 +18,7 @@
 from berylspread.coordinator.model import Job, JobSpec, JobStatus
 from berylspread.kernel.errors import (
     Failure,
+    Forbidden,
     NotOwner,
     NotRun,
     RunState,
@@ -76,6 +77,8 @@
     async def status(self, request: AskJobStatus) -> JobStatusReply | Failure:
         """Return how far a job has come, as far as that is stored."""
         table = self.coordinator.table
+        if self._is_foreign(request.job_id, request.tenant):
+            return Forbidden("the job is another organisation's")
         job = table.jobs.get(request.job_id)
         if job is not None:
             failure = await _stored(job) if job.status.is_final else None
@@ -94,6 +97,8 @@
         coordinator = self.coordinator
         if not self._may_answer():
             return NotOwner('the coordinator is not ready to answer')
+        if self._is_foreign(request.job_id, request.tenant):
+            return Forbidden("the job is another organisation's")
         job = coordinator.table.jobs.get(request.job_id)
         if job is None:
             if request.job_id in coordinator.table.ended:
@@ -104,6 +109,18 @@
         failure = await _stored(job)
         return JobCancelled() if failure is None else failure
 
+    def _is_foreign(self, job_id: str, tenant: str) -> bool:
+        # Queues open to all have callers, and jobs, of no organisation.
+        table = self.coordinator.table
+        job = table.jobs.get(job_id)
+        ended = table.ended.get(job_id)
+        owner = ''
+        if job is not None:
+            owner = job.spec.tenant
+        elif ended is not None:
+            owner = ended.tenant
+        return bool(owner and tenant) and owner != tenant
+
     def _must_refuse(self, job_id: str) -> bool:
         coordinator = self.coordinator
         return (
