Read malformed answers of the store as typed failures; drop unused fields

An unreadable answer raised in the follower of the configuration and would have ended it; an outcome of a run that is not known did so in a worker's conversation. Both are typed and logged now.

--- a/features/adapter/steps/adapter_steps.py
+++ b/features/adapter/steps/adapter_steps.py
@@ -7,6 +7,7 @@
 
 from behave import given, then, when
 
+from berylspread.coordinator.endings import effect_of
 from berylspread.coordinator.interface import (
     KeyedItem,
     Renewal,
@@ -538,6 +539,19 @@
     )
 
 
+@when('records are read')
+def step_read(context):
+    store = StoreClient(context.http, 'store')
+    context.result = asyncio.run(
+        store.follow('keyed.t', 0, wait_s=0.0, timeout_s=1.0)
+    )
+
+
+@then('outcome "{unknown}" has the effect of "{known}"')
+def step_effect(context, unknown, known):
+    assert effect_of(unknown) is effect_of(known)
+
+
 @when('the newest records are read')
 def step_newest(context):
     store = StoreClient(context.http, 'store')
--- a/features/adapter/wire.feature
+++ b/features/adapter/wire.feature
@@ -20,6 +20,7 @@
       | 429 {}                       | log-unavailable and nothing done   |
       | 507 {}                       | log-unavailable and nothing done   |
       | 500 {}                       | log-unavailable and perhaps done   |
+      | 200 not JSON                 | log-unavailable and perhaps done   |
       | no answer                    | log-unavailable and perhaps done   |
       | no connection                | log-unavailable and nothing done   |
 
@@ -28,6 +29,14 @@
     When the newest records are read
     Then keys "a" and "b" are known, to be followed from 5
 
+  Scenario: Records that cannot be read are a typed failure
+    Given the platform answers an append with 200 short
+    When records are read
+    Then the outcome is log-unavailable and perhaps done
+
+  Scenario: An outcome of a run that is not known runs the task again
+    Then outcome "vanished" has the effect of "stopped"
+
   Scenario Outline: A worker's answer to an order becomes a value or a failure
     Given the platform answers an order with <answer>
     When a run is started
--- a/packages/berylspread/src/berylspread/coordinator/coordinator.py
+++ b/packages/berylspread/src/berylspread/coordinator/coordinator.py
@@ -10,7 +10,7 @@
 from berylspread.coordinator.decision_log import DecisionLog
 from berylspread.coordinator.directory import TopicFollower
 from berylspread.coordinator.dispatcher import Dispatcher
-from berylspread.coordinator.endings import OUTCOMES
+from berylspread.coordinator.endings import effect_of
 from berylspread.coordinator.evacuation import runs_to_evacuate
 from berylspread.coordinator.fenced_log import FencedLog
 from berylspread.coordinator.fleet import (
@@ -219,7 +219,7 @@
             outcome=outcome,
             ran_s=round(now() - run.since, 3),
         )
-        OUTCOMES[outcome](self, run)
+        effect_of(outcome)(self, run)
         return self.committer.step(task.step)
 
     def lost(self, run: Run, reason: str) -> None:
@@ -293,7 +293,7 @@
         )
         if self.stream.deposed is not None:
             return self.stream.deposed
-        committing.result() if committing.done() else planning.result()
+        (committing if committing.done() else planning).result()
         return NotOwner('the coordinator has stopped')
 
     def forget_workers(self) -> None:
--- a/packages/berylspread/src/berylspread/coordinator/endings.py
+++ b/packages/berylspread/src/berylspread/coordinator/endings.py
@@ -80,3 +80,12 @@
 def interrupted(coordinator: 'Coordinator', run: Run) -> None:
     """Run the task again; the attempt does not count."""
     coordinator.requeue(run.task)
+
+
+def effect_of(name: str) -> Effect:
+    """Return what follows from an outcome.
+
+    One of a newer protocol counts as an interruption: the task runs again, and
+    the log has the outcome's name.
+    """
+    return OUTCOMES.get(name, interrupted)
--- a/packages/berylspread/src/berylspread/coordinator/fleet.py
+++ b/packages/berylspread/src/berylspread/coordinator/fleet.py
@@ -128,7 +128,6 @@
         'draining_since',
         'entry',
         'free',
-        'heard_at',
         'lease_until_ms',
         'lost_after',
         'present',
@@ -154,7 +153,6 @@
         self.lost_after = 0.0
         self.reachable = False
         self.present = True
-        self.heard_at = 0.0
         self.avoid_until = 0.0
         #: When the entry first said that the worker leaves.
         self.draining_since = 0.0
--- a/packages/berylspread/src/berylspread/coordinator/interface.py
+++ b/packages/berylspread/src/berylspread/coordinator/interface.py
@@ -4,7 +4,6 @@
 
 import msgspec
 
-from berylspread.coordinator.model import Queue
 from berylspread.kernel.errors import Failure, RunState, failure
 from berylspread.model import Resources
 
@@ -65,7 +64,6 @@
     zone: str
     is_ready: bool
     capacity: Resources
-    kind: str = ''
     rack: str = ''
     labels: tuple[str, ...] = ()
     slots: int = 0
@@ -197,7 +195,7 @@
 
 @final
 class Batch(msgspec.Struct, frozen=True):
-    """Records read from a topic; ``first`` is the oldest offset retained."""
+    """Records read from a topic, and the offset after its newest."""
 
     items: list[KeyedItem]
     end: int
@@ -259,9 +257,6 @@
 class Policies(Protocol):
     """The newest configuration, as the coordinator needs it."""
 
-    def queue(self, name: str) -> Queue | None:
-        """Return a queue's policy, or ``None`` if it was removed."""
-
     def cap(self, tenant: str) -> Resources | None:
         """Return what a tenant may have running; a dimension of 0 is free."""
 
--- a/packages/berylspread/src/berylspread/coordinator/policy.py
+++ b/packages/berylspread/src/berylspread/coordinator/policy.py
@@ -62,7 +62,6 @@
         'clock',
         'configuration',
         'confirmed_at',
-        'queues',
         'tenants',
         'trust_s',
     )
@@ -78,7 +77,6 @@
         self.confirmed_at = float('-inf')
         self.by_host: dict[str, list[QueueRoute]] = {}
         self.by_key: dict[str, Tenant] = {}
-        self.queues: dict[str, Queue] = {}
         self.tenants: dict[str, Tenant] = {}
 
     @property
@@ -101,9 +99,6 @@
             for tenant in configuration.tenants
             for key in tenant.keys
         }
-        self.queues = {
-            route.queue.name: route.queue for route in configuration.routes
-        }
         self.tenants = {each.name: each for each in configuration.tenants}
         return True
 
@@ -141,10 +136,6 @@
             return Unauthenticated('the key is missing, unknown or withdrawn')
         return tenant.name
 
-    def queue(self, name: str) -> Queue | None:
-        """Return a queue's newest policy."""
-        return self.queues.get(name)
-
     def cap(self, tenant: str) -> Resources | None:
         """Return what a tenant may have running."""
         found = self.tenants.get(tenant)
--- a/packages/berylspread/src/berylspread/coordinator/session.py
+++ b/packages/berylspread/src/berylspread/coordinator/session.py
@@ -57,7 +57,6 @@
     """Keeps one worker's leases and settles what its reports prove."""
 
     __slots__ = (
-        'failures',
         'orders',
         'owner',
         'storing',
@@ -71,7 +70,6 @@
         self.workers = workers
         self.owner = owner
         self.orders = Orders(worker, workers, owner)
-        self.failures = 0
         #: Done once every end that was noted is stored.
         self.storing: asyncio.Future[Failure | None] | None = None
 
@@ -128,7 +126,6 @@
 
     async def _missed(self, failure: Failure) -> None:
         worker = self.worker
-        self.failures += 1
         is_other = (
             isinstance(failure, OrderRefused)
             and failure.fields.get('cause') == OTHER_INSTANCE
@@ -147,13 +144,11 @@
 
     async def _take(self, report: WorkerReport, sent_at: float) -> None:
         worker = self.worker
-        self.failures = 0
         if not worker.reachable:
             self.owner.log.write('worker-reachable', worker=worker.name)
         self._note_life(report)
         worker.clock.observe(report.clock_ms, now())
         worker.reachable = True
-        worker.heard_at = now()
         stored = self._take_ended(report.ended)
         listed = self._take_running(report.running)
         if not report.more:
