Answer half-sent requests without resetting the connection

Cause: after an answer to half a request (408, 413) the server closed a socket with unread bytes, or got more after it had closed; either resets the connection, and the reset overtakes the answer. Ruled out: the test's own time limits; every failing run shows ConnectionResetError in the caller's read.

Change: the stream is ended first, what still comes is dropped, and the connection is closed when the caller closes or after 1 s.

New scenario "A caller that goes on sending past its answer is not cut off": BrokenPipeError before, passes now.

--- a/features/daemon/connections.feature
+++ b/features/daemon/connections.feature
@@ -16,6 +16,11 @@
       | trickles byte by byte  | 408    | body-timeout   |
       | grows past the bound   | 413    | body-too-large |
 
+  Scenario: A caller that goes on sending past its answer is not cut off
+    When a caller sends bytes of a body until 0.3 seconds past its time
+    Then it is refused with 408 as body-timeout, not-run
+    And the connection is closed
+
   Scenario: A caller that hangs up within the body
     When a caller hangs up within the body
     Then the router got 0 calls
--- a/features/daemon/loopback.py
+++ b/features/daemon/loopback.py
@@ -2,6 +2,8 @@
 
 import asyncio
 import hashlib
+import socket
+import time
 from collections.abc import Iterable
 from typing import Any
 
@@ -18,6 +20,8 @@
 
 BODY_TIMEOUT_S = 0.3
 CALL_S = 0.1
+#: Between two bytes of a caller that sends slowly.
+PAUSE_S = 0.02
 TOKEN = 'operator'
 QUEUE_LIMIT = 1024
 DOCUMENT = """
@@ -105,24 +109,48 @@
         writer.close()
         return parse(answer), reader.at_eof()
 
+    async def send_late(self, late_s: float) -> tuple[httpx.Response, bool]:
+        """Send a body until after the answer, and read only then."""
+        return await asyncio.to_thread(
+            _send_and_read, self.server.address, BODY_TIMEOUT_S + late_s
+        )
+
     async def open(
         self, announced: int | None
     ) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
         """Open a connection and send a request's head."""
         host, port = self.server.address.rsplit(':', 1)
         reader, writer = await asyncio.open_connection(host, int(port))
-        length = (
-            'Transfer-Encoding: chunked'
-            if announced is None
-            else f'Content-Length: {announced}'
-        )
-        writer.write(
-            f'POST /v1/queues/open/call HTTP/1.1\r\nHost: node\r\n{length}\r\n'
-            '\r\n'.encode()
-        )
+        writer.write(head(announced))
         return reader, writer
 
 
+def head(announced: int | None) -> bytes:
+    """Return the head of a call; the body is chunked if ``None`` is given."""
+    length = (
+        'Transfer-Encoding: chunked'
+        if announced is None
+        else f'Content-Length: {announced}'
+    )
+    return (
+        f'POST /v1/queues/open/call HTTP/1.1\r\nHost: node\r\n{length}\r\n\r\n'
+    ).encode()
+
+
+def _send_and_read(address: str, send_s: float) -> tuple[httpx.Response, bool]:
+    host, port = address.rsplit(':', 1)
+    with socket.create_connection((host, int(port)), timeout=5) as caller:
+        caller.sendall(head(QUEUE_LIMIT))
+        ends_at = time.monotonic() + send_s
+        while time.monotonic() < ends_at:
+            caller.sendall(b'x')
+            time.sleep(PAUSE_S)
+        answer = b''
+        while part := caller.recv(QUEUE_LIMIT):
+            answer += part
+    return parse(answer), True
+
+
 async def _send(
     writer: asyncio.StreamWriter, chunks: Iterable[bytes], pause_s: float
 ) -> None:
--- a/features/daemon/steps/connection_steps.py
+++ b/features/daemon/steps/connection_steps.py
@@ -41,6 +41,13 @@
     )
 
 
+@when('a caller sends bytes of a body until {late_s:f} seconds past its time')
+def step_send_late(context: Context, late_s: float) -> None:
+    context.answer, context.closed = context.runner_.run(
+        context.node.send_late(late_s)
+    )
+
+
 @when('a caller hangs up within the body')
 def step_hang_up(context: Context) -> None:
     async def hang_up() -> None:
--- a/packages/berylspread-daemon/src/berylspread_daemon/server.py
+++ b/packages/berylspread-daemon/src/berylspread_daemon/server.py
@@ -6,7 +6,7 @@
 import uvicorn
 from litestar import Litestar
 
-from berylspread.serving import QuietServer, listen
+from berylspread.serving import LingeringProtocol, QuietServer, listen
 
 KEEP_ALIVE_S: Final = 75
 
@@ -26,6 +26,7 @@
         self.server = QuietServer(
             uvicorn.Config(
                 app,
+                http=LingeringProtocol,
                 lifespan='off',
                 ws='none',
                 log_config=None,
