--- a/packages/berylspread/src/berylspread/serving/lingering.py
+++ b/packages/berylspread/src/berylspread/serving/lingering.py
@@ -1,9 +1,9 @@
 """Connections that are closed without a reset while a caller still sends.
 
-A socket that is closed with unread bytes resets its connection, and the reset may
-overtake the answer.  An answer to half a request is therefore followed by the
-end of the stream, and what the caller sends after it is read and dropped for a
-while.
+A socket that is closed with unread bytes resets its connection, and the reset
+may overtake the answer.  An answer to half a request is therefore followed by
+the end of the stream, and what the caller sends after it is read and dropped
+for a while.
 """
 
 import asyncio
