Give up permission requests through silent nodes early

Change: a request is given up 0.25 s and half its own cost after its expected end and sent through another node at once; nodes that have not said for 1.1 s that they are there are not asked.

Scenario "A node that does not answer costs a step little": 1.53 s before, within its 0.7 s now.

--- a/features/coordinator/coordination.feature
+++ b/features/coordinator/coordination.feature
@@ -173,6 +173,13 @@
     And each task of job "a" ran once
     And exactly 1 node has claimed the coordination
 
+  Scenario: An end whose report is lost is soon asked for again
+    Given a cell of 2 nodes and 1 worker
+    When 1 s passes
+    And the next report of an end is lost
+    And a job "a" with steps of 1 task is submitted
+    Then callers see within 1.9 s that job "a" has succeeded
+
   Scenario: An end is acknowledged only once it is stored
     Given a cell of 2 nodes and 1 worker
     When 1 s passes
@@ -376,6 +383,19 @@
     And 4 s pass
     Then 1 job waits
 
+  Scenario: A node that does not answer costs a step little time
+    Given a cell of 3 nodes and 2 workers whose queue needs permissions
+    When 1 s passes
+    And a job "a" with steps of 1 and 1 tasks is submitted
+    And a job "b" with steps of 1 and 1 tasks is submitted
+    And a job "c" with steps of 1 and 1 tasks is submitted
+    And 0.5 s pass
+    And every node but the coordinator is cut off
+    And 3 s pass
+    Then step 1 of job "a" began within 0.7 s of the end of step 0
+    And step 1 of job "b" began within 0.7 s of the end of step 0
+    And step 1 of job "c" began within 0.7 s of the end of step 0
+
   Scenario: Permissions are asked for and tickets renewed
     Given a cell of 2 nodes and 3 workers whose queue needs permissions
     And worker "w0" is permitted nothing
--- a/features/coordinator/permissions.feature
+++ b/features/coordinator/permissions.feature
@@ -16,6 +16,20 @@
     When 1 requests of 0.04 s are sent
     Then the node that was asked is not "a"
 
+  Scenario: A node that has fallen silent is not asked
+    Given nodes "a", "b" and "c" that ask
+    And "a" was last heard of 1.2 s ago
+    And "b" was last heard of 0.6 s ago
+    When 1 requests of 0.04 s are sent
+    Then the node that was asked is not "a"
+
+  Scenario: Nobody is asked while no node is there
+    Given nodes "a", "b" and "c" that ask
+    And "a" was last heard of 1.2 s ago
+    And "b" was last heard of 1.2 s ago
+    And "c" was last heard of 1.2 s ago
+    Then no node can be asked
+
   Scenario Outline: Which workers a step asks about
     Given a step with tickets for "w1" until 5 s and "w2" until 3 s
     And workers "w1", "w2" and "w3" of which "<unknown>" are new
--- a/features/coordinator/steps/coordination_steps.py
+++ b/features/coordinator/steps/coordination_steps.py
@@ -315,11 +315,31 @@
         if node.node.service is None
     )
     context.lone = context.cell.nodes[name]
-    context.lone.view.is_cut = True
-    for source, target in ((name, '*'), ('*', name)):
+    _cut_off(context, context.lone)
+
+
+def _cut_off(context, node):
+    node.view.is_cut = True
+    for source, target in ((node.name, '*'), ('*', node.name)):
         context.cell.peers.network.cut(source, target)
 
 
+@when('every node but the coordinator is cut off')
+def step_cut_others(context):
+    for node in context.cell.nodes.values():
+        if node.node.service is None:
+            _cut_off(context, node)
+
+
+@then(
+    'step 1 of job "{job_id}" began within {seconds:g} s of the end of step 0'
+)
+def step_began_soon(context, job_id, seconds):
+    before, after = sorted(_runs(context, job_id), key=lambda log: log.task)
+    gap_s = after.started_at - before.ended_at
+    assert 0 <= gap_s <= seconds, gap_s
+
+
 @then('that node refuses a job within {seconds:g} s as not run')
 def step_lone_refuses(context, seconds):
     async def submit():
@@ -497,6 +517,12 @@
     context.cell.store.is_down = False
 
 
+@when('the next report of an end is lost')
+def step_mute_report(context):
+    for worker in context.cell.workers.values():
+        worker.mute_reports = 1
+
+
 @when('the worker of job "{job_id}" is cut off')
 def step_cut_worker(context, job_id):
     _worker_of(context, job_id).is_cut = True
--- a/features/coordinator/steps/permission_steps.py
+++ b/features/coordinator/steps/permission_steps.py
@@ -15,7 +15,7 @@
 def step_nodes(context):
     context.askers = Askers()
     for name in ('a', 'b', 'c'):
-        context.askers.add(name)
+        context.askers.add(name, 0.0)
 
 
 @given('answers through "{node}" take {seconds:g} s longer')
@@ -24,6 +24,11 @@
         context.askers.learn(node, seconds / 5)
 
 
+@given('"{node}" was last heard of {seconds:g} s ago')
+def step_heard(context, node, seconds):
+    context.askers.add(node, -seconds)
+
+
 @when('{count:d} requests of {cost:g} s are sent')
 def step_send(context, count, cost):
     for _ in range(count):
@@ -47,6 +52,11 @@
     assert context.picked[0] != node
 
 
+@then('no node can be asked')
+def step_none(context):
+    assert context.askers.pick(0.04, 0.0) is None
+
+
 @given('a step with tickets for "w1" until 5 s and "w2" until 3 s')
 def step_tickets(context):
     queue = Queue('q', 'desk', advice=AdviceTerms(30.0, 1.0, 2000.0))
--- a/packages/berylspread/src/berylspread/coordinator/node.py
+++ b/packages/berylspread/src/berylspread/coordinator/node.py
@@ -1,6 +1,7 @@
 """One node's part: follow the leader's record, coordinate when chosen."""
 
 import asyncio
+import math
 import random
 from collections.abc import Callable
 from typing import Any, Final, final
@@ -177,7 +178,9 @@
         assert self.peers is not None
         coordinator = Coordinator(self._surroundings(), epoch)
         for name in self.addresses:
-            coordinator.permits.askers.add(name)
+            coordinator.permits.askers.add(name, now())
+        # This node is there as long as it coordinates.
+        coordinator.permits.askers.add(self.ref.node, math.inf)
         self.service = JobService(coordinator)
         try:
             return await coordinator.run()
--- a/packages/berylspread/src/berylspread/coordinator/permits.py
+++ b/packages/berylspread/src/berylspread/coordinator/permits.py
@@ -27,8 +27,15 @@
 MOST_QUEUED_S: Final = 0.1
 #: The service names at most this many workers in a request.
 MOST_WORKERS: Final = 100
-#: Added to a request's expected end as its time limit.
-TIMEOUT_SLACK_S: Final = 1.0
+#: A request is given up and sent through another node this long after its
+#: expected end, and by a part of what the service takes for it.
+PATIENCE_S: Final = 0.25
+PATIENCE_SHARE: Final = 0.5
+#: A node through which a request was given up is used no more for this long.
+PENALTY_S: Final = 1.0
+#: Nodes say every 0.5 s that they are there; after two misses none is asked.
+SILENT_S: Final = 1.1
+#: Pause before a request that the service had no place for is sent again.
 RETRY_S: Final = 0.3
 MS: Final = 1000
 #: Weight of the newest answer in what is known of a node.
@@ -46,21 +53,25 @@
 class Askers:
     """The nodes that can ask, and until when each is expected to be busy."""
 
-    __slots__ = ('busy_until', 'overhead_s')
+    __slots__ = ('busy_until', 'heard_at', 'overhead_s')
 
     def __init__(self) -> None:
         """Know no node yet."""
         self.busy_until: dict[str, float] = {}
+        #: When each node last said that it is there, by the loop's time.
+        self.heard_at: dict[str, float] = {}
         #: What an answer takes beyond the service's own time, by node.
         self.overhead_s: dict[str, float] = {}
 
-    def add(self, node: str) -> None:
-        """Take a node into use."""
+    def add(self, node: str, heard_at: float) -> None:
+        """Take a node into use, or note that it is still there."""
         self.busy_until.setdefault(node, 0.0)
+        self.heard_at[node] = heard_at
 
     def remove(self, node: str) -> None:
         """Use a node no more."""
         self.busy_until.pop(node, None)
+        self.heard_at.pop(node, None)
 
     def pick(self, cost_s: float, moment: float) -> tuple[str, float] | None:
         """Choose the node that answers first; return when, too.
@@ -68,7 +79,13 @@
         ``None`` if every node has so much to ask that the request had better
         wait here, where a more urgent one may still go first.
         """
-        names = sorted(self.busy_until)
+        names = sorted(
+            name
+            for name, heard_at in self.heard_at.items()
+            if moment - heard_at <= SILENT_S
+        )
+        if not names:
+            return None
         if cost_s > LONG_S and len(names) >= SHORT_ONLY_EVERY:
             names = [
                 name
@@ -93,6 +110,11 @@
         known = self.overhead_s.get(node, 0.0)
         self.overhead_s[node] = max(known + OVERHEAD_WEIGHT * late_s, 0.0)
 
+    def give_up(self, node: str, moment: float) -> None:
+        """Use a node that did not answer in time no more for a while."""
+        self.learn(node, PATIENCE_S)
+        self.busy_until[node] = moment + PENALTY_S
+
 
 def workers_to_ask(
     step: Step, workers: list[Worker], moment: float
@@ -186,14 +208,14 @@
         done_at: float,
     ) -> None:
         asked_at = now()
-        limit_s = done_at - asked_at + TIMEOUT_SLACK_S
+        expected_s = done_at - asked_at
+        limit_s = expected_s * (1 + PATIENCE_SHARE) + PATIENCE_S
         reply = await self.ask_through(node, step.name, wanted, limit_s)
         tickets.asking -= 1
-        if isinstance(reply, Failure):
+        if isinstance(reply, AdviceBusy):
             tickets.retry_at = now() + RETRY_S
-            if not isinstance(reply, AdviceBusy):
-                # A node that does not answer is a worse choice for a while.
-                self.askers.busy_until[node] = now() + TIMEOUT_SLACK_S
+        elif isinstance(reply, Failure):
+            self.askers.give_up(node, now())
         else:
             self.askers.learn(node, now() - done_at)
             self._take(tickets, wanted, reply)
@@ -204,7 +226,7 @@
             workers=len(wanted),
             good=-1 if isinstance(reply, Failure) else len(reply.tickets),
             took_s=round(now() - asked_at, 3),
-            expected_s=round(done_at - asked_at, 3),
+            expected_s=round(expected_s, 3),
             reason=reply.reason if isinstance(reply, Failure) else '',
         )
         self.wake()
--- a/packages/berylspread/src/berylspread/coordinator/service.py
+++ b/packages/berylspread/src/berylspread/coordinator/service.py
@@ -16,6 +16,7 @@
     SubmitJob,
 )
 from berylspread.coordinator.model import Job, JobSpec, JobStatus
+from berylspread.kernel.clock import now
 from berylspread.kernel.errors import (
     Failure,
     Forbidden,
@@ -160,7 +161,7 @@
 
     def node_up(self, request: NodeUp) -> None:
         """Take a node into use for permission requests."""
-        self.coordinator.permits.askers.add(request.node)
+        self.coordinator.permits.askers.add(request.node, now())
 
 
 async def _stored(job: Job) -> Failure | None:
