Let one node read the configuration and tell the others

Each of 21 nodes in the other region read the record, some 400 kB, over a link of 30 Mbit/s, gave up after its time limit and read it again from the start; from then on the link carried nothing else. Ruled out: the coordinator's processor (0.72 of 2.15 cores), sick workers.

Change: nodes ask the coordinator for the newest version, compressed, in the exchange that they make twice a second, and with it as of when the store has confirmed it. The store is read only without such news for 1.5 s. A read is given up after a silence, not while bytes arrive. Addresses of nodes are sent only if they have changed: they grew with the square of the nodes.

The stand-in of the store answered reads of newest records while it was down; it refuses them now.

Tests: features/coordinator/configuration.feature; two scenarios of features/adapter/wire.feature, of which "A read goes on while bytes of its answer arrive" fails with the former limit.

--- /dev/null
+++ b/features/adapter/steps/slow_store_steps.py
@@ -0,0 +1,68 @@
+"""Steps about a store on loopback whose answers are slow; on wall time."""
+
+import asyncio
+
+from behave import given, then, when
+
+from berylspread_platform.http_calls import HttpCalls
+from berylspread_platform.store import StoreClient
+
+BODY = b'{"items":[],"end":5}'
+HEAD = b'HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n' % len(BODY)
+
+
+def _serve(context, parts, gap_s, *, then_closes):
+    context.handlers = []
+
+    async def answer(reader, writer):
+        context.handlers.append(asyncio.current_task())
+        await reader.readuntil(b'\r\n\r\n')
+        writer.write(HEAD)
+        for part in parts:
+            writer.write(part)
+            await writer.drain()
+            await asyncio.sleep(gap_s)
+        if not then_closes:
+            await reader.read()
+        writer.close()
+
+    context.runner_ = asyncio.Runner()
+    context.add_cleanup(context.runner_.close)
+    context.server = context.runner_.run(
+        asyncio.start_server(answer, '127.0.0.1', 0)
+    )
+    context.add_cleanup(context.server.close)
+
+
+@given('a store on loopback that answers a byte each {gap:g} s')
+def step_slow(context, gap):
+    parts = [BODY[index : index + 1] for index in range(len(BODY))]
+    _serve(context, parts, gap, then_closes=True)
+
+
+@given('a store on loopback that answers half and falls silent')
+def step_silent(context):
+    _serve(context, [BODY[: len(BODY) // 2]], 0.0, then_closes=False)
+
+
+@when('the newest records are read with {seconds:g} s of patience')
+def step_read(context, seconds):
+    port = context.server.sockets[0].getsockname()[1]
+
+    async def read():
+        http = HttpCalls()
+        await http.start()
+        try:
+            store = StoreClient(http, f'127.0.0.1:{port}')
+            return await store.newest('keyed.op', timeout_s=seconds)
+        finally:
+            await http.close()
+            # A client that gives up resets the connection.
+            await asyncio.gather(*context.handlers, return_exceptions=True)
+
+    context.result = context.runner_.run(read())
+
+
+@then('the records end at {end:d}')
+def step_end(context, end):
+    assert context.result.end == end, context.result
--- a/features/adapter/wire.feature
+++ b/features/adapter/wire.feature
@@ -61,3 +61,13 @@
     When a lease is renewed
     Then run 2 of "t" is at 41 percent
     And end 58 is that of run 1 of "u" as "done"
+
+  Scenario: A read goes on while bytes of its answer arrive
+    Given a store on loopback that answers a byte each 0.05 s
+    When the newest records are read with 0.3 s of patience
+    Then the records end at 5
+
+  Scenario: A read is given up when nothing more arrives
+    Given a store on loopback that answers half and falls silent
+    When the newest records are read with 0.3 s of patience
+    Then the outcome is log-unavailable and perhaps done
--- /dev/null
+++ b/features/coordinator/configuration.feature
@@ -0,0 +1,53 @@
+Feature: How nodes learn of a new configuration
+
+  One node reads the store, and tells the others what it has read and when.
+
+  Scenario: The coordinator tells the others, who read nothing themselves
+    Given a cell of 5 nodes and 1 worker
+    When 2 s pass
+    And version 2 of the configuration is published
+    And 0.7 s pass
+    Then every node has version 2 of the configuration
+    And only the coordinator has read the configuration from the store
+    And no node's configuration is older than 2 s
+
+  Scenario: Of versions in quick succession the newest is told
+    Given a cell of 5 nodes and 1 worker
+    When 2 s pass
+    And versions 2 to 9 of the configuration are published 0.1 s apart
+    And 0.7 s pass
+    Then every node has version 9 of the configuration
+    And only the coordinator has read the configuration from the store
+
+  Scenario: A node that hears from no other reads the store itself
+    Given a cell of 3 nodes and 1 worker
+    When 2 s pass
+    And a node that does not coordinate is cut off from the others
+    And version 2 of the configuration is published
+    And 2.2 s pass
+    Then every node has version 2 of the configuration
+    And no node's configuration is older than 3 s
+
+  Scenario: A node that cannot reach the store hears from the others
+    Given a cell of 3 nodes and 1 worker
+    When 2 s pass
+    And a node that does not coordinate is cut off from the store
+    And version 2 of the configuration is published
+    And 4 s pass
+    Then every node has version 2 of the configuration
+    And no node's configuration is older than 2 s
+
+  Scenario: What nobody could confirm grows old, whoever tells it
+    Given a cell of 3 nodes and 1 worker
+    When 2 s pass
+    And the store is down
+    And 6 s pass
+    Then every node's configuration is at least 5 s old
+
+  Scenario: A change of the coordinator delays a configuration little
+    Given a cell of 3 nodes and 1 worker
+    When 2 s pass
+    And the coordinator is killed
+    And version 2 of the configuration is published
+    And 2.2 s pass
+    Then every node has version 2 of the configuration
--- a/packages/berylspread-standins/src/berylspread_standins/coordinated/fleet.py
+++ b/packages/berylspread-standins/src/berylspread_standins/coordinated/fleet.py
@@ -120,6 +120,11 @@
             TOPICS.workers, [(entry.worker, msgspec.msgpack.encode(entry))]
         )
 
+    def configure(self, version: int) -> None:
+        """Let the operator publish a configuration."""
+        blob = msgspec.msgpack.encode(_configuration(QUEUE, version))
+        self.store.append(TOPICS.config, [('config', blob)])
+
     def withdraw(self, worker: str) -> None:
         """Remove a worker's entry."""
         self.store.append(TOPICS.workers, [(worker, b'')])
@@ -139,6 +144,7 @@
             self.advisor,
             board,
             _decode,
+            _decode_config,
             wall=self.wall,
             authority_clock=now,
         )
@@ -208,9 +214,9 @@
     )
 
 
-def _configuration(queue: Queue) -> Configuration:
+def _configuration(queue: Queue, version: int = 1) -> Configuration:
     return Configuration(
-        version=1,
+        version=version,
         routes=(QueueRoute('host', '/q/', queue),),
         tenants=(
             Tenant('acme', ('key',), ACME_PER_S, Resources()),
@@ -233,5 +239,9 @@
     )
 
 
+def _decode_config(item: KeyedItem) -> Configuration | None:
+    return msgspec.msgpack.decode(item.blob, type=Configuration)
+
+
 def _decode(item: KeyedItem) -> WorkerEntry | None:
     return msgspec.msgpack.decode(item.blob, type=WorkerEntry)
--- a/packages/berylspread-standins/src/berylspread_standins/coordinated/store.py
+++ b/packages/berylspread-standins/src/berylspread_standins/coordinated/store.py
@@ -116,10 +116,10 @@
     """One node's way to the store; implements ``KeyedStore``.
 
     ``is_cut`` loses its calls; ``lose_answers`` counts appends that are done
-    and not answered.
+    and not answered; ``reads`` counts the reads by topic.
     """
 
-    __slots__ = ('far_s', 'is_cut', 'lose_answers', 'store')
+    __slots__ = ('far_s', 'is_cut', 'lose_answers', 'reads', 'store')
 
     def __init__(self, store: StoreStandin, *, far_s: float = 0.0) -> None:
         """Reach the store with ``far_s`` seconds more each time."""
@@ -127,6 +127,7 @@
         self.far_s = far_s
         self.is_cut = False
         self.lose_answers = 0
+        self.reads: collections.Counter[str] = collections.Counter()
 
     async def append(
         self,
@@ -152,13 +153,15 @@
         self, topic: str, *, timeout_s: float
     ) -> Snapshot | Failure:
         """Return the newest records."""
+        self.reads[topic] += 1
         failure = await self._travel(timeout_s)
-        return failure or self.store.newest(topic)
+        return self.store.newest(topic) if failure is None else failure
 
     async def follow(
         self, topic: str, offset: int, *, wait_s: float, timeout_s: float
     ) -> Batch | Failure:
         """Return records from an offset on, or none after the wait."""
+        self.reads[topic] += 1
         failure = await self._travel(timeout_s)
         if failure is not None:
             return failure
--- a/packages/berylspread/src/berylspread/coordinator/__init__.py
+++ b/packages/berylspread/src/berylspread/coordinator/__init__.py
@@ -2,7 +2,6 @@
 
 from berylspread.coordinator.coordinator import Topics
 from berylspread.coordinator.decision_log import DecisionLog
-from berylspread.coordinator.directory import TopicFollower
 from berylspread.coordinator.messages import (
     AskBacklog,
     AskJobStatus,
@@ -27,6 +26,5 @@
     'JobCancelled',
     'JobStatusReply',
     'SubmitJob',
-    'TopicFollower',
     'Topics',
 )
--- a/packages/berylspread/src/berylspread/coordinator/directory.py
+++ b/packages/berylspread/src/berylspread/coordinator/directory.py
@@ -22,6 +22,10 @@
 TakeItem = Callable[[KeyedItem], None]
 
 
+def _never() -> bool:
+    return False
+
+
 @final
 class TopicFollower:
     """Hands on the newest value of each key of a topic, from the first on."""
@@ -29,6 +33,7 @@
     __slots__ = (
         'clock',
         'confirmed',
+        'is_paused',
         'keys',
         'log',
         'offset',
@@ -48,11 +53,14 @@
         confirmed: Callable[[float], None] | None = None,
         clock: Callable[[], float] = now,
         wait_s: float = WAIT_S,
+        is_paused: Callable[[], bool] = _never,
     ) -> None:
         """Take the topic.
 
-        ``confirmed`` is told, by ``clock``, as of when each answer holds.
+        ``confirmed`` is told, by ``clock``, as of when each answer holds.  The
+        store is not asked while ``is_paused``.
         """
+        self.is_paused = is_paused
         self.clock = clock
         self.store = store
         self.topic = topic
@@ -67,6 +75,9 @@
         """Follow until cancelled."""
         is_up = True
         while True:
+            if self.is_paused():
+                await asyncio.sleep(RETRY_S)
+                continue
             reached = await self._once()
             if reached != is_up:
                 event = 'topic-regained' if reached else 'topic-lost'
--- a/packages/berylspread/src/berylspread/coordinator/interface.py
+++ b/packages/berylspread/src/berylspread/coordinator/interface.py
@@ -245,7 +245,11 @@
     async def newest(
         self, topic: str, *, timeout_s: float
     ) -> Snapshot | Failure:
-        """Return the newest record of each key."""
+        """Return the newest record of each key.
+
+        ``timeout_s`` bounds the time without a byte of the answer, here and in
+        ``follow``: what still arrives is read to its end.
+        """
 
     async def follow(
         self, topic: str, offset: int, *, wait_s: float, timeout_s: float
--- a/packages/berylspread/src/berylspread/coordinator/messages.py
+++ b/packages/berylspread/src/berylspread/coordinator/messages.py
@@ -2,6 +2,7 @@
 
 from typing import final
 
+from berylspread.coordinator.config_feed import ConfigNews
 from berylspread.coordinator.leadership import LeaderRecord
 from berylspread.coordinator.model import JobSpec
 from berylspread.peers import Message, message
@@ -74,19 +75,30 @@
 @final
 @message
 class NodeUp(Message, frozen=True):
-    """Tells that a node is there and where; answered by ``LeaderKnown``."""
+    """Tells that a node is there and where; answered by ``LeaderKnown``.
+
+    ``config`` is the version of the configuration that it knows, ``roster``
+    the version of the answering node's list of addresses.
+    """
 
     node: str
     address: str
+    config: int = 0
+    roster: int = -1
 
 
 @final
 @message
 class LeaderKnown(Message, frozen=True):
-    """The newest leader's record that a node knows, and where nodes are."""
+    """The newest leader's record that a node knows, and where nodes are.
+
+    ``addresses`` is empty if the asking node has this version of the list.
+    """
 
     record: LeaderRecord | None
     addresses: dict[str, str]
+    roster: int
+    config: ConfigNews
 
 
 @final
--- a/packages/berylspread/src/berylspread/coordinator/node.py
+++ b/packages/berylspread/src/berylspread/coordinator/node.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable
 from typing import Any, Final, final
 
+from berylspread.coordinator.config_feed import ConfigFeed, DecodeConfig
 from berylspread.coordinator.coordinator import (
     Coordinator,
     DecodeEntry,
@@ -18,7 +19,6 @@
     Advisor,
     KeyedStore,
     Permissions,
-    Policies,
     Workers,
 )
 from berylspread.coordinator.leadership import LeaderRecord, Leadership
@@ -32,6 +32,7 @@
     PermissionsReply,
     SubmitJob,
 )
+from berylspread.coordinator.policy import PolicyBoard
 from berylspread.coordinator.service import JobService
 from berylspread.kernel.clock import WallClock, now
 from berylspread.kernel.errors import Failure, NotOwner
@@ -56,6 +57,7 @@
     __slots__ = (
         'advisor',
         'authority_clock',
+        'decode_config',
         'decode_entry',
         'policies',
         'store',
@@ -68,8 +70,9 @@
         store: KeyedStore,
         workers: Workers,
         advisor: Advisor,
-        policies: Policies,
+        policies: PolicyBoard,
         decode_entry: DecodeEntry,
+        decode_config: DecodeConfig,
         *,
         wall: WallClock,
         authority_clock: Callable[[], float],
@@ -84,6 +87,7 @@
         self.advisor = advisor
         self.policies = policies
         self.decode_entry = decode_entry
+        self.decode_config = decode_config
         self.wall = wall
         self.authority_clock = authority_clock
 
@@ -96,11 +100,14 @@
         'address',
         'addresses',
         'clients',
+        'feed',
         'gateway',
         'leadership',
         'log',
         'peers',
         'ref',
+        'roster',
+        'rosters',
         'service',
         'told_at',
         'topics',
@@ -122,6 +129,10 @@
         self.log = log
         #: Where each node is reached, as far as this one has heard.
         self.addresses: dict[str, str] = {ref.node: address}
+        #: Counts the changes of ``addresses``.
+        self.roster = 0
+        #: The version of each other node's list that this one has taken in.
+        self.rosters: dict[str, int] = {}
         self.service: JobService | None = None
         #: When another node last answered.
         self.told_at = 0.0
@@ -133,9 +144,21 @@
             log,
             clients.authority_clock,
         )
+        self.feed = ConfigFeed(
+            clients.store,
+            topics.config,
+            clients.policies,
+            clients.decode_config,
+            log,
+            leads=self.is_leading,
+        )
         self.peers: Peers | None = None
         self.gateway: Gateway | None = None
 
+    def is_leading(self) -> bool:
+        """Return whether this node coordinates, as far as it knows."""
+        return self.leadership.is_leader
+
     def join(self, peers: Peers) -> None:
         """Use the streams to the other nodes and serve theirs."""
         self.peers = peers
@@ -156,16 +179,20 @@
         record = self.leadership.current
         if record is None or record.released:
             return None
-        self.addresses[record.node] = record.address
+        self._meet({record.node: record.address})
         return record.node
 
     async def run(self) -> None:
         """Take part until cancelled."""
-        presence = asyncio.create_task(self._keep_in_touch())
+        tasks = [
+            asyncio.create_task(self._keep_in_touch()),
+            asyncio.create_task(self.feed.run()),
+        ]
         try:
             await self.leadership.run()
         finally:
-            presence.cancel()
+            for task in tasks:
+                task.cancel()
 
     async def leave(self) -> None:
         """Hand over the coordination before the process ends."""
@@ -230,22 +257,43 @@
 
     async def _exchange_news(self, node: str) -> None:
         assert self.peers is not None
+        asked_at = self.feed.clock()
         reply = await self.peers.ask(
             node,
-            NodeUp(self.ref.node, self.address),
+            NodeUp(
+                self.ref.node,
+                self.address,
+                self.clients.policies.version,
+                self.rosters.get(node, -1),
+            ),
             LeaderKnown,
             timeout_s=PRESENCE_S,
         )
         if isinstance(reply, LeaderKnown):
             self.told_at = now()
-            self.addresses.update(reply.addresses)
+            self._meet(reply.addresses)
+            self.rosters[node] = reply.roster
             self.leadership.hear(reply.record)
+            self.feed.hear(reply.config, asked_at)
+
+    def _meet(self, addresses: dict[str, str]) -> None:
+        """Note where nodes are."""
+        for node, address in addresses.items():
+            if self.addresses.get(node) != address:
+                self.addresses[node] = address
+                self.roster += 1
 
     async def _node_up(self, source: NodeRef, body: NodeUp) -> LeaderKnown:
-        self.addresses[body.node] = body.address
+        self._meet({body.node: body.address})
         if self.service is not None:
             self.service.node_up(body)
-        return LeaderKnown(self.leadership.current, self.addresses)
+        is_same = body.roster == self.roster
+        return LeaderKnown(
+            self.leadership.current,
+            {} if is_same else self.addresses,
+            self.roster,
+            self.feed.news(body.config),
+        )
 
     def _forward(self, method: str) -> Any:
         async def handler(
