Let fit nodes coordinate, and the others leave the record alone

Besides, each of 41 nodes read every renewal of the leader's record: 135 calls a second.

Change: a node's fitness is its processor time, halved far from the store, by what its link bears. Nodes nearly as fit as the fittest other claim at once or after one silence, the rest after two; a coordinator that is much less fit than another node hands over. Nodes that would not claim at once read the leader's record only once the leader itself has not answered them for a second.

--- a/packages/berylspread-standins/src/berylspread_standins/coordinated/fleet.py
+++ b/packages/berylspread-standins/src/berylspread_standins/coordinated/fleet.py
@@ -14,6 +14,7 @@
     Topics,
 )
 from berylspread.coordinator.interface import KeyedItem, WorkerEntry
+from berylspread.coordinator.leadership import USUAL_CAPACITY, Capacity
 from berylspread.coordinator.model import JobSpec, Queue, StepSpec
 from berylspread.coordinator.policy import (
     Configuration,
@@ -130,7 +131,12 @@
         self.store.append(TOPICS.workers, [(worker, b'')])
 
     def start_node(
-        self, name: str, *, is_far: bool = False, queue: Queue = QUEUE
+        self,
+        name: str,
+        *,
+        is_far: bool = False,
+        queue: Queue = QUEUE,
+        capacity: Capacity = USUAL_CAPACITY,
     ) -> NodeStandin:
         """Start a node, or start it again."""
         view = StoreView(self.store, far_s=FAR_S if is_far else 0.0)
@@ -149,7 +155,12 @@
             authority_clock=now,
         )
         node = CoordinatingNode(
-            peers.ref, name, clients, TOPICS, _memory_log(name, self.lines)
+            peers.ref,
+            name,
+            clients,
+            TOPICS,
+            _memory_log(name, self.lines),
+            capacity=capacity,
         )
         node.join(peers)
         self.nodes[name] = NodeStandin(name, node, view, pool)
--- a/packages/berylspread/src/berylspread/coordinator/__init__.py
+++ b/packages/berylspread/src/berylspread/coordinator/__init__.py
@@ -2,6 +2,7 @@
 
 from berylspread.coordinator.coordinator import Topics
 from berylspread.coordinator.decision_log import DecisionLog
+from berylspread.coordinator.leadership import Capacity
 from berylspread.coordinator.messages import (
     AskBacklog,
     AskJobStatus,
@@ -19,6 +20,7 @@
     'AskJobStatus',
     'BacklogReply',
     'CancelJob',
+    'Capacity',
     'Clients',
     'CoordinatingNode',
     'DecisionLog',
--- a/packages/berylspread/src/berylspread/coordinator/gateway.py
+++ b/packages/berylspread/src/berylspread/coordinator/gateway.py
@@ -32,16 +32,28 @@
 class Gateway:
     """Asks the coordinator, whoever it is, until the caller's deadline."""
 
-    __slots__ = ('answered_at', 'is_cut_off', 'leader', 'log', 'peers')
+    __slots__ = (
+        'answered_at',
+        'doubt',
+        'is_cut_off',
+        'leader',
+        'log',
+        'peers',
+    )
 
     def __init__(
         self,
         peers: Peers,
         leader: Callable[[], str | None],
         is_cut_off: Callable[[], bool],
+        doubt: Callable[[], None],
         log: DecisionLog,
     ) -> None:
-        """Take the streams, who coordinates now, and whether none is heard."""
+        """Take the streams, who coordinates now, and whether none is heard.
+
+        ``doubt`` is called when the node that was asked does not coordinate.
+        """
+        self.doubt = doubt
         self.peers = peers
         self.leader = leader
         self.is_cut_off = is_cut_off
@@ -81,6 +93,7 @@
                     self.answered_at = now()
                     return reply
                 reason = reply.reason
+                self.doubt()
                 was_sent = was_sent or bool(reply.fields.get('sent'))
             await asyncio.sleep(RETRY_S)
         self.log.write(
--- a/packages/berylspread/src/berylspread/coordinator/leadership.py
+++ b/packages/berylspread/src/berylspread/coordinator/leadership.py
@@ -13,6 +13,7 @@
 import msgspec
 
 from berylspread.coordinator.decision_log import DecisionLog
+from berylspread.coordinator.fitness import USUAL, fitness, is_nearly
 from berylspread.coordinator.interface import (
     Batch,
     KeyedItem,
@@ -34,8 +35,12 @@
 #: Answers of the store that take longer come from another region; such a node
 #: leaves the claim to a nearer one.
 NEAR_S: Final = 0.015
-#: Silences that a far node lets pass for the near ones.
-FAR_PATIENCE: Final = 2
+#: Silences that a node lets pass for fitter ones.
+UNFIT_PATIENCE: Final = 2
+#: A node that could not claim at once reads the record only after it has heard
+#: nothing of the leader itself for this long.
+ASSURED_S: Final = 1.0
+ASSURED_CHECK_S: Final = 0.1
 RETRY_S: Final = 0.2
 CALL_TIMEOUT_S: Final = 1.0
 
@@ -51,6 +56,16 @@
     released: bool = False
 
 
+@final
+class Capacity(msgspec.Struct, frozen=True):
+    """What a node's VM has: processor seconds a second, and its link."""
+
+    cores: float
+    link_mbps: float
+
+
+USUAL_CAPACITY: Final = Capacity(1.0, 1000.0)
+
 _decoder: Final = msgspec.msgpack.Decoder(LeaderRecord)
 
 #: Serves as the leader of an epoch until authority is lost.
@@ -63,13 +78,17 @@
 
     __slots__ = (
         'address',
+        'assured_at',
         'authority_clock',
+        'capacity',
         'confirmed_at',
         'current',
         'deposed',
         'end',
+        'fittest',
         'heard_at',
         'incarnation',
+        'is_releasing',
         'leaving',
         'log',
         'near_s',
@@ -88,6 +107,7 @@
         serve: Serve,
         log: DecisionLog,
         authority_clock: Callable[[], float],
+        capacity: Capacity = USUAL_CAPACITY,
     ) -> None:
         """Take the topic and how this node serves once it leads.
 
@@ -110,6 +130,27 @@
         self.near_s = float('inf')
         self.authority_clock = authority_clock
         self.leaving = asyncio.Event()
+        #: Whether the term is being handed over: it is renewed no more.
+        self.is_releasing = False
+        self.capacity = capacity
+        #: The best fitness among the other nodes, by the leader's word.
+        self.fittest = USUAL
+        #: When the leader itself last answered.
+        self.assured_at = float('-inf')
+
+    @property
+    def fitness(self) -> float:
+        """Return how fit this node is to coordinate."""
+        return fitness(
+            self.capacity.cores,
+            self.capacity.link_mbps,
+            is_near=self.near_s < NEAR_S,
+        )
+
+    @property
+    def is_standby(self) -> bool:
+        """Return whether this node claims as soon as any other."""
+        return is_nearly(self.fitness, self.fittest)
 
     @property
     def is_leader(self) -> bool:
@@ -145,9 +186,23 @@
             else:
                 await asyncio.sleep(RETRY_S)
 
+    def assure(self, fittest: float) -> None:
+        """Note that the leader itself has answered, and what it has heard."""
+        self.assured_at = self.heard_at = now()
+        self.fittest = fittest
+
+    def doubt(self) -> None:
+        """Look who leads: the node that was asked does not."""
+        self.assured_at = float('-inf')
+
     async def release(self) -> None:
-        """Hand over: let a successor claim at once."""
+        """Leave: hand over and claim no more."""
         self.leaving.set()
+        await self.step_down()
+
+    async def step_down(self) -> None:
+        """Hand over: let a successor claim at once."""
+        self.is_releasing = True
         if self.is_leader and self.current is not None:
             record = msgspec.structs.replace(self.current, released=True)
             await self._write(record, None)
@@ -167,8 +222,11 @@
     async def _follow(self) -> None:
         """Return once it is this node's turn to claim."""
         silences = 0
-        needed = 1 if self.near_s < NEAR_S else FAR_PATIENCE
         while not self._may_claim_at_once():
+            if self._is_assured():
+                silences = 0
+                await asyncio.sleep(ASSURED_CHECK_S)
+                continue
             batch = await self.store.follow(
                 self.topic,
                 self.end,
@@ -182,19 +240,22 @@
                 await self._load()
             else:
                 await asyncio.sleep(RETRY_S)
+            needed = 1 if self.is_standby else UNFIT_PATIENCE
             if silences >= needed and not self.leaving.is_set():
                 return
 
+    def _is_assured(self) -> bool:
+        """Return whether the record need not be read for now."""
+        # A node that leaves hears of the next leader by the store alone.
+        is_idle = not (self.is_standby or self.leaving.is_set())
+        return is_idle and now() - self.assured_at < ASSURED_S
+
     def _may_claim_at_once(self) -> bool:
-        is_near = self.near_s < NEAR_S
         current = self.current
-        if self.leaving.is_set():
+        if self.leaving.is_set() or not self.is_standby:
             return False
-        if current is None:
-            return is_near
-        # An earlier incarnation of this process held it.
-        is_own = current.node == self.node
-        return is_own or (current.released and is_near)
+        # An earlier incarnation of this process may have held it.
+        return current is None or current.released or current.node == self.node
 
     def _advance(self, batch: Batch) -> None:
         for item in batch.items:
@@ -263,11 +324,12 @@
             asyncio.get_running_loop().create_future()
         )
         self.deposed = deposed
+        self.is_releasing = self.leaving.is_set()
         beats: set[asyncio.Task[None]] = set()
         try:
             while not deposed.done():
-                # A leader that leaves must not take its release back.
-                if len(beats) < MOST_RENEWALS and not self.leaving.is_set():
+                # A leader must not take its release back.
+                if len(beats) < MOST_RENEWALS and not self.is_releasing:
                     beat = asyncio.create_task(self._beat(record))
                     beats.add(beat)
                     beat.add_done_callback(beats.discard)
--- a/packages/berylspread/src/berylspread/coordinator/messages.py
+++ b/packages/berylspread/src/berylspread/coordinator/messages.py
@@ -78,11 +78,13 @@
     """Tells that a node is there and where; answered by ``LeaderKnown``.
 
     ``config`` is the version of the configuration that it knows, ``roster``
-    the version of the answering node's list of addresses.
+    the version of the answering node's list of addresses, ``fitness`` how fit
+    it is to coordinate.
     """
 
     node: str
     address: str
+    fitness: float = 0.0
     config: int = 0
     roster: int = -1
 
@@ -93,12 +95,17 @@
     """The newest leader's record that a node knows, and where nodes are.
 
     ``addresses`` is empty if the asking node has this version of the list.
+    ``fittest`` is the best fitness among the nodes but the coordinator, as far
+    as the answering node has lately heard; 0 if it has heard of none.
     """
 
     record: LeaderRecord | None
     addresses: dict[str, str]
     roster: int
     config: ConfigNews
+    fittest: float = 0.0
+    #: Whether the answering node coordinates.
+    is_leading: bool = False
 
 
 @final
--- a/packages/berylspread/src/berylspread/coordinator/node.py
+++ b/packages/berylspread/src/berylspread/coordinator/node.py
@@ -14,6 +14,7 @@
     Topics,
 )
 from berylspread.coordinator.decision_log import DecisionLog
+from berylspread.coordinator.fitness import should_step_down
 from berylspread.coordinator.gateway import Gateway
 from berylspread.coordinator.interface import (
     Advisor,
@@ -21,7 +22,13 @@
     Permissions,
     Workers,
 )
-from berylspread.coordinator.leadership import LeaderRecord, Leadership
+from berylspread.coordinator.leadership import (
+    ASSURED_S,
+    USUAL_CAPACITY,
+    Capacity,
+    LeaderRecord,
+    Leadership,
+)
 from berylspread.coordinator.messages import (
     AskBacklog,
     AskJobStatus,
@@ -32,6 +39,7 @@
     PermissionsReply,
     SubmitJob,
 )
+from berylspread.coordinator.permits import SILENT_S
 from berylspread.coordinator.policy import PolicyBoard
 from berylspread.coordinator.service import JobService
 from berylspread.kernel.clock import WallClock, now
@@ -41,6 +49,9 @@
 
 #: How often a node tells the coordinator that it is there.
 PRESENCE_S: Final = 0.5
+#: A coordinator does not hand over to a fitter node sooner than this, so that
+#: nodes which have only just started are heard of first.
+LEAST_TERM_S: Final = 3.0
 #: A node that has not heard of the leader by the store for this long asks other
 #: nodes; the leader renews its record several times in it.
 UNINFORMED_S: Final = 1.5
@@ -102,6 +113,7 @@
         'clients',
         'feed',
         'gateway',
+        'heard',
         'leadership',
         'log',
         'peers',
@@ -120,8 +132,12 @@
         clients: Clients,
         topics: Topics,
         log: DecisionLog,
+        *,
+        capacity: Capacity = USUAL_CAPACITY,
     ) -> None:
         """Take the identity and address; ``join`` brings the streams."""
+        #: Fitness and the time of the newest word, by node that has told.
+        self.heard: dict[str, tuple[float, float]] = {}
         self.ref = ref
         self.address = address
         self.clients = clients
@@ -143,6 +159,7 @@
             self.serve,
             log,
             clients.authority_clock,
+            capacity,
         )
         self.feed = ConfigFeed(
             clients.store,
@@ -162,7 +179,13 @@
     def join(self, peers: Peers) -> None:
         """Use the streams to the other nodes and serve theirs."""
         self.peers = peers
-        self.gateway = Gateway(peers, self.leader, self.is_cut_off, self.log)
+        self.gateway = Gateway(
+            peers,
+            self.leader,
+            self.is_cut_off,
+            self.leadership.doubt,
+            self.log,
+        )
         peers.handle(SubmitJob, self._forward('submit'))
         peers.handle(AskJobStatus, self._forward('status'))
         peers.handle(CancelJob, self._forward('cancel'))
@@ -233,6 +256,8 @@
             target = self._contact()
             if target is not None:
                 await self._exchange_news(target)
+            elif self._should_step_down():
+                await self._step_down()
             await asyncio.sleep(PRESENCE_S)
 
     def _contact(self) -> str | None:
@@ -255,6 +280,40 @@
     def _is_uninformed(self) -> bool:
         return now() - self.leadership.heard_at > UNINFORMED_S
 
+    def fittest_other(self) -> float:
+        """Return the best fitness among the nodes that have lately told."""
+        since = now() - SILENT_S
+        return max(
+            (
+                fitness
+                for fitness, heard_at in self.heard.values()
+                if heard_at >= since
+            ),
+            default=0.0,
+        )
+
+    def _should_step_down(self) -> bool:
+        service = self.service
+        is_settled = (
+            service is not None
+            and service.coordinator.is_loaded
+            and now() - service.since >= LEAST_TERM_S
+        )
+        return is_settled and should_step_down(
+            self.leadership.fitness, self.fittest_other()
+        )
+
+    async def _step_down(self) -> None:
+        """Let a fitter node coordinate."""
+        assert self.service is not None
+        self.log.write(
+            'step-down',
+            fitness=round(self.leadership.fitness, 3),
+            fittest=round(self.fittest_other(), 3),
+        )
+        await self.service.coordinator.quiesce()
+        await self.leadership.step_down()
+
     async def _exchange_news(self, node: str) -> None:
         assert self.peers is not None
         asked_at = self.feed.clock()
@@ -263,6 +322,7 @@
             NodeUp(
                 self.ref.node,
                 self.address,
+                self.leadership.fitness,
                 self.clients.policies.version,
                 self.rosters.get(node, -1),
             ),
@@ -274,6 +334,8 @@
             self._meet(reply.addresses)
             self.rosters[node] = reply.roster
             self.leadership.hear(reply.record)
+            if node == self.leader() and reply.is_leading:
+                self.leadership.assure(reply.fittest)
             self.feed.hear(reply.config, asked_at)
 
     def _meet(self, addresses: dict[str, str]) -> None:
@@ -285,6 +347,7 @@
 
     async def _node_up(self, source: NodeRef, body: NodeUp) -> LeaderKnown:
         self._meet({body.node: body.address})
+        self.heard[body.node] = (body.fitness, now())
         if self.service is not None:
             self.service.node_up(body)
         is_same = body.roster == self.roster
@@ -293,8 +356,14 @@
             {} if is_same else self.addresses,
             self.roster,
             self.feed.news(body.config),
+            self.fittest_other(),
+            self._has_authority(),
         )
 
+    def _has_authority(self) -> bool:
+        age_s = self.leadership.authority_age()
+        return self.leadership.is_leader and age_s < ASSURED_S
+
     def _forward(self, method: str) -> Any:
         async def handler(
             source: NodeRef, body: Message
--- a/packages/berylspread/src/berylspread/coordinator/service.py
+++ b/packages/berylspread/src/berylspread/coordinator/service.py
@@ -52,11 +52,13 @@
 class JobService:
     """Answers requests from the coordinator's table."""
 
-    __slots__ = ('coordinator',)
+    __slots__ = ('coordinator', 'since')
 
     def __init__(self, coordinator: Coordinator) -> None:
         """Take the coordinator whose table is asked."""
         self.coordinator = coordinator
+        #: When the term began, by the loop's time.
+        self.since = now()
 
     async def submit(self, request: SubmitJob) -> JobAccepted | Failure:
         """Accept a job once it is stored; a repeat changes nothing."""
