--- a/packages/berylspread-standins/src/berylspread_standins/coordinated/fleet.py
+++ b/packages/berylspread-standins/src/berylspread_standins/coordinated/fleet.py
@@ -13,8 +13,8 @@
     DecisionLog,
     Topics,
 )
+from berylspread.coordinator.fitness import USUAL_CAPACITY, Capacity
 from berylspread.coordinator.interface import KeyedItem, WorkerEntry
-from berylspread.coordinator.leadership import USUAL_CAPACITY, Capacity
 from berylspread.coordinator.model import JobSpec, Queue, StepSpec
 from berylspread.coordinator.policy import (
     Configuration,
--- a/packages/berylspread/src/berylspread/coordinator/__init__.py
+++ b/packages/berylspread/src/berylspread/coordinator/__init__.py
@@ -2,7 +2,7 @@
 
 from berylspread.coordinator.coordinator import Topics
 from berylspread.coordinator.decision_log import DecisionLog
-from berylspread.coordinator.leadership import Capacity
+from berylspread.coordinator.fitness import Capacity
 from berylspread.coordinator.messages import (
     AskBacklog,
     AskJobStatus,
--- a/packages/berylspread/src/berylspread/coordinator/fitness.py
+++ b/packages/berylspread/src/berylspread/coordinator/fitness.py
@@ -6,32 +6,90 @@
 the regions.
 """
 
-from typing import Final
+from typing import Final, final
+
+import msgspec
 
 #: Links beyond this carry a coordinator of a few hundred workers with ease.
 AMPLE_LINK_MBPS: Final = 100.0
 #: A node far from the store waits 40 ms for each append.
 FAR_FACTOR: Final = 0.5
+#: Answers of the store that take longer come from another region.
+NEAR_S: Final = 0.015
 #: A node about as fit as the fittest claims as soon as it.
 NEARLY: Final = 0.7
 #: What a node expects of the others before it has heard of any: one core.
 USUAL: Final = 1.0
+#: Silences of the leader that a node lets pass before it claims.
+PATIENCE: Final = 1
+#: The same for a node that leaves the claim to fitter ones.
+UNFIT_PATIENCE: Final = 2
+#: A node that leaves the claim to others reads the leader's record only after
+#: the leader itself has not answered for this long.
+ASSURED_S: Final = 1.0
+
 
+@final
+class Capacity(msgspec.Struct, frozen=True):
+    """What a node's VM has: processor seconds a second, and its link."""
 
-def fitness(cores: float, link_mbps: float, *, is_near: bool) -> float:
-    """Return how fit a node is to coordinate; a whole core near the store is 1.
+    cores: float
+    link_mbps: float
 
-    ``cores`` is the processor time it gets in a second.
-    """
-    link = min(link_mbps / AMPLE_LINK_MBPS, 1.0)
-    return cores * link * (1.0 if is_near else FAR_FACTOR)
 
+USUAL_CAPACITY: Final = Capacity(1.0, 1000.0)
 
-def is_nearly(own: float, fittest: float) -> bool:
-    """Return whether a node is about as fit as the fittest other."""
-    return own >= NEARLY * fittest
+
+def fitness_of(capacity: Capacity, *, is_near: bool) -> float:
+    """Return how fit a node is; one with a whole core near the store is 1."""
+    link = min(capacity.link_mbps / AMPLE_LINK_MBPS, 1.0)
+    place = 1.0 if is_near else FAR_FACTOR
+    return capacity.cores * link * place
 
 
 def should_step_down(own: float, fittest: float) -> bool:
     """Return whether a coordinator had better leave it to the fittest other."""
     return own < NEARLY * fittest
+
+
+@final
+class Candidacy:
+    """A node's own fitness, and what the leader has told of the others."""
+
+    __slots__ = ('assured_at', 'capacity', 'fittest', 'near_s')
+
+    def __init__(self, capacity: Capacity) -> None:
+        """Know neither the way to the store nor any other node yet."""
+        self.capacity = capacity
+        #: The quickest answer of the store so far.
+        self.near_s = float('inf')
+        #: The best fitness among the other nodes but the leader.
+        self.fittest = USUAL
+        #: When the leader itself last answered, by the loop's time.
+        self.assured_at = float('-inf')
+
+    def reached(self, took_s: float) -> None:
+        """Note how long the store took to answer."""
+        self.near_s = min(self.near_s, took_s)
+
+    def assure(self, fittest: float, moment: float) -> None:
+        """Note that the leader itself has answered, and what it has heard."""
+        self.fittest = fittest
+        self.assured_at = moment
+
+    def fitness(self) -> float:
+        """Return how fit this node is to coordinate."""
+        return fitness_of(self.capacity, is_near=self.near_s < NEAR_S)
+
+    def is_standby(self) -> bool:
+        """Return whether this node claims as soon as any other."""
+        return self.fitness() >= NEARLY * self.fittest
+
+    def silences(self) -> int:
+        """Return how many silences of the leader pass before a claim."""
+        return PATIENCE if self.is_standby() else UNFIT_PATIENCE
+
+    def is_assured(self, moment: float) -> bool:
+        """Return whether the leader's record need not be read."""
+        is_fresh = moment - self.assured_at < ASSURED_S
+        return is_fresh and not self.is_standby()
--- a/packages/berylspread/src/berylspread/coordinator/leadership.py
+++ b/packages/berylspread/src/berylspread/coordinator/leadership.py
@@ -13,7 +13,11 @@
 import msgspec
 
 from berylspread.coordinator.decision_log import DecisionLog
-from berylspread.coordinator.fitness import USUAL, fitness, is_nearly
+from berylspread.coordinator.fitness import (
+    USUAL_CAPACITY,
+    Candidacy,
+    Capacity,
+)
 from berylspread.coordinator.interface import (
     Batch,
     KeyedItem,
@@ -32,14 +36,6 @@
 MOST_RENEWALS: Final = 5
 #: A leader that the store has not heard for this long is succeeded.
 SILENCE_S: Final = 1.0
-#: Answers of the store that take longer come from another region; such a node
-#: leaves the claim to a nearer one.
-NEAR_S: Final = 0.015
-#: Silences that a node lets pass for fitter ones.
-UNFIT_PATIENCE: Final = 2
-#: A node that could not claim at once reads the record only after it has heard
-#: nothing of the leader itself for this long.
-ASSURED_S: Final = 1.0
 ASSURED_CHECK_S: Final = 0.1
 RETRY_S: Final = 0.2
 CALL_TIMEOUT_S: Final = 1.0
@@ -56,16 +52,6 @@
     released: bool = False
 
 
-@final
-class Capacity(msgspec.Struct, frozen=True):
-    """What a node's VM has: processor seconds a second, and its link."""
-
-    cores: float
-    link_mbps: float
-
-
-USUAL_CAPACITY: Final = Capacity(1.0, 1000.0)
-
 _decoder: Final = msgspec.msgpack.Decoder(LeaderRecord)
 
 #: Serves as the leader of an epoch until authority is lost.
@@ -77,22 +63,17 @@
     """Follows the leader's record, and claims it when it falls silent."""
 
     __slots__ = (
-        'address',
-        'assured_at',
         'authority_clock',
-        'capacity',
+        'candidacy',
         'confirmed_at',
         'current',
         'deposed',
         'end',
-        'fittest',
         'heard_at',
-        'incarnation',
         'is_releasing',
         'leaving',
         'log',
-        'near_s',
-        'node',
+        'own',
         'seq',
         'serve',
         'store',
@@ -115,9 +96,7 @@
         """
         self.store = store
         self.topic = topic
-        self.node = own.node
-        self.incarnation = own.incarnation
-        self.address = own.address
+        self.own = own
         self.serve = serve
         self.log = log
         self.current: LeaderRecord | None = None
@@ -127,30 +106,11 @@
         self.confirmed_at = 0.0
         #: Done once another epoch has begun, while this node leads.
         self.deposed: asyncio.Future[Failure] | None = None
-        self.near_s = float('inf')
         self.authority_clock = authority_clock
         self.leaving = asyncio.Event()
         #: Whether the term is being handed over: it is renewed no more.
         self.is_releasing = False
-        self.capacity = capacity
-        #: The best fitness among the other nodes, by the leader's word.
-        self.fittest = USUAL
-        #: When the leader itself last answered.
-        self.assured_at = float('-inf')
-
-    @property
-    def fitness(self) -> float:
-        """Return how fit this node is to coordinate."""
-        return fitness(
-            self.capacity.cores,
-            self.capacity.link_mbps,
-            is_near=self.near_s < NEAR_S,
-        )
-
-    @property
-    def is_standby(self) -> bool:
-        """Return whether this node claims as soon as any other."""
-        return is_nearly(self.fitness, self.fittest)
+        self.candidacy = Candidacy(capacity)
 
     @property
     def is_leader(self) -> bool:
@@ -158,8 +118,8 @@
         return (
             self.current is not None
             and not self.current.released
-            and self.current.node == self.node
-            and self.current.incarnation == self.incarnation
+            and self.current.node == self.own.node
+            and self.current.incarnation == self.own.incarnation
         )
 
     def authority_age(self) -> float:
@@ -188,12 +148,12 @@
 
     def assure(self, fittest: float) -> None:
         """Note that the leader itself has answered, and what it has heard."""
-        self.assured_at = self.heard_at = now()
-        self.fittest = fittest
+        self.heard_at = now()
+        self.candidacy.assure(fittest, self.heard_at)
 
     def doubt(self) -> None:
         """Look who leads: the node that was asked does not."""
-        self.assured_at = float('-inf')
+        self.candidacy.assured_at = float('-inf')
 
     async def release(self) -> None:
         """Leave: hand over and claim no more."""
@@ -213,7 +173,7 @@
         snapshot = await self.store.newest(self.topic, timeout_s=CALL_TIMEOUT_S)
         if not isinstance(snapshot, Snapshot):
             return False
-        self.near_s = min(self.near_s, now() - began)
+        self.candidacy.reached(now() - began)
         self.end = snapshot.end
         for item in snapshot.items:
             self._note(item)
@@ -227,35 +187,41 @@
                 silences = 0
                 await asyncio.sleep(ASSURED_CHECK_S)
                 continue
-            batch = await self.store.follow(
-                self.topic,
-                self.end,
-                wait_s=SILENCE_S,
-                timeout_s=SILENCE_S + CALL_TIMEOUT_S,
-            )
-            if isinstance(batch, Batch):
-                silences = 0 if batch.items else silences + 1
-                self._advance(batch)
-            elif isinstance(batch, LogGap):
-                await self._load()
-            else:
-                await asyncio.sleep(RETRY_S)
-            needed = 1 if self.is_standby else UNFIT_PATIENCE
-            if silences >= needed and not self.leaving.is_set():
+            silences = await self._listen(silences)
+            is_patient = silences < self.candidacy.silences()
+            if not (is_patient or self.leaving.is_set()):
                 return
 
+    async def _listen(self, silences: int) -> int:
+        """Wait for the next renewal; return the silences in succession."""
+        batch = await self.store.follow(
+            self.topic,
+            self.end,
+            wait_s=SILENCE_S,
+            timeout_s=SILENCE_S + CALL_TIMEOUT_S,
+        )
+        if isinstance(batch, Batch):
+            self._advance(batch)
+            return 0 if batch.items else silences + 1
+        if isinstance(batch, LogGap):
+            await self._load()
+        else:
+            await asyncio.sleep(RETRY_S)
+        return silences
+
     def _is_assured(self) -> bool:
         """Return whether the record need not be read for now."""
         # A node that leaves hears of the next leader by the store alone.
-        is_idle = not (self.is_standby or self.leaving.is_set())
-        return is_idle and now() - self.assured_at < ASSURED_S
+        return not self.leaving.is_set() and self.candidacy.is_assured(now())
 
     def _may_claim_at_once(self) -> bool:
         current = self.current
-        if self.leaving.is_set() or not self.is_standby:
+        if self.leaving.is_set() or not self.candidacy.is_standby():
             return False
         # An earlier incarnation of this process may have held it.
-        return current is None or current.released or current.node == self.node
+        return (
+            current is None or current.released or current.node == self.own.node
+        )
 
     def _advance(self, batch: Batch) -> None:
         for item in batch.items:
@@ -296,7 +262,7 @@
 
     async def _claim(self) -> bool:
         epoch = 1 if self.current is None else self.current.epoch + 1
-        record = LeaderRecord(epoch, self.node, self.incarnation, self.address)
+        record = msgspec.structs.replace(self.own, epoch=epoch)
         self.seq = 0
         self.confirmed_at = self.authority_clock()
         reply = await self._write(record, self.end)
--- a/packages/berylspread/src/berylspread/coordinator/node.py
+++ b/packages/berylspread/src/berylspread/coordinator/node.py
@@ -14,7 +14,12 @@
     Topics,
 )
 from berylspread.coordinator.decision_log import DecisionLog
-from berylspread.coordinator.fitness import should_step_down
+from berylspread.coordinator.fitness import (
+    ASSURED_S,
+    USUAL_CAPACITY,
+    Capacity,
+    should_step_down,
+)
 from berylspread.coordinator.gateway import Gateway
 from berylspread.coordinator.interface import (
     Advisor,
@@ -22,13 +27,7 @@
     Permissions,
     Workers,
 )
-from berylspread.coordinator.leadership import (
-    ASSURED_S,
-    USUAL_CAPACITY,
-    Capacity,
-    LeaderRecord,
-    Leadership,
-)
+from berylspread.coordinator.leadership import LeaderRecord, Leadership
 from berylspread.coordinator.messages import (
     AskBacklog,
     AskJobStatus,
@@ -300,7 +299,7 @@
             and now() - service.since >= LEAST_TERM_S
         )
         return is_settled and should_step_down(
-            self.leadership.fitness, self.fittest_other()
+            self.leadership.candidacy.fitness(), self.fittest_other()
         )
 
     async def _step_down(self) -> None:
@@ -308,7 +307,7 @@
         assert self.service is not None
         self.log.write(
             'step-down',
-            fitness=round(self.leadership.fitness, 3),
+            fitness=round(self.leadership.candidacy.fitness(), 3),
             fittest=round(self.fittest_other(), 3),
         )
         await self.service.coordinator.quiesce()
@@ -322,7 +321,7 @@
             NodeUp(
                 self.ref.node,
                 self.address,
-                self.leadership.fitness,
+                self.leadership.candidacy.fitness(),
                 self.clients.policies.version,
                 self.rosters.get(node, -1),
             ),
