Settle a restarted worker's runs by its first report alone

The task ran again elsewhere after its first run had succeeded. Ruled out: a lapsed lease (the worker was reachable all the while) and a lost record.

Change: a report of another life settles runs like any other: what was answered before it was asked for and is not listed is over. Its lease may then be the longest that workers grant, since the order bore the former life's clock.

Scenario "An order that a worker's next life has answered is not forgotten": two runs before, one now.

--- a/features/coordinator/coordination.feature
+++ b/features/coordinator/coordination.feature
@@ -234,6 +234,17 @@
     Then job "a" is succeeded
     And no two runs of job "a" overlap
 
+  Scenario: An order that a worker's next life has answered is not forgotten
+    Given a cell of 2 nodes and 2 workers
+    When 1 s passes
+    And orders to workers take 0.3 s on their way
+    And a job "a" with steps of 1 task is submitted
+    And 0.1 s pass
+    And all workers are restarted
+    And 12 s pass
+    Then job "a" is succeeded
+    And each task of job "a" ran once
+
   Scenario: A job whose task fails every attempt is shown as failed
     Given a cell of 2 nodes and 3 workers
     And task 1 of job "a" fails
--- a/features/coordinator/steps/coordination_steps.py
+++ b/features/coordinator/steps/coordination_steps.py
@@ -517,6 +517,12 @@
     context.cell.store.is_down = False
 
 
+@when('orders to workers take {seconds:g} s on their way')
+def step_order_way(context, seconds):
+    for worker in context.cell.workers.values():
+        worker.order_way_s = seconds
+
+
 @when('the next report of an end is lost')
 def step_mute_report(context):
     for worker in context.cell.workers.values():
--- a/packages/berylspread-standins/src/berylspread_standins/coordinated/worker.py
+++ b/packages/berylspread-standins/src/berylspread_standins/coordinated/worker.py
@@ -55,6 +55,7 @@
 
     ``is_cut`` loses calls before they arrive.  ``mute`` counts orders that are
     carried out and not answered, ``delay_s`` is how late those are.
+    ``order_way_s`` is how long orders are on their way.
     ``mute_reports`` counts reports that are lost on their way back.
     """
 
@@ -68,6 +69,7 @@
         'mute',
         'mute_reports',
         'number',
+        'order_way_s',
         'poisoned',
         'refuse_as',
         'running',
@@ -84,6 +86,7 @@
         self.mute = 0
         self.mute_reports = 0
         self.delay_s = 0.0
+        self.order_way_s = WAY_S
         self.refuse_as = ''
         self.token = 0
         self.number = 0
@@ -156,7 +159,7 @@
     ) -> int | Failure:
         if self.is_cut:
             return await self._lost()
-        await asyncio.sleep(WAY_S)
+        await asyncio.sleep(self.order_way_s)
         if self.mute > 0:
             self.mute -= 1
             detach(self._carry_out_late(carry_out, self.delay_s))
--- a/packages/berylspread/src/berylspread/coordinator/coordinator.py
+++ b/packages/berylspread/src/berylspread/coordinator/coordinator.py
@@ -84,6 +84,8 @@
     log: DecisionLog
     #: Seconds since the authority was last confirmed.
     authority_age: Callable[[], float]
+    #: The longest lease that a worker grants.
+    longest_grant_ms: int
 
 
 @final
@@ -96,6 +98,7 @@
         'given',
         'is_loaded',
         'log',
+        'longest_grant_ms',
         'permits',
         'sessions',
         'stream',
@@ -112,6 +115,7 @@
         self.given = given
         self.log = given.log
         self.token = epoch
+        self.longest_grant_ms = given.longest_grant_ms
         self.is_loaded = False
         self.stream = FencedLog(
             given.store, given.topics.jobs, epoch, given.log
--- a/packages/berylspread/src/berylspread/coordinator/node.py
+++ b/packages/berylspread/src/berylspread/coordinator/node.py
@@ -46,6 +46,8 @@
 from berylspread.model import NodeRef
 from berylspread.peers import Message, Peers
 
+#: The longest lease that workers grant where the settings do not say.
+LONGEST_GRANT_MS: Final = 10_000
 #: How often a node tells the coordinator that it is there.
 PRESENCE_S: Final = 0.5
 #: A coordinator does not hand over to a fitter node sooner than this, so that
@@ -69,6 +71,7 @@
         'authority_clock',
         'decode_config',
         'decode_entry',
+        'longest_grant_ms',
         'policies',
         'store',
         'wall',
@@ -86,6 +89,7 @@
         *,
         wall: WallClock,
         authority_clock: Callable[[], float],
+        longest_grant_ms: int = LONGEST_GRANT_MS,
     ) -> None:
         """Keep them.
 
@@ -100,6 +104,7 @@
         self.decode_config = decode_config
         self.wall = wall
         self.authority_clock = authority_clock
+        self.longest_grant_ms = longest_grant_ms
 
 
 @final
@@ -248,6 +253,7 @@
             wall=clients.wall,
             log=self.log,
             authority_age=self.leadership.authority_age,
+            longest_grant_ms=clients.longest_grant_ms,
         )
 
     async def _keep_in_touch(self) -> None:
--- a/packages/berylspread/src/berylspread/coordinator/orders.py
+++ b/packages/berylspread/src/berylspread/coordinator/orders.py
@@ -48,6 +48,8 @@
 
     token: int
     log: DecisionLog
+    #: The longest lease that a worker grants, by its own clock.
+    longest_grant_ms: int
 
     def has_authority(self, grace_s: float) -> bool:
         """Return whether the authority was confirmed within the grace."""
@@ -109,16 +111,6 @@
         for run in list(self.worker.runs.values()):
             self.owner.lost(run, reason)
 
-    def lose_past_life(self) -> None:
-        """Take off the books what ran in a former life of the worker.
-
-        An order that has no answer yet may reach the new life: its run stays
-        until that is settled.
-        """
-        for run in list(self.worker.runs.values()):
-            if run.answered_at is not None or run.stage is Stage.inherited:
-                self.owner.lost(run, RESTARTED)
-
     async def _start(self, run: Run, ticket: str) -> None:
         worker = self.worker
         order = StartOrder(
--- a/packages/berylspread/src/berylspread/coordinator/session.py
+++ b/packages/berylspread/src/berylspread/coordinator/session.py
@@ -181,9 +181,15 @@
     def _note_life(self, report: WorkerReport) -> None:
         worker = self.worker
         if worker.born_ms and report.born_ms != worker.born_ms:
-            self.orders.lose_past_life()
+            # What the report omits is over.  What it lists was ordered by the
+            # former life's clock, so its lease may be the longest of all.
             worker.acked = 0
-            worker.lease_until_ms = 0
+            worker.lease_until_ms = (
+                report.clock_ms + self.owner.longest_grant_ms
+            )
+            self.owner.log.write(
+                'worker-restarted', worker=worker.name, born_ms=report.born_ms
+            )
         worker.born_ms = report.born_ms
 
     def _take_ended(
