Soak the real programs as processes, with faults from outside

Three or more programs and the platform's stand-ins on loopback: signals, a proxy that delays, silences, cuts one way and resets, store outages, workers that restart or fail all. Two series of faults overlap. What callers and workers saw is checked against the promises; each check is shown to fail.

--- /dev/null
+++ b/features/process_soak/soak.feature
@@ -0,0 +1,40 @@
+Feature: The programs as processes, with faults from outside them
+
+  Scenario Outline: A short run keeps every promise
+    When seed <seed> runs for 6 s with 3 nodes and 4 workers
+    Then no promise was broken
+
+    Examples: seeds
+      | seed |
+      | 1    |
+      | 2    |
+
+  Scenario Outline: A broken promise is found
+    Given job "a" of steps 1 and 1 that was accepted and is "completed"
+    And its runs were <runs>
+    Then the promises broken are "<broken>"
+
+    Examples: runs as task, worker, begin, end and outcome
+      | runs                                               | broken                       |
+      | 0.0 w1 0 1 done, 1.0 w1 2 3 done                   |                              |
+      | 0.0 w1 0 2 done, 0.0 w2 1 3 done, 1.0 w1 4 5 done  | twice at a time, again after success |
+      | 0.0 w1 0 1 done, 0.0 w1 2 3 done, 1.0 w1 4 5 done  | again after success          |
+      | 0.0 w1 0 2 done, 1.0 w1 1 3 done                   | out of order                 |
+      | 0.0 w1 0 1 done                                    | completed with tasks undone  |
+      | 0.0 w1 0 1 failed, 0.0 w1 1 2 failed, 0.0 w1 2 3 failed, 0.0 w1 3 4 done, 1.0 w1 5 6 done | beyond its attempts |
+
+  Scenario: A job that was refused must not run
+    Given job "a" of steps 1 and 1 that was refused
+    And its runs were 0.0 w1 0 1 done
+    Then the promises broken are "refused and run"
+
+  Scenario: A worker must not hold more than it has room for
+    Given job "a" of steps 9 and 1 that was accepted and is "completed"
+    And its 9 tasks ran on one worker at a time
+    Then the promises broken are "beyond its room"
+
+  Scenario: A run that a worker's restart made it forget may be repeated
+    Given job "a" of steps 1 and 1 that was accepted and is "completed"
+    And worker "w1" restarted at 1.5
+    And its runs were 0.0 w1 0 1 done, 0.0 w2 2 3 done, 1.0 w1 4 5 done
+    Then the promises broken are ""
--- /dev/null
+++ b/features/process_soak/steps/soak_steps.py
@@ -0,0 +1,98 @@
+"""Steps about the soak of processes and what it checks."""
+
+import asyncio
+import random
+from pathlib import Path
+
+from behave import given, then, when
+
+from berylspread.coordinator.interface import WorkerEntry
+from berylspread.model import Resources
+from berylspread_standins.coordinated import WorkerStandin
+from berylspread_standins.coordinated.worker import RunLog
+from berylspread_standins.process_soak import (
+    ProcessFleet,
+    broken_promises,
+    run_seed,
+)
+from berylspread_standins.process_soak.callers import ACCEPTED, Handed
+
+REFUSED = 503
+
+
+@when(
+    'seed {seed:d} runs for {seconds:g} s with {nodes:d} nodes and '
+    '{workers:d} workers'
+)
+def step_run(context, seed, seconds, nodes, workers):
+    context.report = asyncio.run(
+        run_seed(seed, seconds=seconds, nodes=nodes, workers=workers)
+    )
+
+
+@then('no promise was broken')
+def step_kept(context):
+    assert not context.report.problems, context.report.line()
+    assert context.report.injected, 'no fault was injected'
+
+
+def _fleet(context):
+    context.fleet = ProcessFleet(Path(), random.Random(1))
+    for name in ('w1', 'w2'):
+        entry = WorkerEntry(name, 'desk', '', 'z', True, Resources())
+        context.fleet.workers[name] = WorkerStandin(entry, lambda task: None)
+
+
+def _job(context, first, second, answer):
+    _fleet(context)
+    context.job = Handed('a', [first, second])
+    context.job.answers.append(answer)
+
+
+@given(
+    'job "a" of steps {first:d} and {second:d} that was accepted and is '
+    '"{state}"'
+)
+def step_accepted(context, first, second, state):
+    _job(context, first, second, ACCEPTED)
+    context.job.accepted_at = 0.0
+    context.job.state = state
+
+
+@given('job "a" of steps {first:d} and {second:d} that was refused')
+def step_refused(context, first, second):
+    _job(context, first, second, REFUSED)
+
+
+async def _log(fleet, task, worker, times, outcome):
+    log = RunLog(worker, f'a.0.{task}', 1)
+    log.started_at, log.ended_at = times
+    log.outcome = outcome
+    fleet.workers[worker].history.append(log)
+
+
+@given('its runs were {runs}')
+def step_runs(context, runs):
+    for row in runs.split(', '):
+        task, worker, begin, end, outcome = row.split()
+        times = (float(begin), float(end))
+        asyncio.run(_log(context.fleet, task, worker, times, outcome))
+
+
+@given('its {count:d} tasks ran on one worker at a time')
+def step_crowd(context, count):
+    rows = [f'0.{index} w1 0 1 done' for index in range(count)]
+    step_runs(context, ', '.join([*rows, '1.0 w1 2 3 done']))
+
+
+@given('worker "{worker}" restarted at {at:g}')
+def step_restarted(context, worker, at):
+    context.fleet.restarts.append((worker, at))
+
+
+@then('the promises broken are "{broken}"')
+@then('the promises broken are ""')
+def step_broken(context, broken=''):
+    found = broken_promises(context.fleet, [context.job])
+    kinds = {line.split(':')[0] for line in found}
+    assert kinds == set(filter(None, broken.split(', '))), found
--- /dev/null
+++ b/packages/berylspread-standins/src/berylspread_standins/process_soak/callers.py
@@ -0,0 +1,194 @@
+"""Callers that hand jobs in, cancel some, and follow all to their end."""
+
+import asyncio
+import json
+import random
+from typing import Any, Final, final
+
+import aiohttp
+
+from berylspread.kernel.clock import now
+from berylspread_standins.process_soak.fleet import (
+    HOST,
+    KEY,
+    TASK_MILLI,
+    ProcessFleet,
+)
+from berylspread_standins.process_soak.proxy import LOOPBACK
+
+DEADLINE_S: Final = 3.0
+HEADERS: Final = {
+    'Host': HOST,
+    'X-Api-Key': KEY,
+    'Deadline-Ms': str(int(DEADLINE_S * 1000)),
+}
+ATTEMPTS: Final = 5
+RETRY_S: Final = 0.2
+#: Mean time between two jobs.
+JOB_EVERY_S: Final = 0.15
+CANCELLED: Final = 0.1
+WIDEST: Final = 6
+ID_BYTES: Final = 8
+ACCEPTED: Final = 200
+#: Answers after which a job must never run.
+REFUSALS: Final = frozenset((429, 503))
+FINAL_STATES: Final = frozenset(('completed', 'failed', 'canceled'))
+#: What stands for a call that got no answer.
+NO_ANSWER: Final = 0
+
+
+@final
+class Handed:
+    """One job as its caller sees it; times are the loop's."""
+
+    __slots__ = (
+        'accepted_at',
+        'answers',
+        'cancelled_at',
+        'completed_at',
+        'job_id',
+        'state',
+        'states',
+        'steps',
+        'tries_cancel',
+    )
+
+    def __init__(self, job_id: str, steps: list[int]) -> None:
+        """Take the id and the width of each step."""
+        self.job_id = job_id
+        self.steps = steps
+        self.answers: list[int] = []
+        self.accepted_at: float | None = None
+        self.cancelled_at: float | None = None
+        self.completed_at: float | None = None
+        self.tries_cancel = False
+        self.state = ''
+        #: Every answer to a question about the job, after it was accepted.
+        self.states: list[str] = []
+
+    @property
+    def is_refused(self) -> bool:
+        """Return whether every attempt was refused as not run."""
+        return bool(self.answers) and REFUSALS.issuperset(self.answers)
+
+    @property
+    def is_settled(self) -> bool:
+        """Return whether nothing more is expected of the job."""
+        return self.accepted_at is None or self.state in FINAL_STATES
+
+    def body(self) -> dict[str, Any]:
+        """Return the job on the wire; each step waits for the one before."""
+        return {
+            'spec': f'text of {self.job_id}',
+            'steps': [
+                {
+                    'count': count,
+                    'cpu': TASK_MILLI,
+                    'memMb': 1,
+                    'estimateMs': 300,
+                    **({'dependsOn': [number - 1]} if number else {}),
+                }
+                for number, count in enumerate(self.steps)
+            ],
+        }
+
+
+@final
+class Callers:
+    """Keep connections open until a process is gone, and try again."""
+
+    __slots__ = ('fleet', 'jobs', 'rng', 'session', 'tasks')
+
+    def __init__(self, fleet: ProcessFleet, rng: random.Random) -> None:
+        """Take whom to call."""
+        self.fleet = fleet
+        self.rng = rng
+        self.jobs: list[Handed] = []
+        self.tasks: set[asyncio.Task[None]] = set()
+        self.session: aiohttp.ClientSession | None = None
+
+    async def run(self, seconds: float) -> None:
+        """Hand jobs in for a time; ``settle`` follows them to their end."""
+        self.session = aiohttp.ClientSession(
+            timeout=aiohttp.ClientTimeout(total=DEADLINE_S + 1)
+        )
+        ends_at = now() + seconds
+        while now() < ends_at:
+            self._spawn(self._hand_in())
+            await asyncio.sleep(self.rng.expovariate(1 / JOB_EVERY_S))
+
+    async def settle(self, limit_s: float) -> None:
+        """Wait until every accepted job has ended, or the limit is reached."""
+        ends_at = now() + limit_s
+        while now() < ends_at and not self._is_settled():
+            await asyncio.sleep(RETRY_S)
+
+    async def close(self) -> None:
+        """Hang up."""
+        for task in list(self.tasks):
+            task.cancel()
+        await asyncio.gather(*self.tasks, return_exceptions=True)
+        if self.session is not None:
+            await self.session.close()
+
+    def _is_settled(self) -> bool:
+        return all(job.answers and job.is_settled for job in self.jobs)
+
+    def _spawn(self, work: Any) -> None:
+        task = asyncio.create_task(work)
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+
+    async def _hand_in(self) -> None:
+        steps = [
+            self.rng.randint(1, WIDEST) for _ in range(self.rng.randint(1, 2))
+        ]
+        job = Handed(self.rng.randbytes(ID_BYTES).hex(), steps)
+        self.jobs.append(job)
+        for _ in range(ATTEMPTS):
+            status, _ = await self._call('POST', job, job.body())
+            job.answers.append(status)
+            if status == ACCEPTED:
+                job.accepted_at = now()
+                break
+            await asyncio.sleep(RETRY_S)
+        if job.accepted_at is not None:
+            await self._follow(job)
+
+    async def _follow(self, job: Handed) -> None:
+        job.tries_cancel = self.rng.random() < CANCELLED
+        if job.tries_cancel:
+            await self._cancel(job)
+        while job.state not in FINAL_STATES:
+            await asyncio.sleep(RETRY_S * 2)
+            status, text = await self._call('GET', job)
+            if status == ACCEPTED:
+                job.state = str(json.loads(text).get('state'))
+                job.states.append(job.state)
+            elif status not in REFUSALS and status != NO_ANSWER:
+                job.states.append(str(status))
+        job.completed_at = now()
+
+    async def _cancel(self, job: Handed) -> None:
+        await asyncio.sleep(self.rng.random())
+        for _ in range(ATTEMPTS * ATTEMPTS):
+            status, _ = await self._call('DELETE', job)
+            if status == ACCEPTED:
+                job.cancelled_at = now()
+                return
+            await asyncio.sleep(RETRY_S)
+
+    async def _call(
+        self, method: str, job: Handed, body: dict[str, Any] | None = None
+    ) -> tuple[int, str]:
+        assert self.session is not None
+        port = self.rng.choice(self.fleet.nodes).ports['front']
+        url = f'http://{LOOPBACK}:{port}/q/{job.job_id}'
+        try:
+            async with self.session.request(
+                method, url, json=body, headers=HEADERS
+            ) as response:
+                return response.status, await response.text()
+        except (aiohttp.ClientError, TimeoutError):
+            # Whether it has run is unknown; the caller asks again.
+            return NO_ANSWER, ''
--- /dev/null
+++ b/packages/berylspread-standins/src/berylspread_standins/process_soak/faults.py
@@ -0,0 +1,217 @@
+"""The faults that a run injects; each ends what it began."""
+
+import asyncio
+import random
+import signal
+from collections.abc import Set
+from typing import Final, final
+
+from berylspread.kernel.registry import Plugin, Registry
+from berylspread_standins.process_soak.fleet import NodeProcess, ProcessFleet
+from berylspread_standins.process_soak.proxy import Direction, LoopbackProxy
+
+SHORTEST_S: Final = 0.5
+LONGEST_S: Final = 5.0
+DELAY_S: Final = 0.25
+BOTH_WAYS: Final = frozenset(Direction)
+
+
+class ProcessFault(Plugin):
+    """Injects one fault and takes it back."""
+
+    async def inject(self, fleet: ProcessFleet, rng: random.Random) -> None:
+        """Bring the fault about, hold it, and heal it."""
+        raise NotImplementedError
+
+    async def hold(self, rng: random.Random) -> None:
+        """Let the fault last."""
+        await asyncio.sleep(rng.uniform(SHORTEST_S, LONGEST_S))
+
+
+faults: Final[Registry[ProcessFault]] = Registry('process fault')
+
+
+@faults.register
+@final
+class Kill(ProcessFault):
+    """A program is killed and started again."""
+
+    name = 'kill'
+
+    async def inject(self, fleet: ProcessFleet, rng: random.Random) -> None:
+        """Kill one program."""
+        node = rng.choice(fleet.nodes)
+        node.send(signal.SIGKILL)
+        await asyncio.sleep(rng.random())
+        await fleet.restart(node)
+
+
+@faults.register
+@final
+class KillAll(ProcessFault):
+    """All programs are killed at once and started again."""
+
+    name = 'kill-all'
+
+    async def inject(self, fleet: ProcessFleet, rng: random.Random) -> None:
+        """Kill every program."""
+        for node in fleet.nodes:
+            node.send(signal.SIGKILL)
+        await asyncio.gather(*(fleet.restart(node) for node in fleet.nodes))
+
+
+@faults.register
+@final
+class Pause(ProcessFault):
+    """A program stands still and goes on."""
+
+    name = 'pause'
+
+    async def inject(self, fleet: ProcessFleet, rng: random.Random) -> None:
+        """Suspend one program for a while."""
+        node = rng.choice(fleet.nodes)
+        node.send(signal.SIGSTOP)
+        try:
+            await self.hold(rng)
+        finally:
+            node.send(signal.SIGCONT)
+
+
+@faults.register
+@final
+class Stop(ProcessFault):
+    """A program is asked to stop, and started again."""
+
+    name = 'stop'
+
+    async def inject(self, fleet: ProcessFleet, rng: random.Random) -> None:
+        """Stop one program with grace; a second fault may suspend it."""
+        node = rng.choice(fleet.nodes)
+        node.send(signal.SIGTERM)
+        await fleet.restart(node)
+
+
+class LinkFault(ProcessFault):
+    """Harms one proxied way; subclasses choose which."""
+
+    def choose(
+        self, fleet: ProcessFleet, rng: random.Random
+    ) -> list[LoopbackProxy]:
+        """Return the proxies of the harmed ways."""
+        raise NotImplementedError
+
+    async def inject(self, fleet: ProcessFleet, rng: random.Random) -> None:
+        """Delay, silence, cut one way or reset for a while."""
+        harm = rng.choice((_delay, _silence, _reset))
+        proxies = self.choose(fleet, rng)
+        way = rng.choice((BOTH_WAYS, *({each} for each in Direction)))
+        for proxy in proxies:
+            harm(proxy, way)
+        try:
+            await self.hold(rng)
+        finally:
+            for proxy in proxies:
+                _heal(proxy)
+
+
+@faults.register
+@final
+class StoreLink(LinkFault):
+    """The way of one or of all nodes to the store is harmed."""
+
+    name = 'store-link'
+
+    def choose(
+        self, fleet: ProcessFleet, rng: random.Random
+    ) -> list[LoopbackProxy]:
+        """Choose one node, or all."""
+        nodes: list[NodeProcess] = rng.choice(
+            ([rng.choice(fleet.nodes)], fleet.nodes)
+        )
+        return [node.proxy for node in nodes]
+
+
+@faults.register
+@final
+class WorkerLink(LinkFault):
+    """The way to a third of the workers is harmed."""
+
+    name = 'worker-link'
+
+    def choose(
+        self, fleet: ProcessFleet, rng: random.Random
+    ) -> list[LoopbackProxy]:
+        """Choose a third of the workers."""
+        proxies = list(fleet.worker_proxies.values())
+        return rng.sample(proxies, k=max(len(proxies) // 3, 1))
+
+
+@faults.register
+@final
+class StoreOutage(ProcessFault):
+    """The store refuses every call, and is slow after that."""
+
+    name = 'store-outage'
+
+    async def inject(self, fleet: ProcessFleet, rng: random.Random) -> None:
+        """Refuse, then answer slowly."""
+        fleet.store.is_down = True
+        try:
+            await self.hold(rng)
+        finally:
+            fleet.store.is_down = False
+        usual_s = fleet.store.answer_s
+        fleet.store.answer_s = DELAY_S
+        try:
+            await self.hold(rng)
+        finally:
+            fleet.store.answer_s = usual_s
+
+
+@faults.register
+@final
+class WorkerRestart(ProcessFault):
+    """A worker loses all and begins another life under its id."""
+
+    name = 'worker-restart'
+
+    async def inject(self, fleet: ProcessFleet, rng: random.Random) -> None:
+        """Restart one worker."""
+        fleet.restart_worker(rng.choice(list(fleet.workers)))
+
+
+@faults.register
+@final
+class WorkerFails(ProcessFault):
+    """A worker fails all that it starts."""
+
+    name = 'worker-fails'
+
+    async def inject(self, fleet: ProcessFleet, rng: random.Random) -> None:
+        """Let one worker fail for a while."""
+        worker = rng.choice(list(fleet.workers))
+        fleet.failing.add(worker)
+        try:
+            await self.hold(rng)
+        finally:
+            fleet.failing.discard(worker)
+
+
+def _delay(proxy: LoopbackProxy, way: Set[Direction]) -> None:
+    proxy.delay_s = DELAY_S
+
+
+def _silence(proxy: LoopbackProxy, way: Set[Direction]) -> None:
+    proxy.silent |= way
+
+
+def _reset(proxy: LoopbackProxy, way: Set[Direction]) -> None:
+    proxy.reset()
+
+
+def _heal(proxy: LoopbackProxy) -> None:
+    proxy.delay_s = 0.0
+    if proxy.silent:
+        proxy.silent.clear()
+        # What was dropped is missing in the middle of a stream.
+        proxy.reset()
--- /dev/null
+++ b/packages/berylspread-standins/src/berylspread_standins/process_soak/fleet.py
@@ -0,0 +1,225 @@
+"""The platform's stand-ins on loopback, and the programs as processes."""
+
+import asyncio
+import json
+import os
+import random
+import signal
+import socket
+import sys
+from pathlib import Path
+from typing import Any, Final, final
+
+from berylspread.coordinator.interface import WorkerEntry
+from berylspread.kernel.clock import now
+from berylspread.model import Resources
+from berylspread_standins.coordinated import (
+    AdvisorStandin,
+    StoreStandin,
+    WorkerStandin,
+)
+from berylspread_standins.coordinated.wire import AdviceApp, StoreApp, WorkerApp
+from berylspread_standins.process_soak.proxy import LOOPBACK, LoopbackProxy
+from berylspread_standins.serving import HttpServer
+
+KEY: Final = 'k1'
+HOST: Final = 'host.example'
+MAX_ATTEMPTS: Final = 3
+#: Tasks that a worker holds at a time.
+ROOM: Final = 8
+TASK_MILLI: Final = 1000
+#: A stopped process is killed after this time, as the platform does.
+GRACE_S: Final = 6.0
+WORK_S: Final = 0.3
+#: Share of the runs that fail by their own fault.
+FAILURES: Final = 0.03
+CONFIG: Final = {
+    'version': 1,
+    'routes': [
+        {
+            'name': 'r-1',
+            'host': HOST,
+            'pathPrefix': '/q/',
+            'service': 'desk',
+            'maxAttempts': MAX_ATTEMPTS,
+            'advice': {'decideMs': 20, 'eachMs': 1, 'validMs': 2000},
+        }
+    ],
+    'tenants': [{'name': 'acme', 'apiKeys': [KEY], 'weight': 7}],
+}
+SETTINGS: Final = """
+nodeName = "{name}"
+ip = "127.0.0.1"
+portRange = [{peer},{peer}]
+advice = "{advice}"
+[listenAddrs]
+front = "127.0.0.1:{front}"
+readyAddr = "127.0.0.1:{ready}"
+metrics = "127.0.0.1:{metrics}"
+[platform]
+address = "{store}"
+"""
+
+
+@final
+class NodeProcess:
+    """One program: its ports, its way to the store, and its process."""
+
+    __slots__ = ('folder', 'name', 'ports', 'process', 'proxy')
+
+    def __init__(self, name: str, folder: Path, proxy: LoopbackProxy) -> None:
+        """Choose free ports; nothing runs before ``start``."""
+        self.name = name
+        self.folder = folder
+        self.proxy = proxy
+        self.ports = _free_ports('peer', 'front', 'ready', 'metrics')
+        self.process: asyncio.subprocess.Process | None = None
+
+    async def start(self, advice: str) -> None:
+        """Start the program, or start it again."""
+        settings = self.folder / f'{self.name}.toml'
+        settings.write_text(
+            SETTINGS.format(
+                name=self.name,
+                advice=advice,
+                store=self.proxy.address,
+                **self.ports,
+            )
+        )
+        with (self.folder / f'{self.name}.log').open('ab') as log:
+            self.process = await asyncio.create_subprocess_exec(
+                sys.executable,
+                '-m',
+                'berylspread_platform',
+                env={**os.environ, 'BERYLSPREAD_SETTINGS': str(settings)},
+                stdout=log,
+                stderr=log,
+            )
+
+    def send(self, number: signal.Signals) -> None:
+        """Send a signal to the process if it still runs."""
+        if self.process is not None and self.process.returncode is None:
+            self.process.send_signal(number)
+
+    async def wait(self, limit_s: float = GRACE_S) -> None:
+        """Wait for the process's end; kill it after the limit."""
+        assert self.process is not None
+        try:
+            async with asyncio.timeout(limit_s):
+                await self.process.wait()
+        except TimeoutError:
+            self.send(signal.SIGKILL)
+            await self.process.wait()
+
+
+@final
+class ProcessFleet:
+    """Nodes, workers and the store; faults and load act on it."""
+
+    __slots__ = (
+        'advice',
+        'failing',
+        'folder',
+        'nodes',
+        'restarts',
+        'rng',
+        'servers',
+        'store',
+        'worker_proxies',
+        'workers',
+    )
+
+    def __init__(self, folder: Path, rng: random.Random) -> None:
+        """Keep logs and settings below a folder."""
+        self.folder = folder
+        self.rng = rng
+        self.store = StoreStandin()
+        self.nodes: list[NodeProcess] = []
+        self.workers: dict[str, WorkerStandin] = {}
+        self.worker_proxies: dict[str, LoopbackProxy] = {}
+        self.servers: list[HttpServer] = []
+        #: Workers that fail all they start.
+        self.failing: set[str] = set()
+        #: When each worker began another life.
+        self.restarts: list[tuple[str, float]] = []
+        self.advice = ''
+
+    async def start(self, nodes: int, workers: int) -> None:
+        """Start the platform's stand-ins and then the programs."""
+        store = await self._serve(StoreApp(self.store))
+        self.advice = await self._serve(AdviceApp(AdvisorStandin()))
+        self.store.append('keyed.op', [('config', _pack(CONFIG))])
+        for index in range(workers):
+            await self._add_worker(f'i-{index}')
+        for index in range(nodes):
+            proxy = LoopbackProxy(store)
+            await proxy.start()
+            node = NodeProcess(f'node-{index}', self.folder, proxy)
+            self.nodes.append(node)
+            await node.start(self.advice)
+
+    async def stop(self) -> None:
+        """End the programs that this fleet started, and the stand-ins."""
+        for node in self.nodes:
+            node.send(signal.SIGCONT)
+            node.send(signal.SIGKILL)
+            await node.wait()
+            await node.proxy.stop()
+        for proxy in self.worker_proxies.values():
+            await proxy.stop()
+        for server in self.servers:
+            await server.stop()
+
+    async def restart(self, node: NodeProcess) -> None:
+        """Start a program again after its end."""
+        await node.wait()
+        await node.start(self.advice)
+
+    def restart_worker(self, name: str) -> None:
+        """Let a worker lose all and begin another life under its id."""
+        self.restarts.append((name, now()))
+        self.workers[name].restart()
+
+    async def _serve(self, app: Any) -> str:
+        server = HttpServer(app)
+        await server.start()
+        self.servers.append(server)
+        return server.addresses[0]
+
+    async def _add_worker(self, name: str) -> None:
+        worker = WorkerStandin(
+            WorkerEntry(name, 'desk', '', 'z', True, Resources(), born_ms=1),
+            lambda task: self._script(name),
+        )
+        proxy = LoopbackProxy(await self._serve(WorkerApp(worker)))
+        await proxy.start()
+        self.workers[name] = worker
+        self.worker_proxies[name] = proxy
+        entry = {
+            'service': 'desk',
+            'address': proxy.address,
+            'zone': 'z',
+            'state': 'ready',
+            'capacity': {'cpu': ROOM * TASK_MILLI, 'memMb': ROOM, 'gpu': 0},
+            'labels': ['a', 'r1-1'],
+        }
+        self.store.append('keyed.servers', [(name, _pack(entry))])
+
+    def _script(self, worker: str) -> tuple[float, str]:
+        has_failed = worker in self.failing or self.rng.random() < FAILURES
+        outcome = 'failed' if has_failed else 'done'
+        return self.rng.uniform(WORK_S / 3, WORK_S * 3), outcome
+
+
+def _pack(document: dict[str, Any]) -> bytes:
+    return json.dumps(document).encode()
+
+
+def _free_ports(*names: str) -> dict[str, int]:
+    bound = [socket.socket() for _ in names]
+    for each in bound:
+        each.bind((LOOPBACK, 0))
+    ports = [each.getsockname()[1] for each in bound]
+    for each in bound:
+        each.close()
+    return dict(zip(names, ports, strict=True))
--- /dev/null
+++ b/packages/berylspread-standins/src/berylspread_standins/process_soak/promises.py
@@ -0,0 +1,150 @@
+"""What callers and workers must never have seen."""
+
+import collections
+from collections.abc import Iterator
+from typing import Final
+
+from berylspread_standins.coordinated.worker import RunLog
+from berylspread_standins.process_soak.callers import Handed
+from berylspread_standins.process_soak.fleet import (
+    MAX_ATTEMPTS,
+    ROOM,
+    ProcessFleet,
+)
+
+#: Starts of a cancelled job may come this long after its acknowledgement.
+CANCEL_S: Final = 3.0
+DONE: Final = 'done'
+FAILED: Final = 'failed'
+#: A job that is no longer known.
+GONE: Final = '410'
+NEVER: Final = float('inf')
+
+
+def broken_promises(fleet: ProcessFleet, jobs: list[Handed]) -> list[str]:
+    """Return a line for each broken promise, as seen from outside."""
+    runs: dict[str, list[RunLog]] = collections.defaultdict(list)
+    for worker in fleet.workers.values():
+        for log in worker.history:
+            runs[log.task].append(log)
+    for logs in runs.values():
+        logs.sort(key=lambda log: log.started_at)
+    by_job: dict[str, list[str]] = collections.defaultdict(list)
+    for task in runs:
+        by_job[task.split('.', 1)[0]].append(task)
+    known = {job.job_id: job for job in jobs}
+    return [
+        *(line for logs in runs.values() for line in _task(fleet, logs)),
+        *(line for job in jobs for line in _job(job, by_job, runs)),
+        *(line for name in fleet.workers for line in _worker(fleet, name)),
+        *(f'unasked: {job_id}' for job_id in by_job.keys() - known.keys()),
+    ]
+
+
+def _task(fleet: ProcessFleet, logs: list[RunLog]) -> Iterator[str]:
+    failures = 0
+    done: RunLog | None = None
+    last: RunLog | None = None
+    for log in logs:
+        what = f'{log.task} run {log.run} on {log.worker}'
+        if last is not None and _ends(last) > log.started_at:
+            yield f'twice at a time: {what}'
+        if done is not None and not _is_forgotten(fleet, done, log):
+            yield f'again after success: {what}'
+        if failures >= MAX_ATTEMPTS:
+            yield f'beyond its attempts: {what}'
+        failures += log.outcome == FAILED and not _is_forgotten(fleet, log, log)
+        done = log if log.outcome == DONE else done
+        last = log
+
+
+def _is_forgotten(fleet: ProcessFleet, ended: RunLog, later: RunLog) -> bool:
+    """Return whether an end may have been lost with its worker's life."""
+    return any(
+        worker == ended.worker and at >= _ends(ended)
+        for worker, at in fleet.restarts
+    )
+
+
+def _ends(log: RunLog) -> float:
+    return NEVER if log.ended_at is None else log.ended_at
+
+
+def _job(
+    job: Handed, by_job: dict[str, list[str]], runs: dict[str, list[RunLog]]
+) -> Iterator[str]:
+    tasks = by_job.get(job.job_id, [])
+    if job.is_refused and tasks:
+        yield f'refused and run: {job.job_id}'
+    if job.accepted_at is None:
+        return
+    if GONE in job.states:
+        yield f'accepted and unknown: {job.job_id}'
+    if not job.is_settled:
+        yield f'accepted and not ended: {job.job_id}, {job.state or "?"}'
+    if job.state == 'canceled' and not job.tries_cancel:
+        yield f'cancelled by nobody: {job.job_id}'
+    yield from _cancelled(job, tasks, runs)
+    yield from _completed(job, tasks, runs)
+    yield from _in_order(job, runs)
+
+
+def _cancelled(
+    job: Handed, tasks: list[str], runs: dict[str, list[RunLog]]
+) -> Iterator[str]:
+    if job.cancelled_at is None or job.state != 'canceled':
+        return
+    for task in tasks:
+        if runs[task][-1].started_at > job.cancelled_at + CANCEL_S:
+            yield f'started after its cancelling: {task}'
+
+
+def _completed(
+    job: Handed, tasks: list[str], runs: dict[str, list[RunLog]]
+) -> Iterator[str]:
+    if job.state != 'completed':
+        return
+    done = {
+        task for task in tasks if any(log.outcome == DONE for log in runs[task])
+    }
+    if len(done) != sum(job.steps):
+        yield f'completed with tasks undone: {job.job_id}'
+
+
+def _in_order(job: Handed, runs: dict[str, list[RunLog]]) -> Iterator[str]:
+    for number, width in enumerate(job.steps[:-1]):
+        ended = [_done_at(runs[task]) for task in _names(job, number, runs)]
+        later = _names(job, number + 1, runs)
+        begun = min((runs[task][0].started_at for task in later), default=NEVER)
+        is_whole = len(ended) == width and max(ended) <= begun
+        if begun < NEVER and not is_whole:
+            yield f'out of order: {job.job_id} step {number + 1}'
+
+
+def _done_at(logs: list[RunLog]) -> float:
+    return min(
+        (_ends(log) for log in logs if log.outcome == DONE), default=NEVER
+    )
+
+
+def _names(
+    job: Handed, number: int, runs: dict[str, list[RunLog]]
+) -> list[str]:
+    names = (
+        f'{job.job_id}.0.{number}.{index}' for index in range(job.steps[number])
+    )
+    return [name for name in names if name in runs]
+
+
+def _worker(fleet: ProcessFleet, name: str) -> Iterator[str]:
+    changes = sorted(
+        change
+        for log in fleet.workers[name].history
+        for change in ((log.started_at, 1), (_ends(log), -1))
+    )
+    running = 0
+    for _, change in changes:
+        running += change
+        if running > ROOM:
+            yield f'beyond its room: {name}'
+            return
--- /dev/null
+++ b/packages/berylspread-standins/src/berylspread_standins/process_soak/run.py
@@ -0,0 +1,140 @@
+"""Runs seeds: ``python -m berylspread_standins.process_soak``."""
+
+import asyncio
+import json
+import random
+import shutil
+import sys
+import tempfile
+from pathlib import Path
+from typing import Final, final
+
+from berylspread_standins.process_soak.callers import Callers
+from berylspread_standins.process_soak.faults import faults
+from berylspread_standins.process_soak.fleet import ProcessFleet
+from berylspread_standins.process_soak.promises import broken_promises
+
+NODES: Final = 3
+WORKERS: Final = 6
+SECONDS: Final = 20.0
+#: Before the first fault, and after the last one until all must have ended: a
+#: lost worker's leases, a takeover, and the work itself.
+CALM_S: Final = 2.0
+SETTLE_S: Final = 30.0
+#: Series of faults that run beside each other.
+SERIES: Final = 2
+GAP_S: Final = 2.0
+#: A run in which less is accepted proves nothing.
+LEAST_ACCEPTED: Final = 0.3
+
+
+@final
+class SoakReport:
+    """What one seed showed."""
+
+    __slots__ = ('accepted', 'handed', 'injected', 'logs', 'problems', 'seed')
+
+    def __init__(self, seed: int) -> None:
+        """Start without anything seen."""
+        self.seed = seed
+        self.handed = 0
+        self.accepted = 0
+        self.injected: list[str] = []
+        self.problems: list[str] = []
+        #: Where the logs of a failed run are kept.
+        self.logs = ''
+
+    def line(self) -> str:
+        """Return the report as one JSON line."""
+        return json.dumps(
+            {name: getattr(self, name) for name in self.__slots__}
+        )
+
+
+async def run_seed(
+    seed: int,
+    *,
+    seconds: float = SECONDS,
+    nodes: int = NODES,
+    workers: int = WORKERS,
+) -> SoakReport:
+    """Run one seed; logs are kept only if a promise was broken."""
+    report = SoakReport(seed)
+    folder = Path(tempfile.mkdtemp(prefix=f'soak-{seed}-'))
+    rng = random.Random(seed)
+    fleet = ProcessFleet(folder, rng)
+    callers = Callers(fleet, rng)
+    try:
+        await fleet.start(nodes, workers)
+        await _play(fleet, callers, rng, seconds, report)
+        await callers.settle(SETTLE_S)
+        report.problems = broken_promises(fleet, callers.jobs)
+    finally:
+        await callers.close()
+        await fleet.stop()
+    _count(callers, report)
+    if report.problems:
+        report.logs = str(folder)
+    else:
+        shutil.rmtree(folder)
+    return report
+
+
+async def _play(
+    fleet: ProcessFleet,
+    callers: Callers,
+    rng: random.Random,
+    seconds: float,
+    report: SoakReport,
+) -> None:
+    await asyncio.sleep(CALM_S)
+    handing = asyncio.create_task(callers.run(seconds))
+    series = [
+        asyncio.create_task(_inject(fleet, random.Random(rng.random()), report))
+        for _ in range(SERIES)
+    ]
+    await handing
+    for each in series:
+        each.cancel()
+    # A fault that is cut short takes back what it began.
+    await asyncio.gather(*series, return_exceptions=True)
+    for node in fleet.nodes:
+        if node.process is None or node.process.returncode is not None:
+            await fleet.restart(node)
+
+
+async def _inject(
+    fleet: ProcessFleet, rng: random.Random, report: SoakReport
+) -> None:
+    kinds = list(faults)
+    while True:
+        await asyncio.sleep(rng.uniform(0, GAP_S))
+        kind = rng.choice(kinds)
+        report.injected.append(kind.name)
+        await kind().inject(fleet, rng)
+
+
+def _count(callers: Callers, report: SoakReport) -> None:
+    report.handed = len(callers.jobs)
+    report.accepted = sum(job.accepted_at is not None for job in callers.jobs)
+    if report.accepted < LEAST_ACCEPTED * report.handed:
+        report.problems.append('too little was accepted')
+
+
+def main(
+    first: int = 1,
+    count: int = 1,
+    seconds: float = SECONDS,
+    nodes: int = NODES,
+    workers: int = WORKERS,
+) -> None:
+    """Run seeds one after the other; exit with 1 if a promise was broken."""
+    has_failed = False
+    for seed in range(first, first + count):
+        report = asyncio.run(
+            run_seed(seed, seconds=seconds, nodes=nodes, workers=workers)
+        )
+        sys.stdout.write(f'{report.line()}\n')
+        sys.stdout.flush()
+        has_failed = has_failed or bool(report.problems)
+    sys.exit(int(has_failed))
