--- a/features/process_soak/steps/soak_steps.py
+++ b/features/process_soak/steps/soak_steps.py
@@ -74,9 +74,10 @@
 @given('its runs were {runs}')
 def step_runs(context, runs):
     for row in runs.split(', '):
-        task, worker, begin, end, outcome = row.split()
-        times = (float(begin), float(end))
-        asyncio.run(_log(context.fleet, task, worker, times, outcome))
+        task, worker, *times, outcome = row.split()
+        asyncio.run(
+            _log(context.fleet, task, worker, map(float, times), outcome)
+        )
 
 
 @given('its {count:d} tasks ran on one worker at a time')
