Let reports wait until an urgent end is due

Change: the wait ends 0.15 s after the soonest urgent end that is expected, between 0.4 and 0.9 s. "An end whose report is lost is soon asked for again" holds within the same bound.

--- a/packages/berylspread/src/berylspread/coordinator/coordinator.py
+++ b/packages/berylspread/src/berylspread/coordinator/coordinator.py
@@ -208,6 +208,10 @@
 
     # Runs.
 
+    def expected_s(self, run: Run) -> float:
+        """Return how long a run is expected to take, in seconds."""
+        return self.table.durations.expect_ms(run.task.step.spec) / MS
+
     def ended(
         self, run: Run, outcome: str, checkpoint: str
     ) -> asyncio.Future[Failure | None] | None:
--- a/packages/berylspread/src/berylspread/coordinator/orders.py
+++ b/packages/berylspread/src/berylspread/coordinator/orders.py
@@ -54,6 +54,9 @@
     def has_authority(self, grace_s: float) -> bool:
         """Return whether the authority was confirmed within the grace."""
 
+    def expected_s(self, run: Run) -> float:
+        """Return how long a run is expected to take."""
+
     def ended(
         self, run: Run, outcome: str, checkpoint: str
     ) -> asyncio.Future[Failure | None] | None:
--- /dev/null
+++ b/packages/berylspread/src/berylspread/coordinator/report_waits.py
@@ -0,0 +1,36 @@
+"""How long a worker may wait for an end before it answers a renewal.
+
+Load pattern: answers of workers are lost for seconds, while urgent tasks of a
+second end all the time.  A report that lists an end and is lost is asked for
+again only after its wait; so the wait ends soon after an end is expected.  Each
+report costs the worker and the coordinator, so it is not much shorter.
+"""
+
+from collections.abc import Callable
+from typing import Final
+
+from berylspread.coordinator.fleet import Run, Worker
+from berylspread.coordinator.model import MOST_URGENT
+
+#: The wait while no urgent run is near its end.  A lease of 4 s outlasts three.
+LONGEST_S: Final = 0.9
+#: A shorter wait would double the reports of a busy worker.
+SHORTEST_S: Final = 0.4
+#: Tasks of one image differ by some 15 % of a second.
+MARGIN_S: Final = 0.15
+
+#: Seconds that a run is expected to take.
+Expect = Callable[[Run], float]
+
+
+def report_wait_s(worker: Worker, expect: Expect, moment: float) -> float:
+    """Return how long the next report of a worker may wait for an end."""
+    left_s = min(
+        (
+            run.since + expect(run) - moment
+            for run in worker.runs.values()
+            if run.task.step.priority == MOST_URGENT
+        ),
+        default=LONGEST_S,
+    )
+    return min(max(left_s + MARGIN_S, SHORTEST_S), LONGEST_S)
--- a/packages/berylspread/src/berylspread/coordinator/session.py
+++ b/packages/berylspread/src/berylspread/coordinator/session.py
@@ -8,7 +8,7 @@
 import asyncio
 from typing import Final, final
 
-from berylspread.coordinator.fleet import Run, Stage, Worker
+from berylspread.coordinator.fleet import MS_PER_S, Run, Stage, Worker
 from berylspread.coordinator.interface import (
     OTHER_INSTANCE,
     EndedRow,
@@ -18,7 +18,6 @@
     WorkerReport,
     Workers,
 )
-from berylspread.coordinator.model import MOST_URGENT
 from berylspread.coordinator.orders import (
     GONE,
     LEASE_OVER,
@@ -27,6 +26,7 @@
     Orders,
     Owner,
 )
+from berylspread.coordinator.report_waits import report_wait_s
 from berylspread.kernel.clock import now
 from berylspread.kernel.errors import Failure
 
@@ -35,12 +35,7 @@
 LEASE_MS: Final = 4000
 #: The same in seconds, of this and every earlier coordinator.
 LONGEST_LEASE_S: Final = LEASE_MS / 1000
-#: How long the worker may wait for an end before it answers a renewal.
-WAIT_MS: Final = 900
-#: The same while an urgent run is under way: its end is worth asking again for
-#: if the answer that lists it is lost.
-URGENT_WAIT_MS: Final = 400
-#: The same while the outcome of an order is open.
+#: How long the worker may wait for an end while an order's outcome is open.
 OPEN_WAIT_MS: Final = 100
 #: An answer that is this late is taken as lost: seven times the way to the
 #: other region and back.
@@ -136,11 +131,8 @@
     def _wait_ms(self) -> int:
         if not self.worker.reachable:
             return 0
-        is_urgent = any(
-            run.task.step.priority == MOST_URGENT
-            for run in self.worker.runs.values()
-        )
-        return URGENT_WAIT_MS if is_urgent else WAIT_MS
+        wait_s = report_wait_s(self.worker, self.owner.expected_s, now())
+        return int(wait_s * MS_PER_S)
 
     async def _missed(self, failure: Failure) -> None:
         worker = self.worker
