Read workers' entries and store ends in fewer calls

Change: entries are read at most every 0.25 s, a fraction of the 2.5 s by which a leaving worker must get no new work; changes of 10 ms share an append.

--- a/packages/berylspread-standins/src/berylspread_standins/coordinated/store.py
+++ b/packages/berylspread-standins/src/berylspread_standins/coordinated/store.py
@@ -116,10 +116,17 @@
     """One node's way to the store; implements ``KeyedStore``.
 
     ``is_cut`` loses its calls; ``lose_answers`` counts appends that are done
-    and not answered; ``reads`` counts the reads by topic.
+    and not answered; ``reads`` and ``appends`` count the calls by topic.
     """
 
-    __slots__ = ('far_s', 'is_cut', 'lose_answers', 'reads', 'store')
+    __slots__ = (
+        'appends',
+        'far_s',
+        'is_cut',
+        'lose_answers',
+        'reads',
+        'store',
+    )
 
     def __init__(self, store: StoreStandin, *, far_s: float = 0.0) -> None:
         """Reach the store with ``far_s`` seconds more each time."""
@@ -128,6 +135,7 @@
         self.is_cut = False
         self.lose_answers = 0
         self.reads: collections.Counter[str] = collections.Counter()
+        self.appends: collections.Counter[str] = collections.Counter()
 
     async def append(
         self,
@@ -139,6 +147,7 @@
         timeout_s: float,
     ) -> Appended | Failure:
         """Append after the way there; see ``KeyedStore``."""
+        self.appends[topic] += 1
         failure = await self._travel(timeout_s)
         if failure is not None:
             return failure
--- a/packages/berylspread/src/berylspread/coordinator/committer.py
+++ b/packages/berylspread/src/berylspread/coordinator/committer.py
@@ -17,6 +17,10 @@
 
 #: Payload bytes after which a batch is closed; below the store's limit a call.
 BATCH_BYTES: Final = 1_000_000
+#: Changes that come this close together share an append; as long as passes of
+#: the placement are apart, so an end and what it makes room for are stored at
+#: once.
+GATHER_S: Final = 0.01
 MS: Final = 1000
 
 
@@ -76,6 +80,7 @@
             await self.stream.wait_turn()
             if self.stream.deposed is not None:
                 return self.stream.deposed
+            await asyncio.sleep(GATHER_S)
             self.wake.clear()
             if self.jobs or self.steps or self.drops:
                 self._begin()
--- a/packages/berylspread/src/berylspread/coordinator/coordinator.py
+++ b/packages/berylspread/src/berylspread/coordinator/coordinator.py
@@ -53,6 +53,9 @@
 #: store's answer takes 0.3 s.
 QUIESCE_S: Final = 0.5
 QUIESCE_STEP_S: Final = 0.01
+#: Entries of workers are read at most this often: each worker writes one every
+#: 1.5 s, mostly without news.
+ENTRIES_GATHER_S: Final = 0.25
 #: Pause after a fault in the conversation with a worker.
 RETRY_S: Final = 0.2
 MS: Final = 1000
@@ -292,6 +295,7 @@
             self.given.topics.workers,
             self.take_entry,
             self.log,
+            gather_s=ENTRIES_GATHER_S,
         )
         self._spawn(directory.run())
         committing = self._spawn(self.committer.run())
--- a/packages/berylspread/src/berylspread/coordinator/directory.py
+++ b/packages/berylspread/src/berylspread/coordinator/directory.py
@@ -33,6 +33,7 @@
     __slots__ = (
         'clock',
         'confirmed',
+        'gather_s',
         'is_paused',
         'keys',
         'log',
@@ -54,12 +55,14 @@
         clock: Callable[[], float] = now,
         wait_s: float = WAIT_S,
         is_paused: Callable[[], bool] = _never,
+        gather_s: float = 0.0,
     ) -> None:
         """Take the topic.
 
         ``confirmed`` is told, by ``clock``, as of when each answer holds.  The
-        store is not asked while ``is_paused``.
+        store is not asked while ``is_paused``, nor for ``gather_s`` after news.
         """
+        self.gather_s = gather_s
         self.is_paused = is_paused
         self.clock = clock
         self.store = store
@@ -107,6 +110,8 @@
         # it is read here.
         waited_s = 0.0 if batch.items else self.wait_s
         self._confirm(min(asked_at + waited_s, self.clock()))
+        if batch.items:
+            await asyncio.sleep(self.gather_s)
         return True
 
     async def _load(self) -> bool:
