Read the platform's words for ends in the adapter; drop unused fields

The outcomes of runs bore the platform's words inside; they are an enumeration of the project now, decoded once.

--- a/features/adapter/wire.feature
+++ b/features/adapter/wire.feature
@@ -34,6 +34,19 @@
     When records are read
     Then the outcome is log-unavailable and perhaps done
 
+  Scenario Outline: The platform's word for an end is read once
+    Then outcome "<how>" is read as <outcome>
+
+    Examples:
+      | how      | outcome         |
+      | done     | succeeded       |
+      | failed   | failed          |
+      | stopped  | stopped         |
+      | lapsed   | lease-over      |
+      | broken   | gang-broken     |
+      | alone    | gang-incomplete |
+      | vanished | unknown         |
+
   Scenario: An outcome of a run that is not known runs the task again
     Then outcome "vanished" has the effect of "stopped"
 
@@ -60,7 +73,7 @@
     Given the platform answers an order with 200 {"clockMs":5,"born":9,"running":[["t",2,"c",41,7]],"finished":[[58,"u",1,"done",""]]}
     When a lease is renewed
     Then run 2 of "t" is at 41 percent
-    And end 58 is that of run 1 of "u" as "done"
+    And end 58 is that of run 1 of "u" as "succeeded"
 
   Scenario: A read goes on while bytes of its answer arrive
     Given a store on loopback that answers a byte each 0.05 s
--- a/packages/berylspread-standins/src/berylspread_standins/coordinated/worker.py
+++ b/packages/berylspread-standins/src/berylspread_standins/coordinated/worker.py
@@ -10,6 +10,7 @@
     STALE_RUN,
     EndedRow,
     OrderRefused,
+    Outcome,
     Renewal,
     RunningRow,
     StartOrder,
@@ -29,6 +30,15 @@
 #: The longest lease that a worker grants, in ms.
 HOLD_MAX_MS: Final = 6000
 
+#: What a script's word, or the worker's own, is in a report.
+OUTCOMES: Final = {
+    'done': Outcome.succeeded,
+    'failed': Outcome.failed,
+    'stopped': Outcome.stopped,
+    'lapsed': Outcome.lease_over,
+    'crashed': Outcome.unknown,
+}
+
 #: How a run goes: seconds of work and outcome, by task name.
 Script = Callable[[str], tuple[float, str]]
 
@@ -241,7 +251,9 @@
         log.outcome = outcome
         self.number += 1
         self.poisoned[task] = max(self.poisoned.get(task, 0), log.run)
-        self.ended.append(EndedRow(self.number, task, log.run, outcome, ''))
+        self.ended.append(
+            EndedRow(self.number, task, log.run, OUTCOMES[outcome], '')
+        )
 
     def _hold(self, until_ms: int) -> None:
         longest = self.clock_ms() + HOLD_MAX_MS
--- a/packages/berylspread/src/berylspread/coordinator/coordinator.py
+++ b/packages/berylspread/src/berylspread/coordinator/coordinator.py
@@ -24,6 +24,7 @@
     NO_TICKET,
     KeyedItem,
     KeyedStore,
+    Outcome,
     Policies,
     Snapshot,
     WorkerEntry,
@@ -216,7 +217,7 @@
         return self.table.durations.expect_ms(run.task.step.spec) / MS
 
     def ended(
-        self, run: Run, outcome: str, checkpoint: str
+        self, run: Run, outcome: Outcome, checkpoint: str
     ) -> asyncio.Future[Failure | None] | None:
         """Note an end that a worker listed."""
         task = run.task
@@ -227,7 +228,7 @@
             task=task.name,
             run=run.number,
             worker=run.worker.name,
-            outcome=outcome,
+            outcome=outcome.value,
             ran_s=round(now() - run.since, 3),
         )
         effect_of(outcome)(self, run)
--- a/packages/berylspread/src/berylspread/coordinator/endings.py
+++ b/packages/berylspread/src/berylspread/coordinator/endings.py
@@ -4,6 +4,7 @@
 from typing import TYPE_CHECKING, Final
 
 from berylspread.coordinator.fleet import Run
+from berylspread.coordinator.interface import Outcome
 from berylspread.coordinator.model import JobStatus, Phase, Step
 from berylspread.kernel.clock import now
 
@@ -16,20 +17,20 @@
 SUCCESS_DECAY: Final = 0.5
 
 Effect = Callable[['Coordinator', Run], None]
-OUTCOMES: Final[dict[str, Effect]] = {}
+EFFECTS: Final[dict[Outcome, Effect]] = {}
 
 
-def outcome(name: str) -> Callable[[Effect], Effect]:
-    """Register what follows from an outcome; a decorator."""
+def follows(*outcomes: Outcome) -> Callable[[Effect], Effect]:
+    """Register what follows from some outcomes; a decorator."""
 
     def register(effect: Effect) -> Effect:
-        OUTCOMES[name] = effect
+        EFFECTS.update(dict.fromkeys(outcomes, effect))
         return effect
 
     return register
 
 
-@outcome('done')
+@follows(Outcome.succeeded)
 def succeeded(coordinator: 'Coordinator', run: Run) -> None:
     """Count the task as done, and the job with its last task."""
     task, step, job = run.task, run.task.step, run.task.step.job
@@ -50,7 +51,7 @@
         coordinator.finish(job, JobStatus.succeeded, 'all tasks done')
 
 
-@outcome('failed')
+@follows(Outcome.failed)
 def failed(coordinator: 'Coordinator', run: Run) -> None:
     """Try again elsewhere, or end the job after its last attempt."""
     task, step, job = run.task, run.task.step, run.task.step.job
@@ -73,19 +74,18 @@
     return failures
 
 
-@outcome('stopped')
-@outcome('lapsed')
-@outcome('broken')
-@outcome('alone')
+@follows(
+    Outcome.stopped,
+    Outcome.lease_over,
+    Outcome.gang_broken,
+    Outcome.gang_incomplete,
+    Outcome.unknown,
+)
 def interrupted(coordinator: 'Coordinator', run: Run) -> None:
     """Run the task again; the attempt does not count."""
     coordinator.requeue(run.task)
 
 
-def effect_of(name: str) -> Effect:
-    """Return what follows from an outcome.
-
-    One of a newer protocol counts as an interruption: the task runs again, and
-    the log has the outcome's name.
-    """
-    return OUTCOMES.get(name, interrupted)
+def effect_of(outcome: Outcome) -> Effect:
+    """Return what follows from an outcome."""
+    return EFFECTS[outcome]
--- a/packages/berylspread/src/berylspread/coordinator/fenced_log.py
+++ b/packages/berylspread/src/berylspread/coordinator/fenced_log.py
@@ -51,7 +51,6 @@
 
     __slots__ = (
         'answer_s',
-        'appended',
         'begun_at',
         'deposed',
         'epoch',
@@ -88,7 +87,6 @@
         #: When the appends that fail since were first sent.
         self.stalled_since: float | None = None
         #: Bytes of the records that were stored.
-        self.appended = 0
 
     async def raise_epoch(self) -> Failure | None:
         """Let the topic refuse appends of earlier epochs."""
@@ -151,7 +149,6 @@
             )
             if not isinstance(reply, Failure):
                 self._learn(now() - sent_at)
-                self.appended += sum(len(blob) for _, blob in records)
                 self._stored(seq)
                 return
             if self._is_settled(seq, reply):
--- a/packages/berylspread/src/berylspread/coordinator/fleet.py
+++ b/packages/berylspread/src/berylspread/coordinator/fleet.py
@@ -5,7 +5,7 @@
 
 from berylspread.coordinator.interface import WorkerEntry
 from berylspread.coordinator.model import JobStatus, Task
-from berylspread.model import ZERO, Resources
+from berylspread.model import ZERO
 
 MS_PER_S: Final = 1000
 #: A worker's steady clock may run this much slow; the platform's figure.
@@ -198,8 +198,3 @@
         if self.clock.at is None:
             return moment >= self.lost_after
         return self.clock.at_least(moment) > self.lease_until_ms
-
-    def load(self, extra: Resources) -> float:
-        """Return the fullest dimension's share with more reserved."""
-        used = self.entry.capacity - self.free + extra
-        return used.dominant_share(self.entry.capacity)
--- a/packages/berylspread/src/berylspread/coordinator/interface.py
+++ b/packages/berylspread/src/berylspread/coordinator/interface.py
@@ -1,5 +1,6 @@
 """What the coordinator needs of the outside, for adapters to provide."""
 
+import enum
 from typing import Protocol, final
 
 import msgspec
@@ -66,7 +67,6 @@
     capacity: Resources
     rack: str = ''
     labels: tuple[str, ...] = ()
-    slots: int = 0
     #: When this life of the worker began, milliseconds since the epoch.
     born_ms: int = 0
     #: While it drains: the least time it stays, in milliseconds.
@@ -85,6 +85,25 @@
     figure: int = 0
 
 
+@final
+class Outcome(enum.Enum):
+    """How a run has ended."""
+
+    succeeded = 'succeeded'
+    #: By the task's own fault or its worker's; it counts as an attempt.
+    failed = 'failed'
+    #: On an order to stop.
+    stopped = 'stopped'
+    #: Its lease was not renewed in time.
+    lease_over = 'lease-over'
+    #: Another member of its gang has ended otherwise than with success.
+    gang_broken = 'gang-broken'
+    #: The other members of its gang did not come in time.
+    gang_incomplete = 'gang-incomplete'
+    #: The platform used a word that this version does not know.
+    unknown = 'unknown'
+
+
 @final
 class EndedRow(msgspec.Struct, frozen=True, array_like=True):
     """The end of a run, as a worker lists it until it is acknowledged."""
@@ -92,7 +111,7 @@
     number: int
     task: str
     run: int
-    outcome: str
+    outcome: Outcome
     checkpoint: str
 
 
--- a/packages/berylspread/src/berylspread/coordinator/orders.py
+++ b/packages/berylspread/src/berylspread/coordinator/orders.py
@@ -18,6 +18,7 @@
     STALE_RUN,
     UNHEALTHY,
     OrderRefused,
+    Outcome,
     RunningRow,
     StartOrder,
     Workers,
@@ -58,7 +59,7 @@
         """Return how long a run is expected to take."""
 
     def ended(
-        self, run: Run, outcome: str, checkpoint: str
+        self, run: Run, outcome: Outcome, checkpoint: str
     ) -> asyncio.Future[Failure | None] | None:
         """Note an end that the worker listed; the future tells it is stored."""
 
