--- a/Makefile
+++ b/Makefile
@@ -16,7 +16,7 @@
 
 .DEFAULT_GOAL := help
 .DELETE_ON_ERROR:
-.PHONY: help setup demo fleet test lint format bench soak proto capacity constraints
+.PHONY: help setup demo fleet test lint format bench soak virtual-soak proto capacity constraints
 
 help:
 	@echo 'make demo         run a small assembly in one process (JSON=1: as JSON)'
@@ -25,7 +25,8 @@
 	@echo 'make lint         check format, lint rules and types'
 	@echo 'make format       format the sources'
 	@echo 'make bench        run the benchmarks against their bounds'
-	@echo 'make soak         run random faults in virtual time (ARGS="...")'
+	@echo 'make soak         run the programs as processes under faults (ARGS="...")'
+	@echo 'make virtual-soak run random faults in virtual time (ARGS="...")'
 	@echo 'make capacity     measure the capacity figures'
 	@echo 'make proto        regenerate the protobuf code'
 	@echo 'make constraints  pin the requirements again'
@@ -72,6 +73,9 @@
 	$(PY) -m bench.run $(ARGS)
 
 soak: $(STAMP)
+	$(PY) -m berylspread_standins.process_soak $(ARGS)
+
+virtual-soak: $(STAMP)
 	$(PY) -m berylspread_standins.soak $(ARGS)
 
 capacity: $(STAMP)
