--- a/packages/berylspread-standins/src/berylspread_standins/process_soak/callers.py
+++ b/packages/berylspread-standins/src/berylspread_standins/process_soak/callers.py
@@ -46,6 +46,7 @@
         'answers',
         'cancelled_at',
         'completed_at',
+        'is_due',
         'job_id',
         'state',
         'states',
@@ -62,6 +63,8 @@
         self.cancelled_at: float | None = None
         self.completed_at: float | None = None
         self.tries_cancel = False
+        #: Whether it was handed in while jobs could be accepted.
+        self.is_due = True
         self.state = ''
         #: Every answer to a question about the job, after it was accepted.
         self.states: list[str] = []
@@ -144,6 +147,7 @@
             self.rng.randint(1, WIDEST) for _ in range(self.rng.randint(1, 2))
         ]
         job = Handed(self.rng.randbytes(ID_BYTES).hex(), steps)
+        job.is_due = not self.fleet.halts
         self.jobs.append(job)
         for _ in range(ATTEMPTS):
             status, _ = await self._call('POST', job, job.body())
--- a/packages/berylspread-standins/src/berylspread_standins/process_soak/faults.py
+++ b/packages/berylspread-standins/src/berylspread_standins/process_soak/faults.py
@@ -19,6 +19,9 @@
 class ProcessFault(Plugin):
     """Injects one fault and takes it back."""
 
+    #: Whether nothing can be accepted while it lasts.
+    halts = False
+
     async def inject(self, fleet: ProcessFleet, rng: random.Random) -> None:
         """Bring the fault about, hold it, and heal it."""
         raise NotImplementedError
@@ -52,6 +55,7 @@
     """All programs are killed at once and started again."""
 
     name = 'kill-all'
+    halts = True
 
     async def inject(self, fleet: ProcessFleet, rng: random.Random) -> None:
         """Kill every program."""
@@ -152,6 +156,7 @@
     """The store refuses every call, and is slow after that."""
 
     name = 'store-outage'
+    halts = True
 
     async def inject(self, fleet: ProcessFleet, rng: random.Random) -> None:
         """Refuse, then answer slowly."""
--- a/packages/berylspread-standins/src/berylspread_standins/process_soak/fleet.py
+++ b/packages/berylspread-standins/src/berylspread_standins/process_soak/fleet.py
@@ -120,6 +120,7 @@
         'advice',
         'failing',
         'folder',
+        'halts',
         'nodes',
         'restarts',
         'rng',
@@ -140,6 +141,8 @@
         self.servers: list[HttpServer] = []
         #: Workers that fail all they start.
         self.failing: set[str] = set()
+        #: Faults under way while which nothing can be accepted.
+        self.halts = 0
         #: When each worker began another life.
         self.restarts: list[tuple[str, float]] = []
         self.advice = ''
