Place nothing before a configuration is known

The read used to begin with the process; since one node reads for all it waits for the claim. Ruled out: a lowered cap and runs of the former coordinator, which are counted.

Change: no pass without a configuration; and a node that knows no coordinator looks for one every 0.05 s, so that it is told soon after its start.

--- a/features/coordinator/configuration.feature
+++ b/features/coordinator/configuration.feature
@@ -44,6 +44,25 @@
     And 6 s pass
     Then every node's configuration is at least 5 s old
 
+  Scenario: Nothing is placed before the caps are known
+    Given a cell of 1 node without a configuration and 3 workers
+    When 2 s pass
+    And a job "a" of the capped team with 6 tasks is submitted
+    And 1 s passes
+    And version 1 of the configuration is published
+    And 8 s pass
+    Then job "a" is succeeded
+    And at most 2 tasks of job "a" ran at a time
+
+  Scenario: A node that starts soon knows what is in force
+    Given a cell of 3 nodes and 1 worker
+    When 2 s pass
+    And version 2 of the configuration is published
+    And 1 s passes
+    And a node without a configuration starts
+    And 0.3 s pass
+    Then every node has version 2 of the configuration
+
   Scenario: A change of the coordinator delays a configuration little
     Given a cell of 3 nodes and 1 worker
     When 2 s pass
--- a/features/coordinator/steps/configuration_steps.py
+++ b/features/coordinator/steps/configuration_steps.py
@@ -2,9 +2,10 @@
 
 import asyncio
 
-from behave import then, when
+from behave import given, then, when
 
-from berylspread_standins.coordinated.fleet import TOPICS
+from berylspread_standins.coordinated import CoordinatedFleet
+from berylspread_standins.coordinated.fleet import QUEUE, TOPICS
 
 
 def _nodes(context):
@@ -22,6 +23,24 @@
     return next(each for each in _nodes(context) if each.node.service is None)
 
 
+@given('a cell of 1 node without a configuration and {workers:d} workers')
+def step_unconfigured(context, workers):
+    async def start():
+        context.cell = CoordinatedFleet(workers)
+        context.queue = QUEUE
+        context.cell.start_node('n0', is_configured=False)
+
+    context.run(start())
+
+
+@when('a node without a configuration starts')
+def step_start_unconfigured(context):
+    async def start():
+        context.cell.start_node('late', is_configured=False)
+
+    context.run(start())
+
+
 @when('version {version:d} of the configuration is published')
 def step_publish(context, version):
     context.cell.configure(version)
--- a/packages/berylspread-standins/src/berylspread_standins/coordinated/fleet.py
+++ b/packages/berylspread-standins/src/berylspread_standins/coordinated/fleet.py
@@ -137,13 +137,18 @@
         is_far: bool = False,
         queue: Queue = QUEUE,
         capacity: Capacity = USUAL_CAPACITY,
+        is_configured: bool = True,
     ) -> NodeStandin:
-        """Start a node, or start it again."""
+        """Start a node, or start it again.
+
+        Unless ``is_configured`` it knows no configuration at first.
+        """
         view = StoreView(self.store, far_s=FAR_S if is_far else 0.0)
         pool = WorkerPool(self.workers)
         peers = self.peers.start(Endpoint(name, 'r', 'z'))
         board = PolicyBoard(now, KEY_TRUST_S)
-        board.take(_configuration(queue))
+        if is_configured:
+            board.take(_configuration(queue))
         clients = Clients(
             view,
             pool,
--- a/packages/berylspread/src/berylspread/coordinator/coordinator.py
+++ b/packages/berylspread/src/berylspread/coordinator/coordinator.py
@@ -165,6 +165,10 @@
             and self.given.authority_age() <= grace_s
         )
 
+    def knows_policies(self) -> bool:
+        """Return whether any configuration has been learned of."""
+        return self.given.policies.version > 0
+
     def wall_ms(self) -> int:
         """Return milliseconds since the epoch."""
         return int(self.given.wall.time() * MS)
--- a/packages/berylspread/src/berylspread/coordinator/dispatcher.py
+++ b/packages/berylspread/src/berylspread/coordinator/dispatcher.py
@@ -98,8 +98,10 @@
 
     def _pass(self) -> None:
         coordinator = self.coordinator
-        is_deciding = coordinator.is_loaded
-        if not is_deciding or not coordinator.has_authority(ORDER_GRACE_S):
+        # Without a configuration every organisation would pass for one without
+        # a cap.
+        is_informed = coordinator.is_loaded and coordinator.knows_policies()
+        if not is_informed or not coordinator.has_authority(ORDER_GRACE_S):
             return
         moment = now()
         workers = list(coordinator.workers.values())
--- a/packages/berylspread/src/berylspread/coordinator/interface.py
+++ b/packages/berylspread/src/berylspread/coordinator/interface.py
@@ -282,6 +282,10 @@
 class Policies(Protocol):
     """The newest configuration, as the coordinator needs it."""
 
+    @property
+    def version(self) -> int:
+        """Return the newest version, 0 before the first."""
+
     def cap(self, tenant: str) -> Resources | None:
         """Return what a tenant may have running; a dimension of 0 is free."""
 
--- a/packages/berylspread/src/berylspread/coordinator/node.py
+++ b/packages/berylspread/src/berylspread/coordinator/node.py
@@ -50,6 +50,8 @@
 LONGEST_GRANT_MS: Final = 10_000
 #: How often a node tells the coordinator that it is there.
 PRESENCE_S: Final = 0.5
+#: The same check while no coordinator is known, as in a new process.
+LOST_S: Final = 0.05
 #: A coordinator does not hand over to a fitter node sooner than this, so that
 #: nodes which have only just started are heard of first.
 LEAST_TERM_S: Final = 3.0
@@ -263,7 +265,8 @@
                 await self._exchange_news(target)
             elif self._should_step_down():
                 await self._step_down()
-            await asyncio.sleep(PRESENCE_S)
+            is_lost = self.leader() is None
+            await asyncio.sleep(LOST_S if is_lost else PRESENCE_S)
 
     def _contact(self) -> str | None:
         """Choose the coordinator, or any node while the store is silent."""
