--- /dev/null
+++ b/features/mutants/mutants.feature
@@ -0,0 +1,28 @@
+Feature: Each mechanism's scenario fails without the mechanism
+
+  Scenario Outline: Without it, its scenario fails
+    Then the mutant "<mutant>" is caught
+
+    Examples: mutants
+      | mutant                    |
+      | claims-anywhere           |
+      | ends-acknowledged-at-once |
+      | leases-over-at-once       |
+      | answers-before-loading    |
+      | room-beside-strays        |
+      | same-moment-proves        |
+      | caps-ignored              |
+      | gangs-in-parts            |
+      | steps-at-once             |
+      | attempts-uncounted        |
+      | stops-unsent              |
+      | begun-when-placed         |
+      | permissions-ignored       |
+      | draining-not-left         |
+      | new-life-forgotten        |
+      | success-forgotten         |
+      | configuration-reverts     |
+      | keys-trusted-for-ever     |
+
+  Scenario: Every mutant is listed here
+    Then every mutant is among the examples
--- a/features/support/hooks.py
+++ b/features/support/hooks.py
@@ -6,6 +6,8 @@
 from behave.runner import Context
 from hypothesis import settings
 
+from features.support.mutants import apply_mutant
+
 SEED = 1
 
 
@@ -18,6 +20,7 @@
         derandomize=True,
     )
     settings.load_profile('features')
+    apply_mutant()
 
 
 def before_scenario(context: Context, scenario: Scenario) -> None:
--- /dev/null
+++ b/features/support/mutants.py
@@ -0,0 +1,300 @@
+"""One mechanism of the coordinator switched off at a time.
+
+``BERYLSPREAD_MUTANT`` names the mutant that ``before_all`` puts in force; the
+scenario named beside it must fail then.  ``python -m features.support.mutants``
+runs all of them and prints which scenario caught which.
+"""
+
+import os
+import subprocess
+import sys
+from typing import Any, Final, NamedTuple
+
+from berylspread.coordinator import coordinator as coordinators
+from berylspread.coordinator import (
+    dispatcher,
+    endings,
+    fleet,
+    interface,
+    leadership,
+    model,
+    orders,
+    planner,
+    policy,
+    service,
+    session,
+)
+
+MUTANT_ENV: Final = 'BERYLSPREAD_MUTANT'
+COORDINATION: Final = 'features/coordinator/coordination.feature'
+PACING: Final = 'features/coordinator/pacing.feature'
+
+
+def _always(*arguments: Any, **named: Any) -> bool:
+    return True
+
+
+def _nothing(*arguments: Any, **named: Any) -> list[Any]:
+    return []
+
+
+def _claim_anywhere(
+    self: leadership.Leadership, record: Any, at: int | None
+) -> Any:
+    """Append a claim whatever was written meanwhile."""
+    return WRITE(self, record, None)
+
+
+async def _acknowledge_at_once(self: session.Session, rows: list[Any]) -> None:
+    """Acknowledge ends that are not stored yet."""
+    if rows:
+        self.worker.acked = max(row.number for row in rows)
+
+
+def _accept_beside_strays(worker: fleet.Worker, moment: float) -> bool:
+    """Place beside runs whose room is unknown."""
+    return worker.present and worker.reachable and worker.entry.is_ready
+
+
+def _not_after(moment: float | None, limit: float) -> bool:
+    """Count what happened at the same moment as earlier."""
+    return moment is not None and moment <= limit
+
+
+def _whole_step(usage: planner.Usage, step: model.Step) -> int:
+    """Ignore what the organisation has running."""
+    return step.spec.count
+
+
+def _place_part(plan: planner.StepPlan, waiting: list[Any]) -> list[Any]:
+    """Place those members of a gang that fit."""
+    chosen = [plan._choose(task, plan.choices) for task in waiting]
+    return [choice for choice in chosen if choice is not None]
+
+
+def _no_attempts(step: model.Step, failures: int) -> int:
+    """Count no attempt."""
+    return 0
+
+
+def _take_any(board: policy.PolicyBoard, configuration: Any) -> bool:
+    """Put an older configuration in force, too."""
+    board.configuration = None
+    return TAKE(board, configuration)
+
+
+async def _stop_nothing(self: orders.Orders, run: fleet.Run) -> None:
+    """Note a stop and do not send it."""
+
+
+def _begin_when_placed(self: dispatcher.Dispatcher, placement: Any) -> Any:
+    """Count a job as begun before a worker has confirmed it."""
+    run = RESERVE(self, placement)
+    run.task.step.job.status = model.JobStatus.running
+    return run
+
+
+def _any_worker(step: Any, workers: Any, moment: float) -> list[Any]:
+    """Ignore labels and permissions."""
+    return [(worker, '') for worker in workers if worker.present]
+
+
+def _forget_answered(self: session.Session, report: Any) -> None:
+    """Take every answered run for one of the worker's former life."""
+    if self.worker.born_ms not in {0, report.born_ms}:
+        for run in list(self.worker.runs.values()):
+            if run.answered_at is not None:
+                self.owner.lost(run, orders.RESTARTED)
+    NOTE_LIFE(self, report)
+
+
+def _run_again(coordinator: coordinators.Coordinator, run: fleet.Run) -> None:
+    """Run a task again after its success."""
+    coordinator.requeue(run.task)
+
+
+WRITE: Final = leadership.Leadership._write
+TAKE: Final = policy.PolicyBoard.take
+RESERVE: Final = dispatcher.Dispatcher._reserve
+NOTE_LIFE: Final = session.Session._note_life
+
+
+class Mutant(NamedTuple):
+    """What is replaced by what, and the scenario that must then fail."""
+
+    owner: Any
+    name: str
+    replacement: Any
+    feature: str
+    scenario: str
+
+
+MUTANTS: Final[dict[str, Mutant]] = {
+    'claims-anywhere': Mutant(
+        leadership.Leadership,
+        '_write',
+        _claim_anywhere,
+        COORDINATION,
+        'Nodes that claim at the same moment do not both win',
+    ),
+    'ends-acknowledged-at-once': Mutant(
+        session.Session,
+        '_acknowledge',
+        _acknowledge_at_once,
+        COORDINATION,
+        'An end is acknowledged only once it is stored',
+    ),
+    'leases-over-at-once': Mutant(
+        fleet.Worker,
+        'lease_is_over',
+        _always,
+        COORDINATION,
+        'A task is not given to another worker before its lease is over',
+    ),
+    'answers-before-loading': Mutant(
+        service.JobService,
+        '_may_answer',
+        _always,
+        COORDINATION,
+        'A coordinator that has not loaded the jobs answers nothing on them',
+    ),
+    'room-beside-strays': Mutant(
+        fleet.Worker,
+        'accepts_runs',
+        _accept_beside_strays,
+        COORDINATION,
+        "What a cancelled job still runs counts against the worker's room",
+    ),
+    'same-moment-proves': Mutant(
+        session,
+        '_before',
+        _not_after,
+        COORDINATION,
+        'A report asked for in the moment of an answer proves nothing',
+    ),
+    'caps-ignored': Mutant(
+        planner.Usage,
+        'room',
+        _whole_step,
+        COORDINATION,
+        'A team has no more running than its cap',
+    ),
+    'gangs-in-parts': Mutant(
+        planner.StepPlan,
+        '_place_gang',
+        _place_part,
+        COORDINATION,
+        'All tasks of a gang begin together or none does',
+    ),
+    'steps-at-once': Mutant(
+        model.Job,
+        'is_runnable',
+        _always,
+        COORDINATION,
+        'A job of two steps runs in order',
+    ),
+    'attempts-uncounted': Mutant(
+        endings,
+        '_attempts',
+        _no_attempts,
+        COORDINATION,
+        'A job whose task fails every attempt is shown as failed',
+    ),
+    'stops-unsent': Mutant(
+        orders.Orders,
+        '_stop',
+        _stop_nothing,
+        COORDINATION,
+        "A cancelled job's tasks are stopped and begin no more",
+    ),
+    'begun-when-placed': Mutant(
+        dispatcher.Dispatcher,
+        '_reserve',
+        _begin_when_placed,
+        COORDINATION,
+        'A job that was only placed counts as waiting',
+    ),
+    'permissions-ignored': Mutant(
+        dispatcher,
+        'candidates',
+        _any_worker,
+        COORDINATION,
+        'Permissions are asked for and tickets renewed',
+    ),
+    'draining-not-left': Mutant(
+        coordinators,
+        'runs_to_evacuate',
+        _nothing,
+        COORDINATION,
+        'Tasks that last leave a draining worker before it goes',
+    ),
+    'new-life-forgotten': Mutant(
+        session.Session,
+        '_note_life',
+        _forget_answered,
+        COORDINATION,
+        "An order that a worker's next life has answered is not forgotten",
+    ),
+    'success-forgotten': Mutant(
+        endings,
+        'EFFECTS',
+        {**endings.EFFECTS, interface.Outcome.succeeded: _run_again},
+        COORDINATION,
+        'A lost answer of the store changes nothing',
+    ),
+    'configuration-reverts': Mutant(
+        policy.PolicyBoard,
+        'take',
+        _take_any,
+        'features/adapter/documents.feature',
+        'An older configuration does not replace a newer one',
+    ),
+    'keys-trusted-for-ever': Mutant(
+        policy.PolicyBoard,
+        'age_s',
+        lambda board: 0.0,
+        'features/adapter/jobs.feature',
+        'Keys are refused once the store has not confirmed them for too long',
+    ),
+}
+
+
+def apply_mutant() -> None:
+    """Switch off what the environment names, if anything."""
+    name = os.environ.get(MUTANT_ENV)
+    if name:
+        mutant = MUTANTS[name]
+        setattr(mutant.owner, mutant.name, mutant.replacement)
+
+
+def catches(name: str) -> bool:
+    """Return whether a mutant's scenario fails with it and passes without."""
+    return _run(name, '') and not _run(name, name)
+
+
+def _run(name: str, mutant: str) -> bool:
+    chosen = MUTANTS[name]
+    # Scenarios are chosen by a regular expression.
+    pattern = f'^{chosen.scenario}$'
+    finished = subprocess.run(
+        (sys.executable, '-m', 'behave', chosen.feature, '--name', pattern),
+        env={**os.environ, MUTANT_ENV: mutant},
+        capture_output=True,
+        check=False,
+    )
+    assert f'Scenario: {chosen.scenario}'.encode() in finished.stdout, name
+    return finished.returncode == 0
+
+
+def main() -> None:
+    """Print each mutant and whether its scenario caught it."""
+    names = sys.argv[1:] or list(MUTANTS)
+    missed = [name for name in names if not catches(name)]
+    for name in names:
+        verdict = 'MISSED' if name in missed else 'caught'
+        sys.stdout.write(f'{verdict}  {name}: {MUTANTS[name].scenario}\n')
+    sys.exit(bool(missed))
+
+
+if __name__ == '__main__':
+    main()
