Know in the soak when a worker's lease has lapsed

Its trace: worker i-0 was cut off for 4.8 s, the coordinator counted its runs as over when their lease was, and they ran again; the ends were listed afterwards. The platform's rule excepts ends whose worker's lease lapsed before they were acknowledged. The check keeps to that: a success on a worker whose lease has not lapsed must not be repeated.

--- a/features/process_soak/soak.feature
+++ b/features/process_soak/soak.feature
@@ -33,6 +33,18 @@
     And its 9 tasks ran on one worker at a time
     Then the promises broken are "beyond its room"
 
+  Scenario Outline: A success on a worker whose lease has lapsed may be repeated
+    Given job "a" of steps 1 and 1 that was accepted and is "completed"
+    And a lease of worker "w1" lapsed at <lapsed>
+    And its runs were 0.0 w1 0 1 done, 0.0 w2 2 3 done, 1.0 w1 4 5 done
+    Then the promises broken are "<broken>"
+
+    Examples:
+      | lapsed | broken              |
+      | 0.5    | again after success |
+      | 1.5    |                     |
+      | 2.5    | again after success |
+
   Scenario: A run that a worker's restart made it forget may be repeated
     Given job "a" of steps 1 and 1 that was accepted and is "completed"
     And worker "w1" restarted at 1.5
--- a/features/process_soak/steps/soak_steps.py
+++ b/features/process_soak/steps/soak_steps.py
@@ -91,6 +91,11 @@
     context.fleet.restarts.append((worker, at))
 
 
+@given('a lease of worker "{worker}" lapsed at {at:g}')
+def step_lapsed(context, worker, at):
+    context.fleet.workers[worker].lapses.append(at)
+
+
 @then('the promises broken are "{broken}"')
 @then('the promises broken are ""')
 def step_broken(context, broken=''):
--- a/packages/berylspread-standins/src/berylspread_standins/coordinated/worker.py
+++ b/packages/berylspread-standins/src/berylspread_standins/coordinated/worker.py
@@ -75,6 +75,7 @@
         'entry',
         'history',
         'is_cut',
+        'lapses',
         'lease_until_ms',
         'mute',
         'mute_reports',
@@ -101,6 +102,8 @@
         self.token = 0
         self.number = 0
         self.lease_until_ms = 0
+        #: When leases have lapsed, by the loop's time.
+        self.lapses: list[float] = []
         self.running: dict[str, RunLog] = {}
         self.ended: list[EndedRow] = []
         self.poisoned: dict[str, int] = {}
@@ -255,7 +258,20 @@
             EndedRow(self.number, task, log.run, OUTCOMES[outcome], '')
         )
 
+    def has_lapsed(self, since: float, until: float) -> bool:
+        """Return whether a lease lapsed between two of the loop's times."""
+        self._note_lapse()
+        return any(since <= at <= until for at in self.lapses)
+
+    def _note_lapse(self) -> None:
+        if not self.lease_until_ms:
+            return
+        over_ms = self.clock_ms() - self.lease_until_ms
+        if over_ms >= 0:
+            self.lapses.append(now() - over_ms / MS)
+
     def _hold(self, until_ms: int) -> None:
+        self._note_lapse()
         longest = self.clock_ms() + HOLD_MAX_MS
         self.lease_until_ms = max(self.lease_until_ms, min(until_ms, longest))
 
--- a/packages/berylspread-standins/src/berylspread_standins/process_soak/promises.py
+++ b/packages/berylspread-standins/src/berylspread_standins/process_soak/promises.py
@@ -59,11 +59,18 @@
 
 
 def _is_forgotten(fleet: ProcessFleet, ended: RunLog, later: RunLog) -> bool:
-    """Return whether an end may have been lost with its worker's life."""
-    return any(
+    """Return whether an end need not be known when a later run begins.
+
+    It was lost with its worker's life, or the worker's lease lapsed before the
+    end was acknowledged: from then on its runs count as over.
+    """
+    is_restarted = any(
         worker == ended.worker and at >= _ends(ended)
         for worker, at in fleet.restarts
     )
+    return is_restarted or fleet.workers[ended.worker].has_lapsed(
+        _ends(ended), later.started_at
+    )
 
 
 def _ends(log: RunLog) -> float:
