--- a/packages/berylspread-standins/src/berylspread_standins/process_soak/callers.py
+++ b/packages/berylspread-standins/src/berylspread_standins/process_soak/callers.py
@@ -14,7 +14,6 @@
     TASK_MILLI,
     ProcessFleet,
 )
-from berylspread_standins.process_soak.proxy import LOOPBACK
 
 DEADLINE_S: Final = 3.0
 HEADERS: Final = {
@@ -186,8 +185,8 @@
         self, method: str, job: Handed, body: dict[str, Any] | None = None
     ) -> tuple[int, str]:
         assert self.session is not None
-        port = self.rng.choice(self.fleet.nodes).ports['front']
-        url = f'http://{LOOPBACK}:{port}/q/{job.job_id}'
+        front = self.rng.choice(self.fleet.nodes).front
+        url = f'http://{front}/q/{job.job_id}'
         try:
             async with self.session.request(
                 method, url, json=body, headers=HEADERS
--- a/packages/berylspread-standins/src/berylspread_standins/process_soak/fleet.py
+++ b/packages/berylspread-standins/src/berylspread_standins/process_soak/fleet.py
@@ -5,7 +5,6 @@
 import os
 import random
 import signal
-import socket
 import sys
 from pathlib import Path
 from typing import Any, Final, final
@@ -19,9 +18,12 @@
     WorkerStandin,
 )
 from berylspread_standins.coordinated.wire import AdviceApp, StoreApp, WorkerApp
-from berylspread_standins.process_soak.proxy import LOOPBACK, LoopbackProxy
+from berylspread_standins.process_soak.proxy import LoopbackProxy
 from berylspread_standins.serving import HttpServer
 
+FRONT_PORT: Final = 8183
+#: Values of one byte of an address that are no network or broadcast address.
+BYTE: Final = 250
 KEY: Final = 'k1'
 HOST: Final = 'host.example'
 MAX_ATTEMPTS: Final = 3
@@ -49,13 +51,12 @@
 }
 SETTINGS: Final = """
 nodeName = "{name}"
-ip = "127.0.0.1"
-portRange = [{peer},{peer}]
+ip = "{ip}"
+portRange = [7420,7420]
 advice = "{advice}"
 [listenAddrs]
-front = "127.0.0.1:{front}"
-readyAddr = "127.0.0.1:{ready}"
-metrics = "127.0.0.1:{metrics}"
+front = "{ip}:{front}"
+readyAddr = "{ip}:8184"
 [platform]
 address = "{store}"
 """
@@ -65,25 +66,31 @@
 class NodeProcess:
     """One program: its ports, its way to the store, and its process."""
 
-    __slots__ = ('folder', 'name', 'ports', 'process', 'proxy')
+    __slots__ = ('folder', 'ip', 'name', 'process', 'proxy')
 
-    def __init__(self, name: str, folder: Path, proxy: LoopbackProxy) -> None:
-        """Choose free ports; nothing runs before ``start``."""
-        self.name = name
+    def __init__(self, index: int, folder: Path, proxy: LoopbackProxy) -> None:
+        """Choose an address; nothing runs before ``start``."""
+        self.name = f'node-{index}'
         self.folder = folder
         self.proxy = proxy
-        self.ports = _free_ports('peer', 'front', 'ready', 'metrics')
+        self.ip = _own_address(index)
         self.process: asyncio.subprocess.Process | None = None
 
+    @property
+    def front(self) -> str:
+        """Return where callers reach the node."""
+        return f'{self.ip}:{FRONT_PORT}'
+
     async def start(self, advice: str) -> None:
         """Start the program, or start it again."""
         settings = self.folder / f'{self.name}.toml'
         settings.write_text(
             SETTINGS.format(
                 name=self.name,
+                ip=self.ip,
+                front=FRONT_PORT,
                 advice=advice,
                 store=self.proxy.address,
-                **self.ports,
             )
         )
         with (self.folder / f'{self.name}.log').open('ab') as log:
@@ -157,7 +164,7 @@
         for index in range(nodes):
             proxy = LoopbackProxy(store)
             await proxy.start()
-            node = NodeProcess(f'node-{index}', self.folder, proxy)
+            node = NodeProcess(index, self.folder, proxy)
             self.nodes.append(node)
             await node.start(self.advice)
 
@@ -218,11 +225,11 @@
     return json.dumps(document).encode()
 
 
-def _free_ports(*names: str) -> dict[str, int]:
-    bound = [socket.socket() for _ in names]
-    for each in bound:
-        each.bind((LOOPBACK, 0))
-    ports = [each.getsockname()[1] for each in bound]
-    for each in bound:
-        each.close()
-    return dict(zip(names, ports, strict=True))
+def _own_address(index: int) -> str:
+    """Return a loopback address that no other soak and no client uses.
+
+    A port of the shared address could be taken, by a client's connection or by
+    another soak, while its process is down.
+    """
+    run, node = os.getpid() % BYTE**2, index + 1
+    return f'127.{run // BYTE + 1}.{run % BYTE + 1}.{node}'
