Begin each epoch with a record, so that no first change is passed over

It raised its epoch by an append without a record, which leaves open the first sequence number. Append 2 was lost, append 3 overtook it and was taken as the first, and the repeat of 2 was refused with 4 expected, which passed for stored already.

Change: the epoch is raised by a record. The stand-in's empty append leaves the sequence open, as the platform's does.

Scenario "A new coordinator's first change is not passed over": two runs before, one now.

--- a/features/coordinator/coordination.feature
+++ b/features/coordinator/coordination.feature
@@ -163,6 +163,24 @@
     And each task of job "a" ran once
     And each task of job "b" ran once
 
+  Scenario: A new coordinator's first change is not passed over
+    Given a cell of 3 nodes and 2 workers
+    And tasks of job "a" take 3 s
+    And tasks of job "b" take 3.1 s
+    When 1 s passes
+    And a job "a" with steps of 1 task is submitted
+    And a job "b" with steps of 1 task is submitted
+    And 1 s passes
+    And the coordinator is killed
+    And 1.9 s pass
+    And the coordinator's next change never reaches the store
+    And 1.5 s pass
+    Then job "a" is succeeded
+    When the coordinator is killed
+    And 5 s pass
+    Then job "a" is succeeded
+    And each task of job "a" ran once
+
   Scenario: A lost answer of the store changes nothing
     Given a cell of 2 nodes and 2 workers
     When 1 s passes
--- a/features/coordinator/steps/coordination_steps.py
+++ b/features/coordinator/steps/coordination_steps.py
@@ -517,6 +517,12 @@
     context.cell.store.is_down = False
 
 
+@when("the coordinator's next change never reaches the store")
+def step_lose_change(context):
+    view = context.cell.nodes[_coordinator(context)].view
+    view.lose_changes[TOPICS.jobs] = 1
+
+
 @when('orders to workers take {seconds:g} s on their way')
 def step_order_way(context, seconds):
     for worker in context.cell.workers.values():
--- a/packages/berylspread-standins/src/berylspread_standins/coordinated/store.py
+++ b/packages/berylspread-standins/src/berylspread_standins/coordinated/store.py
@@ -22,13 +22,17 @@
 
 @final
 class _Fence:
-    """What a topic remembers of one producer."""
+    """What a topic remembers of one producer.
+
+    ``seq`` is ``None`` in an epoch that has appended no record: any sequence
+    number may be its first.
+    """
 
     __slots__ = ('answers', 'epoch', 'seq')
 
     def __init__(self) -> None:
         self.epoch = 0
-        self.seq = 0
+        self.seq: int | None = None
         self.answers: collections.OrderedDict[int, Appended] = (
             collections.OrderedDict()
         )
@@ -116,7 +120,8 @@
     """One node's way to the store; implements ``KeyedStore``.
 
     ``is_cut`` loses its calls; ``lose_answers`` counts appends that are done
-    and not answered; ``reads`` and ``appends`` count the calls by topic.
+    and not answered, ``lose_changes``, by topic, those that never arrive;
+    ``reads`` and ``appends`` count the calls by topic.
     """
 
     __slots__ = (
@@ -124,6 +129,7 @@
         'far_s',
         'is_cut',
         'lose_answers',
+        'lose_changes',
         'reads',
         'store',
     )
@@ -134,6 +140,7 @@
         self.far_s = far_s
         self.is_cut = False
         self.lose_answers = 0
+        self.lose_changes: collections.Counter[str] = collections.Counter()
         self.reads: collections.Counter[str] = collections.Counter()
         self.appends: collections.Counter[str] = collections.Counter()
 
@@ -151,6 +158,10 @@
         failure = await self._travel(timeout_s)
         if failure is not None:
             return failure
+        if self.lose_changes[topic] > 0:
+            self.lose_changes[topic] -= 1
+            await asyncio.sleep(timeout_s)
+            return LogUnavailable('no answer')
         reply = self.store.append(topic, records, producer, at)
         if self.lose_answers > 0:
             self.lose_answers -= 1
@@ -216,7 +227,7 @@
     known = fence.answers.get(producer.seq)
     if known is not None:
         return known
-    if producer.seq != fence.seq + 1:
+    if fence.seq is not None and producer.seq != fence.seq + 1:
         return StoreRejected('seq', expected=fence.seq + 1)
     return None
 
@@ -224,7 +235,11 @@
 def _remember(fence: _Fence, producer: Producer, appended: Appended) -> None:
     if producer.epoch > fence.epoch:
         fence.epoch = producer.epoch
+        fence.seq = None
         fence.answers.clear()
+    if appended.end == appended.offset:
+        # Without a record the epoch is set and its sequence left open.
+        return
     fence.seq = producer.seq
     fence.answers[producer.seq] = appended
     while len(fence.answers) > REMEMBERED:
--- a/packages/berylspread/src/berylspread/coordinator/fenced_log.py
+++ b/packages/berylspread/src/berylspread/coordinator/fenced_log.py
@@ -22,6 +22,8 @@
 from berylspread.kernel.errors import Failure, NotOwner
 
 PRODUCER: Final = 'coordinator'
+#: Holds the epoch that appends to the topic now.
+EPOCH_KEY: Final = 'epoch'
 #: An append without an answer is repeated after a multiple of what answers
 #: have lately taken, within these bounds: a repeat is harmless, and the lower
 #: bound is several answers from the other region.
@@ -86,12 +88,16 @@
         self.timeout_s = LEAST_TIMEOUT_S
         #: When the appends that fail since were first sent.
         self.stalled_since: float | None = None
-        #: Bytes of the records that were stored.
 
     async def raise_epoch(self) -> Failure | None:
-        """Let the topic refuse appends of earlier epochs."""
+        """Let the topic refuse appends of earlier epochs.
+
+        A record does that: an append without any would leave open with which
+        sequence number the epoch begins, and a later append that overtakes the
+        first would make it pass for a repeat of what is stored.
+        """
         stored: Stored = asyncio.get_running_loop().create_future()
-        self.begin([], stored)
+        self.begin([(EPOCH_KEY, str(self.epoch).encode())], stored)
         return await stored
 
     def begin(self, records: list[Record], stored: Stored) -> None:
