--- a/packages/berylspread-standins/src/berylspread_standins/process_soak/callers.py
+++ b/packages/berylspread-standins/src/berylspread_standins/process_soak/callers.py
@@ -146,7 +146,7 @@
             self.rng.randint(1, WIDEST) for _ in range(self.rng.randint(1, 2))
         ]
         job = Handed(self.rng.randbytes(ID_BYTES).hex(), steps)
-        job.is_due = not self.fleet.halts
+        job.is_due = self.fleet.is_serving and not self.fleet.halts
         self.jobs.append(job)
         for _ in range(ATTEMPTS):
             status, _ = await self._call('POST', job, job.body())
