--- /dev/null
+++ b/features/coordinator/cell.py
@@ -0,0 +1,98 @@
+"""What the steps ask of a cell of nodes and workers."""
+
+from berylspread.coordinator.messages import (
+    AskJobStatus,
+    JobAccepted,
+    JobStatusReply,
+    SubmitJob,
+)
+from berylspread.coordinator.model import AdviceTerms, Queue
+from berylspread.kernel.clock import now
+from berylspread_standins.coordinated import CoordinatedFleet
+from berylspread_standins.coordinated.fleet import (
+    QUEUE,
+    job,
+)
+
+TIMEOUT_S = 2.5
+ASK_EVERY_S = 0.05
+PERMITTED = Queue(
+    'q', 'desk', max_attempts=2, advice=AdviceTerms(30.0, 1.0, 2000.0)
+)
+
+
+def start_cell(context, nodes, workers, far=0, queue=QUEUE):
+    async def start():
+        context.cell = CoordinatedFleet(workers)
+        context.queue = queue
+        for index in range(nodes):
+            context.cell.start_node(f'n{index}', queue=queue)
+        for index in range(far):
+            context.cell.start_node(f'far{index}', is_far=True, queue=queue)
+
+    context.run(start())
+
+
+async def loop_time():
+    return now()
+
+
+def gateway_of(context):
+    return next(iter(context.cell.nodes.values())).node.gateway
+
+
+def submit_spec(context, spec, timeout_s=TIMEOUT_S):
+    async def submit():
+        return await gateway_of(context).ask(
+            SubmitJob(spec),
+            JobAccepted,
+            request=spec.job_id,
+            timeout_s=timeout_s,
+        )
+
+    return context.run(submit())
+
+
+def status_of(context, job_id):
+    return ask_status_of(context, job_id).status
+
+
+def ask_status_of(context, job_id):
+    async def ask():
+        return await gateway_of(context).ask(
+            AskJobStatus(job_id, 'q', ''),
+            JobStatusReply,
+            request=job_id,
+            timeout_s=TIMEOUT_S,
+        )
+
+    return context.run(ask())
+
+
+def find_coordinator(context):
+    name = context.cell.leader()
+    assert name is not None, 'no single coordinator'
+    return name
+
+
+def runs_of(context, job_id):
+    return [
+        log for log in context.cell.runs() if log.task.startswith(f'{job_id}.')
+    ]
+
+
+def worker_of(context, job_id):
+    return context.cell.workers[runs_of(context, job_id)[-1].worker]
+
+
+def submit_batch_job(context, job_id, step, tenant='acme'):
+    spec = job(
+        job_id, step, queue=Queue('batch', 'desk', priority=2), tenant=tenant
+    )
+    assert isinstance(submit_spec(context, spec), JobAccepted)
+
+
+def cut_off_node(context, node):
+    node.view.is_cut = True
+    for source, target in ((node.name, '*'), ('*', node.name)):
+        context.cell.peers.network.cut(source, target)
