--- a/packages/berylspread-standins/src/berylspread_standins/process_soak/fleet.py
+++ b/packages/berylspread-standins/src/berylspread_standins/process_soak/fleet.py
@@ -72,7 +72,7 @@
 class NodeProcess:
     """One program: its ports, its way to the store, and its process."""
 
-    __slots__ = ('folder', 'ip', 'name', 'process', 'proxy')
+    __slots__ = ('folder', 'ip', 'name', 'process', 'proxy', 'restarting')
 
     def __init__(self, index: int, folder: Path, proxy: LoopbackProxy) -> None:
         """Choose an address; nothing runs before ``start``."""
@@ -81,6 +81,8 @@
         self.proxy = proxy
         self.ip = _own_address(index)
         self.process: asyncio.subprocess.Process | None = None
+        #: Faults overlap: only one of them may start the program again.
+        self.restarting = asyncio.Lock()
 
     async def is_ready(self) -> bool:
         """Return whether the program says that it takes new connections."""
@@ -215,9 +217,12 @@
             await server.stop()
 
     async def restart(self, node: NodeProcess) -> None:
-        """Start a program again after its end."""
-        await node.wait()
-        await node.start(self.advice)
+        """Start a program again after its end, unless that has been done."""
+        ended = node.process
+        async with node.restarting:
+            if node.process is ended:
+                await node.wait()
+                await node.start(self.advice)
 
     def restart_worker(self, name: str) -> None:
         """Let a worker lose all and begin another life under its id."""
--- a/packages/berylspread-standins/src/berylspread_standins/process_soak/run.py
+++ b/packages/berylspread-standins/src/berylspread_standins/process_soak/run.py
@@ -4,6 +4,7 @@
 import json
 import random
 import shutil
+import signal
 import sys
 import tempfile
 from pathlib import Path
@@ -142,6 +143,8 @@
 ) -> None:
     """Run seeds one after the other; exit with 1 if a promise was broken."""
     has_failed = False
+    # Ends the programs that a run has started, too.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(1))
     for seed in range(first, first + count):
         report = asyncio.run(
             run_seed(seed, seconds=seconds, nodes=nodes, workers=workers)
