Ask for permissions about fewer workers, and before they are needed

Cause: with 176 workers a batch step asked about a hundred of them in one request, which took 0.9 to 1.2 s (390 ms and 5.5 ms a worker), and asked only once the step before it had ended.

Change: a step asks about the workers with the most room, about as many as its tasks are likely to need by the share of workers that its queue permits, in requests through different nodes at a time; it asks half a second before the step that it waits for is expected to end; of the steps that are held back by a cap only the first of each queue and organisation keeps its tickets fresh. A step that found nobody to ask looks again only after 30 ms, and candidates are found among the tickets instead of among all workers: with a hundred waiting steps both were most of a pass.

--- a/features/coordinator/permissions.feature
+++ b/features/coordinator/permissions.feature
@@ -31,15 +31,79 @@
     Then no node can be asked
 
   Scenario Outline: Which workers a step asks about
-    Given a step with tickets for "w1" until 5 s and "w2" until 3 s
+    Given a step of <tasks> tasks with tickets for "w1" until 5 s and "w2" until 3 s
     And workers "w1", "w2" and "w3" of which "<unknown>" are new
     When the step asks at <moment> s
     Then it asks about "<asked>"
 
     Examples:
-      | unknown | moment | asked |
-      | w3      | 2      | w3    |
-      |         | 2      |       |
-      |         | 4      |       |
-      |         | 6      | w1 w2 |
-      | w3      | 6      | w1 w2 w3 |
+      | tasks | unknown | moment | asked    |
+      | 20    | w3      | 2      | w3       |
+      | 20    |         | 2      |          |
+      | 4     | w3      | 2      |          |
+      | 4     |         | 4      |          |
+      | 8     |         | 4      | w2       |
+      | 8     |         | 6      | w1 w2    |
+      | 20    | w3      | 6      | w1 w2 w3 |
+
+  Scenario: A step asks about as many workers as its tasks are likely to need
+    Given a step of 21 tasks whose requests take 390 ms and 5.5 ms a worker
+    And 176 workers of which each has room for 8 tasks
+    When the step asks at 0 s
+    Then it sends 1 request about 35 workers
+
+  Scenario: What one request cannot bring is asked for through other nodes
+    Given a step of 21 tasks whose requests take 390 ms and 5.5 ms a worker
+    And 176 workers of which each has room for 1 task
+    When the step asks at 0 s
+    Then it sends 2 requests about 70 workers
+
+  Scenario: The workers with the most room are asked about first
+    Given a step of 21 tasks whose requests take 390 ms and 5.5 ms a worker
+    And 176 workers of which each has room for 1 task
+    And worker "w100" has room for 8 tasks
+    When the step asks at 0 s
+    Then "w100" is in the first request
+
+  Scenario: Workers without room are asked about by one request at a time
+    Given a step of 21 tasks whose requests take 390 ms and 5.5 ms a worker
+    And 176 workers of which each has room for 0 tasks
+    When the step asks at 0 s
+    Then it sends 1 request about 35 workers
+
+  Scenario: A gang that needs one rack asks about whole racks
+    Given a gang of 21 tasks for one rack whose requests take 390 ms and 5.5 ms a worker
+    And 176 workers in racks of 8 of which each has room for 8 tasks
+    When the step asks at 0 s
+    Then the first request names 4 racks completely
+
+  Scenario: A worker that is good no more is not asked about again
+    Given a step of 20 tasks with tickets for "w1" until 5 s and "w2" until 3 s
+    And workers "w1", "w2" and "w3" of which "" are new
+    When the step asks at 6 s and only "w1" is still good
+    Then "w2" has no ticket
+
+  Scenario Outline: What a queue permits is learned from unknown workers
+    Given a queue of whose workers <good> of 30 are found to be good <times> times
+    Then a share between <least> and <most> of its workers is expected to be good
+
+    Examples:
+      | good | times | least | most |
+      | 10   | 0     | 0.5   | 0.5  |
+      | 10   | 20    | 0.33  | 0.34 |
+      | 30   | 20    | 0.98  | 1.0  |
+
+  Scenario Outline: A step asks before the one that it waits for has ended
+    Given a job of two steps whose requests take 390 ms and 5.5 ms a worker
+    And the tasks of its first step are <stage> and take 4 s
+    When <passed> s of them have passed
+    Then the second step asks <when>
+
+    Examples:
+      | stage   | passed | when    |
+      | running | 1      | later   |
+      | running | 3      | later   |
+      | running | 3.3    | at once |
+      | running | 4.5    | at once |
+      | ordered | 3.3    | later   |
+      | waiting | 3.3    | later   |
--- a/features/coordinator/steps/permission_steps.py
+++ b/features/coordinator/steps/permission_steps.py
@@ -1,12 +1,28 @@
 """Steps about who asks for permissions, and about which workers."""
 
+import asyncio
+
 from behave import given, then, when
 
-from berylspread.coordinator.fleet import Worker
-from berylspread.coordinator.interface import WorkerEntry
-from berylspread.coordinator.model import AdviceTerms, Job, Queue, Tickets
-from berylspread.coordinator.permits import Askers, workers_to_ask
-from berylspread_standins.coordinated.fleet import CAPACITY, job
+from berylspread.coordinator.decision_log import DecisionLog
+from berylspread.coordinator.fleet import Run, Stage, Worker
+from berylspread.coordinator.interface import Permissions, WorkerEntry
+from berylspread.coordinator.lookahead import upcoming
+from berylspread.coordinator.model import (
+    AdviceTerms,
+    Job,
+    Phase,
+    Queue,
+    StepSpec,
+    Tickets,
+)
+from berylspread.coordinator.permit_choice import (
+    USUAL_SHARE,
+    PermittedShares,
+    workers_to_ask,
+)
+from berylspread.coordinator.permits import Askers, PermitDesk
+from berylspread_standins.coordinated.fleet import CAPACITY, TASK, job
 
 NAMES = ('w1', 'w2', 'w3')
 
@@ -57,30 +73,57 @@
     assert context.askers.pick(0.04, 0.0) is None
 
 
-@given('a step with tickets for "w1" until 5 s and "w2" until 3 s')
-def step_tickets(context):
-    queue = Queue('q', 'desk', advice=AdviceTerms(30.0, 1.0, 2000.0))
-    context.step = Job(job('a', queue=queue)).steps[0, 0]
-    context.step.tickets = Tickets()
+def _worker(name, rack='', room=8):
+    worker = Worker(
+        WorkerEntry(
+            worker=name,
+            service='desk',
+            address=name,
+            zone='z',
+            is_ready=True,
+            capacity=CAPACITY,
+            rack=rack,
+        )
+    )
+    worker.free = TASK * room
+    return worker
+
+
+def _step(count, terms, **fields):
+    queue = Queue('q', 'desk', advice=terms)
+    spec = StepSpec(count, TASK, estimate_ms=1000, **fields)
+    step = Job(job('a', spec, queue=queue)).steps[0, 0]
+    step.tickets = Tickets()
+    return step
+
+
+def _by_name(context):
+    return {worker.name: worker for worker in context.workers}
+
+
+def _ask(context, moment):
+    context.requests = []
+    tickets = context.step.tickets
+    for names in workers_to_ask(
+        context.step, _by_name(context), moment, USUAL_SHARE
+    ):
+        tickets.begin(names)
+        context.requests.append(names)
+
+
+@given(
+    'a step of {tasks:d} tasks with tickets for "w1" until 5 s and "w2" until '
+    '3 s'
+)
+def step_tickets(context, tasks):
+    context.step = _step(tasks, AdviceTerms(30.0, 1.0, 2000.0))
     context.step.tickets.by_worker = {'w1': ('t', 5.0), 'w2': ('t', 3.0)}
 
 
 @given('workers "w1", "w2" and "w3" of which "{unknown}" are new')
 def step_workers(context, unknown):
     context.step.tickets.asked = set(NAMES) - set(unknown.split())
-    context.workers = [
-        Worker(
-            WorkerEntry(
-                worker=name,
-                service='desk',
-                address=name,
-                zone='z',
-                is_ready=True,
-                capacity=CAPACITY,
-            )
-        )
-        for name in NAMES
-    ]
+    context.workers = [_worker(name) for name in NAMES]
 
 
 @given('workers "w1", "w2" and "w3" of which "" are new')
@@ -88,16 +131,166 @@
     step_workers(context, '')
 
 
+@given(
+    'a step of {tasks:d} tasks whose requests take {base:g} ms and {each:g} ms '
+    'a worker'
+)
+def step_terms(context, tasks, base, each):
+    context.step = _step(tasks, AdviceTerms(base, each, 2000.0))
+
+
+@given(
+    'a gang of {tasks:d} tasks for one rack whose requests take {base:g} ms '
+    'and {each:g} ms a worker'
+)
+def step_gang(context, tasks, base, each):
+    terms = AdviceTerms(base, each, 2000.0)
+    context.step = _step(tasks, terms, gang=True, same_rack=True)
+
+
+@given('{count:d} workers of which each has room for {room:d} task')
+@given('{count:d} workers of which each has room for {room:d} tasks')
+def step_fleet(context, count, room):
+    context.workers = [
+        _worker(f'w{number}', room=room) for number in range(count)
+    ]
+
+
+@given(
+    '{count:d} workers in racks of {size:d} of which each has room for '
+    '{room:d} tasks'
+)
+def step_racks(context, count, size, room):
+    context.workers = [
+        _worker(f'w{number}', f'r{number % (count // size)}', room)
+        for number in range(count)
+    ]
+
+
+@given('worker "{name}" has room for {room:d} tasks')
+def step_room(context, name, room):
+    for worker in context.workers:
+        if worker.name == name:
+            worker.free = TASK * room
+
+
 @when('the step asks at {moment:g} s')
 def step_ask(context, moment):
-    context.asked = workers_to_ask(context.step, context.workers, moment)
+    _ask(context, moment)
+
+
+@when('the step asks at {moment:g} s and only "{good}" is still good')
+def step_ask_again(context, moment, good):
+    async def ask_through(node, step, workers, timeout_s):
+        return Permissions({good: 'u'}, 2.0)
+
+    async def consider():
+        desk = PermitDesk(
+            ask_through, list, DecisionLog('n', lambda line: None)
+        )
+        desk.askers.add('a', moment)
+        desk.consider(context.step, _by_name(context), moment)
+        await asyncio.gather(*desk.tasks)
+
+    context.run(consider())
+
+
+@then('"{name}" has no ticket')
+def step_no_ticket(context, name):
+    held = context.step.tickets.by_worker
+    assert set(held) == set(NAMES) - {name, 'w3'}, held
 
 
 @then('it asks about "{asked}"')
 def step_asked(context, asked):
-    assert context.asked == asked.split(), context.asked
+    names = [name for request in context.requests for name in request]
+    assert names == asked.split(), names
 
 
 @then('it asks about ""')
 def step_asked_none(context):
-    assert not context.asked, context.asked
+    assert not context.requests, context.requests
+
+
+@then('it sends {count:d} request about {workers:d} workers')
+@then('it sends {count:d} requests about {workers:d} workers')
+def step_sends(context, count, workers):
+    assert len(context.requests) == count, context.requests
+    names = {name for request in context.requests for name in request}
+    assert len(names) == workers, len(names)
+
+
+@then('"{name}" is in the first request')
+def step_first(context, name):
+    assert name in context.requests[0], context.requests
+
+
+@then('the first request names {count:d} racks completely')
+def step_whole_racks(context, count):
+    named = set(context.requests[0])
+    racks = {}
+    for worker in context.workers:
+        racks.setdefault(worker.entry.rack, set()).add(worker.name)
+    whole = [rack for rack, names in racks.items() if names <= named]
+    assert len(whole) == count, whole
+
+
+@given(
+    'a queue of whose workers {good:d} of {asked:d} are found to be good '
+    '{times:d} times'
+)
+def step_learn(context, good, asked, times):
+    context.shares = PermittedShares()
+    for _ in range(times):
+        context.shares.learn('q', asked, good)
+
+
+@then(
+    'a share between {least:g} and {most:g} of its workers is expected to be '
+    'good'
+)
+def step_share(context, least, most):
+    assert least <= context.shares.of('q') <= most, context.shares.of('q')
+
+
+@given(
+    'a job of two steps whose requests take {base:g} ms and {each:g} ms a '
+    'worker'
+)
+def step_two_steps(context, base, each):
+    queue = Queue('q', 'desk', advice=AdviceTerms(base, each, 2000.0))
+    first = StepSpec(2, TASK, estimate_ms=4000)
+    second = StepSpec(2, TASK, estimate_ms=4000, after=(0,))
+    context.job = Job(job('a', first, second, queue=queue))
+    context.found = {}
+
+
+@given('the tasks of its first step are {stage} and take {seconds:g} s')
+def step_first_runs(context, stage, seconds):
+    context.expected_s = seconds
+    if stage == 'waiting':
+        return
+    step = context.job.steps[0, 0]
+    for task in step.tasks:
+        step.waiting.remove(task)
+        task.phase = Phase.placed
+        worker = _worker('w1')
+        context.found[task.name] = Run(task, worker, Stage(stage), 0.0)
+
+
+@when('{seconds:g} s of them have passed')
+def step_passed(context, seconds):
+    context.soon = list(
+        upcoming(
+            context.job,
+            lambda task: context.found.get(task.name),
+            lambda run: context.expected_s,
+            seconds,
+        )
+    )
+
+
+@then('the second step asks {when}')
+def step_asks_when(context, when):
+    expected = [context.job.steps[0, 1]] if when == 'at once' else []
+    assert context.soon == expected, context.soon
--- a/features/coordinator/steps/placing_steps.py
+++ b/features/coordinator/steps/placing_steps.py
@@ -43,7 +43,9 @@
 
 def _place(context, spec):
     step = _step(spec)
-    choices = candidates(step, context.workers, 1.0)
+    choices = candidates(
+        step, {worker.name: worker for worker in context.workers}, 1.0
+    )
     context.placed = StepPlan(step, choices).place(spec.count)
 
 
--- a/packages/berylspread/src/berylspread/coordinator/dispatcher.py
+++ b/packages/berylspread/src/berylspread/coordinator/dispatcher.py
@@ -4,9 +4,20 @@
 import functools
 from typing import TYPE_CHECKING, Final, final
 
-from berylspread.coordinator.fleet import Run, Stage, Worker
+from berylspread.coordinator.fleet import (
+    Run,
+    Stage,
+    Worker,
+    find_run,
+)
 from berylspread.coordinator.interface import NO_TICKET
-from berylspread.coordinator.model import Phase, Step
+from berylspread.coordinator.lookahead import upcoming
+from berylspread.coordinator.model import (
+    MOST_URGENT,
+    JobStatus,
+    Phase,
+    Step,
+)
 from berylspread.coordinator.planner import (
     Placement,
     StepPlan,
@@ -33,6 +44,8 @@
 SWEEP_S: Final = 0.2
 #: Steps of which a sweep tells what they wait for.
 WAITING_TOLD: Final = 5
+#: A step for which nothing could be preempted looks again after this time.
+LOOK_AGAIN_S: Final = 0.1
 #: Orders are sent only within this time of the last proof of authority.
 ORDER_GRACE_S: Final = 2.0
 #: How long the outcome of a job is kept for callers; past the platform's bound.
@@ -75,8 +88,23 @@
         for job_id in coordinator.table.forget_ended(wall_ms - KEEP_ENDED_MS):
             coordinator.committer.drop(job_key(job_id))
         coordinator.forget_workers()
+        self._look_ahead()
         self._tell_waiting()
 
+    def _look_ahead(self) -> None:
+        """Ask for the permissions of steps that will soon begin."""
+        coordinator = self.coordinator
+        if not coordinator.is_loaded:
+            return
+        moment = now()
+        workers = coordinator.workers
+        run_of = functools.partial(find_run, workers)
+        for job in coordinator.table.jobs.values():
+            if job.status is not JobStatus.running or len(job.spec.steps) == 1:
+                continue
+            for step in upcoming(job, run_of, coordinator.expected_s, moment):
+                coordinator.permits.consider(step, workers, moment)
+
     def _tell_waiting(self) -> None:
         """Log what the most urgent steps wait for."""
         coordinator = self.coordinator
@@ -104,25 +132,46 @@
         if not is_informed or not coordinator.has_authority(ORDER_GRACE_S):
             return
         moment = now()
-        workers = list(coordinator.workers.values())
+        workers = coordinator.workers
         ready = coordinator.table.ready
         by_urgency = functools.partial(urgency, wall_ms=coordinator.wall_ms())
+        first: dict[tuple[str, str], Step] = {}
         for step in sorted(ready.values(), key=by_urgency):
             if step.waiting:
-                self._place(step, workers, moment)
+                spec = step.job.spec
+                first.setdefault((spec.queue.name, spec.tenant), step)
+                is_first = first[spec.queue.name, spec.tenant] is step
+                self._place(step, workers, moment, is_first=is_first)
             else:
                 ready.pop(step.name)
 
-    def _place(self, step: Step, workers: list[Worker], moment: float) -> None:
-        """Place what can be placed of a step, or make room for it."""
+    def _place(
+        self,
+        step: Step,
+        workers: dict[str, Worker],
+        moment: float,
+        *,
+        is_first: bool,
+    ) -> None:
+        """Place what can be placed of a step, or make room for it.
+
+        ``is_first`` tells that it is the most urgent one of its queue and
+        organisation.
+        """
         coordinator = self.coordinator
-        coordinator.permits.consider(step, workers, moment)
-        choices = candidates(step, workers, moment)
-        limit = coordinator.usage.room(step) if choices else 0
+        limit = coordinator.usage.room(step)
+        if is_first or limit or step.priority == MOST_URGENT:
+            coordinator.permits.consider(
+                step, workers, moment, is_first=is_first
+            )
+        may_preempt = moment >= step.preempt_after
+        choices = (
+            candidates(step, workers, moment) if limit or may_preempt else []
+        )
         step.blocked_by = _obstacle(limit, choices)
-        if limit:
+        if limit and choices:
             self._book(step, StepPlan(step, choices).place(limit))
-        if choices and step.waiting and moment >= step.preempt_after:
+        if choices and step.waiting and may_preempt:
             self._preempt(step, choices, moment)
 
     def _preempt(
@@ -141,6 +190,7 @@
                 step, wanted, (worker for worker, _ in choices), moment
             )
         if not victims:
+            step.preempt_after = moment + LOOK_AGAIN_S
             return
         step.preempt_after = moment + PAUSE_S
         coordinator.log.write(
@@ -220,9 +270,9 @@
 
 
 def _obstacle(limit: int, choices: list[tuple[Worker, str]]) -> str:
-    if not choices:
-        return 'permission or worker'
-    return 'room' if limit else 'quota'
+    if not limit:
+        return 'quota'
+    return 'room' if choices else 'permission or worker'
 
 
 def _share_start(runs: list[Run]) -> None:
--- a/packages/berylspread/src/berylspread/coordinator/fleet.py
+++ b/packages/berylspread/src/berylspread/coordinator/fleet.py
@@ -198,3 +198,9 @@
         if self.clock.at is None:
             return moment >= self.lost_after
         return self.clock.at_least(moment) > self.lease_until_ms
+
+
+def find_run(workers: dict[str, Worker], task: Task) -> Run | None:
+    """Return the run of a task that has been placed."""
+    worker = workers.get(task.worker)
+    return None if worker is None else worker.runs.get(task.name)
--- /dev/null
+++ b/packages/berylspread/src/berylspread/coordinator/lookahead.py
@@ -0,0 +1,65 @@
+"""Which steps will soon begin, and need their permissions by then.
+
+Load pattern: jobs of several batch steps, where asking for permissions takes
+half a second for each.  A step that asks while the tasks before it still run
+begins as soon as they have ended.
+"""
+
+import math
+from collections.abc import Callable, Iterator
+from typing import Final
+
+from berylspread.coordinator.durations import permission_ms
+from berylspread.coordinator.fleet import Run, Stage
+from berylspread.coordinator.model import Job, Phase, Step, Task
+
+#: A request is sent so much sooner than it must: steps are looked at five times
+#: a second, and answers come late by the way to another node.
+LEAD_S: Final = 0.25
+MS: Final = 1000
+
+#: Finds the run of a task that has been placed.
+FindRun = Callable[[Task], Run | None]
+ExpectedS = Callable[[Run], float]
+
+
+def upcoming(
+    job: Job, find_run: FindRun, expected_s: ExpectedS, moment: float
+) -> Iterator[Step]:
+    """Yield the steps of a running job that should ask for permissions now."""
+    horizon_s = permission_ms(job.spec.queue) / MS + LEAD_S
+    for step in job.steps.values():
+        before = [
+            job.steps[step.occurrence, number] for number in step.spec.after
+        ]
+        if not before or len(step.waiting) < step.spec.count:
+            continue
+        begins_in_s = max(
+            _remaining_s(each, find_run, expected_s, moment) for each in before
+        )
+        if begins_in_s <= horizon_s:
+            yield step
+
+
+def _remaining_s(
+    step: Step, find_run: FindRun, expected_s: ExpectedS, moment: float
+) -> float:
+    """Return how long a step is expected to take from now on."""
+    if step.waiting:
+        return math.inf
+    return max(
+        (
+            _run_remaining_s(find_run(task), expected_s, moment)
+            for task in step.tasks
+            if task.phase is Phase.placed
+        ),
+        default=0.0,
+    )
+
+
+def _run_remaining_s(
+    run: Run | None, expected_s: ExpectedS, moment: float
+) -> float:
+    if run is None or run.stopping or run.stage is not Stage.running:
+        return math.inf
+    return max(expected_s(run) - (moment - run.since), 0.0)
--- a/packages/berylspread/src/berylspread/coordinator/model.py
+++ b/packages/berylspread/src/berylspread/coordinator/model.py
@@ -10,7 +10,6 @@
 from berylspread.kernel.errors import Failure
 from berylspread.model import Resources
 
-MS_PER_S: Final = 1000
 #: The priority of queues that go before all others.
 MOST_URGENT: Final = 0
 
@@ -224,16 +223,30 @@
 class Tickets:
     """Which workers may run a step, and until when each ticket holds."""
 
-    __slots__ = ('asked', 'asking', 'by_worker', 'forbidden', 'retry_at')
+    __slots__ = ('asked', 'asking', 'by_worker', 'look_at', 'requests')
 
     def __init__(self) -> None:
         """Know nothing yet."""
         #: Ticket and the loop's time at which it expires, by worker.
         self.by_worker: dict[str, tuple[str, float]] = {}
-        self.forbidden: set[str] = set()
         self.asked: set[str] = set()
-        self.asking = 0
-        self.retry_at = 0.0
+        #: Workers that a request under way is about.
+        self.asking: set[str] = set()
+        #: How many requests are under way.
+        self.requests = 0
+        #: The loop's time before which no request is considered.
+        self.look_at = 0.0
+
+    def begin(self, workers: list[str]) -> None:
+        """Note a request that is sent."""
+        self.requests += 1
+        self.asking.update(workers)
+
+    def end(self, workers: list[str]) -> None:
+        """Note that a request is over."""
+        self.requests -= 1
+        self.asking.difference_update(workers)
+        self.look_at = 0.0
 
 
 @final
--- /dev/null
+++ b/packages/berylspread/src/berylspread/coordinator/permit_choice.py
@@ -0,0 +1,199 @@
+"""About which workers a step asks for permission.
+
+Load pattern: wide batch steps on a fleet of a few hundred workers, of which the
+policy permits a third.  A request takes longer with every worker that it names,
+so a step asks about those with the most room first, and only about so many as
+its tasks are likely to need; requests about different workers go through
+different nodes at a time.  Which workers are good for a step does not change: a
+step whose tickets have expired asks about the good ones first.
+"""
+
+from collections.abc import Iterable, Iterator, Mapping
+from typing import Final, final
+
+from berylspread.coordinator.fleet import Worker
+from berylspread.coordinator.model import AdviceTerms, Step, Tickets
+from berylspread.coordinator.planner import TICKET_MARGIN_S, dislike
+
+#: The service names at most this many workers in a request.
+MOST_WORKERS: Final = 100
+#: A request names at least this many workers, if there are: some of them will
+#: have lost their room to other steps by the time of the answer.
+LEAST_WORKERS: Final = 10
+#: A request names so many workers that they take half as long as the request
+#: itself: fewer would cost more requests, more would delay the answer.
+NAMES_SHARE: Final = 0.5
+#: Places to ask for, for each task: other steps take some meanwhile.
+SPARE: Final = 1.5
+#: Share of permitted workers that is expected of a queue not asked for yet.
+USUAL_SHARE: Final = 0.5
+#: Weight of the newest answer in a queue's share.
+SHARE_WEIGHT: Final = 0.2
+#: After a look at all workers a step looks again only after this time, or after
+#: an answer: with a hundred steps that wait for room, looks are most of a pass.
+LOOK_EVERY_S: Final = 0.03
+#: Requests of one step under way at a time.
+MOST_REQUESTS: Final = 3
+#: The same for workers without room, which may be of use only seconds later.
+MOST_WITHOUT_ROOM: Final = 1
+
+
+@final
+class PermittedShares:
+    """Which share of the workers queues have been found to permit."""
+
+    __slots__ = ('by_queue',)
+
+    def __init__(self) -> None:
+        """Know no queue yet."""
+        self.by_queue: dict[str, float] = {}
+
+    def learn(self, queue: str, asked: int, good: int) -> None:
+        """Take in an answer about ``asked`` workers."""
+        share = self.of(queue)
+        self.by_queue[queue] = share + SHARE_WEIGHT * (good / asked - share)
+
+    def of(self, queue: str) -> float:
+        """Return the share of workers that a queue's steps may use."""
+        return self.by_queue.get(queue, USUAL_SHARE)
+
+
+def names_per_request(terms: AdviceTerms) -> int:
+    """Return about how many workers a request of a queue had better ask."""
+    if not terms.each_ms:
+        return MOST_WORKERS
+    names = int(NAMES_SHARE * terms.base_ms / terms.each_ms)
+    return min(max(names, LEAST_WORKERS), MOST_WORKERS)
+
+
+def workers_to_ask(
+    step: Step,
+    workers: Mapping[str, Worker],
+    moment: float,
+    share: float,
+    *,
+    is_first: bool = False,
+) -> Iterator[list[str]]:
+    """Yield the requests that a step should send now: names of workers.
+
+    ``share`` is the part of unknown workers that is expected to be permitted.
+    A step that ``is_first`` to get room or quota renews its tickets before
+    there is any, so that it starts as soon as there is.  A request is expected
+    to be sent, and its workers noted in ``step.tickets.asking``, before the
+    next is drawn.
+    """
+    tickets, terms = step.tickets, step.job.spec.queue.advice
+    if tickets is None or terms is None or moment < tickets.look_at:
+        return
+    needed = SPARE * len(step.waiting)
+    if (
+        tickets.requests >= MOST_REQUESTS
+        or _places(step, tickets, workers, moment, share) >= needed
+    ):
+        return
+    tickets.look_at = moment + LOOK_EVERY_S
+    wanted = _by_preference(
+        step, _askable(step, tickets, workers, moment, is_first=is_first)
+    )
+    size = names_per_request(terms)
+    while wanted and _places(step, tickets, workers, moment, share) < needed:
+        names, wanted = wanted[:size], wanted[size:]
+        has_room = any(room_for(step, workers[name]) for name in names)
+        most = MOST_REQUESTS if has_room else MOST_WITHOUT_ROOM
+        if tickets.requests >= most:
+            return
+        yield names
+
+
+def _askable(
+    step: Step,
+    tickets: Tickets,
+    workers: Mapping[str, Worker],
+    moment: float,
+    *,
+    is_first: bool,
+) -> list[Worker]:
+    """Return the workers whose tickets a step lacks and could use."""
+    renewable = {
+        name
+        for name, (_, until) in tickets.by_worker.items()
+        if until <= moment + TICKET_MARGIN_S
+        and name in workers
+        and (is_first or room_for(step, workers[name]))
+    }
+    done = tickets.asked | tickets.asking
+    return [
+        worker
+        for name, worker in workers.items()
+        if (name not in done or name in renewable - tickets.asking)
+        and _is_eligible(step, worker)
+    ]
+
+
+def _is_eligible(step: Step, worker: Worker) -> bool:
+    entry = worker.entry
+    return (
+        worker.present
+        and entry.is_ready
+        and entry.service == step.job.spec.queue.service
+        and (not step.spec.label or step.spec.label in entry.labels)
+    )
+
+
+def _by_preference(step: Step, workers: list[Worker]) -> list[str]:
+    """Return who is asked about first: known to be good, then most room."""
+    tickets = step.tickets
+    known = {} if tickets is None else tickets.by_worker
+    racks: dict[str, int] = {}
+    if step.spec.gang and step.spec.same_rack:
+        # The members need one rack, so racks are asked about as a whole.
+        for worker in workers:
+            rack = worker.entry.rack
+            racks[rack] = racks.get(rack, 0) + room_for(step, worker)
+    workers.sort(
+        key=lambda worker: (
+            worker.name not in known,
+            *dislike(step.spec, worker),
+            -racks.get(worker.entry.rack, 0),
+            worker.entry.rack if racks else '',
+            -room_for(step, worker),
+            worker.name,
+        )
+    )
+    return [worker.name for worker in workers]
+
+
+def _places(
+    step: Step,
+    tickets: Tickets,
+    workers: Mapping[str, Worker],
+    moment: float,
+    share: float,
+) -> float:
+    """Return how many tasks find a place by what is held and asked for."""
+    good = tickets.by_worker
+    held = {
+        name
+        for name, (_, until) in good.items()
+        if until > moment + TICKET_MARGIN_S
+    }
+    sure = held | (tickets.asking & good.keys())
+    unsure = tickets.asking - good.keys()
+    return _room(step, workers, sure) + share * _room(step, workers, unsure)
+
+
+def _room(
+    step: Step, workers: Mapping[str, Worker], names: Iterable[str]
+) -> int:
+    return sum(
+        room_for(step, workers[name])
+        for name in names
+        if name in workers and _is_eligible(step, workers[name])
+    )
+
+
+def room_for(step: Step, worker: Worker) -> int:
+    """Return how many tasks of a step a worker has room for now."""
+    spec = step.spec
+    fitting = spec.reserved().times_in(worker.free)
+    return min(fitting, spec.per_worker or fitting)
--- a/packages/berylspread/src/berylspread/coordinator/permits.py
+++ b/packages/berylspread/src/berylspread/coordinator/permits.py
@@ -3,19 +3,21 @@
 Load pattern: batch steps whose requests take most of a second each, beside
 urgent steps whose requests take a few hundredths.  The service answers each
 asking node's requests in turn, so long requests are kept to a part of the nodes
-and the others stay free for short ones.  Which workers are good for a step does
-not change: a step whose tickets have expired asks about the good ones only.
+and the others stay free for short ones.
 """
 
 import asyncio
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Mapping
 from typing import Final, final
 
 from berylspread.coordinator.decision_log import DecisionLog
 from berylspread.coordinator.fleet import Worker
 from berylspread.coordinator.interface import AdviceBusy, Permissions
 from berylspread.coordinator.model import AdviceTerms, Step, Tickets
-from berylspread.coordinator.planner import TICKET_MARGIN_S
+from berylspread.coordinator.permit_choice import (
+    PermittedShares,
+    workers_to_ask,
+)
 from berylspread.kernel.clock import now
 from berylspread.kernel.errors import Failure
 
@@ -25,8 +27,6 @@
 SHORT_ONLY_EVERY: Final = 3
 #: A request is sent to a node only if those before it are done by then.
 MOST_QUEUED_S: Final = 0.1
-#: The service names at most this many workers in a request.
-MOST_WORKERS: Final = 100
 #: A request is given up and sent through another node this long after its
 #: expected end, and by a part of what the service takes for it.
 PATIENCE_S: Final = 0.25
@@ -68,11 +68,6 @@
         self.busy_until.setdefault(node, 0.0)
         self.heard_at[node] = heard_at
 
-    def remove(self, node: str) -> None:
-        """Use a node no more."""
-        self.busy_until.pop(node, None)
-        self.heard_at.pop(node, None)
-
     def pick(self, cost_s: float, moment: float) -> tuple[str, float] | None:
         """Choose the node that answers first; return when, too.
 
@@ -116,38 +111,6 @@
         self.busy_until[node] = moment + PENALTY_S
 
 
-def workers_to_ask(
-    step: Step, workers: list[Worker], moment: float
-) -> list[str]:
-    """Return which workers a step should ask about now, if any."""
-    tickets = step.tickets
-    if tickets is None or tickets.asking or moment < tickets.retry_at:
-        return []
-    eligible = {
-        worker.name: worker
-        for worker in workers
-        if worker.entry.service == step.job.spec.queue.service
-        and worker.present
-        and worker.entry.is_ready
-        and (not step.spec.label or step.spec.label in worker.entry.labels)
-    }
-    expired = [
-        name
-        for name, (_, until) in tickets.by_worker.items()
-        if until <= moment + TICKET_MARGIN_S
-        and name in eligible
-        and step.spec.reserved().fits(eligible[name].free)
-    ]
-    unknown = sorted(eligible.keys() - tickets.asked)
-    if any(
-        until > moment + TICKET_MARGIN_S
-        for _, until in tickets.by_worker.values()
-    ):
-        # Some tickets hold; a worker that came later is asked about alone.
-        return unknown[:MOST_WORKERS]
-    return [*expired, *unknown][:MOST_WORKERS]
-
-
 def cost_s(terms: AdviceTerms, workers: int) -> float:
     """Return how long the service takes for a request."""
     return (terms.base_ms + terms.each_ms * workers) / MS
@@ -157,7 +120,7 @@
 class PermitDesk:
     """Carries out the requests and keeps the tickets with their steps."""
 
-    __slots__ = ('ask_through', 'askers', 'log', 'tasks', 'wake')
+    __slots__ = ('ask_through', 'askers', 'log', 'shares', 'tasks', 'wake')
 
     def __init__(
         self,
@@ -170,29 +133,39 @@
         self.wake = wake
         self.log = log
         self.askers = Askers()
+        self.shares = PermittedShares()
         self.tasks: set[asyncio.Task[None]] = set()
 
     def consider(
-        self, step: Step, workers: list[Worker], moment: float
+        self,
+        step: Step,
+        workers: Mapping[str, Worker],
+        moment: float,
+        *,
+        is_first: bool = False,
     ) -> None:
-        """Ask for a step's permissions if it needs some."""
+        """Ask for a step's permissions if it needs some.
+
+        ``is_first`` tells that it gets the next room or quota of its kind.
+        """
         terms = step.job.spec.queue.advice
         if terms is None or not self.askers.busy_until:
             return
         if step.tickets is None:
             step.tickets = Tickets()
-        wanted = workers_to_ask(step, workers, moment)
-        if not wanted:
-            return
-        picked = self.askers.pick(cost_s(terms, len(wanted)), moment)
-        if picked is None:
-            return
-        step.tickets.asking += 1
-        task = asyncio.create_task(
-            self._ask(step, step.tickets, wanted, *picked)
-        )
-        self.tasks.add(task)
-        task.add_done_callback(self.tasks.discard)
+        share = self.shares.of(step.job.spec.queue.name)
+        for wanted in workers_to_ask(
+            step, workers, moment, share, is_first=is_first
+        ):
+            picked = self.askers.pick(cost_s(terms, len(wanted)), moment)
+            if picked is None:
+                return
+            step.tickets.begin(wanted)
+            task = asyncio.create_task(
+                self._ask(step, step.tickets, wanted, *picked)
+            )
+            self.tasks.add(task)
+            task.add_done_callback(self.tasks.discard)
 
     def close(self) -> None:
         """Give up the requests under way."""
@@ -211,14 +184,14 @@
         expected_s = done_at - asked_at
         limit_s = expected_s * (1 + PATIENCE_SHARE) + PATIENCE_S
         reply = await self.ask_through(node, step.name, wanted, limit_s)
-        tickets.asking -= 1
+        tickets.end(wanted)
         if isinstance(reply, AdviceBusy):
-            tickets.retry_at = now() + RETRY_S
+            tickets.look_at = now() + RETRY_S
         elif isinstance(reply, Failure):
             self.askers.give_up(node, now())
         else:
             self.askers.learn(node, now() - done_at)
-            self._take(tickets, wanted, reply)
+            self._take(step, tickets, wanted, reply)
         self.log.write(
             'advice',
             step=step.name,
@@ -232,9 +205,19 @@
         self.wake()
 
     def _take(
-        self, tickets: Tickets, wanted: list[str], reply: Permissions
+        self,
+        step: Step,
+        tickets: Tickets,
+        wanted: list[str],
+        reply: Permissions,
     ) -> None:
         until = now() + reply.valid_s - TRANSIT_S
+        unknown = [name for name in wanted if name not in tickets.asked]
         tickets.asked.update(wanted)
+        for worker in wanted:
+            tickets.by_worker.pop(worker, None)
         for worker, ticket in reply.tickets.items():
             tickets.by_worker[worker] = (ticket, until)
+        if unknown:
+            good = sum(name in reply.tickets for name in unknown)
+            self.shares.learn(step.job.spec.queue.name, len(unknown), good)
--- a/packages/berylspread/src/berylspread/coordinator/planner.py
+++ b/packages/berylspread/src/berylspread/coordinator/planner.py
@@ -6,12 +6,12 @@
 """
 
 import collections
-from collections.abc import Iterable
+from collections.abc import Mapping
 from typing import Final, final
 
 from berylspread.coordinator.fleet import Worker
 from berylspread.coordinator.interface import Policies
-from berylspread.coordinator.model import Phase, Step, Task
+from berylspread.coordinator.model import Phase, Step, StepSpec, Task
 from berylspread.model import ZERO, Resources
 
 #: Workers whose recent runs failed more often than this are the last choice.
@@ -76,31 +76,36 @@
 
 
 def candidates(
-    step: Step, workers: Iterable[Worker], moment: float
+    step: Step, workers: Mapping[str, Worker], moment: float
 ) -> list[tuple[Worker, str]]:
     """Return the workers that may run a step, each with the ticket if any."""
-    spec = step.spec
-    service = step.job.spec.queue.service
-    found = [
-        worker
-        for worker in workers
-        if worker.entry.service == service
-        and worker.accepts_runs(moment)
-        and (not spec.label or spec.label in worker.entry.labels)
-    ]
     if step.job.spec.queue.advice is None:
-        return [(worker, '') for worker in found]
+        return [
+            (worker, '')
+            for worker in workers.values()
+            if _may_run(step, worker, moment)
+        ]
     if step.tickets is None:
         return []
-    held = step.tickets.by_worker
     limit = moment + TICKET_MARGIN_S
     return [
-        (worker, held[worker.name][0])
-        for worker in found
-        if worker.name in held and held[worker.name][1] > limit
+        (workers[name], ticket)
+        for name, (ticket, until) in step.tickets.by_worker.items()
+        if until > limit
+        and name in workers
+        and _may_run(step, workers[name], moment)
     ]
 
 
+def _may_run(step: Step, worker: Worker, moment: float) -> bool:
+    entry, label = worker.entry, step.spec.label
+    return (
+        entry.service == step.job.spec.queue.service
+        and worker.accepts_runs(moment)
+        and (not label or label in entry.labels)
+    )
+
+
 @final
 class StepPlan:
     """Places the waiting tasks of one step."""
@@ -171,19 +176,23 @@
         return Placement(task, worker, ticket)
 
     def _cost(self, task: Task, worker: Worker) -> tuple[float, ...]:
-        spec = self.step.spec
-        conflict = 0
-        if spec.fills:
-            conflict = worker.serving
-        elif spec.latency_target_ms:
-            conflict = sum(
-                run.task.step.spec.fills for run in worker.runs.values()
-            )
         used = worker.entry.capacity - self.free[worker.name]
         return (
             worker.name in task.avoid,
-            worker.trouble > TROUBLE_LIMIT,
-            bool(spec.data_rack) and spec.data_rack != worker.entry.rack,
-            conflict,
+            *dislike(self.step.spec, worker),
             used.dominant_share(worker.entry.capacity),
         )
+
+
+def dislike(spec: StepSpec, worker: Worker) -> tuple[float, ...]:
+    """Return what speaks against a worker for a step, the weightiest first."""
+    conflict = 0
+    if spec.fills:
+        conflict = worker.serving
+    elif spec.latency_target_ms:
+        conflict = sum(run.task.step.spec.fills for run in worker.runs.values())
+    return (
+        worker.trouble > TROUBLE_LIMIT,
+        bool(spec.data_rack) and spec.data_rack != worker.entry.rack,
+        conflict,
+    )
