Move work away from workers that stall, crawl or fail

Cause: a few workers in a hundred say for five to seven seconds that they are well and fail, stop or slow down all that they run. A job of ten tasks meets one of them every other time. Failures were counted for ever and made a worker the last choice; progress was not looked at, so a run that stood still was waited for until the worker was well again.

Change: a run whose reported progress falls behind what tasks of its image have taken (a third of what is due, or none for 0.75 s) marks its worker as sick for 2 s, longer when that comes again, and moves if it would end sooner elsewhere. A failure counts the less against a worker the more workers have failed tasks of the same step, and is forgotten with time. At most a quarter of the workers counts as sick.

The stand-in's worker now reports progress; the new scenarios failed before: the moved job took as long as the worker stood still.

--- /dev/null
+++ b/features/coordinator/soundness.feature
@@ -0,0 +1,107 @@
+Feature: Workers that are sick and say that they are well
+
+  Scenario Outline: What a report says of a run
+    Given a run of an image whose tasks take <takes> s
+    When reports give its progress as "<reports>"
+    Then it <is> found to crawl
+
+    Examples: the times in seconds, and the percentage then
+      | takes | reports                    | is     |
+      | 1     | 0.5:50 0.9:90              | is not |
+      | 1     | 0.8:0                      | is     |
+      | 1     | 0.4:0                      | is not |
+      | 1     | 0.6:0                      | is     |
+      | 1     | 0.5:10 0.8:16              | is     |
+      | 1     | 0.5:20 0.8:35              | is not |
+      | 8     | 0.5:5 1.0:10 1.9:10        | is     |
+      | 8     | 0.5:5 1.0:10 1.4:10        | is not |
+      | 40    | 0.5:1 1.5:1                | is not |
+
+  Scenario Outline: A run that goes on from its checkpoint is measured from there
+    Given a run of an image whose tasks take 4 s that goes on from a checkpoint
+    When reports give its progress as "<reports>"
+    Then it <is> found to crawl
+
+    Examples:
+      | reports             | is     |
+      | 0.3:60 0.9:75       | is not |
+      | 0.3:60 0.9:60 1.2:60 | is    |
+
+  Scenario: Nothing is known of an image at first
+    Given a run of an image of which no task has ended
+    When reports give its progress as "0.5:5 0.9:8 1.4:11"
+    Then it is not found to crawl
+
+  Scenario Outline: Runs whose progress says nothing about the worker
+    Given a <kind> run of an image whose tasks take 1 s
+    When reports give its progress as "0.8:0 1.6:0"
+    Then it is not found to crawl
+
+    Examples:
+      | kind    |
+      | gang    |
+      | filling |
+      | lasting |
+
+  Scenario Outline: A run moves only if it ends sooner elsewhere
+    Given a <kind> run of an image whose tasks take <takes> s
+    When reports give its progress as "<reports>"
+    Then it <is> worth moving
+
+    Examples:
+      | kind   | takes | reports       | is     |
+      | plain  | 1     | 0.8:0         | is     |
+      | plain  | 1     | 0.8:16 2:40   | is     |
+      | plain  | 1     | 0.8:16 3.8:80 | is not |
+      | saving | 8     | 2:5 6:15      | is     |
+
+  Scenario Outline: Who is to blame for failures
+    Given a worker at which <failures> tasks in a row have failed
+    And tasks of the same step have failed at <places> workers
+    Then the worker <is> sick
+
+    Examples:
+      | failures | places | is     |
+      | 1        | 1      | is not |
+      | 2        | 1      | is     |
+      | 3        | 4      | is not |
+
+  Scenario: Blame is forgotten
+    Given a worker at which 1 tasks in a row have failed
+    And tasks of the same step have failed at 1 workers
+    When another task fails there 6 s later
+    Then the worker is not sick
+
+  Scenario: A success speaks for a worker
+    Given a worker at which 1 tasks in a row have failed
+    And tasks of the same step have failed at 1 workers
+    When a task succeeds there and another fails
+    Then the worker is not sick
+
+  Scenario: A worker that is still sick is left alone for longer
+    Given a worker that was found to be sick at 0 s, 2.5 s, 7 s and 14 s
+    Then it gets no new runs until 2 s, 6.5 s, 13 s and 20 s
+
+  Scenario: Not more than a quarter of the workers are sick at a time
+    Given 8 workers of which 2 are sick
+    Then no other worker is found to be sick
+    Given 8 workers of which 1 are sick
+    Then another worker may be found to be sick
+
+  Scenario: Tasks move away from a worker on which they stand still
+    Given a cell of 2 nodes and 3 workers
+    When 1 s passes
+    And the image of job "a" is learned
+    And tasks on worker "w0" stand still
+    And a job "b" with 6 tasks of that image is submitted
+    And 4 s pass
+    Then job "b" is succeeded
+    And worker "w0" was found to be sick
+
+  Scenario: A worker that fails all that it begins is soon avoided
+    Given a cell of 2 nodes and 3 workers
+    When 1 s passes
+    And worker "w0" fails all that it begins
+    And 30 jobs of 1 tasks each are submitted 0.1 s apart
+    And 3 s pass
+    Then at most 5 runs have failed
--- a/features/coordinator/steps/coordination_steps.py
+++ b/features/coordinator/steps/coordination_steps.py
@@ -74,7 +74,7 @@
 @given('the worker refuses orders as unhealthy')
 def step_unhealthy(context):
     for worker in context.cell.workers.values():
-        worker.refuse_as = 'unhealthy'
+        worker.orders.refuse_as = 'unhealthy'
 
 
 @when('{seconds:g} s passes')
@@ -361,7 +361,7 @@
 @when('orders to workers take {seconds:g} s on their way')
 def step_order_way(context, seconds):
     for worker in context.cell.workers.values():
-        worker.order_way_s = seconds
+        worker.orders.way_s = seconds
 
 
 @when('the next report of an end is lost')
@@ -386,7 +386,7 @@
 @when('orders are answered again')
 def step_unmute(context):
     for worker in context.cell.workers.values():
-        worker.mute = 0
+        worker.orders.mute = 0
 
 
 @when('all workers are restarted')
@@ -419,5 +419,5 @@
 @when('the next order is carried out {late:g} s late without an answer')
 def step_mute(context, late):
     for worker in context.cell.workers.values():
-        worker.mute = 1
-        worker.delay_s = late
+        worker.orders.mute = 1
+        worker.orders.delay_s = late
--- a/packages/berylspread-standins/src/berylspread_standins/coordinated/worker.py
+++ b/packages/berylspread-standins/src/berylspread_standins/coordinated/worker.py
@@ -22,11 +22,14 @@
 from berylspread_standins.exchange import detach
 
 MS: Final = 1000
+WHOLE_PERCENT: Final = 100
 #: One way between a node and a worker, in seconds.
 WAY_S: Final = 0.001
 #: A client's time limit, in seconds.
 TIMEOUT_S: Final = 0.8
 STOP_S: Final = 0.2
+#: Progress is made, and faults take effect, in steps of this length.
+SLICE_S: Final = 0.05
 #: The longest lease that a worker grants, in ms.
 HOLD_MAX_MS: Final = 6000
 
@@ -47,10 +50,21 @@
 class RunLog:
     """One run as the worker saw it; ``ended_at`` is ``None`` while it runs."""
 
-    __slots__ = ('ended_at', 'outcome', 'run', 'started_at', 'task', 'worker')
+    __slots__ = (
+        'ended_at',
+        'left_s',
+        'outcome',
+        'run',
+        'started_at',
+        'task',
+        'work_s',
+        'worker',
+    )
 
-    def __init__(self, worker: str, task: str, run: int) -> None:
-        """Begin now."""
+    def __init__(self, worker: str, task: str, run: int, work_s: float) -> None:
+        """Begin now; ``work_s`` is how long it takes."""
+        self.work_s = work_s
+        self.left_s = work_s
         self.worker = worker
         self.task = task
         self.run = run
@@ -58,31 +72,54 @@
         self.ended_at: float | None = None
         self.outcome = ''
 
+    def percent(self) -> int:
+        """Return how much of the work is done."""
+        if not self.work_s:
+            return WHOLE_PERCENT
+        return int(WHOLE_PERCENT * (1 - self.left_s / self.work_s))
+
+
+@final
+class OrderFaults:
+    """What becomes of the orders to a worker; a test sets it.
+
+    ``mute`` counts orders that are carried out and not answered, ``delay_s`` is
+    how late those are.  ``way_s`` is how long orders are on their way, and
+    ``refuse_as`` the cause for which all are refused.
+    """
+
+    __slots__ = ('delay_s', 'mute', 'refuse_as', 'way_s')
+
+    def __init__(self) -> None:
+        """Begin without a fault."""
+        self.mute = 0
+        self.delay_s = 0.0
+        self.way_s = WAY_S
+        self.refuse_as = ''
+
 
 @final
 class WorkerStandin:
     """One worker; its faults are attributes that a test sets.
 
-    ``is_cut`` loses calls before they arrive.  ``mute`` counts orders that are
-    carried out and not answered, ``delay_s`` is how late those are.
-    ``order_way_s`` is how long orders are on their way.
+    ``is_cut`` loses calls before they arrive.
     ``mute_reports`` counts reports that are lost on their way back.
+    ``is_still`` lets no run get on; ``fails_all`` lets each fail at its end.
     """
 
     __slots__ = (
-        'delay_s',
         'ended',
         'entry',
+        'fails_all',
         'history',
         'is_cut',
+        'is_still',
         'lapses',
         'lease_until_ms',
-        'mute',
         'mute_reports',
         'number',
-        'order_way_s',
+        'orders',
         'poisoned',
-        'refuse_as',
         'running',
         'script',
         'token',
@@ -94,11 +131,10 @@
         self.script = script
         self.history: list[RunLog] = []
         self.is_cut = False
-        self.mute = 0
+        self.is_still = False
+        self.fails_all = False
         self.mute_reports = 0
-        self.delay_s = 0.0
-        self.order_way_s = WAY_S
-        self.refuse_as = ''
+        self.orders = OrderFaults()
         self.token = 0
         self.number = 0
         self.lease_until_ms = 0
@@ -149,7 +185,7 @@
             clock_ms=self.clock_ms(),
             born_ms=self.entry.born_ms,
             running=[
-                RunningRow(name, log.run, '', 0)
+                RunningRow(name, log.run, '', log.percent())
                 for name, log in self.running.items()
             ],
             ended=list(self.ended),
@@ -172,10 +208,10 @@
     ) -> int | Failure:
         if self.is_cut:
             return await self._lost()
-        await asyncio.sleep(self.order_way_s)
-        if self.mute > 0:
-            self.mute -= 1
-            detach(self._carry_out_late(carry_out, self.delay_s))
+        await asyncio.sleep(self.orders.way_s)
+        if self.orders.mute > 0:
+            self.orders.mute -= 1
+            detach(self._carry_out_late(carry_out, self.orders.delay_s))
             return await self._lost()
         reply = carry_out()
         await asyncio.sleep(WAY_S)
@@ -200,15 +236,16 @@
         if known is not None:
             return self.clock_ms()
         self._hold(order.until_ms)
-        log = RunLog(self.entry.worker, order.task, order.run)
+        work_s, outcome = self.script(order.task)
+        log = RunLog(self.entry.worker, order.task, order.run, work_s)
         self.running[order.task] = log
         self.history.append(log)
-        detach(self._work(order.task))
+        detach(self._work(order.task, outcome))
         return self.clock_ms()
 
     def _refusal(self, order: StartOrder) -> str:
-        if self.refuse_as:
-            return self.refuse_as
+        if self.orders.refuse_as:
+            return self.orders.refuse_as
         if order.token < self.token:
             return STALE_FENCE
         if order.until_ms < self.clock_ms():
@@ -235,18 +272,19 @@
         if self.running.get(task) is log:
             self._end(task, 'stopped')
 
-    async def _work(self, task: str) -> None:
-        work_s, outcome = self.script(task)
+    async def _work(self, task: str, outcome: str) -> None:
         log = self.running[task]
-        finished_at = now() + work_s
-        while now() < finished_at and self.running.get(task) is log:
+        while log.left_s > 0 and self.running.get(task) is log:
             lease_s = (self.lease_until_ms - self.clock_ms()) / MS
             if lease_s <= 0:
                 self._end(task, 'lapsed')
                 return
-            await asyncio.sleep(min(lease_s, finished_at - now()))
+            slice_s = min(lease_s, log.left_s, SLICE_S)
+            await asyncio.sleep(slice_s)
+            if not self.is_still:
+                log.left_s -= slice_s
         if self.running.get(task) is log:
-            self._end(task, outcome)
+            self._end(task, 'failed' if self.fails_all else outcome)
 
     def _end(self, task: str, outcome: str) -> None:
         log = self.running.pop(task)
--- /dev/null
+++ b/packages/berylspread/src/berylspread/coordinator/blame.py
@@ -0,0 +1,66 @@
+"""How far a worker is to blame for tasks that fail there.
+
+Load pattern: jobs that can never be done fail wherever they run, while a sick
+worker fails whatever it runs, for some seconds.  A failure counts the less
+against a worker the more workers have failed tasks of the same step.
+"""
+
+import math
+from typing import Final, final
+
+#: A worker that was found to be sick gets no new runs for this long at first.
+SICK_S: Final = 2.0
+#: The longest that one finding lasts: sick workers are well again after five
+#: to seven seconds.
+LONGEST_SICK_S: Final = 6.0
+#: A finding this soon after the end of the last one is the same sickness.
+RELAPSE_S: Final = 2.0
+#: Blame from which a worker counts as sick: two failures in a row.
+MOST_BLAME: Final = 1.9
+#: The share of its blame that one success leaves a worker.
+SUCCESS_DECAY: Final = 0.5
+#: Blame halves in this time.
+HALF_LIFE_S: Final = 3.0
+
+
+@final
+class Soundness:
+    """What a worker has been found to do with its runs."""
+
+    __slots__ = ('blame', 'blamed_at', 'sick_s', 'sick_until')
+
+    def __init__(self) -> None:
+        """Start with a worker that is well."""
+        self.blame = 0.0
+        self.blamed_at = 0.0
+        self.sick_until = -math.inf
+        #: How long the last finding was made to last.
+        self.sick_s = 0.0
+
+    def level(self, moment: float) -> float:
+        """Return the blame that is left at a time."""
+        return self.blame * math.exp2((self.blamed_at - moment) / HALF_LIFE_S)
+
+    def succeed(self) -> None:
+        """Note that a task has succeeded here."""
+        self.blame *= SUCCESS_DECAY
+
+    def fail(self, places: int, moment: float) -> bool:
+        """Note that a task has failed here; return whether that is too much.
+
+        ``places`` is the number of workers at which tasks of its step have.
+        """
+        self.blame = self.level(moment) + 1 / max(places, 1)
+        self.blamed_at = moment
+        return self.blame >= MOST_BLAME
+
+    def find_sick(self, moment: float) -> bool:
+        """Use the worker no more for a while; return whether that is new."""
+        if moment < self.sick_until:
+            return False
+        is_same = moment < self.sick_until + RELAPSE_S
+        self.sick_s = (
+            min(2 * self.sick_s, LONGEST_SICK_S) if is_same else SICK_S
+        )
+        self.sick_until = moment + self.sick_s
+        return True
--- /dev/null
+++ b/packages/berylspread/src/berylspread/coordinator/care.py
@@ -0,0 +1,91 @@
+"""Keeps work away from workers that are found to be sick."""
+
+from typing import TYPE_CHECKING, final
+
+from berylspread.coordinator.fleet import MS_PER_S, Run, Worker
+from berylspread.coordinator.model import Step
+from berylspread.coordinator.permit_choice import room_for
+from berylspread.coordinator.soundness import (
+    crawling,
+    is_worth_moving,
+    may_find_sick,
+)
+from berylspread.kernel.clock import now
+
+if TYPE_CHECKING:
+    from berylspread.coordinator.coordinator import Coordinator
+
+
+@final
+class WorkerCare:
+    """Judges workers by their reports, and moves what they hold up."""
+
+    __slots__ = ('coordinator',)
+
+    def __init__(self, coordinator: 'Coordinator') -> None:
+        """Take the coordinator whose workers are judged."""
+        self.coordinator = coordinator
+
+    def review(self, worker: Worker) -> None:
+        """Judge a worker by the progress in its newest report."""
+        moment = now()
+        slow = crawling(worker, self.learned_s, moment)
+        if not slow:
+            return
+        if not self._find_sick(worker, moment, f'slow: {slow[0].task.name}'):
+            return
+        for run in slow:
+            takes_s = self.learned_s(run)
+            if is_worth_moving(run, takes_s, moment) and self._has_room(
+                run.task.step, moment
+            ):
+                run.task.avoid.add(worker.name)
+                self._stop(run)
+
+    def failed(self, run: Run) -> None:
+        """Judge a worker by a task that has failed there."""
+        step = run.task.step
+        moment = now()
+        places = {name for task in step.tasks for name in task.avoid}
+        if run.worker.soundness.fail(len(places), moment):
+            self._find_sick(run.worker, moment, f'failed: {run.task.name}')
+
+    def learned_s(self, run: Run) -> float | None:
+        """Return what tasks of a run's image have taken, if any has ended."""
+        durations = self.coordinator.table.durations
+        learned_ms = durations.learned_ms(run.task.step.spec)
+        return None if learned_ms is None else learned_ms / MS_PER_S
+
+    def _find_sick(self, worker: Worker, moment: float, why: str) -> bool:
+        """Use a worker no more for a while; return whether it is sick."""
+        workers = self.coordinator.workers.values()
+        soundness = worker.soundness
+        if moment < soundness.sick_until:
+            return True
+        if not may_find_sick(workers, moment):
+            return False
+        soundness.find_sick(moment)
+        worker.avoid_until = max(worker.avoid_until, soundness.sick_until)
+        self.coordinator.log.write(
+            'worker-sick',
+            worker=worker.name,
+            reason=why,
+            blame=round(soundness.level(moment), 2),
+            for_s=soundness.sick_s,
+        )
+        return True
+
+    def _has_room(self, step: Step, moment: float) -> bool:
+        """Return whether another worker that is good for a step has room."""
+        tickets = step.tickets
+        return any(
+            worker.accepts_runs(moment)
+            and (tickets is None or worker.name in tickets.by_worker)
+            and room_for(step, worker)
+            for worker in self.coordinator.workers.values()
+        )
+
+    def _stop(self, run: Run) -> None:
+        session = self.coordinator.sessions.get(run.worker.name)
+        if session is not None:
+            session.orders.stop(run, 'crawling')
--- a/packages/berylspread/src/berylspread/coordinator/coordinator.py
+++ b/packages/berylspread/src/berylspread/coordinator/coordinator.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from berylspread.coordinator.care import WorkerCare
 from berylspread.coordinator.committer import Committer
 from berylspread.coordinator.decision_log import DecisionLog
 from berylspread.coordinator.directory import TopicFollower
@@ -97,6 +98,7 @@
     """Holds the jobs, the workers' books and the decisions of one epoch."""
 
     __slots__ = (
+        'care',
         'committer',
         'dispatcher',
         'given',
@@ -132,6 +134,7 @@
         self.workers: dict[str, Worker] = {}
         self.sessions: dict[str, Session] = {}
         self.dispatcher = Dispatcher(self)
+        self.care = WorkerCare(self)
         self.tasks: set[asyncio.Task[Any]] = set()
 
     async def run(self) -> Failure:
@@ -207,6 +210,7 @@
         session = self.sessions.get(worker.name)
         if session is None:
             return
+        self.care.review(worker)
         for run, percent in pace_fillers(worker):
             session.orders.pace(run, percent)
         if not worker.entry.is_ready:
--- a/packages/berylspread/src/berylspread/coordinator/dispatcher.py
+++ b/packages/berylspread/src/berylspread/coordinator/dispatcher.py
@@ -247,7 +247,7 @@
             # Its record took longer to store than the ticket holds.
             coordinator.refused(run, NO_TICKET)
             return
-        run.since = now()
+        run.order(now())
         waited_ms = coordinator.wall_ms() - job.spec.accepted_ms
         coordinator.log.measures.observe('wait', waited_ms / MS)
         coordinator.log.write(
--- a/packages/berylspread/src/berylspread/coordinator/durations.py
+++ b/packages/berylspread/src/berylspread/coordinator/durations.py
@@ -38,6 +38,10 @@
         known = self.mean_ms.get(step.image, ran_ms)
         self.mean_ms[step.image] = known + WEIGHT * (ran_ms - known)
 
+    def learned_ms(self, step: StepSpec) -> float | None:
+        """Return what tasks of a step's image have taken, if any has ended."""
+        return self.mean_ms.get(step.image)
+
     def expect_ms(self, step: StepSpec) -> float:
         """Return what a task of a step is expected to take."""
         return self.mean_ms.get(step.image, step.estimate_ms)
--- a/packages/berylspread/src/berylspread/coordinator/endings.py
+++ b/packages/berylspread/src/berylspread/coordinator/endings.py
@@ -11,11 +11,6 @@
 if TYPE_CHECKING:
     from berylspread.coordinator.coordinator import Coordinator
 
-#: Added to a worker's trouble by a run that failed there, and the share of the
-#: trouble that one success leaves.
-FAILURE_TROUBLE: Final = 1.0
-SUCCESS_DECAY: Final = 0.5
-
 Effect = Callable[['Coordinator', Run], None]
 EFFECTS: Final[dict[Outcome, Effect]] = {}
 
@@ -34,7 +29,7 @@
 def succeeded(coordinator: 'Coordinator', run: Run) -> None:
     """Count the task as done, and the job with its last task."""
     task, step, job = run.task, run.task.step, run.task.step.job
-    run.worker.trouble *= SUCCESS_DECAY
+    run.worker.soundness.succeed()
     if run.is_timed:
         coordinator.table.durations.learn(step.spec, now() - run.since)
     if job.status.is_final:
@@ -55,12 +50,12 @@
 def failed(coordinator: 'Coordinator', run: Run) -> None:
     """Try again elsewhere, or end the job after its last attempt."""
     task, step, job = run.task, run.task.step, run.task.step.job
-    run.worker.trouble += FAILURE_TROUBLE
     task.avoid.add(run.worker.name)
     task.failures += 1
     if step.spec.lasting:
         coordinator.requeue(task)
         return
+    coordinator.care.failed(run)
     if _attempts(step, task.failures) < job.spec.queue.max_attempts:
         coordinator.requeue(task)
     elif not job.status.is_final:
--- a/packages/berylspread/src/berylspread/coordinator/fleet.py
+++ b/packages/berylspread/src/berylspread/coordinator/fleet.py
@@ -3,6 +3,7 @@
 import enum
 from typing import Final, final
 
+from berylspread.coordinator.blame import Soundness
 from berylspread.coordinator.interface import WorkerEntry
 from berylspread.coordinator.model import JobStatus, Task
 from berylspread.model import ZERO
@@ -46,7 +47,10 @@
     __slots__ = (
         'answered_at',
         'figure',
+        'gauged_from',
+        'gauged_percent',
         'is_timed',
+        'moved_at',
         'number',
         'pace',
         'percent',
@@ -76,9 +80,39 @@
         self.poisoned_at: float | None = None
         self.stopping = ''
         self.percent = 0
+        #: When its progress last changed, by the reports.
+        self.moved_at = since
+        #: From when its progress is measured, and what it was then; unknown
+        #: until the first report of a run that does not begin with nothing.
+        self.gauged_from = since
+        self.gauged_percent = -1
         self.figure = 0
         self.pace = 100
 
+    def order(self, moment: float) -> None:
+        """Note that the order to start it is sent."""
+        self.since = moment
+        self.moved_at = moment
+        self.gauged_from = moment
+
+    def progress(self, percent: int, moment: float) -> None:
+        """Take the progress that a report gives."""
+        if self.gauged_percent < 0:
+            is_fresh = self.is_timed and not self.task.checkpoint
+            self.gauged_percent = 0 if is_fresh else percent
+            if not is_fresh:
+                self.gauged_from = moment
+            elif self.answered_at is not None:
+                # It may have been on its way for long.
+                self.gauged_from = self.answered_at
+        if percent != self.percent:
+            self.percent = percent
+            self.moved_at = moment
+
+    def gained(self) -> int:
+        """Return the progress since it is measured."""
+        return max(self.percent - max(self.gauged_percent, 0), 0)
+
     def begin(self) -> None:
         """Note that the worker has confirmed the run."""
         self.stage = Stage.running
@@ -134,8 +168,8 @@
         'reachable',
         'runs',
         'serving',
+        'soundness',
         'strays',
-        'trouble',
     )
 
     def __init__(self, entry: WorkerEntry) -> None:
@@ -159,7 +193,7 @@
         self.serving = 0
         #: Runs of ended jobs that are being stopped; what they take is unknown.
         self.strays = 0
-        self.trouble = 0.0
+        self.soundness = Soundness()
 
     @property
     def name(self) -> str:
--- a/packages/berylspread/src/berylspread/coordinator/planner.py
+++ b/packages/berylspread/src/berylspread/coordinator/planner.py
@@ -14,8 +14,6 @@
 from berylspread.coordinator.model import Phase, Step, StepSpec, Task
 from berylspread.model import ZERO, Resources
 
-#: Workers whose recent runs failed more often than this are the last choice.
-TROUBLE_LIMIT: Final = 2.0
 #: A ticket must outlast the storing and sending of an order by this time.
 TICKET_MARGIN_S: Final = 0.15
 
@@ -192,7 +190,6 @@
     elif spec.latency_target_ms:
         conflict = sum(run.task.step.spec.fills for run in worker.runs.values())
     return (
-        worker.trouble > TROUBLE_LIMIT,
         bool(spec.data_rack) and spec.data_rack != worker.entry.rack,
         conflict,
     )
--- a/packages/berylspread/src/berylspread/coordinator/session.py
+++ b/packages/berylspread/src/berylspread/coordinator/session.py
@@ -243,7 +243,7 @@
 
 
 def _refresh(run: Run, row: RunningRow) -> None:
-    run.percent = row.percent
+    run.progress(row.percent, now())
     run.figure = row.figure
     if row.checkpoint:
         run.task.checkpoint = row.checkpoint
