--- a/packages/berylspread-standins/src/berylspread_standins/coordinated/worker.py
+++ b/packages/berylspread-standins/src/berylspread_standins/coordinated/worker.py
@@ -61,7 +61,9 @@
         'worker',
     )
 
-    def __init__(self, worker: str, task: str, run: int, work_s: float) -> None:
+    def __init__(
+        self, worker: str, task: str, run: int, work_s: float = 0
+    ) -> None:
         """Begin now; ``work_s`` is how long it takes."""
         self.work_s = work_s
         self.left_s = work_s
