Switch off the judging of workers in two more mutants

Both scenarios fail without their mechanism and pass with it, also with the mutant that ignores permissions, which follows the workers by name now. No program change.

--- a/features/mutants/mutants.feature
+++ b/features/mutants/mutants.feature
@@ -18,6 +18,8 @@
       | stops-unsent              |
       | begun-when-placed         |
       | permissions-ignored       |
+      | crawling-not-seen         |
+      | failures-not-blamed       |
       | draining-not-left         |
       | new-life-forgotten        |
       | success-forgotten         |
--- a/features/support/mutants.py
+++ b/features/support/mutants.py
@@ -10,8 +10,9 @@
 import sys
 from typing import Any, Final, NamedTuple
 
-from berylspread.coordinator import coordinator as coordinators
 from berylspread.coordinator import (
+    blame,
+    care,
     dispatcher,
     endings,
     fleet,
@@ -24,9 +25,12 @@
     service,
     session,
 )
+from berylspread.coordinator import coordinator as coordinators
 
 MUTANT_ENV: Final = 'BERYLSPREAD_MUTANT'
 COORDINATION: Final = 'features/coordinator/coordination.feature'
+SOUNDNESS: Final = 'features/coordinator/soundness.feature'
+MOVE_AWAY: Final = 'Tasks move away from a worker on which they stand still'
 PACING: Final = 'features/coordinator/pacing.feature'
 
 
@@ -96,7 +100,11 @@
 
 def _any_worker(step: Any, workers: Any, moment: float) -> list[Any]:
     """Ignore labels and permissions."""
-    return [(worker, '') for worker in workers if worker.present]
+    return [(worker, '') for worker in workers.values() if worker.present]
+
+
+def _never(*arguments: Any, **named: Any) -> bool:
+    return False
 
 
 def _forget_answered(self: session.Session, report: Any) -> None:
@@ -221,6 +229,16 @@
         COORDINATION,
         'Permissions are asked for and tickets renewed',
     ),
+    'crawling-not-seen': Mutant(
+        care, 'crawling', _nothing, SOUNDNESS, MOVE_AWAY
+    ),
+    'failures-not-blamed': Mutant(
+        blame.Soundness,
+        'fail',
+        _never,
+        SOUNDNESS,
+        'A worker that fails all that it begins is soon avoided',
+    ),
     'draining-not-left': Mutant(
         coordinators,
         'runs_to_evacuate',
