Learn what a task takes from the part of it that a resumed run did

Cause, found on reading: a run that went on from its checkpoint was taken for a whole task when it ended.

Change: the time since the first report is scaled by the progress made since; where less than a fifth was left, nothing is learned.

--- a/bench/orders/engine.py
+++ b/bench/orders/engine.py
@@ -225,7 +225,8 @@
             return
         self._leave(run)
         task.phase = Phase.done
-        self.table.durations.learn(step.spec, self.now - run.since)
+        # The bench knows what it takes, however often it was stopped.
+        self.table.durations.learn(step.spec, self._takes_s(task))
         step.remaining -= 1
         if step.is_done():
             self.table.refresh(job, self.now * MS)
--- a/features/coordinator/soundness.feature
+++ b/features/coordinator/soundness.feature
@@ -27,6 +27,23 @@
       | 0.3:60 0.9:75       | is not |
       | 0.3:60 0.9:60 1.2:60 | is    |
 
+  Scenario Outline: A run from a checkpoint tells what the whole task takes
+    Given a run of an image whose tasks take 4 s that goes on from a checkpoint
+    When reports give its progress as "<reports>"
+    And it ends at 2.5 s
+    Then its whole task is taken to last <whole>
+
+    Examples:
+      | reports      | whole       |
+      | 0.5:60 1:70  | 5 s         |
+      | 0.5:90 1:95  | unknown     |
+
+  Scenario: A run from the beginning tells what the whole task takes
+    Given a run of an image whose tasks take 4 s
+    When reports give its progress as "0.5:10 1:30"
+    And it ends at 2.5 s
+    Then its whole task is taken to last 2.5 s
+
   Scenario: Nothing is known of an image at first
     Given a run of an image of which no task has ended
     When reports give its progress as "0.5:5 0.9:8 1.4:11"
--- a/features/coordinator/steps/soundness_steps.py
+++ b/features/coordinator/steps/soundness_steps.py
@@ -81,10 +81,25 @@
     run = context.run_judged
     for report in reports.split():
         moment, percent = map(float, report.split(':'))
-        run.progress(int(percent), moment)
+        run.progress.take(int(percent), moment)
     context.moment = moment
 
 
+@when('it ends at {moment:g} s')
+def step_ends(context, moment):
+    context.whole_s = context.run_judged.whole_s(moment)
+
+
+@then('its whole task is taken to last {seconds:g} s')
+def step_whole(context, seconds):
+    assert round(context.whole_s, 2) == seconds, context.whole_s
+
+
+@then('its whole task is taken to last unknown')
+def step_whole_unknown(context):
+    assert context.whole_s is None, context.whole_s
+
+
 def _crawls(context):
     return context.run_judged in crawling(
         context.run_judged.worker, lambda run: context.takes_s, context.moment
--- a/packages/berylspread/src/berylspread/coordinator/endings.py
+++ b/packages/berylspread/src/berylspread/coordinator/endings.py
@@ -30,8 +30,9 @@
     """Count the task as done, and the job with its last task."""
     task, step, job = run.task, run.task.step, run.task.step.job
     run.worker.soundness.succeed()
-    if run.is_timed:
-        coordinator.table.durations.learn(step.spec, now() - run.since)
+    took_s = run.whole_s(now())
+    if took_s is not None:
+        coordinator.table.durations.learn(step.spec, took_s)
     if job.status.is_final:
         return
     if step.spec.lasting:
@@ -79,7 +80,7 @@
 def interrupted(coordinator: 'Coordinator', run: Run) -> None:
     """Run the task again; the attempt does not count."""
     if run.task.step.spec.checkpoints:
-        run.task.progress = max(run.task.progress, run.percent)
+        run.task.progress = max(run.task.progress, run.progress.percent)
     coordinator.requeue(run.task)
 
 
--- a/packages/berylspread/src/berylspread/coordinator/evacuation.py
+++ b/packages/berylspread/src/berylspread/coordinator/evacuation.py
@@ -42,6 +42,10 @@
 def remaining_s(run: Run) -> float:
     """Estimate how long a run still takes, from its progress or its size."""
     ran_s = now() - run.since
-    if run.percent > 0:
-        return ran_s * (WHOLE_PERCENT - run.percent) / run.percent
+    if run.progress.percent > 0:
+        return (
+            ran_s
+            * (WHOLE_PERCENT - run.progress.percent)
+            / run.progress.percent
+        )
     return max(run.task.step.spec.estimate_ms / MS - ran_s, 0)
--- a/packages/berylspread/src/berylspread/coordinator/fleet.py
+++ b/packages/berylspread/src/berylspread/coordinator/fleet.py
@@ -11,6 +11,10 @@
 MS_PER_S: Final = 1000
 #: A worker's steady clock may run this much slow; the platform's figure.
 SLOWEST_CLOCK: Final = 0.98
+WHOLE_PERCENT: Final = 100
+#: A run that did less of its task tells little of the whole: progress is
+#: reported in whole percents, and a second late.
+LEAST_WORKED_PERCENT: Final = 20
 #: How long a worker that refused as unhealthy gets no new runs.
 UNHEALTHY_S: Final = 1.5
 
@@ -40,6 +44,54 @@
     running = 'running'
 
 
+@final
+class Progress:
+    """How far a run has come, by the worker's reports."""
+
+    __slots__ = (
+        'from_percent',
+        'from_time',
+        'is_fresh',
+        'moved_at',
+        'percent',
+    )
+
+    def __init__(self, since: float, *, is_fresh: bool) -> None:
+        """Know nothing; ``is_fresh`` tells that it begins with nothing done."""
+        self.is_fresh = is_fresh
+        self.percent = 0
+        #: When it last changed, as far as is known.
+        self.moved_at = since
+        #: From where it is measured: the first report, unless it is fresh.
+        self.from_percent = 0 if is_fresh else -1
+        self.from_time = since
+
+    def begin(self, moment: float) -> None:
+        """Note that the run is ordered, or known to have begun."""
+        self.moved_at = moment
+        self.from_time = moment
+
+    def take(self, percent: int, moment: float) -> None:
+        """Take what a report gives."""
+        if self.from_percent < 0:
+            self.from_percent = percent
+            self.from_time = moment
+        if percent != self.percent:
+            self.percent = percent
+            self.moved_at = moment
+
+    def gained(self) -> int:
+        """Return what was done since it is measured, in percent."""
+        return max(self.percent - max(self.from_percent, 0), 0)
+
+    def whole_s(self, ended_at: float) -> float | None:
+        """Return what the whole task takes, by the part that was measured."""
+        worked = WHOLE_PERCENT - self.from_percent
+        if self.from_percent < 0 or worked < LEAST_WORKED_PERCENT:
+            return None
+        return (ended_at - self.from_time) * WHOLE_PERCENT / worked
+
+
 @final
 class Run:
     """One run of a task on a worker."""
@@ -47,14 +99,11 @@
     __slots__ = (
         'answered_at',
         'figure',
-        'gauged_from',
-        'gauged_percent',
         'is_timed',
-        'moved_at',
         'number',
         'pace',
-        'percent',
         'poisoned_at',
+        'progress',
         'reserved',
         'since',
         'stage',
@@ -79,39 +128,25 @@
         #: When the worker confirmed that this run can no longer begin.
         self.poisoned_at: float | None = None
         self.stopping = ''
-        self.percent = 0
-        #: When its progress last changed, by the reports.
-        self.moved_at = since
-        #: From when its progress is measured, and what it was then; unknown
-        #: until the first report of a run that does not begin with nothing.
-        self.gauged_from = since
-        self.gauged_percent = -1
+        self.progress = Progress(
+            since, is_fresh=self.is_timed and not task.checkpoint
+        )
         self.figure = 0
         self.pace = 100
 
     def order(self, moment: float) -> None:
         """Note that the order to start it is sent."""
         self.since = moment
-        self.moved_at = moment
-        self.gauged_from = moment
-
-    def progress(self, percent: int, moment: float) -> None:
-        """Take the progress that a report gives."""
-        if self.gauged_percent < 0:
-            is_fresh = self.is_timed and not self.task.checkpoint
-            self.gauged_percent = 0 if is_fresh else percent
-            if not is_fresh:
-                self.gauged_from = moment
-            elif self.answered_at is not None:
-                # It may have been on its way for long.
-                self.gauged_from = self.answered_at
-        if percent != self.percent:
-            self.percent = percent
-            self.moved_at = moment
+        self.progress.begin(moment)
 
-    def gained(self) -> int:
-        """Return the progress since it is measured."""
-        return max(self.percent - max(self.gauged_percent, 0), 0)
+    def whole_s(self, ended_at: float) -> float | None:
+        """Return what the whole task takes, by a run of it that has ended.
+
+        ``None`` if it went on from a checkpoint and little is known of that.
+        """
+        if self.progress.is_fresh:
+            return ended_at - self.since
+        return self.progress.whole_s(ended_at) if self.is_timed else None
 
     def begin(self) -> None:
         """Note that the worker has confirmed the run."""
--- a/packages/berylspread/src/berylspread/coordinator/orders.py
+++ b/packages/berylspread/src/berylspread/coordinator/orders.py
@@ -131,6 +131,9 @@
         if worker.runs.get(run.task.name) is not run:
             return
         if isinstance(reply, int):
+            if run.answered_at is None:
+                # The order may have been on its way for long.
+                run.progress.begin(now())
             run.answered_at = now()
             run.begin()
         elif isinstance(reply, OrderRefused):
--- a/packages/berylspread/src/berylspread/coordinator/session.py
+++ b/packages/berylspread/src/berylspread/coordinator/session.py
@@ -243,7 +243,7 @@
 
 
 def _refresh(run: Run, row: RunningRow) -> None:
-    run.progress(row.percent, now())
+    run.progress.take(row.percent, now())
     run.figure = row.figure
     if row.checkpoint:
         run.task.checkpoint = row.checkpoint
--- a/packages/berylspread/src/berylspread/coordinator/soundness.py
+++ b/packages/berylspread/src/berylspread/coordinator/soundness.py
@@ -69,7 +69,7 @@
 def _stands_still(run: Run, takes_s: float | None, moment: float) -> bool:
     if takes_s is None:
         takes_s = run.task.step.spec.estimate_ms / MS_PER_S
-    still_s = moment - run.moved_at
+    still_s = moment - run.progress.moved_at
     owed = WHOLE_PERCENT * still_s / max(takes_s, STILL_S)
     return still_s >= STILL_S and owed >= LEAST_OWED_PERCENT
 
@@ -77,20 +77,20 @@
 def _is_slow(run: Run, takes_s: float | None, moment: float) -> bool:
     if not takes_s:
         return False
-    due = WHOLE_PERCENT * (moment - run.gauged_from) / takes_s
-    due = min(due, WHOLE_PERCENT - run.gauged_percent)
-    return due >= DUE_PERCENT and run.gained() < SLOW_SHARE * due
+    due = WHOLE_PERCENT * (moment - run.progress.from_time) / takes_s
+    due = min(due, WHOLE_PERCENT - max(run.progress.from_percent, 0))
+    return due >= DUE_PERCENT and run.progress.gained() < SLOW_SHARE * due
 
 
 def _left_here_s(run: Run, moment: float) -> float:
-    if not run.gained() or moment - run.moved_at >= STILL_S:
+    if not run.progress.gained() or moment - run.progress.moved_at >= STILL_S:
         return math.inf
-    pace_s = (moment - run.gauged_from) / run.gained()
-    return (WHOLE_PERCENT - run.percent) * pace_s
+    pace_s = (moment - run.progress.from_time) / run.progress.gained()
+    return (WHOLE_PERCENT - run.progress.percent) * pace_s
 
 
 def _left_elsewhere_s(run: Run, takes_s: float | None) -> float:
     if takes_s is None:
         return 0.0
-    saved = run.percent if run.task.step.spec.checkpoints else 0
+    saved = run.progress.percent if run.task.step.spec.checkpoints else 0
     return MOVE_S + takes_s * (WHOLE_PERCENT - saved) / WHOLE_PERCENT
