Do not rely on tickets of workers that cannot be used

Cause, found on reading: a step counted the room of every worker whose ticket it held or had asked for, also of workers that did not answer or were sick. A step whose good workers were all cut off would have asked about no others until its tickets had expired, and then about the same.

Change: only workers that take runs at the moment count, and the others are asked about last. The new scenario failed before.

--- a/features/coordinator/permissions.feature
+++ b/features/coordinator/permissions.feature
@@ -65,6 +65,13 @@
     When the step asks at 0 s
     Then "w100" is in the first request
 
+  Scenario: Tickets of workers that cannot be reached are not relied on
+    Given a step of 1 tasks with tickets for "w1" until 5 s and "w2" until 5 s
+    And workers "w1", "w2" and "w3" of which "w3" are new
+    And workers "w1" and "w2" cannot be reached
+    When the step asks at 2 s
+    Then it asks about "w3"
+
   Scenario: Workers without room are asked about by one request at a time
     Given a step of 21 tasks whose requests take 390 ms and 5.5 ms a worker
     And 176 workers of which each has room for 0 tasks
--- a/features/coordinator/steps/permission_steps.py
+++ b/features/coordinator/steps/permission_steps.py
@@ -87,6 +87,7 @@
         )
     )
     worker.free = TASK * room
+    worker.reachable = True
     return worker
 
 
@@ -113,12 +114,18 @@
 
 
 @given(
-    'a step of {tasks:d} tasks with tickets for "w1" until 5 s and "w2" until '
-    '3 s'
+    'a step of {tasks:d} tasks with tickets for "w1" until {first:g} s and '
+    '"w2" until {second:g} s'
 )
-def step_tickets(context, tasks):
+def step_tickets(context, tasks, first, second):
     context.step = _step(tasks, AdviceTerms(30.0, 1.0, 2000.0))
-    context.step.tickets.by_worker = {'w1': ('t', 5.0), 'w2': ('t', 3.0)}
+    context.step.tickets.by_worker = {'w1': ('t', first), 'w2': ('t', second)}
+
+
+@given('workers "w1" and "w2" cannot be reached')
+def step_unreachable(context):
+    for worker in context.workers[:2]:
+        worker.reachable = False
 
 
 @given('workers "w1", "w2" and "w3" of which "{unknown}" are new')
--- a/packages/berylspread/src/berylspread/coordinator/permit_choice.py
+++ b/packages/berylspread/src/berylspread/coordinator/permit_choice.py
@@ -116,7 +116,9 @@
     size = names_per_request(terms)
     while wanted and _places(step, tickets, fleet, share) < needed:
         names, wanted = wanted[:size], wanted[size:]
-        has_room = any(room_for(step, fleet.by_name[name]) for name in names)
+        has_room = any(
+            _room_now(step, fleet.by_name[name], fleet.moment) for name in names
+        )
         most = MOST_REQUESTS if has_room else MOST_WITHOUT_ROOM
         if tickets.requests >= most:
             return
@@ -147,9 +149,12 @@
             if worker.name not in tickets.asked
             and worker.name not in tickets.asking
         ]
-    return [
+    eligible = [
         worker for worker in (*good, *unknown) if _is_eligible(step, worker)
     ]
+    # Workers that cannot be used at present are the last to be asked about.
+    eligible.sort(key=lambda worker: not worker.accepts_runs(fleet.moment))
+    return eligible
 
 
 def _is_eligible(step: Step, worker: Worker) -> bool:
@@ -195,12 +200,17 @@
 def _room(step: Step, fleet: Fleet, names: Iterable[str]) -> int:
     workers = fleet.by_name
     return sum(
-        room_for(step, workers[name])
+        _room_now(step, workers[name], fleet.moment)
         for name in names
         if name in workers and _is_eligible(step, workers[name])
     )
 
 
+def _room_now(step: Step, worker: Worker, moment: float) -> int:
+    # What cannot be used at present does not count: others are asked about.
+    return room_for(step, worker) if worker.accepts_runs(moment) else 0
+
+
 def room_for(step: Step, worker: Worker) -> int:
     """Return how many tasks of a step a worker has room for now."""
     spec = step.spec
