Give calls that are answered in a feature more than 0.3 s

All calls of the outline had the limit that is meant for the server that says nothing, 0.3 s of real time, and the first call also imports its client.

Change: only the call to the silent server has the short limit. What the calls must return is unchanged.

--- a/features/backend/steps/http_workers_steps.py
+++ b/features/backend/steps/http_workers_steps.py
@@ -28,6 +28,8 @@
 from features.backend.steps.scripted_server import BODY, ScriptedServer
 
 TIMEOUT_S = 0.3
+#: The behaviour of the scripted server that a call gives up on.
+SILENT = 'says nothing'
 PATIENT_S = 10.0
 PATIENCE_S = (0.6, 0.6, 0.6, 0.6, 0.6, TIMEOUT_S)
 SHAPE = Resources(1500, 64, 0, 1)
@@ -95,7 +97,9 @@
 @when('a call is sent to it')
 def when_call(context: Context) -> None:
     async def talk(workers: HttpWorkers, vm: Vm) -> list[Any]:
-        return [await workers.call(vm, call())]
+        is_silent = context.server.behaviour == SILENT
+        timeout_s = TIMEOUT_S if is_silent else PATIENT_S
+        return [await workers.call(vm, call(timeout_s=timeout_s))]
 
     converse(context, talk)
 
