--- a/features/coordinator/permissions.feature
+++ b/features/coordinator/permissions.feature
@@ -78,6 +78,20 @@
     When the step asks at 0 s
     Then it sends 1 request about 35 workers
 
+  Scenario: While every node is busy nobody looks for workers to ask
+    Given a step of 21 tasks whose requests take 390 ms and 5.5 ms a worker
+    And 176 workers of which each has room for 1 task
+    And every node that asks is busy
+    When the step is considered 100 times at once
+    Then no worker was looked at
+
+  Scenario: A step that found nobody to ask does not look again at once
+    Given a step of 21 tasks whose requests take 390 ms and 5.5 ms a worker
+    And 176 workers of which each has room for 0 tasks
+    And all workers have been asked about
+    When the step is considered 100 times at once
+    Then the workers were looked at once
+
   Scenario: A gang that needs one rack asks about whole racks
     Given a gang of 21 tasks for one rack whose requests take 390 ms and 5.5 ms a worker
     And 176 workers in racks of 8 of which each has room for 8 tasks
--- a/features/coordinator/steps/permission_steps.py
+++ b/features/coordinator/steps/permission_steps.py
@@ -1,6 +1,7 @@
 """Steps about who asks for permissions, and about which workers."""
 
 import asyncio
+import collections
 
 from behave import given, then, when
 
@@ -203,6 +204,60 @@
     context.run(consider())
 
 
+class CountedWorkers(collections.UserDict):
+    """Workers by name; counts how often all of them are gone through."""
+
+    looks = 0
+    reads = 0
+
+    def values(self):
+        self.looks += 1
+        return super().values()
+
+    def __getitem__(self, name):
+        self.reads += 1
+        return super().__getitem__(name)
+
+
+@given('every node that asks is busy')
+def step_busy(context):
+    context.busy_until = 10.0
+
+
+@given('all workers have been asked about')
+def step_all_asked(context):
+    context.step.tickets.asked = {worker.name for worker in context.workers}
+
+
+@when('the step is considered {times:d} times at once')
+def step_consider_often(context, times):
+    context.counted = CountedWorkers(_fleet(context, 0.0).by_name)
+
+    async def ask_through(node, step, workers, timeout_s):
+        return Permissions({}, 2.0)
+
+    async def consider():
+        desk = PermitDesk(ask_through, list, DecisionLog('n', lambda _: None))
+        desk.askers.add('a', 0.0)
+        desk.askers.busy_until['a'] = getattr(context, 'busy_until', 0.0)
+        for _ in range(times):
+            # Each pass of the placement has a view of its own.
+            desk.consider(context.step, Fleet(context.counted, 0.0))
+
+    context.run(consider())
+
+
+@then('no worker was looked at')
+def step_no_look(context):
+    assert not context.counted.looks, context.counted.looks
+    assert not context.counted.reads, context.counted.reads
+
+
+@then('the workers were looked at once')
+def step_one_look(context):
+    assert context.counted.looks <= 1, context.counted.looks
+
+
 @then('"{name}" has no ticket')
 def step_no_ticket(context, name):
     held = context.step.tickets.by_worker
