--- a/packages/berylspread/src/berylspread/coordinator/blame.py
+++ b/packages/berylspread/src/berylspread/coordinator/blame.py
@@ -15,7 +15,8 @@
 LONGEST_SICK_S: Final = 6.0
 #: A finding this soon after the end of the last one is the same sickness.
 RELAPSE_S: Final = 2.0
-#: Blame from which a worker counts as sick: two failures in a row.
+#: Blame from which a worker counts as sick: two failures within half a second,
+#: or three within a few.
 MOST_BLAME: Final = 1.9
 #: The share of its blame that one success leaves a worker.
 SUCCESS_DECAY: Final = 0.5
