Keep one copy of units, of sickness and of the choice of victims

Found on reading the whole change: seven modules of the coordinator had their own 1000 and three their own 100; whether a worker is sick was written out in three places; the replay of orders repeated the dispatcher's choice between quota and room, the factor of useless jobs and a type; each report looked up what a run's image takes twice a run. The first step of a queue and organisation is told from a set.

--- a/bench/orders/baselines.py
+++ b/bench/orders/baselines.py
@@ -6,6 +6,7 @@
 from berylspread.coordinator.model import Step
 from berylspread.coordinator.urgency import lateness, urgency
 
+#: The order of two steps at a time of day in ms.
 Order = Callable[[Step, float], Any]
 
 ORDERS: Final[dict[str, Order]] = {'ours': urgency}
--- a/bench/orders/engine.py
+++ b/bench/orders/engine.py
@@ -4,8 +4,9 @@
 import heapq
 import itertools
 from collections.abc import Callable, Iterable
-from typing import Any, Final, final
+from typing import Final, final
 
+from bench.orders.baselines import Order
 from bench.orders.patterns import (
     CAP_SHARE,
     CAPACITY,
@@ -17,14 +18,18 @@
 from berylspread.coordinator.decision_log import DecisionLog
 from berylspread.coordinator.fleet import Run, Stage, Worker
 from berylspread.coordinator.interface import WorkerEntry
-from berylspread.coordinator.model import JobStatus, Phase, Step, Task
-from berylspread.coordinator.planner import StepPlan, Usage, candidates
-from berylspread.coordinator.preemption import (
-    PAUSE_S,
-    choose_victims,
-    choose_within_quota,
+from berylspread.coordinator.model import (
+    MS_PER_S,
+    WHOLE_PERCENT,
+    JobStatus,
+    Phase,
+    Step,
+    Task,
 )
+from berylspread.coordinator.planner import StepPlan, Usage, candidates
+from berylspread.coordinator.preemption import PAUSE_S, choose_victims
 from berylspread.coordinator.table import JobTable
+from berylspread.coordinator.urgency import USELESS_FACTOR
 from berylspread.model import Resources
 
 PASS_S: Final = 0.02
@@ -36,13 +41,8 @@
 RESUME_S: Final = 0.1
 #: Jobs still open this long after the last arrival are not waited for.
 DRAIN_S: Final = 60.0
-LATE_FACTOR: Final = 3.0
 #: Jobs a second that all organisations together are owed: ten times the usual.
 WEIGHT_PER_S: Final = 100.0
-MS: Final = 1000
-
-#: The order of two steps at a time of day in ms.
-Order = Callable[[Step, float], Any]
 
 
 @final
@@ -130,7 +130,7 @@
             objective_s = _objective_s(arrival)
             row[0] += 1
             row[1] += took_s <= objective_s
-            row[2] += objective_s < took_s <= LATE_FACTOR * objective_s
+            row[2] += objective_s < took_s <= USELESS_FACTOR * objective_s
             size = sum(arrival.takes_s.values())
             worth = arrival.kind.worth * min(
                 0.3 + 0.7 * size / _usual_size(arrival), 4
@@ -139,7 +139,7 @@
             row[3] += worth
             if took_s <= objective_s:
                 row[4] += worth
-            elif took_s <= LATE_FACTOR * objective_s:
+            elif took_s <= USELESS_FACTOR * objective_s:
                 row[4] += worth * late
         return {
             name: (int(row[0]), int(row[1]), int(row[2]), row[4] / row[3])
@@ -150,7 +150,7 @@
         heapq.heappush(self.events, (moment, next(self.counter), act))
 
     def _accept(self, arrival: Arrival) -> None:
-        job = self.table.add(arrival.spec, self.now * MS)
+        job = self.table.add(arrival.spec, self.now * MS_PER_S)
         for step in job.steps.values():
             for task in step.tasks:
                 self.left_s[task.name] = arrival.takes_s[
@@ -159,7 +159,7 @@
 
     def _pass(self) -> None:
         ready = self.table.ready
-        by_order = functools.partial(self.order, wall_ms=self.now * MS)
+        by_order = functools.partial(self.order, wall_ms=self.now * MS_PER_S)
         for step in sorted(ready.values(), key=by_order):
             if not step.waiting:
                 ready.pop(step.name)
@@ -172,16 +172,13 @@
                 self._preempt(step, choices)
 
     def _preempt(self, step: Step, choices: list[tuple[Worker, str]]) -> None:
-        wanted = len(step.waiting)
-        room = self.usage.room(step)
-        if room < wanted:
-            victims = choose_within_quota(
-                step, wanted - room, self.workers.values(), self.now
-            )
-        else:
-            victims = choose_victims(
-                step, wanted, (worker for worker, _ in choices), self.now
-            )
+        victims = choose_victims(
+            step,
+            self.usage.room(step),
+            [worker for worker, _ in choices],
+            self.workers.values(),
+            self.now,
+        )
         if victims:
             step.preempt_after = self.now + PAUSE_S
         for run in victims:
@@ -213,9 +210,11 @@
             whole_s = self._takes_s(task)
             left_s = self.left_s[task.name] - worked_s + STOP_S + TURN_S
             self.left_s[task.name] = min(max(left_s, 0.0), whole_s)
-            task.progress = int(100 * (1 - self.left_s[task.name] / whole_s))
+            task.progress = int(
+                WHOLE_PERCENT * (1 - self.left_s[task.name] / whole_s)
+            )
         else:
-            self.stopped_s += worked_s * run.reserved.cpu_milli / MS
+            self.stopped_s += worked_s * run.reserved.cpu_milli / MS_PER_S
         task.step.requeue(task)
         self.table.ready[task.step.name] = task.step
 
@@ -229,10 +228,10 @@
         self.table.durations.learn(step.spec, self._takes_s(task))
         step.remaining -= 1
         if step.is_done():
-            self.table.refresh(job, self.now * MS)
+            self.table.refresh(job, self.now * MS_PER_S)
         if all(other.is_done() for other in job.steps.values()):
             self.done_at[job.spec.job_id] = self.now
-            self.table.end(job, JobStatus.succeeded, int(self.now * MS))
+            self.table.end(job, JobStatus.succeeded, int(self.now * MS_PER_S))
 
     def _takes_s(self, task: Task) -> float:
         step = task.step
@@ -273,7 +272,7 @@
         )
         for step in range(len(arrival.spec.steps))
     )
-    return queue.stretch * chain_s + queue.target_ms / MS
+    return queue.stretch * chain_s + queue.target_ms / MS_PER_S
 
 
 def _usual_size(arrival: Arrival) -> float:
--- a/bench/orders/patterns.py
+++ b/bench/orders/patterns.py
@@ -7,7 +7,12 @@
 
 import msgspec
 
-from berylspread.coordinator.model import JobSpec, Queue, StepSpec
+from berylspread.coordinator.model import (
+    MS_PER_S,
+    JobSpec,
+    Queue,
+    StepSpec,
+)
 from berylspread.model import Resources
 
 #: A fleet of 24 workers; every fourth has half the usual size, every fourth
@@ -24,7 +29,6 @@
 CAP_SHARE: Final = 0.47
 #: Images of a queue; tasks of one are alike.
 IMAGES: Final = 18
-MS: Final = 1000
 
 
 @final
@@ -150,13 +154,15 @@
             StepSpec(
                 count,
                 Resources(cpu_milli, 1000),
-                estimate_ms=max(int(estimate_s * MS), 1),
+                estimate_ms=max(int(estimate_s * MS_PER_S), 1),
                 after=(step - 1,) if step else (),
                 image=f'{kind.queue.name}-{image}',
                 checkpoints=kind.checkpoints,
             )
         )
-    spec = JobSpec(job_id, kind.queue, tenant, '', tuple(steps), int(at_s * MS))
+    spec = JobSpec(
+        job_id, kind.queue, tenant, '', tuple(steps), int(at_s * MS_PER_S)
+    )
     return Arrival(at_s, spec, kind, takes_s)
 
 
--- a/packages/berylspread/src/berylspread/coordinator/blame.py
+++ b/packages/berylspread/src/berylspread/coordinator/blame.py
@@ -55,9 +55,13 @@
         self.blamed_at = moment
         return self.blame >= MOST_BLAME
 
+    def is_sick(self, moment: float) -> bool:
+        """Return whether the worker gets no new runs at a time."""
+        return moment < self.sick_until
+
     def find_sick(self, moment: float) -> bool:
         """Use the worker no more for a while; return whether that is new."""
-        if moment < self.sick_until:
+        if self.is_sick(moment):
             return False
         is_same = moment < self.sick_until + RELAPSE_S
         self.sick_s = (
--- a/packages/berylspread/src/berylspread/coordinator/care.py
+++ b/packages/berylspread/src/berylspread/coordinator/care.py
@@ -2,8 +2,8 @@
 
 from typing import TYPE_CHECKING, final
 
-from berylspread.coordinator.fleet import MS_PER_S, Run, Worker
-from berylspread.coordinator.model import Step
+from berylspread.coordinator.fleet import Run, Worker
+from berylspread.coordinator.model import MS_PER_S, Step
 from berylspread.coordinator.permit_choice import room_for
 from berylspread.coordinator.soundness import (
     crawling,
@@ -60,7 +60,7 @@
         """Use a worker no more for a while; return whether it is sick."""
         workers = self.coordinator.workers.values()
         soundness = worker.soundness
-        if moment < soundness.sick_until:
+        if soundness.is_sick(moment):
             return True
         if not may_find_sick(workers, moment):
             return False
--- a/packages/berylspread/src/berylspread/coordinator/committer.py
+++ b/packages/berylspread/src/berylspread/coordinator/committer.py
@@ -5,7 +5,7 @@
 
 from berylspread.coordinator.fenced_log import FencedLog, Stored
 from berylspread.coordinator.interface import Record
-from berylspread.coordinator.model import Job, Step
+from berylspread.coordinator.model import MS_PER_S, Job, Step
 from berylspread.coordinator.records import (
     encode_job,
     encode_step,
@@ -21,7 +21,6 @@
 #: the placement are apart, so an end and what it makes room for are stored at
 #: once.
 GATHER_S: Final = 0.01
-MS: Final = 1000
 
 
 @final
@@ -104,7 +103,7 @@
         self.stream.begin(chunks[-1], done)
 
     def _take(self) -> list[Record]:
-        wall_ms = int(self.wall.time() * MS)
+        wall_ms = int(self.wall.time() * MS_PER_S)
         records: list[Record] = [
             (job_key(name), encode_job(job, wall_ms))
             for name, job in self.jobs.items()
--- a/packages/berylspread/src/berylspread/coordinator/coordinator.py
+++ b/packages/berylspread/src/berylspread/coordinator/coordinator.py
@@ -31,7 +31,14 @@
     WorkerEntry,
     Workers,
 )
-from berylspread.coordinator.model import Job, JobStatus, Phase, Step, Task
+from berylspread.coordinator.model import (
+    MS_PER_S,
+    Job,
+    JobStatus,
+    Phase,
+    Step,
+    Task,
+)
 from berylspread.coordinator.pacing import pace_fillers
 from berylspread.coordinator.permits import AskThrough, PermitDesk
 from berylspread.coordinator.planner import (
@@ -60,7 +67,6 @@
 ENTRIES_GATHER_S: Final = 0.25
 #: Pause after a fault in the conversation with a worker.
 RETRY_S: Final = 0.2
-MS: Final = 1000
 
 DecodeEntry = Callable[[KeyedItem], WorkerEntry | None]
 
@@ -174,7 +180,7 @@
 
     def wall_ms(self) -> int:
         """Return milliseconds since the epoch."""
-        return int(self.given.wall.time() * MS)
+        return int(self.given.wall.time() * MS_PER_S)
 
     # Workers.
 
@@ -222,7 +228,7 @@
 
     def expected_s(self, run: Run) -> float:
         """Return how long a run is expected to take, in seconds."""
-        return self.table.durations.expect_ms(run.task.step.spec) / MS
+        return self.table.durations.expect_ms(run.task.step.spec) / MS_PER_S
 
     def ended(
         self, run: Run, outcome: Outcome, checkpoint: str
@@ -280,7 +286,7 @@
                 self.committer.drop(step_key(step))
         job.stored = self.committer.job(job)
         took_ms = self.wall_ms() - job.spec.accepted_ms
-        self.log.measures.observe('job', took_ms / MS)
+        self.log.measures.observe('job', took_ms / MS_PER_S)
         self.log.write(
             'job-ended',
             job=job.spec.job_id,
--- a/packages/berylspread/src/berylspread/coordinator/dispatcher.py
+++ b/packages/berylspread/src/berylspread/coordinator/dispatcher.py
@@ -14,6 +14,7 @@
 from berylspread.coordinator.lookahead import upcoming
 from berylspread.coordinator.model import (
     MOST_URGENT,
+    MS_PER_S,
     JobStatus,
     Phase,
     Step,
@@ -24,11 +25,7 @@
     StepPlan,
     candidates,
 )
-from berylspread.coordinator.preemption import (
-    PAUSE_S,
-    choose_victims,
-    choose_within_quota,
-)
+from berylspread.coordinator.preemption import PAUSE_S, choose_victims
 from berylspread.coordinator.records import job_key
 from berylspread.coordinator.urgency import urgency
 from berylspread.kernel.clock import now
@@ -51,7 +48,6 @@
 ORDER_GRACE_S: Final = 2.0
 #: How long the outcome of a job is kept for callers; past the platform's bound.
 KEEP_ENDED_MS: Final = 150_000
-MS: Final = 1000
 
 
 @final
@@ -137,13 +133,12 @@
         fleet = Fleet(coordinator.workers, moment)
         ready = coordinator.table.ready
         by_urgency = functools.partial(urgency, wall_ms=coordinator.wall_ms())
-        first: dict[tuple[str, str], Step] = {}
+        seen: set[tuple[str, str]] = set()
         for step in sorted(ready.values(), key=by_urgency):
             if step.waiting:
-                spec = step.job.spec
-                first.setdefault((spec.queue.name, spec.tenant), step)
-                is_first = first[spec.queue.name, spec.tenant] is step
-                self._place(step, fleet, is_first=is_first)
+                kind = (step.job.spec.queue.name, step.job.spec.tenant)
+                self._place(step, fleet, is_first=kind not in seen)
+                seen.add(kind)
             else:
                 ready.pop(step.name)
 
@@ -183,14 +178,13 @@
         coordinator = self.coordinator
         wanted = len(step.waiting)
         room = coordinator.usage.room(step)
-        if room < wanted:
-            victims = choose_within_quota(
-                step, wanted - room, coordinator.workers.values(), moment
-            )
-        else:
-            victims = choose_victims(
-                step, wanted, (worker for worker, _ in choices), moment
-            )
+        victims = choose_victims(
+            step,
+            room,
+            [worker for worker, _ in choices],
+            coordinator.workers.values(),
+            moment,
+        )
         if not victims:
             step.preempt_after = moment + LOOK_AGAIN_S
             return
@@ -251,7 +245,7 @@
             return
         run.order(now())
         waited_ms = coordinator.wall_ms() - job.spec.accepted_ms
-        coordinator.log.measures.observe('wait', waited_ms / MS)
+        coordinator.log.measures.observe('wait', waited_ms / MS_PER_S)
         coordinator.log.write(
             'start',
             task=run.task.name,
--- a/packages/berylspread/src/berylspread/coordinator/durations.py
+++ b/packages/berylspread/src/berylspread/coordinator/durations.py
@@ -9,7 +9,12 @@
 from collections.abc import Callable
 from typing import Final, final
 
-from berylspread.coordinator.model import JobSpec, Queue, StepSpec
+from berylspread.coordinator.model import (
+    MS_PER_S,
+    JobSpec,
+    Queue,
+    StepSpec,
+)
 
 #: Weight of the newest task in an image's mean.
 WEIGHT: Final = 0.1
@@ -20,7 +25,6 @@
 #: The largest of n draws exceeds the mean by about sqrt(2 ln n) less this many
 #: deviations; within 0.1 for n from 2 to 100.
 LARGEST_LESS: Final = 0.6
-MS: Final = 1000
 #: A job's objective allows each step one permission request about this many
 #: workers; the users' figure.
 WORKERS_ALLOWED: Final = 30
@@ -45,7 +49,7 @@
         """Take in a task that has succeeded."""
         if not step.image:
             return
-        ran_ms = ran_s * MS
+        ran_ms = ran_s * MS_PER_S
         known = self.mean_ms.get(step.image, ran_ms)
         self.mean_ms[step.image] = known + WEIGHT * (ran_ms - known)
         if known:
@@ -100,6 +104,10 @@
 def size_core_s(spec: JobSpec, expect_ms: DurationMs) -> float:
     """Return what all tasks of one occurrence take, in core-seconds."""
     return sum(
-        step.count * step.demand.cpu_milli * expect_ms(step) / MS / MS
+        step.count
+        * step.demand.cpu_milli
+        * expect_ms(step)
+        / MS_PER_S
+        / MS_PER_S
         for step in spec.steps
     )
--- a/packages/berylspread/src/berylspread/coordinator/evacuation.py
+++ b/packages/berylspread/src/berylspread/coordinator/evacuation.py
@@ -9,19 +9,18 @@
 from typing import Final
 
 from berylspread.coordinator.fleet import Run, Stage, Worker
+from berylspread.coordinator.model import MS_PER_S, WHOLE_PERCENT
 from berylspread.kernel.clock import now
 
 #: A worker stays at least this long after its announcement, if it does not say.
 USUAL_STAY_S: Final = 2.5
 #: A stop and its report take up to this time.
 STOP_MARGIN_S: Final = 0.8
-MS: Final = 1000
-WHOLE_PERCENT: Final = 100
 
 
 def runs_to_evacuate(worker: Worker) -> list[Run]:
     """Return the runs on a draining worker that would end with it."""
-    left_s = worker.entry.remaining_ms / MS or USUAL_STAY_S
+    left_s = worker.entry.remaining_ms / MS_PER_S or USUAL_STAY_S
     left_s -= now() - worker.draining_since + STOP_MARGIN_S
     return [
         run
@@ -48,4 +47,4 @@
             * (WHOLE_PERCENT - run.progress.percent)
             / run.progress.percent
         )
-    return max(run.task.step.spec.estimate_ms / MS - ran_s, 0)
+    return max(run.task.step.spec.estimate_ms / MS_PER_S - ran_s, 0)
--- a/packages/berylspread/src/berylspread/coordinator/fleet.py
+++ b/packages/berylspread/src/berylspread/coordinator/fleet.py
@@ -5,13 +5,16 @@
 
 from berylspread.coordinator.blame import Soundness
 from berylspread.coordinator.interface import WorkerEntry
-from berylspread.coordinator.model import JobStatus, Task
+from berylspread.coordinator.model import (
+    MS_PER_S,
+    WHOLE_PERCENT,
+    JobStatus,
+    Task,
+)
 from berylspread.model import ZERO
 
-MS_PER_S: Final = 1000
 #: A worker's steady clock may run this much slow; the platform's figure.
 SLOWEST_CLOCK: Final = 0.98
-WHOLE_PERCENT: Final = 100
 #: A run that did less of its task tells little of the whole: progress is
 #: reported in whole percents, and a second late.
 LEAST_WORKED_PERCENT: Final = 20
--- a/packages/berylspread/src/berylspread/coordinator/model.py
+++ b/packages/berylspread/src/berylspread/coordinator/model.py
@@ -10,6 +10,7 @@
 from berylspread.kernel.errors import Failure
 from berylspread.model import Resources
 
+MS_PER_S: Final = 1000
 WHOLE_PERCENT: Final = 100
 #: The priority of queues that go before all others.
 MOST_URGENT: Final = 0
--- a/packages/berylspread/src/berylspread/coordinator/permits.py
+++ b/packages/berylspread/src/berylspread/coordinator/permits.py
@@ -12,7 +12,12 @@
 
 from berylspread.coordinator.decision_log import DecisionLog
 from berylspread.coordinator.interface import AdviceBusy, Permissions
-from berylspread.coordinator.model import AdviceTerms, Step, Tickets
+from berylspread.coordinator.model import (
+    MS_PER_S,
+    AdviceTerms,
+    Step,
+    Tickets,
+)
 from berylspread.coordinator.permit_choice import (
     Fleet,
     PermittedShares,
@@ -37,7 +42,6 @@
 SILENT_S: Final = 1.1
 #: Pause before a request that the service had no place for is sent again.
 RETRY_S: Final = 0.3
-MS: Final = 1000
 #: Weight of the newest answer in what is known of a node.
 OVERHEAD_WEIGHT: Final = 0.3
 #: Taken off a ticket's life for the answer's way.
@@ -123,7 +127,7 @@
 
 def cost_s(terms: AdviceTerms, workers: int) -> float:
     """Return how long the service takes for a request."""
-    return (terms.base_ms + terms.each_ms * workers) / MS
+    return (terms.base_ms + terms.each_ms * workers) / MS_PER_S
 
 
 @final
--- a/packages/berylspread/src/berylspread/coordinator/preemption.py
+++ b/packages/berylspread/src/berylspread/coordinator/preemption.py
@@ -22,6 +22,24 @@
 
 
 def choose_victims(
+    step: Step,
+    quota_room: int,
+    candidates: Iterable[Worker],
+    workers: Iterable[Worker],
+    moment: float,
+) -> list[Run]:
+    """Return the runs to stop for the waiting tasks of a step.
+
+    ``quota_room`` is how many of them the step's organisation may begin; if
+    that is too few, runs of its own make way, wherever they are.
+    """
+    wanted = len(step.waiting)
+    if quota_room < wanted:
+        return choose_within_quota(step, wanted - quota_room, workers, moment)
+    return choose_for_room(step, wanted, candidates, moment)
+
+
+def choose_for_room(
     step: Step, wanted: int, workers: Iterable[Worker], moment: float
 ) -> list[Run]:
     """Return the runs to stop so that ``wanted`` tasks of a step find room.
--- a/packages/berylspread/src/berylspread/coordinator/session.py
+++ b/packages/berylspread/src/berylspread/coordinator/session.py
@@ -8,7 +8,7 @@
 import asyncio
 from typing import Final, final
 
-from berylspread.coordinator.fleet import MS_PER_S, Run, Stage, Worker
+from berylspread.coordinator.fleet import Run, Stage, Worker
 from berylspread.coordinator.interface import (
     OTHER_INSTANCE,
     EndedRow,
@@ -18,6 +18,7 @@
     WorkerReport,
     Workers,
 )
+from berylspread.coordinator.model import MS_PER_S
 from berylspread.coordinator.orders import (
     GONE,
     LEASE_OVER,
--- a/packages/berylspread/src/berylspread/coordinator/soundness.py
+++ b/packages/berylspread/src/berylspread/coordinator/soundness.py
@@ -12,7 +12,8 @@
 from collections.abc import Callable, Iterable
 from typing import Final
 
-from berylspread.coordinator.fleet import MS_PER_S, Run, Stage, Worker
+from berylspread.coordinator.fleet import Run, Stage, Worker
+from berylspread.coordinator.model import MS_PER_S, WHOLE_PERCENT
 
 #: At most this share of the workers counts as sick at a time; if more seem to
 #: be, it is the measure that is wrong.
@@ -28,7 +29,6 @@
 LEAST_OWED_PERCENT: Final = 4.0
 #: A move takes this long: the stop, its report and the new start.
 MOVE_S: Final = 0.6
-WHOLE_PERCENT: Final = 100.0
 
 #: Seconds that a run is expected to take; ``None`` while nothing is known of
 #: its image.
@@ -37,7 +37,7 @@
 
 def may_find_sick(workers: Iterable[Worker], moment: float) -> bool:
     """Return whether one worker more may be found to be sick."""
-    sick = [moment < worker.soundness.sick_until for worker in workers]
+    sick = [worker.soundness.is_sick(moment) for worker in workers]
     return sum(sick) < MOST_SICK_SHARE * len(sick)
 
 
@@ -46,11 +46,7 @@
     return [
         run
         for run in worker.runs.values()
-        if _is_comparable(run)
-        and (
-            _stands_still(run, learned_s(run), moment)
-            or _is_slow(run, learned_s(run), moment)
-        )
+        if _is_comparable(run) and _is_crawling(run, learned_s(run), moment)
     ]
 
 
@@ -66,6 +62,10 @@
     return is_plain and run.stage is Stage.running and not run.stopping
 
 
+def _is_crawling(run: Run, takes_s: float | None, moment: float) -> bool:
+    return _stands_still(run, takes_s, moment) or _is_slow(run, takes_s, moment)
+
+
 def _stands_still(run: Run, takes_s: float | None, moment: float) -> bool:
     if takes_s is None:
         takes_s = run.task.step.spec.estimate_ms / MS_PER_S
--- a/packages/berylspread/src/berylspread/coordinator/table.py
+++ b/packages/berylspread/src/berylspread/coordinator/table.py
@@ -1,7 +1,7 @@
 """The jobs that the coordinator answers for, and the steps whose turn it is."""
 
 from collections.abc import Iterator
-from typing import Final, final
+from typing import final
 
 import msgspec
 
@@ -14,6 +14,7 @@
 )
 from berylspread.coordinator.interface import Policies, Snapshot
 from berylspread.coordinator.model import (
+    MS_PER_S,
     Job,
     JobSpec,
     JobStatus,
@@ -31,8 +32,6 @@
 )
 from berylspread.coordinator.shares import ShareMeter
 
-MS: Final = 1000
-
 
 @final
 class Ended:
@@ -186,7 +185,7 @@
             job.over_share = not self.meter.takes(
                 spec.tenant,
                 self.policies.weight(spec.tenant),
-                spec.accepted_ms / MS,
+                spec.accepted_ms / MS_PER_S,
             )
 
     def _restore_job(self, job_id: str, blob: bytes) -> None:
