--- a/features/coordinator/cell.py
+++ b/features/coordinator/cell.py
@@ -1,5 +1,7 @@
 """What the steps ask of a cell of nodes and workers."""
 
+from berylspread.coordinator.fleet import Worker
+from berylspread.coordinator.interface import WorkerEntry
 from berylspread.coordinator.messages import (
     AskJobStatus,
     JobAccepted,
@@ -10,7 +12,9 @@
 from berylspread.kernel.clock import now
 from berylspread_standins.coordinated import CoordinatedFleet
 from berylspread_standins.coordinated.fleet import (
+    CAPACITY,
     QUEUE,
+    TASK,
     job,
 )
 
@@ -21,6 +25,24 @@
 )
 
 
+def make_worker(name, room=None, **fields):
+    """Return a worker that can be reached, with room for some tasks or all."""
+    worker = Worker(
+        WorkerEntry(
+            worker=name,
+            service='desk',
+            address=name,
+            zone='z',
+            is_ready=True,
+            **{'capacity': CAPACITY, **fields},
+        )
+    )
+    worker.reachable = True
+    if room is not None:
+        worker.free = TASK * room
+    return worker
+
+
 def start_cell(context, nodes, workers, far=0, queue=QUEUE):
     async def start():
         context.cell = CoordinatedFleet(workers)
--- a/features/coordinator/steps/permission_steps.py
+++ b/features/coordinator/steps/permission_steps.py
@@ -6,8 +6,8 @@
 from behave import given, then, when
 
 from berylspread.coordinator.decision_log import DecisionLog
-from berylspread.coordinator.fleet import Run, Stage, Worker
-from berylspread.coordinator.interface import Permissions, WorkerEntry
+from berylspread.coordinator.fleet import Run, Stage
+from berylspread.coordinator.interface import Permissions
 from berylspread.coordinator.lookahead import upcoming
 from berylspread.coordinator.model import (
     AdviceTerms,
@@ -24,7 +24,8 @@
     workers_to_ask,
 )
 from berylspread.coordinator.permits import Askers, PermitDesk
-from berylspread_standins.coordinated.fleet import CAPACITY, TASK, job
+from berylspread_standins.coordinated.fleet import TASK, job
+from features.coordinator.cell import make_worker
 
 NAMES = ('w1', 'w2', 'w3')
 
@@ -75,23 +76,6 @@
     assert context.askers.pick(0.04, 0.0) is None
 
 
-def _worker(name, rack='', room=8):
-    worker = Worker(
-        WorkerEntry(
-            worker=name,
-            service='desk',
-            address=name,
-            zone='z',
-            is_ready=True,
-            capacity=CAPACITY,
-            rack=rack,
-        )
-    )
-    worker.free = TASK * room
-    worker.reachable = True
-    return worker
-
-
 def _step(count, terms, **fields):
     queue = Queue('q', 'desk', advice=terms)
     spec = StepSpec(count, TASK, estimate_ms=1000, **fields)
@@ -132,7 +116,7 @@
 @given('workers "w1", "w2" and "w3" of which "{unknown}" are new')
 def step_workers(context, unknown):
     context.step.tickets.asked = set(NAMES) - set(unknown.split())
-    context.workers = [_worker(name) for name in NAMES]
+    context.workers = [make_worker(name) for name in NAMES]
 
 
 @given('workers "w1", "w2" and "w3" of which "" are new')
@@ -161,7 +145,7 @@
 @given('{count:d} workers of which each has room for {room:d} tasks')
 def step_fleet(context, count, room):
     context.workers = [
-        _worker(f'w{number}', room=room) for number in range(count)
+        make_worker(f'w{number}', room) for number in range(count)
     ]
 
 
@@ -171,7 +155,7 @@
 )
 def step_racks(context, count, size, room):
     context.workers = [
-        _worker(f'w{number}', f'r{number % (count // size)}', room)
+        make_worker(f'w{number}', room, rack=f'r{number % (count // size)}')
         for number in range(count)
     ]
 
@@ -337,7 +321,7 @@
     for task in step.tasks:
         step.waiting.remove(task)
         task.phase = Phase.placed
-        worker = _worker('w1')
+        worker = make_worker('w1')
         context.found[task.name] = Run(task, worker, Stage(stage), 0.0)
 
 
--- a/features/coordinator/steps/placing_steps.py
+++ b/features/coordinator/steps/placing_steps.py
@@ -4,33 +4,17 @@
 
 from behave import given, then, when
 
-from berylspread.coordinator.fleet import Run, Stage, Worker
-from berylspread.coordinator.interface import WorkerEntry
+from berylspread.coordinator.fleet import Run, Stage
 from berylspread.coordinator.model import Job, StepSpec
 from berylspread.coordinator.pacing import next_percent, pace_fillers
 from berylspread.coordinator.planner import StepPlan, candidates
-from berylspread_standins.coordinated.fleet import CAPACITY, TASK, job
+from berylspread_standins.coordinated.fleet import TASK, job
+from features.coordinator.cell import make_worker
 
 SERVING = StepSpec(1, TASK, lasting=True, latency_target_ms=100)
 FILLER = StepSpec(1, TASK, fills=True)
 
 
-def _worker(name, label='', capacity=CAPACITY):
-    worker = Worker(
-        WorkerEntry(
-            worker=name,
-            service='desk',
-            address=name,
-            zone='z',
-            is_ready=True,
-            capacity=capacity,
-            labels=(label,),
-        )
-    )
-    worker.reachable = True
-    return worker
-
-
 def _step(spec, job_id='a'):
     return Job(job(job_id, spec)).steps[0, 0]
 
@@ -68,7 +52,7 @@
     'a worker with a serving task at {figure:d} of {target:d} ms and a filler'
 )
 def step_beside(context, figure, target):
-    context.worker = _worker('w1')
+    context.worker = make_worker('w1')
     assert target == SERVING.latency_target_ms
     _run(context.worker, SERVING, 'serving').figure = figure
     _run(context.worker, StepSpec(1, TASK), 'other')
@@ -88,14 +72,20 @@
 
 @given('workers "{serves}", which serves, and "{other}", which has less room')
 def step_serving_worker(context, serves, other):
-    context.workers = [_worker(serves), _worker(other, capacity=TASK * 2)]
+    context.workers = [
+        make_worker(serves),
+        make_worker(other, capacity=TASK * 2),
+    ]
     _run(context.workers[0], SERVING, 'serving')
     _run(context.workers[1], StepSpec(1, TASK), 'other')
 
 
 @given('workers "{first}" with label "{a}" and "{second}" with label "{b}"')
 def step_labelled(context, first, a, second, b):
-    context.workers = [_worker(first, a), _worker(second, b)]
+    context.workers = [
+        make_worker(first, labels=(a,)),
+        make_worker(second, labels=(b,)),
+    ]
 
 
 @when('a filler is placed')
--- a/features/coordinator/steps/soundness_steps.py
+++ b/features/coordinator/steps/soundness_steps.py
@@ -5,8 +5,7 @@
 from behave import given, then, when
 
 from berylspread.coordinator.blame import Soundness
-from berylspread.coordinator.fleet import Run, Stage, Worker
-from berylspread.coordinator.interface import WorkerEntry
+from berylspread.coordinator.fleet import Run, Stage
 from berylspread.coordinator.messages import JobAccepted
 from berylspread.coordinator.model import Job, Queue, StepSpec
 from berylspread.coordinator.soundness import (
@@ -14,8 +13,8 @@
     is_worth_moving,
     may_find_sick,
 )
-from berylspread_standins.coordinated.fleet import CAPACITY, TASK, job
-from features.coordinator.cell import submit_spec
+from berylspread_standins.coordinated.fleet import TASK, job
+from features.coordinator.cell import make_worker, submit_spec
 
 #: What makes a run's progress say nothing about its worker, or worth moving.
 KINDS = {
@@ -28,24 +27,11 @@
 LOG = 'worker-sick'
 
 
-def _worker(name):
-    return Worker(
-        WorkerEntry(
-            worker=name,
-            service='desk',
-            address=name,
-            zone='z',
-            is_ready=True,
-            capacity=CAPACITY,
-        )
-    )
-
-
 def _begin(context, takes_s, kind='plain', checkpoint=''):
     spec = StepSpec(2, TASK, estimate_ms=30_000, image='image', **KINDS[kind])
     task = Job(job('a', spec)).steps[0, 0].tasks[0]
     task.checkpoint = checkpoint
-    worker = _worker('w0')
+    worker = make_worker('w0')
     context.takes_s = takes_s
     context.run_judged = Run(task, worker, Stage.ordered, 0.0)
     worker.add(context.run_judged)
@@ -184,7 +170,7 @@
 
 @given('{count:d} workers of which {sick:d} are sick')
 def step_sick_workers(context, count, sick):
-    context.workers = [_worker(f'w{number}') for number in range(count)]
+    context.workers = [make_worker(f'w{number}') for number in range(count)]
     for worker in context.workers[:sick]:
         worker.soundness.find_sick(0.0)
 
