Move a run only where a worker that may run it has room

Found on reading: whether there is room elsewhere was judged by a check of its own beside the planner's, which knew neither the service nor the label. A run on a sick worker could be stopped for room that it could not use.

Change: the planner's check serves both. The new scenario failed before for a worker without the label.

--- a/features/coordinator/soundness.feature
+++ b/features/coordinator/soundness.feature
@@ -115,6 +115,17 @@
     Then job "b" is succeeded
     And worker "w0" was found to be sick
 
+  Scenario Outline: A run moves only if a worker that may run it has room
+    Given a run stands still whose step requires the label "gpu"
+    And another worker with room has the label "<label>"
+    When the worker of the run is judged
+    Then the run <moves>
+
+    Examples:
+      | label | moves       |
+      | gpu   | is stopped  |
+      | disk  | goes on     |
+
   Scenario: A worker that fails all that it begins is soon avoided
     Given a cell of 2 nodes and 3 workers
     When 1 s passes
--- a/features/coordinator/steps/soundness_steps.py
+++ b/features/coordinator/steps/soundness_steps.py
@@ -1,10 +1,14 @@
 """Steps about workers that are sick and say that they are well."""
 
 import asyncio
+from types import SimpleNamespace
 
 from behave import given, then, when
 
 from berylspread.coordinator.blame import Soundness
+from berylspread.coordinator.care import WorkerCare
+from berylspread.coordinator.decision_log import DecisionLog
+from berylspread.coordinator.durations import LearnedDurations
 from berylspread.coordinator.fleet import Run, Stage
 from berylspread.coordinator.messages import JobAccepted
 from berylspread.coordinator.model import Job, Queue, StepSpec
@@ -116,6 +120,53 @@
     assert not _moves(context)
 
 
+@given('a run stands still whose step requires the label "{label}"')
+def step_labelled(context, label):
+    spec = StepSpec(1, TASK, estimate_ms=1000, label=label)
+    worker = make_worker('w0', labels=(label,))
+    context.workers = {'w0': worker}
+    context.run_judged = Run(
+        Job(job('a', spec)).steps[0, 0].tasks[0], worker, Stage.running, 0.0
+    )
+    worker.add(context.run_judged)
+
+
+@given('another worker with room has the label "{label}"')
+def step_other_label(context, label):
+    context.workers['w1'] = make_worker('w1', labels=(label,))
+
+
+@when('the worker of the run is judged')
+def step_judge(context):
+    context.stopped = []
+
+    def stop(run, reason):
+        context.stopped.append(run)
+
+    coordinator = SimpleNamespace(
+        workers=context.workers,
+        sessions={'w0': SimpleNamespace(orders=SimpleNamespace(stop=stop))},
+        table=SimpleNamespace(durations=LearnedDurations()),
+        log=DecisionLog('n', lambda line: None),
+    )
+
+    async def judge():
+        await asyncio.sleep(2)
+        WorkerCare(coordinator).review(context.workers['w0'])
+
+    context.run(judge())
+
+
+@then('the run is stopped')
+def step_is_stopped(context):
+    assert context.stopped == [context.run_judged], context.stopped
+
+
+@then('the run goes on')
+def step_goes_on(context):
+    assert not context.stopped, context.stopped
+
+
 @given('a worker at which {count:d} tasks in a row have failed')
 def step_failures(context, count):
     context.failures = count
--- a/packages/berylspread/src/berylspread/coordinator/care.py
+++ b/packages/berylspread/src/berylspread/coordinator/care.py
@@ -5,6 +5,7 @@
 from berylspread.coordinator.fleet import Run, Worker
 from berylspread.coordinator.model import MS_PER_S, Step
 from berylspread.coordinator.permit_choice import room_for
+from berylspread.coordinator.planner import may_run
 from berylspread.coordinator.soundness import (
     crawling,
     is_worth_moving,
@@ -79,7 +80,7 @@
         """Return whether another worker that is good for a step has room."""
         tickets = step.tickets
         return any(
-            worker.accepts_runs(moment)
+            may_run(step, worker, moment)
             and (tickets is None or worker.name in tickets.by_worker)
             and room_for(step, worker)
             for worker in self.coordinator.workers.values()
--- a/packages/berylspread/src/berylspread/coordinator/planner.py
+++ b/packages/berylspread/src/berylspread/coordinator/planner.py
@@ -81,7 +81,7 @@
         return [
             (worker, '')
             for worker in workers.values()
-            if _may_run(step, worker, moment)
+            if may_run(step, worker, moment)
         ]
     if step.tickets is None:
         return []
@@ -91,11 +91,12 @@
         for name, (ticket, until) in step.tickets.by_worker.items()
         if until > limit
         and name in workers
-        and _may_run(step, workers[name], moment)
+        and may_run(step, workers[name], moment)
     ]
 
 
-def _may_run(step: Step, worker: Worker, moment: float) -> bool:
+def may_run(step: Step, worker: Worker, moment: float) -> bool:
+    """Return whether a worker may run a step now, but for its ticket."""
     entry, label = worker.entry, step.spec.label
     return (
         entry.service == step.job.spec.queue.service
