--- a/features/coordinator/steps/permission_steps.py
+++ b/features/coordinator/steps/permission_steps.py
@@ -19,7 +19,7 @@
 )
 from berylspread.coordinator.permit_choice import (
     USUAL_SHARE,
-    Fleet,
+    FleetView,
     PermittedShares,
     workers_to_ask,
 )
@@ -85,7 +85,9 @@
 
 
 def _fleet(context, moment):
-    return Fleet({worker.name: worker for worker in context.workers}, moment)
+    return FleetView(
+        {worker.name: worker for worker in context.workers}, moment
+    )
 
 
 def _ask(context, moment):
@@ -226,7 +228,7 @@
         desk.askers.busy_until['a'] = getattr(context, 'busy_until', 0.0)
         for _ in range(times):
             # Each pass of the placement has a view of its own.
-            desk.consider(context.step, Fleet(context.counted, 0.0))
+            desk.consider(context.step, FleetView(context.counted, 0.0))
 
     context.run(consider())
 
--- a/packages/berylspread/src/berylspread/coordinator/dispatcher.py
+++ b/packages/berylspread/src/berylspread/coordinator/dispatcher.py
@@ -19,7 +19,7 @@
     Phase,
     Step,
 )
-from berylspread.coordinator.permit_choice import Fleet
+from berylspread.coordinator.permit_choice import FleetView
 from berylspread.coordinator.planner import (
     Placement,
     StepPlan,
@@ -95,7 +95,7 @@
         if not coordinator.is_loaded:
             return
         moment = now()
-        fleet = Fleet(coordinator.workers, moment)
+        fleet = FleetView(coordinator.workers, moment)
         run_of = functools.partial(find_run, coordinator.workers)
         for job in coordinator.table.jobs.values():
             if job.status is not JobStatus.running or len(job.spec.steps) == 1:
@@ -130,7 +130,7 @@
         if not is_informed or not coordinator.has_authority(ORDER_GRACE_S):
             return
         moment = now()
-        fleet = Fleet(coordinator.workers, moment)
+        fleet = FleetView(coordinator.workers, moment)
         ready = coordinator.table.ready
         by_urgency = functools.partial(urgency, wall_ms=coordinator.wall_ms())
         seen: set[tuple[str, str]] = set()
@@ -145,7 +145,7 @@
     def _place(
         self,
         step: Step,
-        fleet: Fleet,
+        fleet: FleetView,
         *,
         is_first: bool,
     ) -> None:
--- a/packages/berylspread/src/berylspread/coordinator/permit_choice.py
+++ b/packages/berylspread/src/berylspread/coordinator/permit_choice.py
@@ -67,7 +67,7 @@
 
 
 @final
-class Fleet:
+class FleetView:
     """The workers at one moment, by name and by the room that they have."""
 
     __slots__ = ('by_name', 'moment', 'ranked')
@@ -90,7 +90,7 @@
 
 
 def workers_to_ask(
-    step: Step, fleet: Fleet, share: float, *, is_first: bool = False
+    step: Step, fleet: FleetView, share: float, *, is_first: bool = False
 ) -> Iterator[list[str]]:
     """Yield the requests that a step should send now: names of workers.
 
@@ -126,7 +126,7 @@
 
 
 def _askable(
-    step: Step, tickets: Tickets, fleet: Fleet, *, is_first: bool
+    step: Step, tickets: Tickets, fleet: FleetView, *, is_first: bool
 ) -> list[Worker]:
     """Return the workers whose tickets a step lacks and could use.
 
@@ -187,7 +187,9 @@
     return [worker.name for worker in workers]
 
 
-def _places(step: Step, tickets: Tickets, fleet: Fleet, share: float) -> float:
+def _places(
+    step: Step, tickets: Tickets, fleet: FleetView, share: float
+) -> float:
     """Return how many tasks find a place by what is held and asked for."""
     good = tickets.by_worker
     limit = fleet.moment + TICKET_MARGIN_S
@@ -197,7 +199,7 @@
     return _room(step, fleet, sure) + share * _room(step, fleet, unsure)
 
 
-def _room(step: Step, fleet: Fleet, names: Iterable[str]) -> int:
+def _room(step: Step, fleet: FleetView, names: Iterable[str]) -> int:
     workers = fleet.by_name
     return sum(
         _room_now(step, workers[name], fleet.moment)
--- a/packages/berylspread/src/berylspread/coordinator/permits.py
+++ b/packages/berylspread/src/berylspread/coordinator/permits.py
@@ -19,7 +19,7 @@
     Tickets,
 )
 from berylspread.coordinator.permit_choice import (
-    Fleet,
+    FleetView,
     PermittedShares,
     workers_to_ask,
 )
@@ -153,7 +153,7 @@
     def consider(
         self,
         step: Step,
-        fleet: Fleet,
+        fleet: FleetView,
         *,
         is_first: bool = False,
     ) -> None:
