Let the soak use the worker stand-in's own fault

The soak kept a set of workers that fail all they start, and the worker's stand-in had got an attribute for the same. The attribute serves both, decided as the soak had it, when a run begins.

--- a/features/coordinator/cell.py
+++ b/features/coordinator/cell.py
@@ -97,6 +97,15 @@
     return name
 
 
+def find_bystander(context):
+    """Return a node that does not coordinate."""
+    return next(
+        node
+        for node in context.cell.nodes.values()
+        if node.node.service is None
+    )
+
+
 def runs_of(context, job_id):
     return [
         log for log in context.cell.runs() if log.task.startswith(f'{job_id}.')
--- a/features/coordinator/steps/coordination_steps.py
+++ b/features/coordinator/steps/coordination_steps.py
@@ -26,6 +26,7 @@
     PERMITTED,
     TIMEOUT_S,
     cut_off_node,
+    find_bystander,
     find_coordinator,
     gateway_of,
     loop_time,
@@ -204,22 +205,12 @@
 
 @when('another node leaves')
 def step_other_leaves(context):
-    name = next(
-        name
-        for name, node in context.cell.nodes.items()
-        if node.node.service is None
-    )
-    context.run(context.cell.nodes[name].node.leave())
+    context.run(find_bystander(context).node.leave())
 
 
 @when('a node that does not coordinate is cut off')
 def step_cut_off(context):
-    name = next(
-        name
-        for name, node in context.cell.nodes.items()
-        if node.node.service is None
-    )
-    context.lone = context.cell.nodes[name]
+    context.lone = find_bystander(context)
     cut_off_node(context, context.lone)
 
 
--- a/packages/berylspread-standins/src/berylspread_standins/coordinated/worker.py
+++ b/packages/berylspread-standins/src/berylspread_standins/coordinated/worker.py
@@ -106,7 +106,7 @@
 
     ``is_cut`` loses calls before they arrive.
     ``mute_reports`` counts reports that are lost on their way back.
-    ``is_still`` lets no run get on; ``fails_all`` lets each fail at its end.
+    ``is_still`` lets no run get on; ``fails_all`` lets all that begins fail.
     """
 
     __slots__ = (
@@ -239,6 +239,8 @@
             return self.clock_ms()
         self._hold(order.until_ms)
         work_s, outcome = self.script(order.task)
+        if self.fails_all:
+            outcome = 'failed'
         log = RunLog(self.entry.worker, order.task, order.run, work_s)
         self.running[order.task] = log
         self.history.append(log)
@@ -286,7 +288,7 @@
             if not self.is_still:
                 log.left_s -= slice_s
         if self.running.get(task) is log:
-            self._end(task, 'failed' if self.fails_all else outcome)
+            self._end(task, outcome)
 
     def _end(self, task: str, outcome: str) -> None:
         log = self.running.pop(task)
--- a/packages/berylspread-standins/src/berylspread_standins/process_soak/faults.py
+++ b/packages/berylspread-standins/src/berylspread_standins/process_soak/faults.py
@@ -194,12 +194,12 @@
 
     async def inject(self, fleet: ProcessFleet, rng: random.Random) -> None:
         """Let one worker fail for a while."""
-        worker = rng.choice(list(fleet.workers))
-        fleet.failing.add(worker)
+        worker = fleet.workers[rng.choice(list(fleet.workers))]
+        worker.fails_all = True
         try:
             await self.hold(rng)
         finally:
-            fleet.failing.discard(worker)
+            worker.fails_all = False
 
 
 def _delay(proxy: LoopbackProxy, way: Set[Direction]) -> None:
--- a/packages/berylspread-standins/src/berylspread_standins/process_soak/fleet.py
+++ b/packages/berylspread-standins/src/berylspread_standins/process_soak/fleet.py
@@ -149,7 +149,6 @@
 
     __slots__ = (
         'advice',
-        'failing',
         'folder',
         'halts',
         'is_serving',
@@ -171,8 +170,6 @@
         self.workers: dict[str, WorkerStandin] = {}
         self.worker_proxies: dict[str, LoopbackProxy] = {}
         self.servers: list[HttpServer] = []
-        #: Workers that fail all they start.
-        self.failing: set[str] = set()
         #: Faults under way while which nothing can be accepted.
         self.halts = 0
         #: Whether any program has lately said that it is ready.
@@ -238,7 +235,7 @@
     async def _add_worker(self, name: str) -> None:
         worker = WorkerStandin(
             WorkerEntry(name, 'desk', '', 'z', True, Resources(), born_ms=1),
-            lambda task: self._script(name),
+            lambda task: self._script(),
         )
         proxy = LoopbackProxy(await self._serve(WorkerApp(worker)))
         await proxy.start()
@@ -254,8 +251,8 @@
         }
         self.store.append('keyed.servers', [(name, _pack(entry))])
 
-    def _script(self, worker: str) -> tuple[float, str]:
-        has_failed = worker in self.failing or self.rng.random() < FAILURES
+    def _script(self) -> tuple[float, str]:
+        has_failed = self.rng.random() < FAILURES
         outcome = 'failed' if has_failed else 'done'
         return self.rng.uniform(WORK_S / 3, WORK_S * 3), outcome
 
