Compare answered workers with the fleet by name, not by number

Cause: a step asked about further workers only while it had answers for fewer workers than the fleet has. Names of workers that have left counted, so a rack that crashes and returns under other names left a step with as many answers as workers, and the new ones were never named: the job waited for ever.

Ruled out: tickets that expire, and a busy permission service; both are asked again. Of the other places that keep workers' names beside a task, the avoided workers only rank candidates and blame counts failures, so names of workers that have left do no harm there.

The new scenario failed before: the requests named no worker.

--- a/features/coordinator/permissions.feature
+++ b/features/coordinator/permissions.feature
@@ -128,3 +128,10 @@
       | running | 4.5    | at once |
       | ordered | 3.3    | later   |
       | waiting | 3.3    | later   |
+
+  Scenario: Workers that return under other names are named in requests
+    Given a step of 20 tasks with tickets for "w1" until 5 s and "w2" until 3 s
+    And workers "w1", "w2" and "w3" of which "" are new
+    When the workers are replaced by "w4", "w5" and "w6"
+    And the step sends requests at 2 s
+    Then the requests name "w4 w5 w6"
--- a/features/coordinator/steps/permission_steps.py
+++ b/features/coordinator/steps/permission_steps.py
@@ -169,6 +169,11 @@
             worker.free = TASK * room
 
 
+@when('the workers are replaced by "w4", "w5" and "w6"')
+def step_replace(context):
+    context.workers = [make_worker(name) for name in ('w4', 'w5', 'w6')]
+
+
 @when('the step sends requests at {moment:g} s')
 def step_send_requests(context, moment):
     _send_requests(context, moment)
--- a/packages/berylspread/src/berylspread/coordinator/permit_choice.py
+++ b/packages/berylspread/src/berylspread/coordinator/permit_choice.py
@@ -147,16 +147,14 @@
         and name not in tickets.pending_workers
         and (is_first or room_for(step, workers[name]))
     ]
-    unknown = []
-    if len(tickets.answered_workers) + len(tickets.pending_workers) < len(
-        workers
-    ):
-        unknown = [
-            worker
-            for worker in fleet.by_room()
-            if worker.name not in tickets.answered_workers
-            and worker.name not in tickets.pending_workers
-        ]
+    unnamed = (
+        workers.keys() - tickets.answered_workers - tickets.pending_workers
+    )
+    unknown = (
+        [worker for worker in fleet.by_room() if worker.name in unnamed]
+        if unnamed
+        else []
+    )
     eligible = [
         worker
         for worker in (*permitted, *unknown)
