Hand frames to a stream only once it is connected

Cause: grpc takes the first frame of a new stream before the connection is established. Its requests counted as sent although no byte had left, so callers got 502 (outcome unknown) for requests that had certainly not run.

Two new scenarios, a peer that does not listen and one that accepts no stream, failed before.

--- a/features/peers/grpc_peers.feature
+++ b/features/peers/grpc_peers.feature
@@ -28,6 +28,15 @@
     When node a sends a request to node z
     Then the failure says that nothing was sent
 
+  Scenario: A peer that does not listen has received nothing
+    When node b is down and a sends a request with a short timeout
+    Then the failure says that nothing was sent
+
+  Scenario: A peer that accepts no stream has received nothing
+    When node b hangs
+    And node a sends node b a request with a short timeout
+    Then the failure says that nothing was sent
+
   Scenario: A late reply is dropped and counted
     When node a sends a request whose reply comes after the timeout
     Then node a has dropped one late reply
--- a/features/peers/steps/peer_steps.py
+++ b/features/peers/steps/peer_steps.py
@@ -200,6 +200,11 @@
     run(context, send_request(context, node='z'))
 
 
+@when('node a sends node b a request with a short timeout')
+def when_short(context):
+    run(context, send_request(context, timeout_s=0.5))
+
+
 @then('the failure says that nothing was sent')
 def then_unsent(context):
     assert isinstance(context.reply, PeerUnreachable)
--- a/packages/berylspread/src/berylspread/peers/link.py
+++ b/packages/berylspread/src/berylspread/peers/link.py
@@ -1,9 +1,10 @@
 """The outgoing stream to one peer."""
 
 import asyncio
+import contextlib
 import itertools
 import random
-from collections.abc import Callable
+from collections.abc import AsyncIterator, Callable
 from typing import Any, Final, final
 
 import grpc
@@ -18,7 +19,7 @@
 from berylspread.peers.interface import Message
 from berylspread.peers.outbox import Outbox
 from berylspread.peers.tracing import current_traceparent, request_span
-from berylspread.proto.peer_pb2 import Envelope
+from berylspread.proto.peer_pb2 import Envelope, Frame
 from berylspread.proto.peer_pb2_grpc import PeerStub
 
 SOURCE_KEY: Final = 'berylspread-source'
@@ -183,8 +184,9 @@
         async with grpc.aio.insecure_channel(
             self.address, options=options
         ) as channel:
+            connected = asyncio.Event()
             self.call = open_stream(channel)(
-                self.outbox.frames(self._mark_sent),
+                self._frames_once_connected(connected),
                 metadata=(
                     (SOURCE_KEY, self.local_ref.node),
                     (INCARNATION_KEY, str(self.local_ref.incarnation)),
@@ -192,10 +194,27 @@
                 ),
                 wait_for_ready=False,
             )
-            async for frame in self.call:
-                self.last_received_at = now()
-                for envelope in frame.envelopes:
-                    self._receive(envelope)
+            connecting = asyncio.create_task(
+                _signal_connection(self.call, connected)
+            )
+            try:
+                await self._read_frames()
+            finally:
+                connecting.cancel()
+
+    async def _read_frames(self) -> None:
+        async for frame in self.call:
+            self.last_received_at = now()
+            for envelope in frame.envelopes:
+                self._receive(envelope)
+
+    async def _frames_once_connected(
+        self, connected: asyncio.Event
+    ) -> AsyncIterator[Frame]:
+        # Before that, grpc would take a frame that may never leave this node.
+        await connected.wait()
+        async for frame in self.outbox.frames(self._mark_sent):
+            yield frame
 
     def _mark_sent(self, envelope: Envelope) -> bool:
         """Mark a request as sent; return false if it was withdrawn."""
@@ -263,6 +282,13 @@
         return self.rng.uniform(ceiling / 2, ceiling)
 
 
+async def _signal_connection(call: Any, connected: asyncio.Event) -> None:
+    # If the connection fails, the reader of the stream reports it.
+    with contextlib.suppress(grpc.RpcError):
+        await call.wait_for_connection()
+        connected.set()
+
+
 def _is_task_cancelled() -> bool:
     task = asyncio.current_task()
     return task is None or task.cancelling() > 0
