Hedge an append without a reply, and let one append probe a failing store

Now only the oldest is repeated, with a pause that doubles up to 0.4 s; the others wait for it. An append without a reply is sent a second time and the first reply counts, so a store that becomes slow costs no more than its latency.

The stand-in of the store let calls take longer than their time limit.

--- a/packages/berylspread-standins/src/berylspread_standins/coordinated/fleet.py
+++ b/packages/berylspread-standins/src/berylspread_standins/coordinated/fleet.py
@@ -3,7 +3,8 @@
 import asyncio
 import json
 import random
-from typing import Final, final
+from collections.abc import Callable
+from typing import Any, Final, final
 
 import msgspec
 
@@ -14,7 +15,12 @@
     Topics,
 )
 from berylspread.coordinator.fitness import DEFAULT_CAPACITY, Capacity
-from berylspread.coordinator.interface import KeyedItem, WorkerEntry
+from berylspread.coordinator.interface import (
+    KeyedItem,
+    KeyedStore,
+    WorkerApi,
+    WorkerEntry,
+)
 from berylspread.coordinator.model import JobSpec, Queue, StepSpec
 from berylspread.coordinator.policy import (
     Configuration,
@@ -50,6 +56,10 @@
 FAR_S: Final = 0.02
 
 
+def _as_is(part: Any) -> Any:
+    return part
+
+
 @final
 class NodeStandin:
     """One node: its way to the store, its clients and its main task."""
@@ -138,10 +148,13 @@
         queue: Queue = QUEUE,
         capacity: Capacity = DEFAULT_CAPACITY,
         is_configured: bool = True,
+        wrap_store: Callable[[StoreView], KeyedStore] = _as_is,
+        wrap_workers: Callable[[WorkerPool], WorkerApi] = _as_is,
     ) -> NodeStandin:
         """Start a node, or start it again.
 
-        Unless ``is_configured`` it knows no configuration at first.
+        Unless ``is_configured`` it knows no configuration at first.  The node
+        uses what ``wrap_store`` and ``wrap_workers`` return.
         """
         view = StoreView(self.store, far_s=FAR_S if is_far else 0.0)
         pool = WorkerPool(self.workers)
@@ -150,8 +163,8 @@
         if is_configured:
             board.apply(_configuration(queue))
         clients = Clients(
-            view,
-            pool,
+            wrap_store(view),
+            wrap_workers(pool),
             self.advisor,
             board,
             _decode,
--- a/packages/berylspread-standins/src/berylspread_standins/coordinated/store.py
+++ b/packages/berylspread-standins/src/berylspread_standins/coordinated/store.py
@@ -15,6 +15,7 @@
     StoreRejected,
 )
 from berylspread.kernel.errors import Failure, LogGap, LogUnavailable
+from berylspread_standins.exchange import detach
 
 #: A repeat of one of this many newest appends gets its first answer again.
 REMEMBERED: Final = 5
@@ -119,7 +120,8 @@
 class StoreView:
     """One node's way to the store; implements ``KeyedStore``.
 
-    ``is_cut`` loses its calls; ``lose_answers`` counts appends that are done
+    ``is_cut`` loses its calls; ``is_refused`` turns them away.
+    ``lose_answers`` counts appends that are done
     and not answered, ``lose_changes``, by topic, those that never arrive;
     ``reads`` and ``appends`` count the calls by topic.
     """
@@ -128,6 +130,7 @@
         'appends',
         'far_s',
         'is_cut',
+        'is_refused',
         'lose_answers',
         'lose_changes',
         'reads',
@@ -139,6 +142,7 @@
         self.store = store
         self.far_s = far_s
         self.is_cut = False
+        self.is_refused = False
         self.lose_answers = 0
         self.lose_changes: collections.Counter[str] = collections.Counter()
         self.reads: collections.Counter[str] = collections.Counter()
@@ -155,7 +159,10 @@
     ) -> Appended | Failure:
         """Append after the way there; see ``KeyedStore``."""
         self.appends[topic] += 1
-        failure = await self._travel(timeout_s)
+        way_s = self._way_s()
+        if way_s > timeout_s and not (self.is_cut or self.store.is_down):
+            detach(self._append_late(way_s, topic, records, producer, at))
+        failure = await self._travel(way_s, timeout_s)
         if failure is not None:
             return failure
         if self.lose_changes[topic] > 0:
@@ -174,7 +181,7 @@
     ) -> Snapshot | Failure:
         """Return the newest records."""
         self.reads[topic] += 1
-        failure = await self._travel(timeout_s)
+        failure = await self._travel(self._way_s(), timeout_s)
         return self.store.newest(topic) if failure is None else failure
 
     async def read_from(
@@ -182,7 +189,7 @@
     ) -> Batch | Failure:
         """Return records from an offset on, or none after the wait."""
         self.reads[topic] += 1
-        failure = await self._travel(timeout_s)
+        failure = await self._travel(self._way_s(), timeout_s)
         if failure is not None:
             return failure
         found = self.store.topic(topic)
@@ -206,16 +213,32 @@
             # An empty batch tells the caller.
             return
 
-    async def _travel(self, timeout_s: float) -> LogUnavailable | None:
-        if self.is_cut:
+    def _way_s(self) -> float:
+        jitter_s = self.store.jitter_s * self.store.rng.random()
+        return self.store.answer_s + self.far_s + jitter_s
+
+    async def _travel(
+        self, way_s: float, timeout_s: float
+    ) -> LogUnavailable | None:
+        if self.is_cut or way_s > timeout_s:
             await asyncio.sleep(timeout_s)
             return LogUnavailable('no answer')
-        jitter_s = self.store.jitter_s * self.store.rng.random()
-        await asyncio.sleep(self.store.answer_s + self.far_s + jitter_s)
-        if self.store.is_down:
+        await asyncio.sleep(way_s)
+        if self.store.is_down or self.is_refused:
             return LogUnavailable('status 503', done=False)
         return None
 
+    async def _append_late(
+        self,
+        way_s: float,
+        topic: str,
+        records: list[Record],
+        producer: Producer | None,
+        at: int | None,
+    ) -> None:
+        await asyncio.sleep(way_s)
+        self.store.append(topic, records, producer, at)
+
 
 def _check(
     fence: _Fence, producer: Producer
--- a/packages/berylspread/src/berylspread/coordinator/fenced_log.py
+++ b/packages/berylspread/src/berylspread/coordinator/fenced_log.py
@@ -13,6 +13,7 @@
 
 from berylspread.coordinator.decision_log import DecisionLog
 from berylspread.coordinator.interface import (
+    Appended,
     KeyedStore,
     Producer,
     Record,
@@ -35,8 +36,10 @@
 #: After this time of failed appends the store counts as out of service.  An
 #: append whose response was lost is retried several times within it.
 STALL_S: Final = 0.6
-#: Pause before an append is retried; jitter adds up to as much again.
+#: Pause before an append is retried.  It doubles with each failure up to the
+#: bound; jitter adds up to as much again.
 RETRY_S: Final = 0.05
+MAX_RETRY_S: Final = 0.4
 #: Appends in flight.  The store deduplicates retries of the last five appends
 #: only, and every retry must be one of them.
 MAX_APPENDS_IN_FLIGHT: Final = 4
@@ -148,14 +151,10 @@
 
     async def _append(self, seq: int, records: list[Record]) -> None:
         producer = Producer(PRODUCER_NAME, self.epoch, seq)
+        retry_s = RETRY_S
         while self.end_failure is None:
             sent_at = now()
-            reply = await self.store.append(
-                self.topic,
-                records,
-                producer=producer,
-                timeout_s=self.timeout_s,
-            )
+            reply = await self._append_hedged(records, producer)
             if not isinstance(reply, Failure):
                 self._record_latency(now() - sent_at)
                 self._resolve_stored(seq)
@@ -163,7 +162,58 @@
             if self._handle_rejection(seq, reply):
                 return
             self._record_failure(seq, reply, sent_at)
-            await asyncio.sleep(RETRY_S * (1 + random.random()))
+            await asyncio.sleep(retry_s * (1 + random.random()))
+            retry_s = min(2 * retry_s, MAX_RETRY_S)
+            await self._wait_for_turn(seq)
+
+    async def _wait_for_turn(self, seq: int) -> None:
+        """Wait while an earlier append fails: it alone probes the store."""
+        while self._is_behind_failure(seq):
+            self.append_done.clear()
+            await self.append_done.wait()
+
+    def _is_behind_failure(self, seq: int) -> bool:
+        return (
+            self.end_failure is None
+            and self.failing_since is not None
+            and bool(self.pending)
+            and self.pending[0][0] < seq
+        )
+
+    async def _append_hedged(
+        self, records: list[Record], producer: Producer
+    ) -> Appended | Failure:
+        """Append, a second time if there is no reply within ``timeout_s``.
+
+        The first reply counts, so that neither a lost reply nor a store that
+        has become slow costs more time than needed.
+        """
+        sent_at = now()
+        calls = [self._start_call(records, producer)]
+        done, _ = await asyncio.wait(calls, timeout=self.timeout_s)
+        if not done:
+            self.timeout_s = min(2 * self.timeout_s, MAX_TIMEOUT_S)
+            if self.failing_since is None:
+                self.failing_since = sent_at
+            calls.append(self._start_call(records, producer))
+            done, _ = await asyncio.wait(
+                calls, return_when=asyncio.FIRST_COMPLETED
+            )
+        for call in calls:
+            call.cancel()
+        return next(iter(done)).result()
+
+    def _start_call(
+        self, records: list[Record], producer: Producer
+    ) -> asyncio.Task[Appended | Failure]:
+        return asyncio.create_task(
+            self.store.append(
+                self.topic,
+                records,
+                producer=producer,
+                timeout_s=MAX_TIMEOUT_S,
+            )
+        )
 
     def _handle_rejection(self, seq: int, failure: Failure) -> bool:
         """Return whether a failed append must not be retried."""
