--- a/packages/berylspread/src/berylspread/coordinator/messages.py
+++ b/packages/berylspread/src/berylspread/coordinator/messages.py
@@ -108,6 +108,25 @@
     is_leading: bool = False
 
 
+@final
+@message
+class TakeOver(Message, frozen=True):
+    """The leader of an epoch, which the store does not serve, asks to succeed.
+
+    The reply is ``TookOver`` or the reason for which the node has not claimed.
+    """
+
+    epoch: int
+
+
+@final
+@message
+class TookOver(Message, frozen=True):
+    """The record with which the replying node has claimed the next epoch."""
+
+    record: LeaderRecord
+
+
 @final
 @message
 class AskPermissions(Message, frozen=True):
--- a/packages/berylspread/src/berylspread/coordinator/node.py
+++ b/packages/berylspread/src/berylspread/coordinator/node.py
@@ -37,10 +37,17 @@
     NodeUp,
     PermissionsReply,
     SubmitJob,
+    TakeOver,
+    TookOver,
 )
 from berylspread.coordinator.permits import MAX_SILENCE_S
 from berylspread.coordinator.policy import PolicyCache
 from berylspread.coordinator.service import JobService
+from berylspread.coordinator.store_access import (
+    HandoverPolicy,
+    ObservedStore,
+    recent_fitness,
+)
 from berylspread.kernel.clock import WallClock, now
 from berylspread.kernel.errors import Failure, NotOwner
 from berylspread.model import NodeRef
@@ -63,6 +70,10 @@
 #: refuses requests at once.  Even if the leader is silent, the store replies
 #: once a second, and a slow store a little later.
 ISOLATION_TIMEOUT_S: Final = 1.5
+#: How often a coordinator checks whether the store still serves it.
+HANDOVER_CHECK_INTERVAL_S: Final = 0.05
+#: Time limit of a request to take over: a read and a claim.
+TAKEOVER_TIMEOUT_S: Final = 0.8
 
 
 @final
@@ -122,6 +133,7 @@
         'config_feed',
         'fitness_by_node',
         'gateway',
+        'handover',
         'known_versions',
         'last_peer_reply_at',
         'leadership',
@@ -159,8 +171,9 @@
         self.service: JobService | None = None
         #: When another node last replied, in loop time.
         self.last_peer_reply_at = 0.0
+        self.handover = HandoverPolicy()
         self.leadership = Leadership(
-            clients.store,
+            ObservedStore(clients.store, self.handover),
             topics.leader,
             LeaderRecord(0, ref.node, ref.incarnation, address),
             self.serve,
@@ -198,6 +211,7 @@
         peers.register_handler(CancelJob, self._service_handler('cancel'))
         peers.register_handler(AskBacklog, self._service_handler('backlog'))
         peers.register_handler(NodeUp, self._handle_node_up)
+        peers.register_handler(TakeOver, self._handle_takeover_request)
         peers.register_handler(AskPermissions, self._handle_permission_request)
 
     def address_of(self, node: str) -> str | None:
@@ -244,15 +258,17 @@
             self.ref.node, math.inf
         )
         self.service = JobService(coordinator)
+        handing_over = asyncio.create_task(self._hand_over_when_due(epoch))
         try:
             return await coordinator.run()
         finally:
+            handing_over.cancel()
             self.service = None
 
     def _coordinator_dependencies(self) -> CoordinatorDependencies:
         clients = self.clients
         return CoordinatorDependencies(
-            store=clients.store,
+            store=self.leadership.store,
             topics=self.topics,
             workers=clients.worker_api,
             policies=clients.policies,
@@ -305,15 +321,8 @@
 
     def best_other_fitness(self) -> float:
         """Return the best fitness that other nodes have recently reported."""
-        reported_after = now() - MAX_SILENCE_S
-        return max(
-            (
-                fitness
-                for fitness, reported_at in self.fitness_by_node.values()
-                if reported_at >= reported_after
-            ),
-            default=0.0,
-        )
+        reported = recent_fitness(self.fitness_by_node, MAX_SILENCE_S)
+        return max(reported.values(), default=0.0)
 
     def _should_step_down(self) -> bool:
         service = self.service
@@ -337,6 +346,47 @@
         await self.service.coordinator.quiesce()
         await self.leadership.step_down()
 
+    async def _hand_over_when_due(self, epoch: int) -> None:
+        """Ask other nodes to take over while the store does not serve this one.
+
+        Its claim ends this node's epoch, also if the reply is lost.
+        """
+        while True:
+            await asyncio.sleep(HANDOVER_CHECK_INTERVAL_S)
+            if not self.handover.is_due(now(), self.leadership.authority_age()):
+                continue
+            target = self.handover.choose_node(
+                recent_fitness(self.fitness_by_node, MAX_SILENCE_S)
+            )
+            if target is not None:
+                await self._request_takeover(target, epoch)
+
+    async def _request_takeover(self, target: str, epoch: int) -> None:
+        assert self.peers is not None
+        asked_at = now()
+        reply = await self.peers.request(
+            target, TakeOver(epoch), TookOver, timeout_s=TAKEOVER_TIMEOUT_S
+        )
+        self.log.write(
+            'takeover-request',
+            epoch=epoch,
+            target=target,
+            refusals=self.handover.refusals,
+            confirmed_age_s=round(self.leadership.authority_age(), 3),
+            took_s=round(now() - asked_at, 3),
+            declined=reply.reason if isinstance(reply, Failure) else '',
+        )
+        if isinstance(reply, Failure):
+            self.handover.record_declined(target, now())
+        else:
+            self.leadership.update_from_peer(reply.record)
+
+    async def _handle_takeover_request(
+        self, source: NodeRef, body: TakeOver
+    ) -> TookOver | Failure:
+        reply = await self.leadership.take_over(body.epoch)
+        return reply if isinstance(reply, Failure) else TookOver(reply)
+
     async def _announce_to(self, node: str) -> None:
         assert self.peers is not None
         requested_at = self.config_feed.clock()
