Explore schedules of lost, late and unanswered calls

The modules of the coordinator run in virtual time against the stand-ins of the store and the workers; a chooser decides the course of every append and order. make explore runs all schedules of six scripts with at most one deviation and random walks beyond, checks epochs, tokens, runs, order, capacity and ends, and shrinks what it finds.

--- a/Makefile
+++ b/Makefile
@@ -16,7 +16,7 @@
 
 .DEFAULT_GOAL := help
 .DELETE_ON_ERROR:
-.PHONY: help setup demo fleet test lint format bench soak virtual-soak proto capacity constraints
+.PHONY: help setup demo fleet test lint format bench soak virtual-soak proto capacity constraints explore
 
 help:
 	@echo 'make demo         run a small assembly in one process (JSON=1: as JSON)'
@@ -27,6 +27,7 @@
 	@echo 'make bench        run the benchmarks against their bounds'
 	@echo 'make soak         run the programs as processes under faults (ARGS="...")'
 	@echo 'make virtual-soak run random faults in virtual time (ARGS="...")'
+	@echo 'make explore      run schedules of lost and late calls (ARGS="...")'
 	@echo 'make capacity     measure the capacity figures'
 	@echo 'make proto        regenerate the protobuf code'
 	@echo 'make constraints  pin the requirements again'
@@ -78,6 +79,9 @@
 virtual-soak: $(STAMP)
 	$(PY) -m berylspread_standins.soak $(ARGS)
 
+explore: $(STAMP)
+	$(PY) -m berylspread_standins.explorer $(ARGS)
+
 capacity: $(STAMP)
 	$(PY) -m bench.capacity $(ARGS)
 
--- a/features/mutants/mutants.feature
+++ b/features/mutants/mutants.feature
@@ -6,6 +6,8 @@
     Examples: mutants
       | mutant                    |
       | claims-anywhere           |
+      | claims-unfenced           |
+      | answers-counted           |
       | ends-acknowledged-at-once |
       | leases-over-at-once       |
       | answers-before-loading    |
--- a/features/support/mutants.py
+++ b/features/support/mutants.py
@@ -10,6 +10,8 @@
 import sys
 from typing import Any, Final, NamedTuple
 
+import msgspec
+
 from berylspread.coordinator import (
     blame,
     dispatcher,
@@ -20,15 +22,19 @@
     model,
     orders,
     outcomes,
+    permit_choice,
     planner,
     policy,
     service,
     session,
 )
 from berylspread.coordinator import coordinator as coordinators
+from berylspread.kernel.errors import Failure
 
 MUTANT_ENV: Final = 'BERYLSPREAD_MUTANT'
 COORDINATION: Final = 'features/coordinator/coordination.feature'
+EXPLORER: Final = 'features/explorer/explorer.feature'
+LEADERSHIP: Final = 'features/coordinator/leadership.feature'
 WORKER_HEALTH: Final = 'features/coordinator/worker_health.feature'
 MOVE_AWAY: Final = 'Tasks move away from a worker on which they stall'
 PACING: Final = 'features/coordinator/pacing.feature'
@@ -42,11 +48,48 @@
     return []
 
 
-def _claim_anywhere(
+async def _claim_anywhere(
+    self: leadership.Leadership, record: Any, at: int | None
+) -> Any:
+    """Append a claim without its offset and without a producer."""
+    if at is None:
+        return await APPEND_RECORD(self, record, None)
+    return await _append_plainly(self, record, None)
+
+
+async def _claim_unfenced(
+    self: leadership.Leadership, record: Any, at: int | None
+) -> Any:
+    """Append a claim without a producer: earlier epochs may still renew."""
+    if at is None:
+        return await APPEND_RECORD(self, record, None)
+    self.seq = 0
+    return await _append_plainly(self, record, at)
+
+
+async def _append_plainly(
     self: leadership.Leadership, record: Any, at: int | None
 ) -> Any:
-    """Append a claim even if another record was appended meanwhile."""
-    return APPEND_RECORD(self, record, None)
+    reply = await self.store.append(
+        self.topic,
+        [(leadership.LEADER_KEY, msgspec.msgpack.encode(record))],
+        at=at,
+        timeout_s=leadership.CALL_TIMEOUT_S,
+    )
+    return reply if isinstance(reply, Failure) else None
+
+
+def _count_workers(
+    step: model.Step,
+    tickets: model.StepTickets,
+    fleet: permit_choice.FleetView,
+    *,
+    is_first: bool,
+) -> list[fleet.Worker]:
+    """Compare the number of answered workers, not their names."""
+    if len(tickets.answered_workers) >= len(fleet.by_name):
+        return []
+    return REQUESTABLE(step, tickets, fleet, is_first=is_first)
 
 
 async def _acknowledge_at_once(self: session.Session, rows: list[Any]) -> None:
@@ -121,6 +164,7 @@
     coordinator.requeue(run.task)
 
 
+REQUESTABLE: Final = permit_choice._requestable_workers
 APPEND_RECORD: Final = leadership.Leadership._append_record
 APPLY_CONFIGURATION: Final = policy.PolicyCache.apply
 RESERVE: Final = dispatcher.Dispatcher._reserve
@@ -145,6 +189,20 @@
         COORDINATION,
         'Nodes that claim at the same moment do not both win',
     ),
+    'claims-unfenced': Mutant(
+        leadership.Leadership,
+        '_append_record',
+        _claim_unfenced,
+        LEADERSHIP,
+        'A renewal that lands after the next claim is refused',
+    ),
+    'answers-counted': Mutant(
+        permit_choice,
+        '_requestable_workers',
+        _count_workers,
+        EXPLORER,
+        'All workers are replaced by others under new names',
+    ),
     'ends-acknowledged-at-once': Mutant(
         session.Session,
         '_acknowledge',
--- /dev/null
+++ b/packages/berylspread-standins/src/berylspread_standins/explorer/scripts.py
@@ -0,0 +1,85 @@
+"""What happens in every schedule of a script, beside the choices."""
+
+from collections.abc import Callable, Coroutine
+from typing import TYPE_CHECKING, Any, Final
+
+if TYPE_CHECKING:
+    from berylspread_standins.explorer.world import World
+
+Script = Callable[['World'], Coroutine[Any, Any, None]]
+SCRIPTS: Final[dict[str, Script]] = {}
+
+#: How long a coordinator is cut from the store.
+CUT_S: Final = 2.5
+#: How long the store delays every reply, and by how much.
+SLOW_S: Final = 3.0
+SLOW_REPLY_S: Final = 0.4
+RESTART_S: Final = 0.5
+#: When the workers are lost; the first job is then running.
+LOST_AFTER_S: Final = 0.6
+#: How long it takes until others join, longer than a lease.
+REPLACED_AFTER_S: Final = 9.0
+
+
+def script(name: str) -> Callable[[Script], Script]:
+    """Return a decorator that registers a script."""
+
+    def register(function: Script) -> Script:
+        SCRIPTS[name] = function
+        return function
+
+    return register
+
+
+@script('calm')
+async def stay_calm(world: 'World') -> None:
+    """Change nothing."""
+
+
+@script('kill')
+async def kill_coordinator(world: 'World') -> None:
+    """Kill the coordinator and start its node again."""
+    name = world.coordinator()
+    if name is not None:
+        world.kill(name)
+        await world.sleep(RESTART_S)
+        world.start_node(name)
+
+
+@script('cut')
+async def cut_coordinator(world: 'World') -> None:
+    """Cut the coordinator from the store for a while."""
+    name = world.coordinator()
+    if name is not None:
+        world.fleet.nodes[name].view.is_cut = True
+        await world.sleep(CUT_S)
+        world.fleet.nodes[name].view.is_cut = False
+
+
+@script('leave')
+async def stop_coordinator(world: 'World') -> None:
+    """Stop the coordinator as planned work does."""
+    name = world.coordinator()
+    if name is not None:
+        await world.fleet.nodes[name].node.leave()
+
+
+@script('slow')
+async def slow_store(world: 'World') -> None:
+    """Slow the store down, so that changes overlap."""
+    normal_s = world.fleet.store.answer_s
+    world.fleet.store.answer_s = SLOW_REPLY_S
+    await world.sleep(SLOW_S)
+    world.fleet.store.answer_s = normal_s
+
+
+@script('replace')
+async def replace_workers(world: 'World') -> None:
+    """Lose all workers; others under new names join when leases are over."""
+    await world.sleep(LOST_AFTER_S)
+    names = list(world.fleet.workers)
+    for name in names:
+        world.lose_worker(name)
+    await world.sleep(REPLACED_AFTER_S)
+    for name in names:
+        world.fleet.add_worker(f'new-{name}')
