--- a/features/coordinator/leadership.feature
+++ b/features/coordinator/leadership.feature
@@ -88,6 +88,25 @@
     And 1 s passes
     Then a job "b" is accepted within 0.5 s
 
+  Scenario: A request to a coordinator that has died goes to its successor
+    Given a cell of 3 nodes and 2 workers
+    When 1 s passes
+    And the coordinator is killed
+    And 0.4 s pass
+    And a job "a" is submitted through every node at once
+    And 0.9 s pass
+    Then one node coordinates
+    And every submission of job "a" was accepted within 1 s
+
+  Scenario: A successor that has not been asked yet is asked at once
+    Given a cell of 2 nodes and 1 worker
+    When 1 s passes
+    And the coordinator stops serving but renews its record
+    And a job "a" is refused within 2 s as not run
+    And the coordinator leaves
+    And 0.3 s pass
+    Then 10 more jobs are accepted within 0.3 s
+
   Scenario Outline: The node to ask to take over
     Given nodes of fitness "<fitness>"
     And nodes "<declined>" have declined
--- a/features/coordinator/steps/leadership_steps.py
+++ b/features/coordinator/steps/leadership_steps.py
@@ -61,9 +61,13 @@
 
 @when('a job "{job_id}" is submitted through every node at once')
 def step_submit_everywhere(context, job_id):
+    async def submit_timed(node):
+        began = now()
+        return await submit(node, job_id), now() - began
+
     async def start():
         return [
-            asyncio.create_task(submit(node, job_id))
+            asyncio.create_task(submit_timed(node))
             for node in context.cell.nodes.values()
         ]
 
@@ -162,11 +166,17 @@
 
 @then('every submission of job "{job_id}" was accepted')
 def step_all_accepted(context, job_id):
+    step_accepted_within(context, job_id, TIMEOUT_S)
+
+
+@then('every submission of job "{job_id}" was accepted within {seconds:g} s')
+def step_accepted_within(context, job_id, seconds):
     async def collect():
         return await asyncio.gather(*context.submissions)
 
-    replies = context.run(collect())
-    assert all(isinstance(reply, JobAccepted) for reply in replies), replies
+    for reply, took_s in context.run(collect()):
+        assert isinstance(reply, JobAccepted), reply
+        assert took_s <= seconds, took_s
 
 
 @then('the coordinator has asked others to take over at most {count:d} times')
@@ -183,6 +193,15 @@
 
 @then('{count:d} more jobs are refused within {seconds:g} s as not run')
 def step_refused(context, count, seconds):
+    submit_more(context, count, seconds, NotRun)
+
+
+@then('{count:d} more jobs are accepted within {seconds:g} s')
+def step_more_accepted(context, count, seconds):
+    submit_more(context, count, seconds, JobAccepted)
+
+
+def submit_more(context, count, seconds, expected):
     async def submit_all():
         began = now()
         node = next(iter(context.cell.nodes.values()))
@@ -192,7 +211,7 @@
         return replies, now() - began
 
     replies, took_s = context.run(submit_all())
-    assert all(isinstance(reply, NotRun) for reply in replies), replies
+    assert all(isinstance(reply, expected) for reply in replies), replies
     assert took_s <= seconds, took_s
 
 
--- a/packages/berylspread/src/berylspread/coordinator/absence.py
+++ b/packages/berylspread/src/berylspread/coordinator/absence.py
@@ -47,13 +47,17 @@
         if self.began_at is None or is_successor:
             self.began_at = moment
 
-    def may_wait(self, moment: float) -> bool:
+    def may_wait(self, leader: str | None, moment: float) -> bool:
         """Return whether a request should wait for the coordinator.
 
-        Once it is overdue, this returns true for a probe in a while only.
+        ``leader`` is the node that is known as the coordinator.  Once a
+        coordinator is overdue, this returns true only for a probe in a while,
+        or if another node is known that no request has been sent to.
         """
         if self.began_at is None or moment - self.began_at < TAKEOVER_S:
             return True
+        if leader is not None and leader != self.leader:
+            return True
         if moment - self.probed_at < PROBE_INTERVAL_S:
             return False
         self.probed_at = moment
