Listen before the imports, and wait for the first configuration

Load pattern: all processes are killed and callers come back while the program imports its libraries (0.5 s of processor time). Their connections were refused, and a caller has only a few attempts within its time limit. The port for callers is now bound before the imports; a request that arrives before the first configuration waits up to 1 s for it, instead of 503 at once. If no configuration comes in that time, requests are refused at once again.

--- a/features/adapter/jobs.feature
+++ b/features/adapter/jobs.feature
@@ -52,6 +52,21 @@
     Given an entry node without a configuration
     When a caller sends GET "/q/5c0e7a21d94b36f8" with key "k1"
     Then the response status is 503 with a Retry-After header
+    And the response came after 1 s
+
+  Scenario: A request to a new process waits for the first configuration
+    Given an entry node without a configuration
+    And a configuration that arrives 0.4 s after a request
+    When a caller sends POST "/q/5c0e7a21d94b36f8" with a valid job
+    Then the response status is 200
+    And the response came after 0.4 s
+
+  Scenario: A request does not wait for a configuration that is overdue
+    Given an entry node without a configuration
+    And a configuration that is overdue
+    When a caller sends POST "/q/5c0e7a21d94b36f8" with a valid job
+    Then the response status is 503 with a Retry-After header
+    And the response came after 0 s
 
   Scenario Outline: The coordinator's reply determines the status
     Given the coordinator replies with <reply>
--- a/features/adapter/program.feature
+++ b/features/adapter/program.feature
@@ -19,3 +19,21 @@
     And the caller cancels it once its state is "running"
     Then within 10 s the state of the job is "canceled"
     And within 10 s the worker runs nothing
+
+  Scenario: Callers connect before the libraries are imported
+    Given settings of a new process with a free port for callers
+    When a new process listens for callers
+    Then a caller can connect
+    And the process has imported none of "grpc uvicorn aiohttp msgspec"
+
+  Scenario Outline: A process does not listen early without an address
+    Given settings of a new process <fault>
+    When a new process listens for callers
+    Then it listens nowhere
+
+    Examples:
+      | fault                    |
+      | that does not exist      |
+      | that is no TOML          |
+      | without addresses        |
+      | with a taken address     |
--- a/features/adapter/steps/adapter_steps.py
+++ b/features/adapter/steps/adapter_steps.py
@@ -25,7 +25,7 @@
 from berylspread.coordinator.outcomes import find_handler
 from berylspread.coordinator.policy import Configuration, PolicyCache
 from berylspread.coordinator.service import NoSuchJob
-from berylspread.kernel.clock import WallClock
+from berylspread.kernel.clock import WallClock, now
 from berylspread.kernel.errors import Failure, NotRun, OutcomeUnknown
 from berylspread.model import Resources
 from berylspread_platform.documents import decode_config, decode_entry
@@ -34,6 +34,7 @@
 from berylspread_platform.settings import load_settings, parse_settings
 from berylspread_platform.store import StoreClient, decode_batch, encode_record
 from berylspread_platform.workers import FinishedRow, WorkerClient
+from features.support import run_virtual
 
 SETTINGS = """
 nodeName = "entry-1"
@@ -207,10 +208,25 @@
             (b'deadline-ms', b'3000'),
         ],
     }
-    asyncio.run(context.ingress(scope, receive, send))
+    run_virtual(_serve(context, scope, receive, send))
     context.sent = sent
 
 
+async def _serve(context, scope, receive, send):
+    if context.arrives_s is not None:
+        asyncio.get_running_loop().call_later(
+            context.arrives_s, configure, context.ingress.policies
+        )
+    began = now()
+    await context.ingress(scope, receive, send)
+    context.took_s = now() - began
+
+
+def configure(policies):
+    policies.apply(decode_config(_item(json.dumps(CONFIG).encode())))
+    policies.confirm(0.0)
+
+
 @given(
     'a settings file with node "{node}" at "{ip}" and ports {first:d} to '
     '{last:d}'
@@ -374,9 +390,9 @@
 def step_entry(context, queue, host, prefix, key):
     context.time = 0.0
     policies = PolicyCache(lambda: context.time, KEY_VALIDITY_S)
-    policies.apply(decode_config(_item(json.dumps(CONFIG).encode())))
-    policies.confirm(0.0)
+    configure(policies)
     context.node = FakeNode()
+    context.arrives_s = None
     context.ingress = Ingress(policies, context.node, WallClock(0.0), FakeLog())
     found = policies.find_route(host, prefix)
     assert (found.host, found.path_prefix) == (host, prefix)
@@ -386,10 +402,26 @@
 @given('an entry node without a configuration')
 def step_entry_empty(context):
     context.node = FakeNode()
+    context.arrives_s = None
     policies = PolicyCache(float, KEY_VALIDITY_S)
     context.ingress = Ingress(policies, context.node, WallClock(0.0), FakeLog())
 
 
+@given('a configuration that arrives {seconds:g} s after a request')
+def step_arrives(context, seconds):
+    context.arrives_s = seconds
+
+
+@given('a configuration that is overdue')
+def step_overdue(context):
+    context.ingress.config_due_at = 0.0
+
+
+@then('the response came after {seconds:g} s')
+def step_response_time(context, seconds):
+    assert round(context.took_s - seconds, 2) == 0, context.took_s
+
+
 @given('the coordinator replies with {reply}')
 def step_coordinator_replies(context, reply):
     context.node.gateway.reply = REPLIES[reply]
--- a/features/standins/steps/http_steps.py
+++ b/features/standins/steps/http_steps.py
@@ -105,9 +105,7 @@
     async def run(servers: StandinServers) -> Any:
         url = f'http://{servers.addresses.log}'
         is_silent = context.condition in UNANSWERED
-        log = HttpLog(
-            url, timeout_s=TIMEOUT_S if is_silent else LONG_TIMEOUT_S
-        )
+        log = HttpLog(url, timeout_s=TIMEOUT_S if is_silent else LONG_TIMEOUT_S)
         answer = await talk(log)
         await log.close()
         return answer
--- a/packages/berylspread/src/berylspread/coordinator/policy.py
+++ b/packages/berylspread/src/berylspread/coordinator/policy.py
@@ -4,6 +4,8 @@
 so that a withdrawn key stops working even at a node that cannot read the store.
 """
 
+import asyncio
+import contextlib
 from collections.abc import Callable
 from typing import Final, final
 
@@ -63,6 +65,7 @@
         'clock',
         'configuration',
         'confirmed_at',
+        'known',
         'max_age_s',
         'tenants',
     )
@@ -78,6 +81,8 @@
         self.max_age_s = max_age_s
         self.configuration: Configuration | None = None
         self.confirmed_at = float('-inf')
+        #: Set once a configuration is in force.
+        self.known = asyncio.Event()
         self.by_host: dict[str, list[QueueRoute]] = {}
         self.by_key: dict[str, Tenant] = {}
         self.tenants: dict[str, Tenant] = {}
@@ -106,8 +111,15 @@
             for key in tenant.keys
         }
         self.tenants = {each.name: each for each in configuration.tenants}
+        self.known.set()
         return True
 
+    async def wait_known(self, timeout_s: float) -> None:
+        """Wait for the first configuration, at most ``timeout_s`` seconds."""
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(timeout_s):
+                await self.known.wait()
+
     def confirm(self, as_of: float) -> None:
         """Record that no newer version existed at a time of the clock."""
         self.confirmed_at = max(self.confirmed_at, as_of)
