Fill accelerators worker by worker

Steps of 2 to 8 accelerators (Rampes: 62 cores) waited beside steps of one: the one-accelerator steps went to the worker with the most free processor and memory, so every worker had one or two accelerators in use and none had eight free.

Among workers that are otherwise equal the one with the fewest free accelerators is chosen; processor and memory stay spread. A task that needs none goes to a worker without any, or without free ones, first.

--- a/bench/orders/engine.py
+++ b/bench/orders/engine.py
@@ -9,11 +9,9 @@
 from bench.orders.baselines import Order
 from bench.orders.patterns import (
     CAP_SHARE,
-    CAPACITY,
-    SIZES,
     TENANTS,
-    WORKERS,
     Arrival,
+    Site,
 )
 from berylspread.coordinator.decision_log import DecisionLog
 from berylspread.coordinator.fleet import Run, Stage, Worker
@@ -90,13 +88,15 @@
         'workers',
     )
 
-    def __init__(self, arrivals: Iterable[Arrival], order: Order) -> None:
+    def __init__(
+        self, site: Site, arrivals: Iterable[Arrival], order: Order
+    ) -> None:
         """Start with an empty fleet."""
         self.arrivals = {each.spec.job_id: each for each in arrivals}
         self.order = order
         self.workers = {}
-        for number in range(WORKERS):
-            worker = _worker(f'w{number}', SIZES[number % len(SIZES)])
+        for number in range(site.workers):
+            worker = _worker(number, site)
             self.workers[worker.name] = worker
         total = sum(
             (worker.entry.capacity for worker in self.workers.values()),
@@ -171,13 +171,22 @@
             if not step.waiting_tasks:
                 ready.pop(step.name)
                 continue
-            choices = find_candidates(step, self.workers, self.now)
+            choices = self._candidates(step)
             limit = self.usage.allowed_tasks(step)
             for placement in StepPlacer(step, choices).place_tasks(limit):
                 self._start(placement.task, placement.worker)
             if step.waiting_tasks and self.now >= step.preempt_after:
                 self._preempt(step, choices)
 
+    def _candidates(self, step: Step) -> list[tuple[Worker, str]]:
+        arrival = self.arrivals[step.job.spec.job_id]
+        permitted = arrival.permitted[step.number]
+        return [
+            choice
+            for choice in find_candidates(step, self.workers, self.now)
+            if _number(choice[0]) in permitted
+        ]
+
     def _preempt(self, step: Step, choices: list[tuple[Worker, str]]) -> None:
         victims = choose_victims(
             step,
@@ -252,7 +261,9 @@
         self.usage.remove_task(run.task)
 
 
-def _worker(name: str, size: float) -> Worker:
+def _worker(number: int, site: Site) -> Worker:
+    size = site.sizes[number % len(site.sizes)]
+    name = f'w{number}'
     worker = Worker(
         WorkerEntry(
             worker=name,
@@ -261,8 +272,9 @@
             zone='z',
             is_ready=True,
             capacity=Resources(
-                int(CAPACITY.cpu_milli * size),
-                int(CAPACITY.memory_mib * size),
+                int(site.capacity.cpu_milli * size),
+                int(site.capacity.memory_mib * size),
+                site.capacity.accelerators,
             ),
         )
     )
@@ -270,6 +282,10 @@
     return worker
 
 
+def _number(worker: Worker) -> int:
+    return int(worker.name.removeprefix('w'))
+
+
 def _objective_s(arrival: Arrival) -> float:
     """Return the time that a job may take, by what its tasks really take."""
     queue = arrival.spec.queue
--- a/bench/orders/patterns.py
+++ b/bench/orders/patterns.py
@@ -15,14 +15,11 @@
 )
 from berylspread.model import Resources
 
-#: A fleet of 24 workers; every fourth has half the usual size, every fourth
-#: twice.
-WORKERS: Final = 24
-CAPACITY: Final = Resources(32_000, 131_072)
-SIZES: Final = (1.0, 1.0, 0.5, 2.0)
 SECONDS: Final = 24.0
 URGENT: Final = Queue('quick', 'desk', 0, 3, stretch=1.5, target_ms=500)
 BATCH: Final = Queue('batch', 'desk', 2, 3, stretch=2.2, target_ms=1200)
+WIDE: Final = Queue('wide', 'desk', 1, 2, stretch=2.2, target_ms=1200)
+SINGLE: Final = Queue('single', 'desk', 2, 3, stretch=4.0, target_ms=3000)
 #: Organisations and the part of the jobs that each sends.
 TENANTS: Final = {'large': 0.45, 'middle': 0.3, 'small': 0.15, 'least': 0.1}
 #: What an organisation may have running, as part of the fleet.
@@ -46,24 +43,97 @@
     #: Deviation of the callers' estimates, as that of a logarithm.
     estimate_off: float
     checkpoints: bool
+    memory_mib: int = 1000
+    #: Accelerators that a task needs; one of these for all tasks of a step.
+    accelerators: tuple[int, ...] = (0,)
+    #: The share of workers that may run a step.
+    permitted: float = 1.0
+    #: Deviation of a step's cpu from the mean, relative.
+    cpu_spread: float = 0.45
 
 
-KINDS: Final = (
-    Kind(URGENT, 8.4, 1.6, 6.0, 0.64, 2500, 0.65, 0.13, 0.2, False),
-    Kind(BATCH, 0.76, 2.0, 8.0, 6.0, 5500, 4.1, 0.82, 0.9, True),
+@final
+class Site(msgspec.Struct, frozen=True):
+    """A fleet of equal or unequal workers, and the kinds of jobs it runs."""
+
+    workers: int
+    capacity: Resources
+    #: The sizes of successive workers, as factors on ``capacity``.
+    sizes: tuple[float, ...]
+    kinds: tuple[Kind, ...]
+
+
+DESK: Final = Site(
+    24,
+    Resources(32_000, 131_072),
+    #: Every fourth has half the usual size, every fourth twice.
+    (1.0, 1.0, 0.5, 2.0),
+    (
+        Kind(URGENT, 8.4, 1.6, 6.0, 0.64, 2500, 0.65, 0.13, 0.2, False),
+        Kind(BATCH, 0.76, 2.0, 8.0, 6.0, 5500, 4.1, 0.82, 0.9, True),
+    ),
+)
+#: Steps that need up to all accelerators of a worker beside steps of one.
+ACCELERATED: Final = Site(
+    7,
+    Resources(128_000, 524_288, 8),
+    (1.0,),
+    (
+        Kind(
+            WIDE,
+            0.92,
+            1.0,
+            1.5,
+            3.6,
+            62_000,
+            2.8,
+            0.56,
+            0.9,
+            True,
+            180_000,
+            (2, 4, 8, 8),
+            0.3,
+            0.0,
+        ),
+        Kind(
+            SINGLE,
+            0.765,
+            1.0,
+            6.4,
+            3.0,
+            11_000,
+            2.11,
+            0.422,
+            0.2,
+            True,
+            33_000,
+            (1,),
+            0.45,
+            0.0,
+        ),
+    ),
 )
 
 #: The factor on the rate of a queue's jobs of an organisation at a time.
 Factor = Callable[[str, str, float], float]
 
-PATTERNS: Final[dict[str, Factor]] = {}
+
+@final
+class Pattern(msgspec.Struct, frozen=True):
+    """A site and how the rates of its jobs change."""
+
+    site: Site
+    factor: Factor
+
+
+PATTERNS: Final[dict[str, Pattern]] = {}
 
 
-def pattern(name: str) -> Callable[[Factor], Factor]:
+def pattern(name: str, site: Site = DESK) -> Callable[[Factor], Factor]:
     """Register a load pattern; a decorator."""
 
     def register(factor: Factor) -> Factor:
-        PATTERNS[name] = factor
+        PATTERNS[name] = Pattern(site, factor)
         return factor
 
     return register
@@ -107,6 +177,21 @@
     return 6.0 if _is_within(at_s, 4, 10) else 1.0
 
 
+@pattern('accelerators', ACCELERATED)
+def accelerators(queue: str, tenant: str, at_s: float) -> float:
+    """Everybody sends what is usual; three quarters are in use."""
+    return 1.0
+
+
+@pattern('accelerators, burst', ACCELERATED)
+def accelerators_burst(queue: str, tenant: str, at_s: float) -> float:
+    """Twice the steps of one accelerator, then one hot organisation."""
+    if queue == 'single' and _is_within(at_s, 4, 4):
+        return 1.8
+    is_hot = tenant == 'large' and _is_within(at_s, 10, 5)
+    return 4.0 if is_hot else 1.0
+
+
 @final
 class Arrival(msgspec.Struct, frozen=True):
     """A job, when it arrives, and what its tasks really take, in seconds."""
@@ -115,45 +200,56 @@
     spec: JobSpec
     kind: Kind
     takes_s: dict[tuple[int, int], float]
+    #: The numbers of the workers that may run each step.
+    permitted: tuple[frozenset[int], ...]
 
 
 def arrivals(name: str, seed: int) -> Iterator[Arrival]:
     """Yield the jobs of a pattern in the order of their arrival."""
     rng = random.Random(f'{name} {seed}')
-    factor = PATTERNS[name]
+    site, factor = PATTERNS[name].site, PATTERNS[name].factor
     tick_s = 0.05
     number = 0
     for tick in range(int(SECONDS / tick_s)):
         at_s = tick * tick_s
-        for kind in KINDS:
+        for kind in site.kinds:
             for tenant, share in TENANTS.items():
                 rate = (
                     kind.per_s * share * factor(kind.queue.name, tenant, at_s)
                 )
                 for _ in range(_poisson(rng, rate * tick_s)):
                     number += 1
-                    yield _arrival(rng, kind, tenant, f'j{number}', at_s)
+                    yield _arrival(rng, site, kind, tenant, f'j{number}', at_s)
 
 
 def _arrival(
-    rng: random.Random, kind: Kind, tenant: str, job_id: str, at_s: float
+    rng: random.Random,
+    site: Site,
+    kind: Kind,
+    tenant: str,
+    job_id: str,
+    at_s: float,
 ) -> Arrival:
     steps = []
     takes_s = {}
+    permitted = []
     for step in range(_whole(rng, kind.steps, 0.4, 4)):
         image = rng.randrange(IMAGES)
         # Of one image the work is always the same.
         of_image = random.Random(f'{kind.queue.name} {image}')
         work_s = _draw(of_image, kind.work_s, 0.5)
-        cpu_milli = int(_draw(rng, kind.cpu_milli, 0.45))
+        cpu_milli = int(_draw(rng, kind.cpu_milli, kind.cpu_spread))
         estimate_s = work_s * math.exp(of_image.gauss(0, kind.estimate_off))
         count = _whole(rng, kind.width, 0.8, 36)
         for index in range(count):
             takes_s[step, index] = _draw(rng, work_s, 0.3)
+        permitted.append(_draw_permitted(rng, site.workers, kind.permitted))
         steps.append(
             StepSpec(
                 count,
-                Resources(cpu_milli, 1000),
+                Resources(
+                    cpu_milli, kind.memory_mib, rng.choice(kind.accelerators)
+                ),
                 estimate_ms=max(int(estimate_s * MS_PER_S), 1),
                 after=(step - 1,) if step else (),
                 image=f'{kind.queue.name}-{image}',
@@ -163,7 +259,15 @@
     spec = JobSpec(
         job_id, kind.queue, tenant, '', tuple(steps), int(at_s * MS_PER_S)
     )
-    return Arrival(at_s, spec, kind, takes_s)
+    return Arrival(at_s, spec, kind, takes_s, tuple(permitted))
+
+
+def _draw_permitted(
+    rng: random.Random, workers: int, share: float
+) -> frozenset[int]:
+    """Return the workers that may run a step, at least one."""
+    found = {number for number in range(workers) if rng.random() < share}
+    return frozenset(found or {rng.randrange(workers)})
 
 
 def _poisson(rng: random.Random, mean: float) -> int:
--- a/bench/orders/report.py
+++ b/bench/orders/report.py
@@ -16,7 +16,9 @@
     wasted_s = 0.0
     began = time.process_time()
     for seed in SEEDS:
-        replay = Replay(arrivals(pattern, seed), ORDERS[order])
+        replay = Replay(
+            PATTERNS[pattern].site, arrivals(pattern, seed), ORDERS[order]
+        )
         replay.play()
         wasted_s += replay.stopped_s
         for name, row in replay.credit().items():
--- a/features/coordinator/pacing.feature
+++ b/features/coordinator/pacing.feature
@@ -36,3 +36,15 @@
     Given workers "w1" with label "a" and "w2" with label "b"
     When 6 tasks of a step that allows 2 on a worker are placed
     Then 4 of them are placed, 2 on each worker
+
+  Scenario Outline: Accelerators are filled worker by worker
+    Given a worker "w1" with <first> free accelerators and "w2" with <second>
+    When a task that needs <count> accelerators is placed
+    Then it is placed on "<chosen>"
+
+    Examples:
+      | first | second | count | chosen |
+      | 8     | 3      | 1     | w2     |
+      | 2     | 8      | 2     | w1     |
+      | 3     | 8      | 4     | w2     |
+      | 8     | 0      | 0     | w2     |
--- a/features/coordinator/steps/placing_steps.py
+++ b/features/coordinator/steps/placing_steps.py
@@ -8,11 +8,13 @@
 from berylspread.coordinator.model import Job, StepSpec
 from berylspread.coordinator.pacing import next_percent, pace_fillers
 from berylspread.coordinator.planner import StepPlacer, find_candidates
-from berylspread_standins.coordinated.fleet import TASK, job
+from berylspread.model import Resources
+from berylspread_standins.coordinated.fleet import CAPACITY, TASK, job
 from features.coordinator.cell import make_worker
 
 SERVING = StepSpec(1, TASK, long_running=True, latency_target_ms=100)
 FILLER = StepSpec(1, TASK, is_filler=True)
+ACCELERATORS = 8
 
 
 def _step(spec, job_id='a'):
@@ -89,6 +91,24 @@
     ]
 
 
+@given(
+    'a worker "{first}" with {free:d} free accelerators and "{second}" with '
+    '{other:d}'
+)
+def step_accelerated(context, first, free, second, other):
+    whole = CAPACITY + Resources(accelerators=ACCELERATORS)
+    context.workers = []
+    for name, count in ((first, free), (second, other)):
+        worker = make_worker(name, capacity=whole)
+        in_use = Resources(accelerators=ACCELERATORS - count)
+        # Processor and memory in use speak for the worker with fewer
+        # accelerators in use.
+        worker.free = whole - in_use
+        if in_use.accelerators:
+            worker.free -= TASK
+        context.workers.append(worker)
+
+
 @when('a filler is placed')
 def step_place_filler(context):
     _place(context, FILLER)
@@ -99,6 +119,11 @@
     _place(context, StepSpec(1, TASK, label=label))
 
 
+@when('a task that needs {count:d} accelerators is placed')
+def step_place_accelerated(context, count):
+    _place(context, StepSpec(1, TASK + Resources(accelerators=count)))
+
+
 @when('{count:d} tasks of a step that allows {limit:d} on a worker are placed')
 def step_place_spread(context, count, limit):
     _place(context, StepSpec(count, TASK, max_per_worker=limit))
--- a/packages/berylspread/src/berylspread/coordinator/planner.py
+++ b/packages/berylspread/src/berylspread/coordinator/planner.py
@@ -178,10 +178,17 @@
         return Placement(task, worker, ticket)
 
     def _placement_cost(self, task: Task, worker: Worker) -> tuple[float, ...]:
-        used = worker.entry.capacity - self.free[worker.name]
+        """Return what speaks against a worker, the heaviest first.
+
+        Accelerators are filled worker by worker, so that steps that need all
+        of a worker's find one; processor and memory are spread.
+        """
+        free = self.free[worker.name]
+        used = worker.entry.capacity - free
         return (
             worker.name in task.avoided_workers,
             *placement_penalty(self.step.spec, worker),
+            free.accelerators,
             used.dominant_share(worker.entry.capacity),
         )
 
