Hand over by a request to the successor, and load beside the fence

Each of the parts waited for the one before: changes, release, its delivery, claim, fence, workers, jobs.

A coordinator that stops or steps down pauses its renewals, tells the fittest node where the leader's topic ends and coordinates until that node has claimed; a node that leaves declines and the next is asked. The claim is still accepted only if nothing was written in between.

A successor reads jobs and workers while it fences.

A node whose request failed asks the former coordinator for the record at once, not at its next announcement.

Authority is confirmed by a read only if that read returned the node's own record; a read that had only begun could confirm it before. Found on reading: the claim for a request is now served without a read.

Leadership is split: leader_record (the record and its appends), term (renewals, pause, release), succession (who takes over, and when).

--- a/features/coordinator/steps/leadership_steps.py
+++ b/features/coordinator/steps/leadership_steps.py
@@ -5,7 +5,7 @@
 import msgspec
 from behave import given, then, when
 
-from berylspread.coordinator.leadership import LEADER_KEY, LeaderRecord
+from berylspread.coordinator.leader_record import LEADER_KEY, LeaderRecord
 from berylspread.coordinator.messages import JobAccepted, SubmitJob
 from berylspread.coordinator.store_access import HandoverPolicy
 from berylspread.kernel.clock import now
--- a/features/support/mutants.py
+++ b/features/support/mutants.py
@@ -18,7 +18,7 @@
     fleet,
     health_monitor,
     interface,
-    leadership,
+    leader_record,
     model,
     orders,
     outcomes,
@@ -49,7 +49,7 @@
 
 
 async def _claim_anywhere(
-    self: leadership.Leadership, record: Any, at: int | None
+    self: leader_record.RecordWriter, record: Any, at: int | None
 ) -> Any:
     """Append a claim without its offset and without a producer."""
     if at is None:
@@ -58,7 +58,7 @@
 
 
 async def _claim_unfenced(
-    self: leadership.Leadership, record: Any, at: int | None
+    self: leader_record.RecordWriter, record: Any, at: int | None
 ) -> Any:
     """Append a claim without a producer: earlier epochs may still renew."""
     if at is None:
@@ -68,13 +68,13 @@
 
 
 async def _append_plainly(
-    self: leadership.Leadership, record: Any, at: int | None
+    self: leader_record.RecordWriter, record: Any, at: int | None
 ) -> Any:
     reply = await self.store.append(
         self.topic,
-        [(leadership.LEADER_KEY, msgspec.msgpack.encode(record))],
+        [(leader_record.LEADER_KEY, msgspec.msgpack.encode(record))],
         at=at,
-        timeout_s=leadership.CALL_TIMEOUT_S,
+        timeout_s=leader_record.CALL_TIMEOUT_S,
     )
     return reply if isinstance(reply, Failure) else None
 
@@ -165,7 +165,7 @@
 
 
 REQUESTABLE: Final = permit_choice._requestable_workers
-APPEND_RECORD: Final = leadership.Leadership._append_record
+APPEND_RECORD: Final = leader_record.RecordWriter._append
 APPLY_CONFIGURATION: Final = policy.PolicyCache.apply
 RESERVE: Final = dispatcher.Dispatcher._reserve
 DETECT_RESTART: Final = session.Session._detect_restart
@@ -183,15 +183,15 @@
 
 MUTANTS: Final[dict[str, Mutant]] = {
     'claims-anywhere': Mutant(
-        leadership.Leadership,
-        '_append_record',
+        leader_record.RecordWriter,
+        '_append',
         _claim_anywhere,
         COORDINATION,
         'Nodes that claim at the same moment do not both win',
     ),
     'claims-unfenced': Mutant(
-        leadership.Leadership,
-        '_append_record',
+        leader_record.RecordWriter,
+        '_append',
         _claim_unfenced,
         LEADERSHIP,
         'A renewal that lands after the next claim is refused',
--- a/packages/berylspread-standins/src/berylspread_standins/explorer/world.py
+++ b/packages/berylspread-standins/src/berylspread_standins/explorer/world.py
@@ -7,7 +7,7 @@
 
 import msgspec
 
-from berylspread.coordinator.leadership import LeaderRecord
+from berylspread.coordinator.leader_record import LeaderRecord
 from berylspread.coordinator.messages import (
     AskJobStatus,
     JobAccepted,
--- a/packages/berylspread/src/berylspread/coordinator/coordinator.py
+++ b/packages/berylspread/src/berylspread/coordinator/coordinator.py
@@ -26,10 +26,10 @@
     KeyedStore,
     Outcome,
     Policies,
-    Snapshot,
     WorkerApi,
     WorkerEntry,
 )
+from berylspread.coordinator.loading import fence_and_read
 from berylspread.coordinator.model import (
     MS_PER_S,
     Job,
@@ -57,7 +57,6 @@
 from berylspread.kernel.clock import WallClock, now
 from berylspread.kernel.errors import Failure, NotOwner
 
-LOAD_TIMEOUT_S: Final = 3.0
 #: How long leases of an earlier coordinator may still be valid on a worker that
 #: does not reply: its grace period plus the longest lease on the slowest clock.
 INHERITED_LEASE_S: Final = AUTHORITY_GRACE_S + MAX_LEASE_S / MIN_CLOCK_RATE
@@ -355,18 +354,13 @@
 
     async def _load(self) -> Failure | None:
         started_at = now()
-        failure = await self.fenced_log.raise_epoch()
-        if failure is not None:
-            return failure
-        store, topics = self.dependencies.store, self.dependencies.topics
-        snapshots = []
-        for topic in (topics.workers, topics.jobs):
-            snapshot = await store.read_newest(topic, timeout_s=LOAD_TIMEOUT_S)
-            if not isinstance(snapshot, Snapshot):
-                return snapshot
-            snapshots.append(snapshot)
-        self.table.restore(snapshots[1], self.wall_ms())
-        for item in snapshots[0].items:
+        state = await fence_and_read(
+            self.fenced_log, self.dependencies.topics.workers
+        )
+        if isinstance(state, Failure):
+            return state
+        self.table.restore(state.jobs, self.wall_ms())
+        for item in state.workers.items:
             self.apply_entry(item)
         inherited = self._inherit_runs()
         self.is_loaded = True
--- a/packages/berylspread/src/berylspread/coordinator/fenced_log.py
+++ b/packages/berylspread/src/berylspread/coordinator/fenced_log.py
@@ -59,6 +59,7 @@
         'end_failure',
         'epoch',
         'failing_since',
+        'first_offset',
         'last_append_at',
         'log',
         'mean_latency_s',
@@ -78,6 +79,8 @@
         self.epoch = epoch
         self.log = log
         self.seq = 0
+        #: The offset of the epoch's first record, ``None`` while unknown.
+        self.first_offset: int | None = None
         #: Sequence numbers and futures of the appends not stored yet, in order.
         self.pending: collections.deque[tuple[int, StoredFuture]] = (
             collections.deque()
@@ -157,6 +160,8 @@
             reply = await self._append_hedged(records, producer)
             if not isinstance(reply, Failure):
                 self._record_latency(now() - sent_at)
+                if self.first_offset is None and seq == 1:
+                    self.first_offset = reply.offset
                 self._resolve_stored(seq)
                 return
             if self._handle_rejection(seq, reply):
--- a/packages/berylspread/src/berylspread/coordinator/leadership.py
+++ b/packages/berylspread/src/berylspread/coordinator/leadership.py
@@ -11,7 +11,6 @@
 """
 
 import asyncio
-import random
 from collections.abc import Awaitable, Callable
 from typing import Final, final
 
@@ -27,83 +26,33 @@
     Batch,
     KeyedItem,
     KeyedStore,
-    Producer,
     Snapshot,
     StoreRejected,
 )
+from berylspread.coordinator.leader_record import (
+    CALL_TIMEOUT_S,
+    Authority,
+    LeaderRecord,
+    RecordWriter,
+    decode_record,
+)
+from berylspread.coordinator.term import Term
 from berylspread.kernel.clock import now
 from berylspread.kernel.errors import Failure, LogGap, NotOwner, NotRun
 
-LEADER_KEY: Final = 'leader'
-#: Interval of renewals: three may be lost before a successor claims.
-RENEWAL_INTERVAL_S: Final = 0.3
-#: Renewals that may be in flight; more would only add load to a slow store.
-MAX_RENEWALS_IN_FLIGHT: Final = 5
 #: Wait of a long poll; a leader that renews nothing for this long is silent.
 SILENCE_TIMEOUT_S: Final = 1.0
 REPLY_CHECK_INTERVAL_S: Final = 0.1
 RETRY_S: Final = 0.2
-CALL_TIMEOUT_S: Final = 1.0
-#: Attempts to store a release; one fails if a renewal before it was lost.
-RELEASE_ATTEMPTS: Final = 3
 #: Time limit of the read before a takeover.  A store that is slower than this
 #: would not serve a successor better.
 TAKEOVER_READ_TIMEOUT_S: Final = 0.25
-#: A claim's sequence number is random below this bound, so that the store does
-#: not take the claims of two nodes for repeats of each other.
-CLAIM_SEQ_BOUND: Final = 1_000_000_000
-
-
-@final
-class LeaderRecord(msgspec.Struct, frozen=True, array_like=True):
-    """The node that coordinates, its epoch and its address."""
-
-    epoch: int
-    node: str
-    incarnation: int
-    address: str
-    released: bool = False
-
-    def is_older_than(self, other: 'LeaderRecord') -> bool:
-        """Return whether the other record follows this one."""
-        return (self.epoch, self.released) < (other.epoch, other.released)
-
 
-_decoder: Final = msgspec.msgpack.Decoder(LeaderRecord)
 
 #: Coordinates for an epoch; returns why the epoch is over.
 Serve = Callable[[int], Awaitable[Failure]]
 
 
-@final
-class Authority:
-    """When the store last confirmed this node as the leader.
-
-    ``clock`` returns seconds and counts the time for which the VM was
-    suspended.
-    """
-
-    __slots__ = ('clock', 'confirmed_at', 'read_began_at')
-
-    def __init__(self, clock: Callable[[], float]) -> None:
-        self.clock = clock
-        self.confirmed_at = 0.0
-        #: When the newest read of the record began.
-        self.read_began_at = 0.0
-
-    def age_s(self) -> float:
-        """Return seconds since the last confirmation."""
-        return self.clock() - self.confirmed_at
-
-    def begin_read(self) -> None:
-        """Record that a read of the leader's record begins."""
-        self.read_began_at = self.clock()
-
-    def confirm(self, sent_at: float) -> None:
-        """Record that the store has confirmed a call sent at ``sent_at``."""
-        self.confirmed_at = max(self.confirmed_at, sent_at)
-
-
 @final
 class EpochHistory:
     """The epochs that are over or cannot be claimed."""
@@ -131,6 +80,10 @@
             return True
         return current is not None and record.is_older_than(current)
 
+    def record_epoch(self, epoch: int) -> None:
+        """Record that an epoch has begun, without its record."""
+        self.floor = max(self.floor, epoch)
+
     def record_rejected_claim(self, epoch: int) -> None:
         """Claim a much later epoch next if that of the record is unknown."""
         if self.is_record_unreadable:
@@ -144,19 +97,19 @@
     __slots__ = (
         'authority',
         'candidacy',
+        'claimed',
         'current',
         'history',
-        'is_releasing',
         'last_heard_at',
         'leaving',
         'log',
         'next_offset',
         'own_record',
-        'seq',
         'serve',
         'store',
-        'term_ended',
+        'term',
         'topic',
+        'writer',
     )
 
     def __init__(
@@ -183,14 +136,13 @@
         self.history = EpochHistory()
         self.authority = Authority(authority_clock)
         self.next_offset = 0
-        self.seq = 0
         #: When the store or the leader last replied, in loop time.
         self.last_heard_at = now()
-        #: While this node leads: done once its term has ended.
-        self.term_ended: asyncio.Future[Failure] | None = None
+        self.writer = RecordWriter(store, topic)
+        self.term = Term(self.writer, self.authority, self._record_reply)
         self.leaving = asyncio.Event()
-        #: Whether the term is being handed over; it is no longer renewed then.
-        self.is_releasing = False
+        #: Set once this node has claimed at the request of another.
+        self.claimed = asyncio.Event()
         self.candidacy = Candidacy(capacity)
 
     @property
@@ -216,7 +168,7 @@
             return
         self.current = record
         if known is not None and record.epoch > known.epoch:
-            self._end_term(NotOwner(f'epoch {record.epoch} has begun'))
+            self.term.end(NotOwner(f'epoch {record.epoch} has begun'))
 
     async def run(self) -> None:
         """Follow and lead in turn until cancelled.
@@ -238,43 +190,44 @@
             best_other_fitness, self.last_heard_at
         )
 
+    def _record_reply(self) -> None:
+        self.last_heard_at = now()
+
     def require_leader_read(self) -> None:
         """Have the record read again, after a failed request to the leader."""
         self.candidacy.leader_replied_at = float('-inf')
 
     async def release(self) -> None:
-        """Hand over and never claim again."""
-        self.leaving.set()
-        await self.step_down()
-
-    async def step_down(self) -> None:
-        """Mark the term as released, so that a successor can claim at once."""
-        self.is_releasing = True
+        """Mark the epoch as over, so that a successor can claim at once."""
         if self.is_leader and self.current is not None:
-            record = msgspec.structs.replace(self.current, released=True)
-            await self._append_release(record)
-            self._end_term(NotOwner('the coordination is handed over'))
+            await self.term.release(self.current)
 
-    async def take_over(self, epoch: int) -> LeaderRecord | Failure:
+    async def take_over(
+        self, epoch: int, end: int | None = None
+    ) -> LeaderRecord | Failure:
         """Claim the epoch after ``epoch``, at the request of its leader.
 
-        Returns this node's record, which ``run`` then serves, or why the claim
-        was not made: this node must not lead, or the store does not serve it.
+        ``end`` is where the leader's topic ends, ``None`` if unknown.  Returns
+        this node's record, which ``run`` then serves, or why the claim was not
+        made: this node must not lead, or the store does not serve it.
         """
         if self.leaving.is_set():
             return NotOwner('this node is leaving')
-        if not await self._load_record(TAKEOVER_READ_TIMEOUT_S):
-            return NotRun('the store does not serve this node in time')
-        current = self.current
-        if current is None or current.epoch != epoch:
-            return NotOwner(f'epoch {epoch} is over')
-        if not await self._claim():
+        if end is None:
+            if not await self._load_record(TAKEOVER_READ_TIMEOUT_S):
+                return NotRun('the store does not serve this node in time')
+            if self.current is None or self.current.epoch != epoch:
+                return NotOwner(f'epoch {epoch} is over')
+            end = self.next_offset
+        # The claim is only accepted if the epoch's record is still the newest.
+        self.history.record_epoch(epoch)
+        if not await self._claim(end):
             return NotRun('the store did not accept the claim')
+        self.claimed.set()
         return self.current or NotOwner('the claim is superseded')
 
     async def _load_record(self, timeout_s: float = CALL_TIMEOUT_S) -> bool:
-        began = now()
-        self.authority.begin_read()
+        began, began_authority = now(), self.authority.clock()
         snapshot = await self.store.read_newest(self.topic, timeout_s=timeout_s)
         if not isinstance(snapshot, Snapshot):
             return False
@@ -282,10 +235,28 @@
         self.next_offset = snapshot.end
         for item in snapshot.items:
             self._apply_item(item)
+        self._confirm_read(began_authority)
         return True
 
+    def _confirm_read(self, began: float) -> None:
+        """Confirm the authority if this node's record was the newest read."""
+        if self.is_leader:
+            self.authority.confirm(began)
+
     async def _wait_to_claim(self) -> None:
         """Return when this node should claim, or has a claim to serve."""
+        following = asyncio.create_task(self._follow_until_due())
+        claimed = asyncio.create_task(self.claimed.wait())
+        try:
+            await asyncio.wait(
+                (following, claimed), return_when=asyncio.FIRST_COMPLETED
+            )
+        finally:
+            following.cancel()
+            claimed.cancel()
+        self.claimed.clear()
+
+    async def _follow_until_due(self) -> None:
         silent_polls = 0
         while not (self._has_unserved_claim() or self._may_claim_at_once()):
             if self._may_skip_reads():
@@ -299,7 +270,7 @@
 
     async def _await_renewal(self, silent_polls: int) -> int:
         """Poll for the next renewal; return the new count of silent polls."""
-        self.authority.begin_read()
+        began = self.authority.clock()
         batch = await self.store.read_from(
             self.topic,
             self.next_offset,
@@ -308,6 +279,8 @@
         )
         if isinstance(batch, Batch):
             self._apply_batch(batch)
+            if batch.items:
+                self._confirm_read(began)
             return 0 if batch.items else silent_polls + 1
         if isinstance(batch, LogGap):
             await self._load_record()
@@ -353,7 +326,7 @@
 
     def _apply_item(self, item: KeyedItem) -> None:
         try:
-            record = _decoder.decode(item.blob)
+            record = decode_record(item.blob)
         except msgspec.DecodeError as error:
             self.log.write('leader-unreadable', reason=str(error))
             self.history.is_record_unreadable = True
@@ -372,16 +345,18 @@
     async def _lead(self) -> None:
         if self.leaving.is_set():
             return
-        if self._has_unserved_claim():
-            # The record was the newest at the time of this read.
-            self.authority.confirm(self.authority.read_began_at)
-        elif not await self._claim():
+        if not (
+            self._has_unserved_claim() or await self._claim(self.next_offset)
+        ):
             return
-        assert self.current is not None
-        epoch = self.current.epoch
+        record = self.current
+        assert record is not None
+        epoch = record.epoch
         self.history.ended_epoch = epoch
         serving = asyncio.ensure_future(self.serve(epoch))
-        renewing = asyncio.create_task(self._renew_until_ended())
+        renewing = asyncio.create_task(
+            self.term.run(record, paused=self.leaving.is_set())
+        )
         try:
             await asyncio.wait(
                 (serving, renewing), return_when=asyncio.FIRST_COMPLETED
@@ -392,22 +367,24 @@
             results = await asyncio.gather(
                 serving, renewing, return_exceptions=True
             )
+        if isinstance(results[1], Failure) and self.current is record:
+            self.current = None
         reasons = [repr(result) for result in results]
         self.log.write('leader-lost', epoch=epoch, reasons=reasons)
 
-    async def _claim(self) -> bool:
+    async def _claim(self, at: int) -> bool:
+        """Claim the next epoch if the topic still ends at ``at``."""
         epoch = self.history.next_epoch(self.current)
         record = msgspec.structs.replace(self.own_record, epoch=epoch)
-        self.seq = random.randrange(1, CLAIM_SEQ_BOUND)
         claimed_at = self.authority.clock()
-        reply = await self._append_record(record, self.next_offset)
-        won = not isinstance(reply, Failure)
+        reply = await self.writer.claim(record, at)
+        won = reply is None
         self.log.write(
             'claim',
             epoch=epoch,
             won=won,
             silent_s=round(now() - self.last_heard_at, 3),
-            reason=reply.reason if isinstance(reply, Failure) else '',
+            reason=reply.reason if reply is not None else '',
         )
         if won and not self.history.is_outdated(record, self.current):
             self.authority.confirm(claimed_at)
@@ -416,84 +393,3 @@
         if isinstance(reply, StoreRejected):
             self.history.record_rejected_claim(epoch)
         return False
-
-    async def _renew_until_ended(self) -> Failure:
-        """Renew the record until the term has ended; return why it has.
-
-        The renewals overlap, so that a slow or lost reply to one does not delay
-        the next and followers do not count the leader as silent.
-        """
-        assert self.current is not None
-        record = self.current
-        ended: asyncio.Future[Failure] = (
-            asyncio.get_running_loop().create_future()
-        )
-        self.term_ended = ended
-        self.is_releasing = self.leaving.is_set()
-        renewals: set[asyncio.Task[None]] = set()
-        try:
-            while not ended.done():
-                # A renewal after the release would revoke it.
-                if (
-                    len(renewals) < MAX_RENEWALS_IN_FLIGHT
-                    and not self.is_releasing
-                ):
-                    renewal = asyncio.create_task(self._send_renewal(record))
-                    renewals.add(renewal)
-                    renewal.add_done_callback(renewals.discard)
-                await asyncio.wait((ended,), timeout=RENEWAL_INTERVAL_S)
-            if self.current is record:
-                self.current = None
-            return ended.result()
-        finally:
-            for renewal in list(renewals):
-                renewal.cancel()
-
-    def _end_term(self, failure: Failure) -> None:
-        if self.term_ended is not None and not self.term_ended.done():
-            self.term_ended.set_result(failure)
-
-    async def _send_renewal(self, record: LeaderRecord) -> None:
-        began = self.authority.clock()
-        reply = await self._append_record(record, None)
-        if not isinstance(reply, Failure):
-            self.authority.confirm(began)
-            self.last_heard_at = now()
-            return
-        if not self._resume_sequence(reply) and isinstance(
-            reply, StoreRejected
-        ):
-            self._end_term(NotOwner(reply.reason))
-
-    async def _append_release(self, record: LeaderRecord) -> None:
-        """Append the released record, after any renewals that were lost."""
-        for _ in range(RELEASE_ATTEMPTS):
-            reply = await self._append_record(record, None)
-            if reply is None or not self._resume_sequence(reply):
-                return
-
-    def _resume_sequence(self, reply: Failure) -> bool:
-        """Continue with the sequence number that the store expects, if any.
-
-        An earlier append is lost or late if it expects another one.
-        """
-        expected = reply.fields.get('expected')
-        if expected is None:
-            return False
-        self.seq = int(expected) - 1
-        return True
-
-    async def _append_record(
-        self, record: LeaderRecord, at: int | None
-    ) -> Failure | None:
-        """Append a record; a claim names the offset at which it must be."""
-        if at is None:
-            self.seq += 1
-        reply = await self.store.append(
-            self.topic,
-            [(LEADER_KEY, msgspec.msgpack.encode(record))],
-            producer=Producer(LEADER_KEY, record.epoch, self.seq),
-            at=at,
-            timeout_s=CALL_TIMEOUT_S,
-        )
-        return reply if isinstance(reply, Failure) else None
--- a/packages/berylspread/src/berylspread/coordinator/messages.py
+++ b/packages/berylspread/src/berylspread/coordinator/messages.py
@@ -3,7 +3,7 @@
 from typing import final
 
 from berylspread.coordinator.config_feed import ConfigNews
-from berylspread.coordinator.leadership import LeaderRecord
+from berylspread.coordinator.leader_record import LeaderRecord
 from berylspread.coordinator.model import JobSpec
 from berylspread.peers import Message, message
 
@@ -111,12 +111,15 @@
 @final
 @message
 class TakeOver(Message, frozen=True):
-    """The leader of an epoch, which the store does not serve, asks to succeed.
+    """The leader of an epoch asks the receiving node to claim the next one.
 
     The reply is ``TookOver`` or the reason for which the node has not claimed.
+    ``end`` is where the leader's topic ends if the leader has stopped renewing
+    its record, ``None`` if the receiving node has to find out.
     """
 
     epoch: int
+    end: int | None = None
 
 
 @final
--- a/packages/berylspread/src/berylspread/coordinator/node.py
+++ b/packages/berylspread/src/berylspread/coordinator/node.py
@@ -1,6 +1,7 @@
 """A node that follows the leader's record and coordinates when elected."""
 
 import asyncio
+import contextlib
 import math
 import random
 from collections.abc import Callable
@@ -18,7 +19,6 @@
     DEFAULT_CAPACITY,
     LEADER_REPLY_VALID_S,
     Capacity,
-    should_step_down,
 )
 from berylspread.coordinator.gateway import Gateway
 from berylspread.coordinator.interface import (
@@ -27,7 +27,8 @@
     PermissionService,
     WorkerApi,
 )
-from berylspread.coordinator.leadership import LeaderRecord, Leadership
+from berylspread.coordinator.leader_record import LeaderRecord
+from berylspread.coordinator.leadership import Leadership
 from berylspread.coordinator.messages import (
     AskBacklog,
     AskJobStatus,
@@ -37,17 +38,11 @@
     NodeUp,
     PermissionsReply,
     SubmitJob,
-    TakeOver,
-    TookOver,
 )
-from berylspread.coordinator.permits import MAX_SILENCE_S
 from berylspread.coordinator.policy import PolicyCache
 from berylspread.coordinator.service import JobService
-from berylspread.coordinator.store_access import (
-    HandoverPolicy,
-    ObservedStore,
-    recent_fitness,
-)
+from berylspread.coordinator.store_access import HandoverPolicy, ObservedStore
+from berylspread.coordinator.succession import Succession
 from berylspread.kernel.clock import WallClock, now
 from berylspread.kernel.errors import Failure, NotOwner
 from berylspread.model import NodeRef
@@ -59,9 +54,6 @@
 ANNOUNCE_INTERVAL_S: Final = 0.5
 #: The same interval while no coordinator is known, as in a new process.
 NO_LEADER_INTERVAL_S: Final = 0.05
-#: A coordinator hands over to a fitter node only after this time, so that nodes
-#: that have just started can announce themselves first.
-MIN_TERM_S: Final = 3.0
 #: A node that has had no reply from the leader, or from the store about it, for
 #: this long announces itself to random nodes instead.  The leader renews its
 #: record several times in this time.
@@ -70,10 +62,6 @@
 #: refuses requests at once.  Even if the leader is silent, the store replies
 #: once a second, and a slow store a little later.
 ISOLATION_TIMEOUT_S: Final = 1.5
-#: How often a coordinator checks whether the store still serves it.
-HANDOVER_CHECK_INTERVAL_S: Final = 0.05
-#: Time limit of a request to take over: a read and a claim.
-TAKEOVER_TIMEOUT_S: Final = 0.8
 
 
 @final
@@ -131,16 +119,16 @@
         'addresses_version',
         'clients',
         'config_feed',
-        'fitness_by_node',
         'gateway',
-        'handover',
         'known_versions',
         'last_peer_reply_at',
         'leadership',
         'log',
         'peers',
         'ref',
+        'request_failed',
         'service',
+        'succession',
         'topics',
     )
 
@@ -155,8 +143,6 @@
         capacity: Capacity = DEFAULT_CAPACITY,
     ) -> None:
         """Set the identity; ``attach_peers`` sets the connections."""
-        #: Reported fitness and the time of the report, by node.
-        self.fitness_by_node: dict[str, tuple[float, float]] = {}
         self.ref = ref
         self.address = address
         self.clients = clients
@@ -171,9 +157,11 @@
         self.service: JobService | None = None
         #: When another node last replied, in loop time.
         self.last_peer_reply_at = 0.0
-        self.handover = HandoverPolicy()
+        handover_policy = HandoverPolicy()
+        #: Set when a request to the leader has failed.
+        self.request_failed = asyncio.Event()
         self.leadership = Leadership(
-            ObservedStore(clients.store, self.handover),
+            ObservedStore(clients.store, handover_policy),
             topics.leader,
             LeaderRecord(0, ref.node, ref.incarnation, address),
             self.serve,
@@ -181,6 +169,7 @@
             clients.authority_clock,
             capacity,
         )
+        self.succession = Succession(self.leadership, handover_policy, log)
         self.config_feed = ConfigFeed(
             clients.store,
             topics.config,
@@ -203,7 +192,7 @@
             peers,
             self.find_leader,
             self.is_isolated,
-            self.leadership.require_leader_read,
+            self._on_failed_request,
             self.log,
         )
         peers.register_handler(SubmitJob, self._service_handler('submit'))
@@ -211,7 +200,7 @@
         peers.register_handler(CancelJob, self._service_handler('cancel'))
         peers.register_handler(AskBacklog, self._service_handler('backlog'))
         peers.register_handler(NodeUp, self._handle_node_up)
-        peers.register_handler(TakeOver, self._handle_takeover_request)
+        self.succession.attach_peers(peers)
         peers.register_handler(AskPermissions, self._handle_permission_request)
 
     def address_of(self, node: str) -> str | None:
@@ -243,9 +232,8 @@
 
     async def leave(self) -> None:
         """Hand over the leadership before the process ends."""
-        if self.service is not None:
-            await self.service.coordinator.quiesce()
-        await self.leadership.release()
+        self.leadership.leaving.set()
+        await self.succession.hand_over(self.service)
 
     async def serve(self, epoch: int) -> Failure:
         """Coordinate for one epoch; return why it has ended."""
@@ -258,7 +246,9 @@
             self.ref.node, math.inf
         )
         self.service = JobService(coordinator)
-        handing_over = asyncio.create_task(self._hand_over_when_due(epoch))
+        handing_over = asyncio.create_task(
+            self.succession.hand_over_when_due(epoch)
+        )
         try:
             return await coordinator.run()
         finally:
@@ -285,12 +275,26 @@
             target = self._choose_peer()
             if target is not None:
                 await self._announce_to(target)
-            elif self._should_step_down():
-                await self._step_down()
-            has_no_leader = self.find_leader() is None
-            await asyncio.sleep(
-                NO_LEADER_INTERVAL_S if has_no_leader else ANNOUNCE_INTERVAL_S
-            )
+            elif self.service is not None:
+                await self.succession.step_down_if_unfit(self.service)
+            has_leader = self.find_leader() is not None
+            await asyncio.sleep(NO_LEADER_INTERVAL_S)
+            if has_leader:
+                await self._wait_to_announce()
+
+    async def _wait_to_announce(self) -> None:
+        """Wait for the next announcement, or until a request has failed."""
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(
+                ANNOUNCE_INTERVAL_S - NO_LEADER_INTERVAL_S
+            ):
+                await self.request_failed.wait()
+        self.request_failed.clear()
+
+    def _on_failed_request(self) -> None:
+        """Look for a successor: the former leader knows it first."""
+        self.leadership.require_leader_read()
+        self.request_failed.set()
 
     def _choose_peer(self) -> str | None:
         """Choose the node to announce to, ``None`` if there is none.
@@ -319,74 +323,6 @@
     def _is_leader_news_stale(self) -> bool:
         return now() - self.leadership.last_heard_at > LEADER_NEWS_TIMEOUT_S
 
-    def best_other_fitness(self) -> float:
-        """Return the best fitness that other nodes have recently reported."""
-        reported = recent_fitness(self.fitness_by_node, MAX_SILENCE_S)
-        return max(reported.values(), default=0.0)
-
-    def _should_step_down(self) -> bool:
-        service = self.service
-        may_hand_over = (
-            service is not None
-            and service.coordinator.is_loaded
-            and now() - service.started_at >= MIN_TERM_S
-        )
-        return may_hand_over and should_step_down(
-            self.leadership.candidacy.fitness(), self.best_other_fitness()
-        )
-
-    async def _step_down(self) -> None:
-        """Hand over to a fitter node."""
-        assert self.service is not None
-        self.log.write(
-            'step-down',
-            fitness=round(self.leadership.candidacy.fitness(), 3),
-            fittest=round(self.best_other_fitness(), 3),
-        )
-        await self.service.coordinator.quiesce()
-        await self.leadership.step_down()
-
-    async def _hand_over_when_due(self, epoch: int) -> None:
-        """Ask other nodes to take over while the store does not serve this one.
-
-        Its claim ends this node's epoch, also if the reply is lost.
-        """
-        while True:
-            await asyncio.sleep(HANDOVER_CHECK_INTERVAL_S)
-            if not self.handover.is_due(now(), self.leadership.authority_age()):
-                continue
-            target = self.handover.choose_node(
-                recent_fitness(self.fitness_by_node, MAX_SILENCE_S)
-            )
-            if target is not None:
-                await self._request_takeover(target, epoch)
-
-    async def _request_takeover(self, target: str, epoch: int) -> None:
-        assert self.peers is not None
-        asked_at = now()
-        reply = await self.peers.request(
-            target, TakeOver(epoch), TookOver, timeout_s=TAKEOVER_TIMEOUT_S
-        )
-        self.log.write(
-            'takeover-request',
-            epoch=epoch,
-            target=target,
-            refusals=self.handover.refusals,
-            confirmed_age_s=round(self.leadership.authority_age(), 3),
-            took_s=round(now() - asked_at, 3),
-            declined=reply.reason if isinstance(reply, Failure) else '',
-        )
-        if isinstance(reply, Failure):
-            self.handover.record_declined(target, now())
-        else:
-            self.leadership.update_from_peer(reply.record)
-
-    async def _handle_takeover_request(
-        self, source: NodeRef, body: TakeOver
-    ) -> TookOver | Failure:
-        reply = await self.leadership.take_over(body.epoch)
-        return reply if isinstance(reply, Failure) else TookOver(reply)
-
     async def _announce_to(self, node: str) -> None:
         assert self.peers is not None
         requested_at = self.config_feed.clock()
@@ -422,7 +358,7 @@
         self, source: NodeRef, body: NodeUp
     ) -> LeaderKnown:
         self._record_addresses({body.node: body.address})
-        self.fitness_by_node[body.node] = (body.fitness, now())
+        self.succession.record_fitness(body.node, body.fitness)
         if self.service is not None:
             self.service.register_node(body)
         has_same_addresses = body.roster == self.addresses_version
@@ -431,7 +367,7 @@
             {} if has_same_addresses else self.addresses,
             self.addresses_version,
             self.config_feed.news_for(body.config),
-            self.best_other_fitness(),
+            self.succession.best_other_fitness(),
             self._has_authority(),
         )
 
