Add berylspread trace and report, which read the logs of all nodes

`trace ID [LOG...]` prints the decisions that touched a request, job, step or task, in order, with the changes of the coordinator in the same time, and the cause of the outcome in a sentence. `report [LOG...] -o PAGE` draws what happened second by second with plotly, as one page that loads nothing from elsewhere, and prints the parts of each change of the coordinator. Without files both read the standard input; lines of other programs are passed over and counted.

`job-accepted` has the objective of the job, from which the lateness at its end follows.

--- a/packages/berylspread-cli/src/berylspread_cli/commands/__init__.py
+++ b/packages/berylspread-cli/src/berylspread_cli/commands/__init__.py
@@ -5,6 +5,7 @@
 from berylspread_cli.commands.config import ConfigCommands
 from berylspread_cli.commands.jobs import JobCommands
 from berylspread_cli.commands.keys import KeyCommands
+from berylspread_cli.commands.logs import show_trail, write_report
 
 __all__ = (
     'ConfigCommands',
@@ -13,4 +14,6 @@
     'read_body',
     'run_call',
     'show_capacity',
+    'show_trail',
+    'write_report',
 )
--- a/packages/berylspread-cli/src/berylspread_cli/main.py
+++ b/packages/berylspread-cli/src/berylspread_cli/main.py
@@ -21,6 +21,8 @@
     read_body,
     run_call,
     show_capacity,
+    show_trail,
+    write_report,
 )
 from berylspread_cli.output import show
 from berylspread_cli.texts import texts
@@ -148,6 +150,38 @@
         )
         show(response, as_json=json)
 
+    @texts('item')
+    def trace(self, item: str, *logs: str, json: bool = False) -> None:
+        """Print what the nodes' logs tell about a request, job, step or task.
+
+        The command sends no request.
+
+        Args:
+            item: The id of a request, job, step or task.
+            logs: Files with the lines of one or more nodes; by default the
+                standard input.  Other lines are passed over and counted.
+            json: Print a JSON object.
+
+        """
+        show_trail(item, logs, as_json=json)
+
+    def report(
+        self, *logs: str, output: str = 'report.html', json: bool = False
+    ) -> None:
+        """Draw what the nodes' logs tell about a day, second by second.
+
+        The command sends no request.  It prints the changes of the coordinator:
+        seconds since the last decision of the former one.
+
+        Args:
+            logs: Files with the lines of one or more nodes; by default the
+                standard input.  Other lines are passed over and counted.
+            output: The HTML page to write.
+            json: Print a JSON object.
+
+        """
+        write_report(logs, output, as_json=json)
+
     def capacity(  # noqa: WPS211 - a flag for each number
         self,
         *,
--- a/packages/berylspread/src/berylspread/coordinator/service.py
+++ b/packages/berylspread/src/berylspread/coordinator/service.py
@@ -145,6 +145,7 @@
             queue=spec.queue.name,
             tenant=spec.tenant,
             tasks=sum(step.count for step in spec.steps),
+            objective_ms=round(job.deadline_ms - spec.accepted_ms),
         )
         coordinator.wake.set()
         return job
