Take the end of one member of a gang for that of all

Members end with success only together, and by the platform's rules one such end stands for all. If the worker of one member vanished before its own end was reported, that member was made to wait for a run alone; a gang is placed only as a whole, so the job waited for ever.

A success marks all members as done; later ends of theirs change nothing.

The scenario failed first: "running" 4 s after the end.

--- a/features/coordinator/coordination.feature
+++ b/features/coordinator/coordination.feature
@@ -388,6 +388,16 @@
     Then job "a" is succeeded
     And at most 2 tasks of job "a" ran at a time
 
+  Scenario: The end of one member of a gang is that of all
+    Given a cell of 2 nodes and 3 workers
+    When 1 s passes
+    And a job "a" with a gang of 3 tasks for different workers is submitted
+    And 0.7 s pass
+    And a worker of the gang is cut off until its run has ended and it restarts
+    And 4 s pass
+    Then job "a" is succeeded
+    And each task of job "a" ran once
+
   Scenario: All tasks of a gang begin together or none does
     Given a cell of 2 nodes and 1 worker
     And tasks of job "a" take 3 s
--- a/features/coordinator/steps/coordination_steps.py
+++ b/features/coordinator/steps/coordination_steps.py
@@ -36,6 +36,8 @@
     worker_of,
 )
 
+WATCH_S = 0.05
+
 
 @given('a cell of {nodes:d} nodes and {workers:d} workers')
 @given('a cell of {nodes:d} nodes and {workers:d} worker')
@@ -115,6 +117,31 @@
     assert isinstance(submit_spec(context, job(job_id, step)), JobAccepted)
 
 
+@when(
+    'a job "{job_id}" with a gang of {count:d} tasks for different workers is '
+    'submitted'
+)
+def step_submit_spread_gang(context, job_id, count):
+    step = StepSpec(count, TASK, gang=True, max_per_worker=1)
+    assert isinstance(submit_spec(context, job(job_id, step)), JobAccepted)
+
+
+@when('a worker of the gang is cut off until its run has ended and it restarts')
+def step_lose_member_end(context):
+    worker = next(
+        each for each in context.cell.workers.values() if each.running
+    )
+
+    async def lose():
+        worker.is_cut = True
+        while worker.running:
+            await asyncio.sleep(WATCH_S)
+        worker.restart()
+        worker.is_cut = False
+
+    context.run(lose())
+
+
 @when(
     'a batch job "{job_id}" of {count:d} tasks that save their progress is '
     'submitted'
--- a/packages/berylspread/src/berylspread/coordinator/outcomes.py
+++ b/packages/berylspread/src/berylspread/coordinator/outcomes.py
@@ -5,7 +5,7 @@
 
 from berylspread.coordinator.fleet import Run
 from berylspread.coordinator.interface import Outcome
-from berylspread.coordinator.model import JobStatus, Phase, Step
+from berylspread.coordinator.model import JobStatus, Phase, Step, Task
 from berylspread.kernel.clock import now
 
 if TYPE_CHECKING:
@@ -33,13 +33,12 @@
     duration_s = run.full_duration_s(now())
     if duration_s is not None:
         coordinator.table.durations.record_task(step.spec, duration_s)
-    if job.status.is_final:
+    if job.status.is_final or task.phase is Phase.done:
         return
     if step.spec.long_running:
         coordinator.requeue(task)
         return
-    task.phase = Phase.done
-    step.unfinished_tasks -= 1
+    _mark_done(step, task)
     if not step.is_done():
         return
     coordinator.on_step_done(step)
@@ -47,6 +46,20 @@
         coordinator.finish_job(job, JobStatus.succeeded, 'all tasks done')
 
 
+def _mark_done(step: Step, task: Task) -> None:
+    """Mark a task as done, or all members of its gang.
+
+    They end with success only together, so the end of one proves that of the
+    others, whose own may be lost with their workers.
+    """
+    for each in step.tasks if step.spec.gang else (task,):
+        if each.phase is Phase.waiting:
+            step.waiting_tasks.remove(each)
+        if each.phase is not Phase.done:
+            each.phase = Phase.done
+            step.unfinished_tasks -= 1
+
+
 @handles(Outcome.failed)
 def handle_failure(coordinator: 'Coordinator', run: Run) -> None:
     """Run the task again on another worker, or fail the job.
@@ -54,6 +67,8 @@
     The job fails after the last attempt.
     """
     task, step, job = run.task, run.task.step, run.task.step.job
+    if task.phase is Phase.done:
+        return
     task.avoided_workers.add(run.worker.name)
     task.failures += 1
     if step.spec.long_running:
