--- a/packages/berylspread-standins/src/berylspread_standins/coordinated/wire.py
+++ b/packages/berylspread-standins/src/berylspread_standins/coordinated/wire.py
@@ -48,6 +48,8 @@
     Outcome.failed: 'failed',
     Outcome.stopped: 'stopped',
     Outcome.lease_over: 'lapsed',
+    Outcome.gang_broken: 'broken',
+    Outcome.gang_incomplete: 'alone',
 }
 
 #: The word on the wire for why an order is refused.
@@ -112,6 +114,7 @@
             else Producer(name, int(query['epoch']), int(query['seq']))
         )
         at = query.get('at')
+        await self.store.wait_if_late()
         reply = await self.view.append(
             query['topic'],
             list(_records(body)),
--- a/packages/berylspread-standins/src/berylspread_standins/process_soak/faults.py
+++ b/packages/berylspread-standins/src/berylspread_standins/process_soak/faults.py
@@ -13,6 +13,8 @@
 SHORTEST_S: Final = 0.5
 LONGEST_S: Final = 5.0
 DELAY_S: Final = 0.25
+LATE_SHARE: Final = 0.3
+MAX_CLOCK_OFF_S: Final = 30.0
 BOTH_WAYS: Final = frozenset(Direction)
 
 
@@ -173,6 +175,55 @@
             fleet.store.answer_s = usual_s
 
 
+@faults.register
+@final
+class StoreLate(ProcessFault):
+    """The store carries out some appends seconds late."""
+
+    name = 'store-late'
+
+    async def inject(self, fleet: ProcessFleet, rng: random.Random) -> None:
+        """Let some appends be late."""
+        fleet.store.late_share = LATE_SHARE
+        try:
+            await self.hold(rng)
+        finally:
+            fleet.store.late_share = 0.0
+
+
+@faults.register
+@final
+class ClockStep(ProcessFault):
+    """A VM's clock steps; its program starts with the wrong time of day."""
+
+    name = 'clock-step'
+
+    async def inject(self, fleet: ProcessFleet, rng: random.Random) -> None:
+        """Let one program start with a wrong clock, and again without."""
+        node = rng.choice(fleet.nodes)
+        node.clock_off_s = rng.uniform(-MAX_CLOCK_OFF_S, MAX_CLOCK_OFF_S)
+        try:
+            node.send(signal.SIGKILL)
+            await fleet.restart(node)
+            await self.hold(rng)
+        finally:
+            node.clock_off_s = 0.0
+        node.send(signal.SIGKILL)
+        await fleet.restart(node)
+
+
+@faults.register
+@final
+class WorkerReplaced(ProcessFault):
+    """A worker vanishes and another one comes under a new name."""
+
+    name = 'worker-replaced'
+
+    async def inject(self, fleet: ProcessFleet, rng: random.Random) -> None:
+        """Replace one worker."""
+        await fleet.replace_worker(rng.choice(list(fleet.worker_proxies)))
+
+
 @faults.register
 @final
 class WorkerRestart(ProcessFault):
@@ -182,7 +233,7 @@
 
     async def inject(self, fleet: ProcessFleet, rng: random.Random) -> None:
         """Restart one worker."""
-        fleet.restart_worker(rng.choice(list(fleet.workers)))
+        fleet.restart_worker(rng.choice(list(fleet.worker_proxies)))
 
 
 @faults.register
@@ -194,7 +245,7 @@
 
     async def inject(self, fleet: ProcessFleet, rng: random.Random) -> None:
         """Let one worker fail for a while."""
-        worker = fleet.workers[rng.choice(list(fleet.workers))]
+        worker = fleet.workers[rng.choice(list(fleet.worker_proxies))]
         worker.fails_all = True
         try:
             await self.hold(rng)
