Leave a job alone whose record cannot be read

Found with bad records on purpose: a step's record that could not be decoded, or had another number of tasks, ended the load with an exception, at each node in turn, so that one record kept the whole cell from coordinating. A job's own record that could not be decoded made the job unknown: 410 for a job that had been accepted, and a repeat of its submission would have overwritten the record.

Such a job is left as it is, for a version that can read it, and logged; requests about it get 502. Nothing of it is started or stored.

--- a/packages/berylspread/src/berylspread/coordinator/service.py
+++ b/packages/berylspread/src/berylspread/coordinator/service.py
@@ -48,6 +48,15 @@
     run_state = RunState.unknown
 
 
+@failure
+class JobUnreadable(Failure):
+    """The job's record is of a version that this node cannot read."""
+
+    name = 'job-unreadable'
+    http_status = 502
+    run_state = RunState.unknown
+
+
 @final
 class JobService:
     """Handles requests with the coordinator's job table."""
@@ -69,6 +78,8 @@
             return NotRun('the store takes no appends at present')
         if not self._may_answer():
             return NotOwner('the coordinator is not ready to answer')
+        if spec.job_id in table.unreadable_jobs:
+            return _unreadable(spec.job_id)
         if spec.job_id in table.ended_jobs:
             return JobAccepted()
         job = table.jobs.get(spec.job_id)
@@ -92,7 +103,7 @@
             return NotOwner('the coordinator is not ready to answer')
         ended = table.ended_jobs.get(request.job_id)
         if ended is None:
-            return NoSuchJob('no such job', job=request.job_id)
+            return self._unknown_job(request.job_id)
         return JobStatusReply(ended.status.value)
 
     async def cancel(self, request: CancelJob) -> JobCancelled | Failure:
@@ -109,12 +120,17 @@
         if job is None:
             if request.job_id in coordinator.table.ended_jobs:
                 return JobCancelled()
-            return NoSuchJob('no such job', job=request.job_id)
+            return self._unknown_job(request.job_id)
         if not job.status.is_final:
             coordinator.finish_job(job, JobStatus.cancelled, 'cancelled')
         failure = await _wait_stored(job)
         return JobCancelled() if failure is None else failure
 
+    def _unknown_job(self, job_id: str) -> Failure:
+        if job_id in self.coordinator.table.unreadable_jobs:
+            return _unreadable(job_id)
+        return NoSuchJob('no such job', job=job_id)
+
     def _belongs_to_other_tenant(self, job_id: str, tenant: str) -> bool:
         # Callers and jobs of open queues may belong to no organisation.
         table = self.coordinator.table
@@ -178,3 +194,7 @@
         return None
     failure = await wait_stored(job.status_stored)
     return None if failure is None else NotStored(failure.reason)
+
+
+def _unreadable(job_id: str) -> JobUnreadable:
+    return JobUnreadable('this node cannot read the record', job=job_id)
--- a/packages/berylspread/src/berylspread/coordinator/table.py
+++ b/packages/berylspread/src/berylspread/coordinator/table.py
@@ -1,7 +1,7 @@
 """The jobs of the coordinator and the steps that are ready to run."""
 
-from collections.abc import Iterator
-from typing import final
+from collections.abc import Iterator, Mapping
+from typing import Final, final
 
 import msgspec
 
@@ -32,6 +32,9 @@
 )
 from berylspread.coordinator.shares import ShareMeter
 
+#: What the decoders of records raise: other types, lengths or values.
+UNREADABLE: Final = (msgspec.DecodeError, ValueError)
+
 
 @final
 class EndedJob:
@@ -61,6 +64,7 @@
         'policies',
         'ready_steps',
         'share_meter',
+        'unreadable_jobs',
     )
 
     def __init__(self, policies: Policies, log: DecisionLog) -> None:
@@ -70,6 +74,9 @@
         self.durations = DurationEstimator()
         self.jobs: dict[str, Job] = {}
         self.ended_jobs: dict[str, EndedJob] = {}
+        #: Jobs with a record that this version cannot read.  They are left as
+        #: they are, for a version that can.
+        self.unreadable_jobs: set[str] = set()
         #: Steps that may run and have waiting tasks, by name.
         self.ready_steps: dict[str, Step] = {}
         #: Steps of occurrences that are not due yet, by name.
@@ -93,12 +100,10 @@
             elif item.key.startswith(JOB_PREFIX):
                 self._restore_job(item.key.removeprefix(JOB_PREFIX), item.blob)
         for job in sorted(self.jobs.values(), key=_accepted_ms):
+            if not self._restore_steps(job, steps):
+                continue
             self._charge_share(job)
             self._estimate(job)
-            for step in job.steps.values():
-                blob = steps.get(step.name)
-                if blob is not None:
-                    restore_step(step, blob)
             _restore_status(job)
             self.update_ready(job, wall_ms)
 
@@ -191,13 +196,29 @@
     def _restore_job(self, job_id: str, blob: bytes) -> None:
         try:
             record = decode_job(blob)
-        except msgspec.DecodeError as error:
-            self.log.write('job-unreadable', job=job_id, reason=str(error))
-            return
-        if record.spec is None:
-            self._restore_ended(job_id, record)
-        else:
-            self.jobs[job_id] = Job(record.spec)
+            if record.spec is None:
+                self._restore_ended(job_id, record)
+            else:
+                self.jobs[job_id] = Job(record.spec)
+        except UNREADABLE as error:
+            self._record_unreadable(job_id, error)
+
+    def _restore_steps(self, job: Job, blobs: Mapping[str, bytes]) -> bool:
+        """Restore the steps of a job; return whether all could be read."""
+        try:
+            for step in job.steps.values():
+                blob = blobs.get(step.name)
+                if blob is not None:
+                    restore_step(step, blob)
+        except UNREADABLE as error:
+            del self.jobs[job.spec.job_id]
+            self._record_unreadable(job.spec.job_id, error)
+            return False
+        return True
+
+    def _record_unreadable(self, job_id: str, error: Exception) -> None:
+        self.unreadable_jobs.add(job_id)
+        self.log.write('job-unreadable', job=job_id, reason=str(error))
 
     def _restore_ended(self, job_id: str, record: JobRecord) -> None:
         self.ended_jobs[job_id] = EndedJob(
