Hand over once, and let orders on their way arrive first

- A node whose long read returns its claim before the append's reply serves it, and the reply then left a note that the node had claimed.
After the term that note made it claim at once, from the successor.
The note is now cleared before each wait, and believed only with a claim that is not served yet.
- Such a node counted its authority from the start of that long read, up to 1 s before, so it took the store to be silent and asked another node to take over right away.
The claim's own time counts.
- A planned handover ended the term while orders were on their way: the members of a gang whose orders had left started without the others.
The coordinator now places nothing for at most 0.1 s, until all orders have replies, before it asks and again before its term ends.

Both scenarios failed first: a fourth epoch; a gang that ended alone when the coordinator left 0.02 s after its submission.

--- a/features/coordinator/handover.feature
+++ b/features/coordinator/handover.feature
@@ -51,3 +51,18 @@
     When 1 s passes
     And the coordinator leaves while the others are watched
     Then the newest record of the leader is released
+
+  Scenario: A node that has handed over leaves the record to its successor
+    Given a cell of 3 nodes and 2 workers
+    When 2 s pass
+    And replies to claims and renewals take 0.05 s more than reads
+    And the store turns the coordinator away
+    And 1 s passes
+    And the store turns the coordinator away
+    And 2 s pass
+    Then one node coordinates
+    And exactly 3 epochs have been claimed
+
+  Scenario: A gang is not split by a planned stop
+    Given orders to workers take up to 0.03 s
+    Then no gang is split whenever the coordinator leaves within 0.06 s
--- a/features/coordinator/steps/handover_steps.py
+++ b/features/coordinator/steps/handover_steps.py
@@ -2,12 +2,15 @@
 
 import asyncio
 
-from behave import then, when
+from behave import given, then, when
 
 from berylspread.coordinator.messages import JobAccepted, SubmitJob
+from berylspread.coordinator.model import StepSpec
 from berylspread.coordinator.store_access import recent_fitness
 from berylspread.kernel.clock import now
-from berylspread_standins.coordinated.fleet import job
+from berylspread_standins.coordinated import CoordinatedFleet
+from berylspread_standins.coordinated.fleet import TASK, job
+from berylspread_standins.coordinated.gangs import GANG_S, Gangs
 from features.coordinator.cell import (
     TIMEOUT_S,
     find_coordinator,
@@ -55,6 +58,68 @@
     context.gap_s = context.run(leave())
 
 
+class SlowReplies:
+    """A store whose replies to appends take longer than those to reads."""
+
+    def __init__(self, store, delay_s):
+        self.store = store
+        self.delay_s = delay_s
+        self.read_newest = store.read_newest
+        self.read_from = store.read_from
+
+    async def append(self, *arguments, **options):
+        reply = await self.store.append(*arguments, **options)
+        await asyncio.sleep(self.delay_s)
+        return reply
+
+
+@when('replies to claims and renewals take {seconds:g} s more than reads')
+def step_slow_replies(context, seconds):
+    for standin in context.cell.nodes.values():
+        observed = standin.node.leadership.store
+        observed.store = SlowReplies(observed.store, seconds)
+
+
+@given('orders to workers take up to {seconds:g} s')
+def step_order_times(context, seconds):
+    context.way_s = seconds
+
+
+async def _leave_after(way_s, delay_s):
+    """Return how the runs of a gang ended that was placed at a stop."""
+    cell = CoordinatedFleet(3)
+    gangs = Gangs()
+    gangs.sizes['a.0.0'] = 3
+    for index, worker in enumerate(cell.workers.values()):
+        worker.gangs = gangs
+        worker.orders.way_s = way_s * (index + 1) / 3
+    for index in range(3):
+        cell.start_node(f'n{index}')
+    await asyncio.sleep(2)
+    node = cell.nodes[cell.leader()].node
+    spec = job('a', StepSpec(3, TASK, gang=True, max_per_worker=1))
+    submission = asyncio.create_task(
+        node.gateway.send_request(
+            SubmitJob(spec), JobAccepted, request='a', timeout_s=TIMEOUT_S
+        )
+    )
+    await asyncio.sleep(delay_s)
+    await node.leave()
+    await submission
+    await asyncio.sleep(GANG_S + 2)
+    outcomes = [log.outcome for log in cell.runs('a.0.0.0')]
+    for name in list(cell.nodes):
+        cell.kill(name)
+    return outcomes
+
+
+@then('no gang is split whenever the coordinator leaves within {seconds:g} s')
+def step_not_split(context, seconds):
+    for number in range(int(seconds / SAMPLE_S)):
+        outcomes = context.run(_leave_after(context.way_s, number * SAMPLE_S))
+        assert outcomes == ['done'], (number * SAMPLE_S, outcomes)
+
+
 @when('the node that would be asked to take over begins to leave')
 def step_successor_leaves(context):
     succession = context.cell.nodes[find_coordinator(context)].node.succession
--- a/packages/berylspread-standins/src/berylspread_standins/process_soak/fleet.py
+++ b/packages/berylspread-standins/src/berylspread_standins/process_soak/fleet.py
@@ -22,8 +22,8 @@
 from berylspread_standins.process_soak.proxy import LoopbackProxy
 from berylspread_standins.serving import HttpServer
 
-#: Runs the program; a module of its own, which nothing else imports.
-CLOCK_MODULE: Final = 'berylspread_standins.process_soak.clock'
+#: Runs the program; as a script it imports nothing of this package.
+CLOCK_SCRIPT: Final = Path(__file__).with_name('clock.py')
 CLOCK_VARIABLE: Final = 'SOAK_CLOCK_OFF_S'
 FRONT_PORT: Final = 8183
 READY_PORT: Final = 8184
@@ -136,8 +136,7 @@
         with (self.folder / f'{self.name}.log').open('ab') as log:
             self.process = await asyncio.create_subprocess_exec(
                 sys.executable,
-                '-m',
-                CLOCK_MODULE,
+                str(CLOCK_SCRIPT),
                 env={
                     **os.environ,
                     'BERYLSPREAD_SETTINGS': str(settings),
--- a/packages/berylspread/src/berylspread/coordinator/dispatcher.py
+++ b/packages/berylspread/src/berylspread/coordinator/dispatcher.py
@@ -59,11 +59,13 @@
 class Dispatcher:
     """Places waiting tasks whenever something has changed."""
 
-    __slots__ = ('coordinator', 'holds')
+    __slots__ = ('coordinator', 'holds', 'is_paused')
 
     def __init__(self, coordinator: 'Coordinator') -> None:
         self.coordinator = coordinator
         self.holds = Holds()
+        #: Whether nothing more is placed, before a handover.
+        self.is_paused = False
 
     async def run(self) -> None:
         """Run passes until cancelled."""
@@ -83,6 +85,24 @@
             self._run_pass()
             await asyncio.sleep(MIN_PASS_INTERVAL_S)
 
+    async def settle_orders(self, timeout_s: float) -> None:
+        """Place nothing more; wait until all orders to start have replies.
+
+        The members of a gang are ordered one by one, so that a term that ends
+        in between would split it.
+        """
+        self.is_paused = True
+        ends_at = now() + timeout_s
+        while now() < ends_at and self._has_orders():
+            await asyncio.sleep(MIN_PASS_INTERVAL_S)
+
+    def _has_orders(self) -> bool:
+        return any(
+            run.stage is Stage.ordered
+            for worker in self.coordinator.workers.values()
+            for run in worker.runs.values()
+        )
+
     def _sweep(self) -> None:
         coordinator = self.coordinator
         wall_ms = coordinator.wall_ms()
@@ -136,7 +156,11 @@
         # Without a configuration every organisation would be treated as one
         # without a cap.
         is_ready = coordinator.is_loaded and coordinator.has_policies()
-        if not is_ready or not coordinator.has_authority(ORDER_GRACE_S):
+        if (
+            self.is_paused
+            or not is_ready
+            or not coordinator.has_authority(ORDER_GRACE_S)
+        ):
             return
         moment = now()
         fleet = FleetView(coordinator.workers, moment)
--- a/packages/berylspread/src/berylspread/coordinator/leader_record.py
+++ b/packages/berylspread/src/berylspread/coordinator/leader_record.py
@@ -52,16 +52,30 @@
     suspended.
     """
 
-    __slots__ = ('clock', 'confirmed_at')
+    __slots__ = ('claimed_at', 'clock', 'confirmed_at')
 
     def __init__(self, clock: Callable[[], float]) -> None:
         self.clock = clock
         self.confirmed_at = 0.0
+        #: When the newest claim was sent.
+        self.claimed_at = 0.0
 
     def age_s(self) -> float:
         """Return seconds since the last confirmation."""
         return self.clock() - self.confirmed_at
 
+    def begin_claim(self) -> None:
+        """Record that a claim is being sent."""
+        self.claimed_at = self.clock()
+
+    def confirm_read(self, began_at: float) -> None:
+        """Record that a read has returned the claim as the newest record.
+
+        The claim was the newest when the store replied, which was later than
+        the claim, also if the read had been waiting for long.
+        """
+        self.confirm(max(began_at, self.claimed_at))
+
     def confirm(self, sent_at: float) -> None:
         """Record that the store has confirmed a call sent at ``sent_at``."""
         self.confirmed_at = max(self.confirmed_at, sent_at)
--- a/packages/berylspread/src/berylspread/coordinator/leadership.py
+++ b/packages/berylspread/src/berylspread/coordinator/leadership.py
@@ -241,20 +241,21 @@
     def _confirm_read(self, began: float) -> None:
         """Confirm the authority if this node's record was the newest read."""
         if self.is_leader:
-            self.authority.confirm(began)
+            self.authority.confirm_read(began)
 
     async def _wait_to_claim(self) -> None:
         """Return when this node should claim, or has a claim to serve."""
         following = asyncio.create_task(self._follow_until_due())
-        claimed = asyncio.create_task(self.claimed.wait())
         try:
-            await asyncio.wait(
-                (following, claimed), return_when=asyncio.FIRST_COMPLETED
-            )
+            while not (following.done() or self._has_unserved_claim()):
+                self.claimed.clear()
+                claimed = asyncio.create_task(self.claimed.wait())
+                await asyncio.wait(
+                    (following, claimed), return_when=asyncio.FIRST_COMPLETED
+                )
+                claimed.cancel()
         finally:
             following.cancel()
-            claimed.cancel()
-        self.claimed.clear()
 
     async def _follow_until_due(self) -> None:
         silent_polls = 0
@@ -376,7 +377,7 @@
         """Claim the next epoch if the topic still ends at ``at``."""
         epoch = self.history.next_epoch(self.current)
         record = msgspec.structs.replace(self.own_record, epoch=epoch)
-        claimed_at = self.authority.clock()
+        self.authority.begin_claim()
         reply = await self.writer.claim(record, at)
         won = reply is None
         self.log.write(
@@ -387,7 +388,7 @@
             reason=reply.reason if reply is not None else '',
         )
         if won and not self.history.is_outdated(record, self.current):
-            self.authority.confirm(claimed_at)
+            self.authority.confirm(self.authority.claimed_at)
             self.current = record
             return True
         if isinstance(reply, StoreRejected):
--- a/packages/berylspread/src/berylspread/coordinator/succession.py
+++ b/packages/berylspread/src/berylspread/coordinator/succession.py
@@ -8,8 +8,10 @@
 import contextlib
 from typing import Final, final
 
+from berylspread.coordinator.coordinator import Coordinator
 from berylspread.coordinator.decision_log import DecisionLog
 from berylspread.coordinator.fitness import should_step_down
+from berylspread.coordinator.leader_record import LeaderRecord
 from berylspread.coordinator.leadership import Leadership
 from berylspread.coordinator.messages import TakeOver, TookOver
 from berylspread.coordinator.permits import MAX_SILENCE_S
@@ -32,6 +34,9 @@
 TAKEOVER_TIMEOUT_S: Final = 0.8
 #: Time limit of a planned handover; after it the record is released.
 HANDOVER_TIMEOUT_S: Final = 1.0
+#: How long nothing is placed before a successor is asked, and before the term
+#: ends, so that no order is on its way: most replies take a few hundredths.
+MAX_PAUSE_S: Final = 0.1
 #: Nodes asked to take over in a planned handover; nodes that leave decline.
 HANDOVER_ATTEMPTS: Final = 4
 
@@ -89,9 +94,10 @@
     async def hand_over(self, service: JobService | None) -> None:
         """Have another node claim, or release the record if none does."""
         if service is not None:
+            await service.coordinator.dispatcher.settle_orders(MAX_PAUSE_S)
             with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout(HANDOVER_TIMEOUT_S):
-                    await self._find_successor(service.coordinator.token)
+                    await self._find_successor(service.coordinator)
             if self.leadership.is_leader:
                 await service.coordinator.quiesce()
         await self.leadership.release()
@@ -107,14 +113,17 @@
                 continue
             target = self._choose_successor()
             if target is not None:
-                await self._request_takeover(target, epoch, None)
+                self.leadership.update_from_peer(
+                    await self._request_takeover(target, epoch, None)
+                )
 
     def _choose_successor(self) -> str | None:
         return self.policy.choose_node(
             recent_fitness(self.fitness_by_node, MAX_SILENCE_S)
         )
 
-    async def _find_successor(self, epoch: int) -> None:
+    async def _find_successor(self, coordinator: Coordinator) -> None:
+        epoch = coordinator.token
         end = await self.leadership.term.pause(HANDOVER_TIMEOUT_S)
         if end is None:
             return
@@ -122,11 +131,15 @@
             target = self._choose_successor()
             if target is None or not self.leadership.is_leader:
                 return
-            await self._request_takeover(target, epoch, end)
+            record = await self._request_takeover(target, epoch, end)
+            if record is not None:
+                await coordinator.dispatcher.settle_orders(MAX_PAUSE_S)
+                self.leadership.update_from_peer(record)
 
     async def _request_takeover(
         self, target: str, epoch: int, end: int | None
-    ) -> None:
+    ) -> LeaderRecord | None:
+        """Return the record of the node's claim, ``None`` if it declines."""
         assert self.peers is not None
         asked_at = now()
         reply = await self.peers.request(
@@ -144,8 +157,8 @@
         )
         if isinstance(reply, Failure):
             self.policy.record_declined(target, now())
-        else:
-            self.leadership.update_from_peer(reply.record)
+            return None
+        return reply.record
 
     async def _handle_request(
         self, source: NodeRef, body: TakeOver
