Stop the members of a gang that would wait for a lost one

A member whose order is refused or never begins was made to wait, while the others stayed on their workers until they ended alone. And a worker that refused an order for lack of room, or as late, got the next order in the next pass, 10 ms later.

The other members are now stopped at once, and the gang runs again as a whole. A worker that refuses for room or lateness gets no new runs for 1.5 s, like an unhealthy one: until it reports, what is known of it is wrong.

Two scenarios failed first: the gang still ran after 5 s.

--- a/features/coordinator/steps/gang_steps.py
+++ b/features/coordinator/steps/gang_steps.py
@@ -16,6 +16,11 @@
         worker.gangs = gangs
 
 
+@when('worker "{name}" refuses orders as "{cause}"')
+def step_refuse(context, name, cause):
+    context.cell.workers[name].orders.refuse_as = cause
+
+
 @when('a worker of the gang restarts')
 def step_restart_member(context):
     async def restart():
--- a/packages/berylspread/src/berylspread/coordinator/coordinator.py
+++ b/packages/berylspread/src/berylspread/coordinator/coordinator.py
@@ -17,6 +17,7 @@
     Run,
     Stage,
     Worker,
+    find_run,
     placeholder_entry,
 )
 from berylspread.coordinator.health_monitor import WorkerHealthMonitor
@@ -275,6 +276,8 @@
             reason=reason,
         )
         self.requeue(run.task)
+        if run.task.step.spec.gang and run.task.phase is Phase.waiting:
+            _stop_members(self, run.task.step)
 
     def record_refusal(self, run: Run, cause: str) -> None:
         """Record that a worker refused to start a run."""
@@ -433,3 +436,12 @@
         self.tasks.discard(task)
         if not task.cancelled() and task.exception() is not None:
             self.log.write('task-failed', error=repr(task.exception()))
+
+
+def _stop_members(coordinator: Coordinator, step: Step) -> None:
+    """Stop the members of a gang that would wait for a lost one."""
+    for task in step.tasks:
+        run = find_run(coordinator.workers, task)
+        if run is not None and not run.stop_reason:
+            orders = coordinator.sessions[run.worker.name].orders
+            orders.stop(run, 'gang-broken')
--- a/packages/berylspread/src/berylspread/coordinator/orders.py
+++ b/packages/berylspread/src/berylspread/coordinator/orders.py
@@ -43,6 +43,9 @@
 
 #: Causes of refusals after which the run has certainly not started.
 NOT_STARTED_CAUSES: Final = frozenset((LATE, NO_ROOM, NO_TICKET, UNHEALTHY))
+#: Causes that would refuse the next order as well: the worker is unhealthy, or
+#: what is known of its room or its clock is wrong until it reports.
+AVOIDED_CAUSES: Final = frozenset((LATE, NO_ROOM, UNHEALTHY))
 
 
 class CoordinatorInterface(Protocol):
@@ -153,7 +156,7 @@
 
     def _handle_refusal(self, run: Run, cause: str) -> None:
         if cause in NOT_STARTED_CAUSES:
-            if cause == UNHEALTHY:
+            if cause in AVOIDED_CAUSES:
                 self.worker.avoid_until = now() + AVOID_WORKER_S
             self.coordinator.record_refusal(run, cause)
         elif cause == STALE_RUN:
