Log where a configuration came from and when it goes out of date

The users saw a call refused as only an older configuration allows (CONFIG). A refusal already names the version and its age. Two facts were missing to tell the hypotheses of docs/incidents/outdated-configuration.md apart: whether a version came from the store or from which node, and since when a node has known that its configuration is out of date, with the age of the other nodes' news.

config gets the field source; config-outdated and config-confirmed are new. No decision changes.

--- a/features/coordinator/configuration.feature
+++ b/features/coordinator/configuration.feature
@@ -44,6 +44,10 @@
     And the store is down
     And 6 s pass
     Then every node's configuration is at least 5 s old
+    And every node has logged that its configuration is out of date
+    When the store is up
+    And 3 s pass
+    Then every node has logged that its configuration is confirmed again
 
   Scenario: Nothing is placed before the caps are known
     Given a cell of 1 node without a configuration and 3 workers
--- a/features/coordinator/steps/configuration_steps.py
+++ b/features/coordinator/steps/configuration_steps.py
@@ -92,3 +92,18 @@
 def step_old(context, seconds):
     ages = _ages(context)
     assert min(ages) >= seconds, ages
+
+
+@then('every node has logged that its configuration is out of date')
+def step_logged_outdated(context):
+    _check_logged(context, 'config-outdated')
+
+
+@then('every node has logged that its configuration is confirmed again')
+def step_logged_confirmed(context):
+    _check_logged(context, 'config-confirmed')
+
+
+def _check_logged(context, event):
+    lines = context.cell.events(event)
+    assert {line['node'] for line in lines} == set(context.cell.nodes), lines
--- a/packages/berylspread/src/berylspread/coordinator/config_feed.py
+++ b/packages/berylspread/src/berylspread/coordinator/config_feed.py
@@ -25,6 +25,8 @@
 PEER_NEWS_VALID_S: Final = 1.5
 #: Wait of a long poll of the store; its reply confirms the configuration.
 LONG_POLL_S: Final = 1.0
+#: Where a version came from, in the log, if not from another node.
+STORE_SOURCE: Final = 'store'
 #: zlib level; 1 compresses a list of routes to a tenth in a few milliseconds.
 COMPRESSION_LEVEL: Final = 1
 
@@ -61,6 +63,7 @@
         'newest_record',
         'peer_confirmed_at',
         'policies',
+        'was_outdated',
     )
 
     def __init__(
@@ -88,10 +91,12 @@
         #: Starts at the current time, so that a new process first waits for
         #: news from another node.
         self.peer_confirmed_at = self.clock()
+        #: Whether the configuration was out of date when last reviewed.
+        self.was_outdated = False
         self.follower = TopicFollower(
             store,
             topic,
-            self._apply_item,
+            self._apply_stored,
             log,
             on_confirmed=policies.confirm,
             clock=self.clock,
@@ -123,10 +128,12 @@
         key, packed = self.newest_record
         return msgspec.structs.replace(news, key=key, packed=packed)
 
-    def apply_news(self, news: ConfigNews, requested_at: float) -> None:
-        """Apply another node's news, requested at a time of the clock."""
+    def apply_news(
+        self, news: ConfigNews, requested_at: float, source: str
+    ) -> None:
+        """Apply the news of node ``source``, requested at a clock time."""
         if news.packed:
-            self._unpack(news)
+            self._unpack(news, source)
         if not news.version or news.version > self.policies.version:
             return
         as_of = requested_at - news.age_s
@@ -135,15 +142,31 @@
         if news.offset >= 0 and as_of >= self.peer_confirmed_at:
             self.follower.offset = news.offset
 
-    def _unpack(self, news: ConfigNews) -> None:
+    def review_age(self) -> None:
+        """Log when the configuration goes out of date or is confirmed again."""
+        is_outdated = self.policies.is_outdated()
+        if self.policies.version and is_outdated != self.was_outdated:
+            self.was_outdated = is_outdated
+            self.log.write(
+                'config-outdated' if is_outdated else 'config-confirmed',
+                version=self.policies.version,
+                config_age_s=round(self.policies.age_s(), 3),
+                news_age_s=round(self.clock() - self.peer_confirmed_at, 3),
+                reads_store=not self.has_fresh_news(),
+            )
+
+    def _unpack(self, news: ConfigNews, source: str) -> None:
         try:
             blob = zlib.decompress(news.packed)
         except zlib.error as error:
             self.log.write('config-unreadable', reason=str(error))
             return
-        self._apply_item(KeyedItem(news.key, blob, news.offset))
+        self._apply_item(KeyedItem(news.key, blob, news.offset), source)
+
+    def _apply_stored(self, item: KeyedItem) -> None:
+        self._apply_item(item, STORE_SOURCE)
 
-    def _apply_item(self, item: KeyedItem) -> None:
+    def _apply_item(self, item: KeyedItem, source: str) -> None:
         """Put the configuration of a record in force if it is newer."""
         configuration = self.decode(item) if item.blob else None
         if configuration is None or not self.policies.apply(configuration):
@@ -160,4 +183,5 @@
                 tenant.name: tenant.weight for tenant in configuration.tenants
             },
             offset=item.offset,
+            source=source,
         )
--- a/packages/berylspread/src/berylspread/coordinator/node.py
+++ b/packages/berylspread/src/berylspread/coordinator/node.py
@@ -272,6 +272,7 @@
 
     async def _announce_regularly(self) -> None:
         while True:
+            self.config_feed.review_age()
             target = self._choose_peer()
             if target is not None:
                 await self._announce_to(target)
@@ -345,7 +346,7 @@
             self.leadership.update_from_peer(reply.record)
             if node == self.find_leader() and reply.is_leading:
                 self.leadership.record_leader_reply(reply.fittest)
-            self.config_feed.apply_news(reply.config, requested_at)
+            self.config_feed.apply_news(reply.config, requested_at, node)
 
     def _record_addresses(self, addresses: dict[str, str]) -> None:
         """Record the addresses of nodes."""
--- a/packages/berylspread/src/berylspread/coordinator/policy.py
+++ b/packages/berylspread/src/berylspread/coordinator/policy.py
@@ -128,6 +128,10 @@
         """Return seconds since the store last confirmed the configuration."""
         return self.clock() - self.confirmed_at
 
+    def is_outdated(self) -> bool:
+        """Return whether a newer version may have to be in force by now."""
+        return self.age_s() > self.max_age_s
+
     def find_route(self, host: str, path: str) -> QueueRoute | Failure:
         """Return the route of a host with the longest matching prefix."""
         if self.configuration is None:
@@ -146,7 +150,7 @@
         tenant = self.by_key.get(key) if key else None
         if route.is_open:
             return tenant.name if tenant else ''
-        if self.age_s() > self.max_age_s:
+        if self.is_outdated():
             return NotRun(
                 'the keys known here are out of date',
                 age_s=round(self.age_s(), 3),
