Answer no call by a configuration that is out of date

Cause: a node knows as of when its configuration was confirmed, but only keys depended on it, with the bound of withdrawn keys (4.3 s) in place of that of changes (configApplyMs, 2.5 to 5 s). An unknown queue was refused with 404, and an open queue served, however old the configuration was. Class: a negative answer from a cache whose age is known and not looked at.

Why it works: the configuration is confirmed as of a time at which the store had no newer one. A call is now answered only if that time is at most the bound ago, so every version that had to be in force when the call was sent is in force. Otherwise the call gets 503 with Retry-After, which is true and lets the caller try another node.

--- a/features/adapter/jobs.feature
+++ b/features/adapter/jobs.feature
@@ -48,6 +48,24 @@
     Then the response status is 503 with a Retry-After header
     And the coordinator received no request
 
+  Scenario Outline: CONFIG: a queue that may have been added is not refused as unknown
+    When 5 s pass without confirmation from the store
+    And a caller sends GET "<path>" with key "<key>"
+    Then the response status is 503 with a Retry-After header
+    And the coordinator received no request
+
+    Examples:
+      | path                | key   |
+      | /none/              | k1    |
+      | /q/5c0e7a21d94b36f8 | other |
+
+  Scenario: CONFIG: an open queue that may have been removed is not served
+    Given the queue is open to all
+    When 5 s pass without confirmation from the store
+    And a caller sends GET "/q/5c0e7a21d94b36f8" with key ""
+    Then the response status is 503 with a Retry-After header
+    And the coordinator received no request
+
   Scenario: A node without a configuration says that the job was not run
     Given an entry node without a configuration
     When a caller sends GET "/q/5c0e7a21d94b36f8" with key "k1"
--- a/features/adapter/settings.feature
+++ b/features/adapter/settings.feature
@@ -4,7 +4,18 @@
     Given a settings file with node "entry-1" at "10.1.0.17" and ports 7420 to 7435
     When the settings are read
     Then the other nodes reach it at "10.1.0.17:7420"
-    And keys stay valid for 4.3 s
+    And the configuration stays valid for 2.4 s
+
+  Scenario Outline: The configuration is valid until a key or a queue may have changed
+    Given bounds in the settings of <revoke> ms for keys and <apply> ms for the rest
+    When the settings are read
+    Then the configuration stays valid for <valid> s
+
+    Examples:
+      | revoke | apply | valid |
+      | 5000   | 2500  | 2.4   |
+      | 5000   | 5000  | 4.3   |
+      | 2000   | 4000  | 1.3   |
 
   Scenario Outline: A settings file that cannot be used is a typed error
     Given a settings file <fault>
--- a/features/adapter/steps/adapter_steps.py
+++ b/features/adapter/steps/adapter_steps.py
@@ -1,6 +1,7 @@
 """Steps about the adapter to the platform."""
 
 import asyncio
+import copy
 import json
 import math
 import tomllib
@@ -48,6 +49,7 @@
 readyAddr = "10.1.0.17:8184"
 [bounds]
 revokeMs = 5000
+configApplyMs = 2500
 [platform]
 address = "10.200.1.7:8182"
 """
@@ -124,7 +126,7 @@
     'not run': NotRun('no coordinator'),
     'outcome unknown': OutcomeUnknown('no reply'),
 }
-KEY_VALIDITY_S = 4.0
+CONFIG_VALIDITY_S = 4.0
 DISCONNECT = {'type': 'http.disconnect'}
 WORKER = WorkerEntry(
     worker='i-1',
@@ -260,9 +262,19 @@
     assert context.result.peer_address == address
 
 
-@then('keys stay valid for {seconds:g} s')
-def step_key_validity(context, seconds):
-    assert math.isclose(context.result.key_validity_s, seconds)
+@given(
+    'bounds in the settings of {revoke:d} ms for keys and {apply:d} ms '
+    'for the rest'
+)
+def step_bounds(context, revoke, apply):
+    context.settings_text = SETTINGS.replace(
+        'revokeMs = 5000', f'revokeMs = {revoke}'
+    ).replace('configApplyMs = 2500', f'configApplyMs = {apply}')
+
+
+@then('the configuration stays valid for {seconds:g} s')
+def step_config_validity(context, seconds):
+    assert math.isclose(context.result.config_validity_s, seconds)
 
 
 @then('they are refused as "{name}" naming "{named}"')
@@ -334,7 +346,7 @@
 
 @given('configuration version {version:d} is in force')
 def step_given_version(context, version):
-    context.policies = PolicyCache(float, KEY_VALIDITY_S)
+    context.policies = PolicyCache(float, CONFIG_VALIDITY_S)
     assert context.policies.apply(Configuration(version, (), ()))
 
 
@@ -389,7 +401,7 @@
 )
 def step_entry(context, queue, host, prefix, key):
     context.time = 0.0
-    policies = PolicyCache(lambda: context.time, KEY_VALIDITY_S)
+    policies = PolicyCache(lambda: context.time, CONFIG_VALIDITY_S)
     configure(policies)
     context.node = FakeNode()
     context.arrives_s = None
@@ -399,11 +411,20 @@
     assert key in policies.by_key
 
 
+@given('the queue is open to all')
+def step_open_queue(context):
+    document = copy.deepcopy(CONFIG)
+    document['version'] += 1
+    document['routes'][0]['public'] = True
+    policies = context.ingress.policies
+    assert policies.apply(decode_config(_item(json.dumps(document).encode())))
+
+
 @given('an entry node without a configuration')
 def step_entry_empty(context):
     context.node = FakeNode()
     context.arrives_s = None
-    policies = PolicyCache(float, KEY_VALIDITY_S)
+    policies = PolicyCache(float, CONFIG_VALIDITY_S)
     context.ingress = Ingress(policies, context.node, WallClock(0.0), FakeLog())
 
 
--- a/packages/berylspread/src/berylspread/coordinator/policy.py
+++ b/packages/berylspread/src/berylspread/coordinator/policy.py
@@ -1,7 +1,8 @@
 """The newest configuration: routes calls to queues and authenticates keys.
 
-Keys are accepted only while the store has recently confirmed the configuration,
-so that a withdrawn key stops working even at a node that cannot read the store.
+A node uses its configuration only while the store has recently confirmed it.
+After that, a key may have been withdrawn, and a queue that is unknown here may
+have been added: the node can neither accept the call nor say that it is wrong.
 """
 
 import asyncio
@@ -73,7 +74,7 @@
     def __init__(self, clock: Callable[[], float], max_age_s: float) -> None:
         """Set the clock and the time for which a confirmation is valid.
 
-        Keys are accepted up to ``max_age_s`` seconds after a confirmation.
+        Calls are answered up to ``max_age_s`` seconds after a confirmation.
         ``clock`` returns seconds and counts the time for which the VM was
         suspended.
         """
@@ -133,9 +134,17 @@
         return self.age_s() > self.max_age_s
 
     def find_route(self, host: str, path: str) -> QueueRoute | Failure:
-        """Return the route of a host with the longest matching prefix."""
+        """Return the route of a host with the longest matching prefix.
+
+        ``NotRun`` if the configuration is unknown or out of date.
+        """
         if self.configuration is None:
             return NotRun('no configuration is known yet')
+        if self.is_outdated():
+            return NotRun(
+                'the configuration known here is out of date',
+                age_s=round(self.age_s(), 3),
+            )
         for route in self.by_host.get(host, ()):
             if path.startswith(route.path_prefix):
                 return route
@@ -144,17 +153,13 @@
     def authenticate(self, route: QueueRoute, key: str) -> str | Failure:
         """Return the name of the tenant to which a call's key belongs.
 
-        An open queue also accepts calls without a valid key; the name is empty
+        ``route`` is from ``find_route``, which checks that the configuration is
+        up to date.  An open queue also accepts calls without a valid key; the name is empty
         then.
         """
         tenant = self.by_key.get(key) if key else None
         if route.is_open:
             return tenant.name if tenant else ''
-        if self.is_outdated():
-            return NotRun(
-                'the keys known here are out of date',
-                age_s=round(self.age_s(), 3),
-            )
         if tenant is None:
             return Unauthenticated('the key is missing, unknown or withdrawn')
         return tenant.name
