--- a/features/coordinator/configuration.feature
+++ b/features/coordinator/configuration.feature
@@ -29,6 +29,12 @@
     Then every node has version 2 of the configuration
     And no node's configuration is older than 3 s
 
+  Scenario: A node that is cut off from the other nodes is confirmed at once
+    Given a cell of 3 nodes and 1 worker
+    When 2 s pass
+    And a node that does not coordinate is cut off from the others
+    Then for 5 s no node's configuration is older than 2 s
+
   Scenario: A node that cannot reach the store gets the configuration from the others
     Given a cell of 3 nodes and 1 worker
     When 2 s pass
--- a/features/coordinator/steps/configuration_steps.py
+++ b/features/coordinator/steps/configuration_steps.py
@@ -7,6 +7,9 @@
 from berylspread_standins.coordinated import CoordinatedFleet
 from berylspread_standins.coordinated.fleet import QUEUE, TOPICS
 
+#: How often the age of a configuration is looked at.
+SAMPLE_S = 0.05
+
 
 def _nodes(context):
     return list(context.cell.nodes.values())
@@ -88,6 +91,14 @@
     assert max(ages) <= seconds, ages
 
 
+@then("for {duration:g} s no node's configuration is older than {seconds:g} s")
+def step_always_fresh(context, duration, seconds):
+    for _ in range(round(duration / SAMPLE_S)):
+        context.run(asyncio.sleep(SAMPLE_S))
+        ages = _ages(context)
+        assert max(ages) <= seconds, ages
+
+
 @then("every node's configuration is at least {seconds:g} s old")
 def step_old(context, seconds):
     ages = _ages(context)
--- a/packages/berylspread/src/berylspread/coordinator/directory.py
+++ b/packages/berylspread/src/berylspread/coordinator/directory.py
@@ -32,6 +32,7 @@
 
     __slots__ = (
         'clock',
+        'is_confirmation_due',
         'is_paused',
         'known_keys',
         'log',
@@ -61,7 +62,9 @@
 
         ``on_confirmed`` is called after each read with the time of ``clock`` as
         of which the values are current.  The store is not read while
-        ``is_paused()``, nor for ``pause_after_items_s`` after new items.
+        ``is_paused()``, nor for ``pause_after_items_s`` after new items.  The
+        first read after a pause or a failure does not wait for new items, so
+        that the values are confirmed at once.
         """
         self.pause_after_items_s = pause_after_items_s
         self.is_paused = is_paused
@@ -74,12 +77,14 @@
         self.wait_s = wait_s
         self.offset: int | None = None
         self.known_keys: set[str] = set()
+        self.is_confirmation_due = False
 
     async def run(self) -> None:
         """Follow the topic until cancelled."""
         is_up = True
         while True:
             if self.is_paused():
+                self.is_confirmation_due = True
                 await asyncio.sleep(RETRY_S)
                 continue
             reached = await self._read_once()
@@ -87,6 +92,7 @@
                 event = 'topic-regained' if reached else 'topic-lost'
                 self.log.write(event, topic=self.topic)
             is_up = reached
+            self.is_confirmation_due = not reached
             if not reached:
                 await asyncio.sleep(RETRY_S)
 
@@ -94,11 +100,12 @@
         if self.offset is None:
             return await self._load_snapshot()
         requested_at = self.clock()
+        wait_s = 0.0 if self.is_confirmation_due else self.wait_s
         batch = await self.store.read_from(
             self.topic,
             self.offset,
-            wait_s=self.wait_s,
-            timeout_s=self.wait_s + CALL_TIMEOUT_S,
+            wait_s=wait_s,
+            timeout_s=wait_s + CALL_TIMEOUT_S,
         )
         if not isinstance(batch, Batch):
             # Also after a gap in the log: the newest values are loaded again.
@@ -109,7 +116,7 @@
             self.offset = item.offset + 1
         # The store sends a reply without items at the end of the wait, however
         # late it is read here.
-        waited_s = 0.0 if batch.items else self.wait_s
+        waited_s = 0.0 if batch.items else wait_s
         self._confirm(min(requested_at + waited_s, self.clock()))
         if batch.items:
             await asyncio.sleep(self.pause_after_items_s)
