Give up a task under which its workers crash again and again

Cause: a run that is lost with its worker has no outcome, and only outcomes `failed` count as attempts, so the task was placed again without end. Class: a failure that is retried without a budget because it is not recorded as one.

Change: each loss of a worker's life counts against the tasks that it ran, in the step's record: 2 against those that may have been starting, 1 against those that a report has listed at work a second after their start, nothing against long-running ones at work. From 5 on, after three crashes at the start and five at the latest, the task is given up and its job has failed. The tasks concerned avoid the worker, are kept apart from each other, and go to the workers with the fewest runs, so that the next crash costs little and shows the cause. worker-lost logs which runs were starting.

Before, no crash was counted: the mutant crashes-uncounted shows that the scenario then fails. Room that has shrunk was right already; it gets a scenario.

--- a/features/coordinator/coordination.feature
+++ b/features/coordinator/coordination.feature
@@ -443,3 +443,13 @@
     And 8 s pass
     Then job "a" is succeeded
     And no task of job "a" ran on worker "w0"
+
+  Scenario: A worker whose capacity has shrunk gets no more than it holds
+    Given a cell of 1 nodes and 1 worker
+    When 2 s pass
+    And the worker's capacity shrinks to 2 tasks
+    And 1 s passes
+    And a job "a" with steps of 6 tasks is submitted
+    And 12 s pass
+    Then job "a" is succeeded
+    And at most 2 tasks of job "a" ran at a time
--- /dev/null
+++ b/features/coordinator/crashes.feature
@@ -0,0 +1,68 @@
+Feature: Tasks that crash the workers that start them
+
+  Scenario: BUDGET: a task that crashes each worker that starts it is given up
+    Given a cell of 1 nodes and 8 workers
+    And task "a.0.0.0" crashes its worker after 0.01 s
+    When a job "a" with steps of 3 tasks is submitted
+    And 30 s pass
+    Then job "a" is failed
+    And task "a.0.0.0" has been started 3 times
+
+  Scenario: BUDGET: a task that crashes its workers late is given up, too
+    Given a cell of 1 nodes and 8 workers
+    And task "a.0.0.0" crashes its worker after 3.5 s
+    When a job "a" with steps of 3 tasks is submitted
+    And 50 s pass
+    Then job "a" is failed
+    And task "a.0.0.0" has been started 5 times
+
+  Scenario: BUDGET: crashes are counted beyond a change of the coordinator
+    Given a cell of 5 nodes and 8 workers
+    And task "a.0.0.0" crashes its worker after 0.01 s
+    When a job "a" with steps of 3 tasks is submitted
+    And 4 s pass
+    And the coordinator is killed
+    And 4 s pass
+    And the coordinator is killed
+    And 30 s pass
+    Then job "a" is failed
+    And task "a.0.0.0" has been started at most 5 times
+
+  Scenario: BUDGET: workers that do not come back are counted
+    Given a cell of 1 nodes and 8 workers
+    And workers stay down after a crash
+    And task "a.0.0.0" crashes its worker after 0.01 s
+    When a job "a" with steps of 3 tasks is submitted
+    And 40 s pass
+    Then job "a" is failed
+    And task "a.0.0.0" has been started 3 times
+
+  Scenario: Jobs beside a task that crashes its workers are not given up
+    Given a cell of 1 nodes and 4 workers
+    And task "a.0.0.0" crashes its worker after 0.01 s
+    And tasks of job "b" take 0.8 s
+    When a job "b" with steps of 24 tasks is submitted
+    And a job "a" with steps of 3 tasks is submitted
+    And 40 s pass
+    Then job "a" is failed
+    And job "b" is succeeded
+
+  Scenario Outline: What a crash counts against a task
+    Given a worker that has listed a run of a <kind> task <age> s after its start
+    When the worker crashes
+    Then the score of the task is <score>
+
+    Examples:
+      | kind         | age | score |
+      | plain        | 0   | 2     |
+      | plain        | 0.9 | 2     |
+      | plain        | 1.1 | 1     |
+      | long-running | 0.9 | 2     |
+      | long-running | 1.1 | 0     |
+
+  Scenario: Tasks under which workers have crashed are kept apart
+    Given 4 workers with room for 4 tasks
+    And a step of 3 tasks under which workers have crashed
+    When the step is placed
+    Then no two of its tasks share a worker
+    And a new task is placed on the remaining worker
--- a/features/coordinator/steps/coordination_steps.py
+++ b/features/coordinator/steps/coordination_steps.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+import msgspec
 from behave import given, when
 
 from berylspread.coordinator.messages import (
@@ -420,6 +421,13 @@
     context.run(restart())
 
 
+@when("the worker's capacity shrinks to {tasks:d} tasks")
+def step_shrink(context, tasks):
+    worker = next(iter(context.cell.workers.values()))
+    worker.entry = msgspec.structs.replace(worker.entry, capacity=TASK * tasks)
+    context.cell.publish(worker.entry)
+
+
 @when('the entry of the worker is gone')
 def step_entry_gone(context):
     async def withdraw():
--- a/features/mutants/mutants.feature
+++ b/features/mutants/mutants.feature
@@ -25,6 +25,7 @@
       | draining-not-left         |
       | new-life-forgotten        |
       | success-forgotten         |
+      | crashes-uncounted         |
       | configuration-reverts     |
       | keys-trusted-for-ever     |
 
--- a/features/support/mutants.py
+++ b/features/support/mutants.py
@@ -322,6 +322,13 @@
         COORDINATION,
         'A lost reply of the store changes nothing',
     ),
+    'crashes-uncounted': Mutant(
+        coordinators,
+        'is_given_up',
+        _never,
+        'features/coordinator/crashes.feature',
+        'BUDGET: a task that crashes each worker that starts it is given up',
+    ),
     'configuration-reverts': Mutant(
         policy.PolicyCache,
         'apply',
--- a/packages/berylspread-standins/src/berylspread_standins/coordinated/worker.py
+++ b/packages/berylspread-standins/src/berylspread_standins/coordinated/worker.py
@@ -31,6 +31,8 @@
 STOP_S: Final = 0.2
 #: Progress is made, and faults take effect, in steps of this length.
 SLICE_S: Final = 0.05
+#: How long a worker is down after a task has crashed it.
+CRASH_DOWN_S: Final = 2.0
 #: The longest lease that a worker grants, in ms.
 HOLD_MAX_MS: Final = 6000
 
@@ -92,9 +94,17 @@
     how late those are.  ``way_s`` is how long orders are on their way, and
     ``refuse_as`` the cause for which all are refused.  Runs that are stopped
     together end ``stagger_s`` after each other, in the order of the tasks.
+    A task whose outcome is ``crash`` ends the worker for ``crash_down_s``.
     """
 
-    __slots__ = ('delay_s', 'mute', 'refuse_as', 'stagger_s', 'way_s')
+    __slots__ = (
+        'crash_down_s',
+        'delay_s',
+        'mute',
+        'refuse_as',
+        'stagger_s',
+        'way_s',
+    )
 
     def __init__(self) -> None:
         """Begin without a fault."""
@@ -103,6 +113,7 @@
         self.way_s = WAY_S
         self.refuse_as = ''
         self.stagger_s = 0.0
+        self.crash_down_s = CRASH_DOWN_S
 
 
 @final
@@ -324,6 +335,9 @@
         return gang.end_of(log)
 
     def _end_run(self, log: RunLog, gang: Gang | None, end: str) -> None:
+        if end == 'crash':
+            detach(_crash(self))
+            return
         if gang is None or end != 'done':
             self._end(log.task, end)
             return
@@ -416,6 +430,14 @@
         return None if self.is_cut else self.by_name.get(entry.worker)
 
 
+async def _crash(worker: WorkerStandin) -> None:
+    """Let a worker lose everything, and begin another life after a while."""
+    worker.vanish()
+    await asyncio.sleep(worker.orders.crash_down_s)
+    worker.restart()
+    worker.is_cut = False
+
+
 async def _unreachable() -> Failure:
     await asyncio.sleep(TIMEOUT_S)
     return WorkerUnreachable('no answer', sent=True)
--- a/packages/berylspread/src/berylspread/coordinator/coordinator.py
+++ b/packages/berylspread/src/berylspread/coordinator/coordinator.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from berylspread.coordinator.committer import Committer
+from berylspread.coordinator.crashes import is_given_up
 from berylspread.coordinator.decision_log import DecisionLog
 from berylspread.coordinator.directory import TopicFollower
 from berylspread.coordinator.dispatcher import Dispatcher
@@ -278,6 +279,10 @@
         self.requeue(run.task)
         if run.task.step.spec.gang and run.task.phase is Phase.waiting:
             _stop_members(self, run.task.step)
+        job = run.task.step.job
+        if is_given_up(run.task) and not job.status.is_final:
+            cause = f'{run.task.name} crashed its workers'
+            self.finish_job(job, JobStatus.failed, cause)
 
     def record_refusal(self, run: Run, cause: str) -> None:
         """Record that a worker refused to start a run."""
--- /dev/null
+++ b/packages/berylspread/src/berylspread/coordinator/crashes.py
@@ -0,0 +1,59 @@
+"""Finds the tasks that crash the workers that start them.
+
+Load pattern: one job in ten contains a task that crashes each worker that
+starts it, moments after the start.  Everything else on these workers is lost as
+well, and a task that is started again and again takes down one worker after the
+other.
+
+A crash counts most against the runs that may just have been starting.  It
+counts little against those that the worker has reported at work before: any of
+them may have caused it, but most have not.  It does not count against
+long-running tasks that were at work, as they see many crashes.
+"""
+
+from collections.abc import Container
+from typing import Final
+
+from berylspread.coordinator.fleet import Run, Worker
+from berylspread.coordinator.model import Task
+
+#: A run is starting until it has been listed this long after its start.
+STARTING_S: Final = 1.0
+#: What a crash adds to the score of a task.
+STARTING_SCORE: Final = 2
+PRESENT_SCORE: Final = 1
+#: The score at which a task is given up: after three crashes at its start, at
+#: the latest after five.
+GIVE_UP_SCORE: Final = 5
+
+
+def record_crash(worker: Worker, survivors: Container[str] = ()) -> list[str]:
+    """Count a crash of a worker against the tasks that it ran.
+
+    ``survivors`` are the tasks whose runs have not ended with the crash.
+    Returns the tasks that were starting.
+    """
+    lost = [run for name, run in worker.runs.items() if name not in survivors]
+    starting = [run for run in lost if _may_be_starting(run)]
+    for run in lost:
+        run.task.crash_score += _score(run, is_starting=run in starting)
+    for run in starting:
+        run.task.avoided_workers.add(worker.name)
+    return [run.task.name for run in starting]
+
+
+def is_given_up(task: Task) -> bool:
+    """Return whether too many workers have crashed under a task."""
+    return task.crash_score >= GIVE_UP_SCORE
+
+
+def _may_be_starting(run: Run) -> bool:
+    if run.confirmed_at is None or run.listed_at is None:
+        return True
+    return run.listed_at - run.confirmed_at < STARTING_S
+
+
+def _score(run: Run, *, is_starting: bool) -> int:
+    if is_starting:
+        return STARTING_SCORE
+    return 0 if run.task.step.spec.long_running else PRESENT_SCORE
--- a/packages/berylspread/src/berylspread/coordinator/fleet.py
+++ b/packages/berylspread/src/berylspread/coordinator/fleet.py
@@ -106,7 +106,9 @@
     __slots__ = (
         'confirmed_at',
         'is_start_known',
+        'is_suspect',
         'latency_or_cpu',
+        'listed_at',
         'number',
         'pace_percent',
         'progress',
@@ -129,8 +131,12 @@
         self.since = since
         #: Whether ``since`` is the start; it is not for an inherited run.
         self.is_start_known = stage is not Stage.inherited
+        #: Whether workers have crashed under the task.
+        self.is_suspect = task.crash_score > 0
         self.reserved = task.step.spec.reserved_resources()
         self.confirmed_at: float | None = None
+        #: When a report last listed the run.
+        self.listed_at: float | None = None
         #: When the worker confirmed that this run can no longer start.
         self.start_prevented_at: float | None = None
         self.stop_reason = ''
@@ -218,6 +224,7 @@
         'runs',
         'serving_count',
         'stray_count',
+        'suspect_count',
     )
 
     def __init__(self, entry: WorkerEntry) -> None:
@@ -241,6 +248,8 @@
         #: The number of stray runs, which are being stopped; the resources that
         #: they use are unknown.
         self.stray_count = 0
+        #: The number of runs of tasks under which workers have crashed.
+        self.suspect_count = 0
         self.health = WorkerHealth()
 
     @property
@@ -259,6 +268,7 @@
         """Reserve the resources of a run."""
         self.runs[run.task.name] = run
         self.free -= run.reserved
+        self.suspect_count += run.is_suspect
         if run.task.step.spec.latency_target_ms:
             self.serving_count += 1
 
@@ -267,6 +277,7 @@
         if self.runs.get(run.task.name) is run:
             del self.runs[run.task.name]
             self.free += run.reserved
+            self.suspect_count -= run.is_suspect
             if run.task.step.spec.latency_target_ms:
                 self.serving_count -= 1
 
--- a/packages/berylspread/src/berylspread/coordinator/model.py
+++ b/packages/berylspread/src/berylspread/coordinator/model.py
@@ -149,6 +149,7 @@
     __slots__ = (
         'avoided_workers',
         'checkpoint',
+        'crash_score',
         'failures',
         'index',
         'phase',
@@ -166,6 +167,8 @@
         self.run_number = 0
         self.worker = ''
         self.failures = 0
+        #: Evidence that the task crashes its workers, see ``crashes``.
+        self.crash_score = 0
         self.checkpoint = ''
         #: The last known percentage of work that the checkpoint contains.
         self.progress_percent = 0
--- a/packages/berylspread/src/berylspread/coordinator/orders.py
+++ b/packages/berylspread/src/berylspread/coordinator/orders.py
@@ -5,9 +5,10 @@
 """
 
 import asyncio
-from collections.abc import Coroutine
+from collections.abc import Container, Coroutine
 from typing import Any, Final, Protocol, final
 
+from berylspread.coordinator.crashes import record_crash
 from berylspread.coordinator.decision_log import DecisionLog
 from berylspread.coordinator.fleet import AVOID_WORKER_S, Run, Stage, Worker
 from berylspread.coordinator.interface import (
@@ -123,9 +124,24 @@
 
     def report_all_lost(self, reason: str) -> None:
         """Report every run of the worker as lost to the coordinator."""
+        self.record_crash(reason)
         for run in list(self.worker.runs.values()):
             self.coordinator.record_lost_run(run, reason)
 
+    def record_crash(self, reason: str, survivors: Container[str] = ()) -> None:
+        """Count the end of the worker's life against the tasks that it ran."""
+        run_count = len(self.worker.runs)
+        if not run_count:
+            return
+        starting = record_crash(self.worker, survivors)
+        self.coordinator.log.write(
+            'worker-lost',
+            worker=self.worker.name,
+            reason=reason,
+            runs=run_count,
+            starting=starting,
+        )
+
     async def _send_start(self, run: Run, ticket: str) -> None:
         worker = self.worker
         order = StartOrder(
--- a/packages/berylspread/src/berylspread/coordinator/planner.py
+++ b/packages/berylspread/src/berylspread/coordinator/planner.py
@@ -112,7 +112,13 @@
 class StepPlacer:
     """Places the waiting tasks of one step, in the room that it may use."""
 
-    __slots__ = ('candidates', 'free', 'step', 'tasks_by_worker')
+    __slots__ = (
+        'candidates',
+        'free',
+        'step',
+        'suspects_by_worker',
+        'tasks_by_worker',
+    )
 
     def __init__(
         self,
@@ -127,6 +133,13 @@
             worker.name: holds.free_room(worker, step, moment)
             for worker, _ in candidates
         }
+        self.suspects_by_worker = collections.Counter(
+            {
+                worker.name: worker.suspect_count
+                for worker, _ in candidates
+                if worker.suspect_count
+            }
+        )
         self.tasks_by_worker = collections.Counter(
             task.worker for task in step.tasks if task.phase is Phase.placed
         )
@@ -186,6 +199,7 @@
         )
         self.free[worker.name] -= reserved
         self.tasks_by_worker[worker.name] += 1
+        self.suspects_by_worker[worker.name] += task.crash_score > 0
         return Placement(task, worker, ticket)
 
     def _placement_cost(self, task: Task, worker: Worker) -> tuple[float, ...]:
@@ -198,11 +212,23 @@
         used = worker.entry.capacity - free
         return (
             worker.name in task.avoided_workers,
+            *self._crash_cost(task, worker),
             *placement_penalty(self.step.spec, worker),
             free.accelerators,
             used.dominant_share(worker.entry.capacity),
         )
 
+    def _crash_cost(self, task: Task, worker: Worker) -> tuple[int, int]:
+        """Return what a crash of the worker would cost.
+
+        Tasks under which workers have crashed are kept apart, so that the next
+        crash shows which of them has caused it, and away from other runs.
+        """
+        return (
+            self.suspects_by_worker[worker.name],
+            len(worker.runs) if task.crash_score else 0,
+        )
+
 
 def placement_penalty(spec: StepSpec, worker: Worker) -> tuple[float, ...]:
     """Return the penalties of a worker for a step, the heaviest first."""
--- a/packages/berylspread/src/berylspread/coordinator/policy.py
+++ b/packages/berylspread/src/berylspread/coordinator/policy.py
@@ -154,8 +154,8 @@
         """Return the name of the tenant to which a call's key belongs.
 
         ``route`` is from ``find_route``, which checks that the configuration is
-        up to date.  An open queue also accepts calls without a valid key; the name is empty
-        then.
+        up to date.  An open queue also accepts calls without a valid key; the
+        name is empty then.
         """
         tenant = self.by_key.get(key) if key else None
         if route.is_open:
--- a/packages/berylspread/src/berylspread/coordinator/records.py
+++ b/packages/berylspread/src/berylspread/coordinator/records.py
@@ -29,6 +29,7 @@
     worker: str
     failures: int
     checkpoint: str
+    crash_score: int = 0
 
 
 @final
@@ -79,6 +80,7 @@
                     task.worker,
                     task.failures,
                     task.checkpoint,
+                    task.crash_score,
                 )
                 for task in step.tasks
             ]
@@ -112,6 +114,7 @@
         task.worker = row.worker
         task.failures = row.failures
         task.checkpoint = row.checkpoint
+        task.crash_score = row.crash_score
         task.was_placed = task.run_number > 0
         if task.phase is Phase.done:
             step.unfinished_tasks -= 1
--- a/packages/berylspread/src/berylspread/coordinator/session.py
+++ b/packages/berylspread/src/berylspread/coordinator/session.py
@@ -199,6 +199,9 @@
             self.coordinator.log.write(
                 'worker-restarted', worker=worker.name, born_ms=report.born_ms
             )
+            self.orders.record_crash(
+                RESTARTED, {row.task for row in report.running}
+            )
         worker.born_ms = report.born_ms
 
     def _apply_outcomes(
@@ -269,6 +272,7 @@
     run.latency_or_cpu = row.latency_or_cpu
     if row.checkpoint:
         run.task.checkpoint = row.checkpoint
+    run.listed_at = now()
     if run.confirmed_at is None:
         run.confirmed_at = now()
     run.record_running()
