Follow the workers' entries past one that cannot be read

Deep nesting raises RecursionError, which no decoder caught: it ended the task that follows the entries, so the coordinator heard of no worker any more, and a coordinator that found the entry when it loaded lost its epoch, one node after the other. A caller's job got a 500 in the same way. A port out of range and an id that cannot be a header were accepted, and the session with that worker failed and was repeated every 0.2 s. Numbers beyond 2^53 were accepted as room or as a start time. No process ended by itself.

Class: a decoder raises something its callers do not expect, and the task that follows a topic depends on each single item.

--- a/features/adapter/documents.feature
+++ b/features/adapter/documents.feature
@@ -41,3 +41,12 @@
       | without capacity                |
       | with an unknown state           |
       | with an address of a wrong type |
+      | that is very deeply nested      |
+      | with a capacity beyond 2^53     |
+      | with a negative capacity        |
+      | with a start time beyond 2^53   |
+      | with a port out of range        |
+      | without a port                  |
+      | with a host that is no address  |
+      | under an id with a line break   |
+      | under an empty id               |
--- a/features/adapter/jobs.feature
+++ b/features/adapter/jobs.feature
@@ -16,6 +16,7 @@
     Examples:
       | job                                      | status |
       | a body that is not JSON                  | 400    |
+      | a body that is deeply nested             | 400    |
       | no steps                                 | 400    |
       | a step without tasks                     | 400    |
       | a step that depends on itself            | 400    |
--- a/features/adapter/steps/adapter_steps.py
+++ b/features/adapter/steps/adapter_steps.py
@@ -362,26 +362,45 @@
 
 @given('the entry of a worker')
 def step_entry_document(context):
+    context.worker_id = 'i-1'
     context.document = json.dumps(ENTRY).encode()
 
 
+def _nested(document, depth):
+    text = json.dumps(document | {'more': None})
+    return text.replace('null', '[' * depth + ']' * depth).encode()
+
+
 @given('the entry of a worker {fault}')
 def step_bad_entry(context, fault):
+    context.worker_id = {
+        'under an id with a line break': 'i-1\r\nX: y',
+        'under an empty id': '',
+    }.get(fault, 'i-1')
+    changes = {
+        'with an unknown state': {'state': 'x'},
+        'with an address of a wrong type': {'address': 5},
+        'with a capacity beyond 2^53': {'capacity': {'cpu': 2**53 + 1}},
+        'with a negative capacity': {'capacity': {'cpu': -1}},
+        'with a start time beyond 2^53': {'born': 10**30},
+        'with a port out of range': {'address': '10.128.0.9:65536'},
+        'without a port': {'address': '10.128.0.9'},
+        'with a host that is no address': {'address': 'a b:8080'},
+    }
     without_capacity = dict(ENTRY)
     del without_capacity['capacity']
     context.document = {
         'that is not JSON': b'\xff\xfe',
         'without capacity': json.dumps(without_capacity).encode(),
-        'with an unknown state': json.dumps(ENTRY | {'state': 'x'}).encode(),
-        'with an address of a wrong type': json.dumps(
-            ENTRY | {'address': 5}
-        ).encode(),
-    }[fault]
+        'that is very deeply nested': _nested(ENTRY, 100_000),
+    }.get(fault) or json.dumps(ENTRY | changes.get(fault, {})).encode()
 
 
 @when('the entry is decoded')
 def step_decode_entry(context):
-    context.result = decode_entry(_item(context.document))
+    context.result = decode_entry(
+        KeyedItem(context.worker_id, context.document, 3)
+    )
 
 
 @then('the worker has {cpu:d} thousandths of a core in rack "{rack}"')
@@ -461,6 +480,8 @@
         key = job.removeprefix('key ').strip('"')
     elif job == 'a body that is not JSON':
         body = b'{"spec":'
+    elif job == 'a body that is deeply nested':
+        body = _nested(JOB, 2000)
     _send(context, 'POST', path, body, key=key)
 
 
--- a/features/coordinator/coordination.feature
+++ b/features/coordinator/coordination.feature
@@ -453,3 +453,18 @@
     And 12 s pass
     Then job "a" is succeeded
     And at most 2 tasks of job "a" ran at a time
+
+  Scenario: An entry that cannot be read does not stop the reading of others
+    Given a cell of 3 nodes and 1 worker
+    When 2 s pass
+    And an entry that cannot be decoded is published
+    And 1 s passes
+    And another worker joins
+    And a job "a" with steps of 12 tasks is submitted
+    And 6 s pass
+    Then job "a" is succeeded
+    And the tasks of job "a" ran on 2 workers
+    When the coordinator is killed
+    And a job "b" with steps of 2 tasks is submitted
+    And 6 s pass
+    Then job "b" is succeeded
--- a/features/coordinator/steps/coordination_outcome_steps.py
+++ b/features/coordinator/steps/coordination_outcome_steps.py
@@ -235,6 +235,12 @@
             assert len(beside) <= count, [each.task for each in beside]
 
 
+@then('the tasks of job "{job_id}" ran on {count:d} workers')
+def step_worker_count(context, job_id, count):
+    workers = {log.worker for log in runs_of(context, job_id)}
+    assert len(workers) == count, workers
+
+
 @then('at most {count:d} tasks of job "{job_id}" ran at a time')
 def step_at_a_time(context, count, job_id):
     runs = runs_of(context, job_id)
--- a/features/coordinator/steps/coordination_steps.py
+++ b/features/coordinator/steps/coordination_steps.py
@@ -428,6 +428,11 @@
     context.cell.publish(worker.entry)
 
 
+@when('an entry that cannot be decoded is published')
+def step_odd_entry(context):
+    context.cell.store.append(TOPICS.workers, [('odd', b'\xc1')])
+
+
 @when('the entry of the worker is gone')
 def step_entry_gone(context):
     async def withdraw():
--- a/packages/berylspread/src/berylspread/coordinator/coordinator.py
+++ b/packages/berylspread/src/berylspread/coordinator/coordinator.py
@@ -9,7 +9,10 @@
 from berylspread.coordinator.committer import Committer
 from berylspread.coordinator.crashes import is_given_up
 from berylspread.coordinator.decision_log import DecisionLog
-from berylspread.coordinator.directory import TopicFollower
+from berylspread.coordinator.directory import (
+    TopicFollower,
+    handle_item,
+)
 from berylspread.coordinator.dispatcher import Dispatcher
 from berylspread.coordinator.evacuation import runs_to_evacuate
 from berylspread.coordinator.fenced_log import FencedLog
@@ -369,7 +372,12 @@
             return state
         self.table.restore(state.jobs, self.wall_ms())
         for item in state.workers.items:
-            self.apply_entry(item)
+            handle_item(
+                self.apply_entry,
+                item,
+                self.dependencies.topics.workers,
+                self.log,
+            )
         inherited = self._inherit_runs()
         self.is_loaded = True
         self.log.write(
--- a/packages/berylspread/src/berylspread/coordinator/directory.py
+++ b/packages/berylspread/src/berylspread/coordinator/directory.py
@@ -26,6 +26,17 @@
     return False
 
 
+def handle_item(
+    on_item: ItemHandler, item: KeyedItem, topic: str, log: DecisionLog
+) -> None:
+    """Pass an item to its handler; log a failure of the handler."""
+    try:
+        on_item(item)
+    except Exception as error:  # noqa: BLE001
+        # One bad item must not keep the others from being followed.
+        log.write('item-failed', topic=topic, key=item.key, error=repr(error))
+
+
 @final
 class TopicFollower:
     """Passes the newest value of each key of a topic to a handler."""
@@ -143,7 +154,7 @@
             self.known_keys.add(item.key)
         else:
             self.known_keys.discard(item.key)
-        self.on_item(item)
+        handle_item(self.on_item, item, self.topic, self.log)
 
     def _confirm(self, as_of: float) -> None:
         if self.on_confirmed is not None:
