Let the soak of processes run tasks that crash their workers

One job in 33 contains a task whose start ends the worker's life. New checks: such a task is started at most five times, and no job is shown as failed without three failures or two crashes of one of its tasks.

--- a/features/process_soak/soak.feature
+++ b/features/process_soak/soak.feature
@@ -23,6 +23,20 @@
       | 0.0 w1 0 1 done                                    | completed with tasks undone  |
       | 0.0 w1 0 1 failed, 0.0 w1 1 2 failed, 0.0 w1 2 3 failed, 0.0 w1 3 4 done, 1.0 w1 5 6 done | beyond its attempts |
 
+  Scenario Outline: A task that crashes its workers is given up, and no other
+    Given job "a" of steps 1 and 1 that was accepted and is "failed"
+    And task "0.0" crashes its workers
+    And its runs were <runs>
+    Then the promises broken are "<broken>"
+
+    Examples:
+      | runs | broken |
+      | 0.0 w1 0 1 crashed, 0.0 w2 2 3 crashed, 0.0 w1 4 5 crashed | |
+      | 0.0 w1 0 1 crashed, 0.0 w2 2 3 crashed, 0.0 w1 4 5 crashed, 0.0 w2 6 7 crashed, 0.0 w1 8 9 crashed, 0.0 w1 10 11 crashed | beyond its crashes |
+      | 0.0 w1 0 1 crashed, 0.0 w2 2 3 stopped | failed without cause |
+      | 0.0 w1 0 1 failed, 0.0 w2 2 3 failed   | failed without cause |
+      | 0.0 w1 0 1 failed, 0.0 w2 2 3 failed, 0.0 w1 4 5 failed | |
+
   Scenario: A job that was refused must not run
     Given job "a" of steps 1 and 1 that was refused
     And its runs were 0.0 w1 0 1 done
--- a/features/process_soak/steps/soak_steps.py
+++ b/features/process_soak/steps/soak_steps.py
@@ -80,6 +80,11 @@
         )
 
 
+@given('task "{task}" crashes its workers')
+def step_crashing(context, task):
+    context.fleet.crashing.add(f'a.0.{task}')
+
+
 @given('its {count:d} tasks ran on one worker at a time')
 def step_crowd(context, count):
     rows = [f'0.{index} w1 0 1 done' for index in range(count)]
--- a/packages/berylspread-standins/src/berylspread_standins/process_soak/callers.py
+++ b/packages/berylspread-standins/src/berylspread_standins/process_soak/callers.py
@@ -30,6 +30,8 @@
 #: Shares of the jobs that are a gang, and that run until they are cancelled.
 GANGS: Final = 0.15
 LASTING: Final = 0.1
+#: The share of the jobs with a task that crashes its workers.
+CRASHING: Final = 0.03
 WIDEST_GANG: Final = 4
 LASTING_S: Final = 4.0
 WIDEST: Final = 6
@@ -173,7 +175,7 @@
             await self._follow(job)
 
     def _draw_kind(self, job: Handed) -> Handed:
-        """Make some jobs a gang and some lasting."""
+        """Make some jobs a gang, some lasting, and let some crash workers."""
         draw = self.rng.random()
         if draw < GANGS:
             job.is_gang = True
@@ -183,6 +185,8 @@
             job.is_lasting = True
             job.steps = job.steps[:1]
             self.fleet.lasting.add(job.job_id)
+        elif draw < GANGS + LASTING + CRASHING:
+            self.fleet.crashing.add(f'{job.job_id}.0.0.0')
         return job
 
     async def _follow(self, job: Handed) -> None:
--- a/packages/berylspread-standins/src/berylspread_standins/process_soak/fleet.py
+++ b/packages/berylspread-standins/src/berylspread_standins/process_soak/fleet.py
@@ -43,6 +43,8 @@
 WORK_S: Final = 0.3
 #: A lasting task that is not stopped fails within this time.
 LASTING_S: Final = 10.0
+#: How soon a task crashes its worker.
+CRASH_S: Final = 0.01
 #: Between two rounds of questions whether the programs are ready.
 WATCH_S: Final = 0.2
 #: Share of the runs that fail by their own fault.
@@ -168,6 +170,7 @@
 
     __slots__ = (
         'advice',
+        'crashing',
         'folder',
         'gangs',
         'halts',
@@ -194,6 +197,8 @@
         self.gangs = Gangs()
         #: The jobs whose tasks run until they are cancelled.
         self.lasting: set[str] = set()
+        #: The tasks that crash each worker that starts them.
+        self.crashing: set[str] = set()
         self.servers: list[HttpServer] = []
         #: Faults under way while which nothing can be accepted.
         self.halts = 0
@@ -272,6 +277,7 @@
             self._script,
         )
         worker.gangs = self.gangs
+        worker.orders.crash_down_s = 0.0
         proxy = LoopbackProxy(await self._serve(WorkerApp(worker)))
         await proxy.start()
         self.workers[name] = worker
@@ -289,6 +295,8 @@
     def _script(self, task: str) -> tuple[float, str]:
         if task.partition('.')[0] in self.lasting:
             return self.rng.uniform(WORK_S, LASTING_S), 'failed'
+        if task in self.crashing:
+            return CRASH_S, 'crash'
         has_failed = self.rng.random() < FAILURES
         outcome = 'failed' if has_failed else 'done'
         return self.rng.uniform(WORK_S / 3, WORK_S * 3), outcome
--- a/packages/berylspread-standins/src/berylspread_standins/process_soak/promises.py
+++ b/packages/berylspread-standins/src/berylspread_standins/process_soak/promises.py
@@ -16,6 +16,12 @@
 CANCEL_S: Final = 3.0
 DONE: Final = 'done'
 FAILED: Final = 'failed'
+CRASHED: Final = 'crashed'
+#: A task that crashes its workers is started at most this often: twice more
+#: after three workers have crashed under it.
+MAX_CRASHES: Final = 5
+#: A task may be given up after this many crashes.
+MIN_CRASHES: Final = 2
 #: A job that is no longer known.
 GONE: Final = '410'
 NEVER: Final = float('inf')
@@ -35,6 +41,7 @@
     known = {job.job_id: job for job in jobs}
     return [
         *(line for logs in runs.values() for line in _task(fleet, logs)),
+        *(line for task in fleet.crashing for line in _crashes(runs, task)),
         *(line for job in jobs for line in _job(job, by_job, runs)),
         *(line for name in fleet.workers for line in _worker(fleet, name)),
         *(f'unasked: {job_id}' for job_id in by_job.keys() - known.keys()),
@@ -58,6 +65,12 @@
         last = log
 
 
+def _crashes(runs: dict[str, list[RunLog]], task: str) -> Iterator[str]:
+    crashes = sum(log.outcome == CRASHED for log in runs.get(task, ()))
+    if crashes > MAX_CRASHES:
+        yield f'beyond its crashes: {task}, {crashes}'
+
+
 def _max_attempts(fleet: ProcessFleet, log: RunLog) -> float:
     """Return how often a task may fail; a lasting one is always restarted."""
     is_lasting = log.task.partition('.')[0] in fleet.lasting
@@ -73,6 +86,9 @@
     is_restarted = any(
         worker == ended.worker and at >= _ends(ended)
         for worker, at in fleet.restarts
+    ) or any(
+        log.outcome == CRASHED and _ends(log) >= _ends(ended)
+        for log in fleet.workers[ended.worker].history
     )
     return is_restarted or fleet.workers[ended.worker].has_lapsed(
         _ends(ended), later.started_at
@@ -97,11 +113,26 @@
         yield f'accepted and not ended: {job.job_id}, {job.state or "?"}'
     if job.state == 'canceled' and not job.tries_cancel:
         yield f'cancelled by nobody: {job.job_id}'
+    if job.state == 'failed' and not _may_have_failed(job, tasks, runs):
+        yield f'failed without cause: {job.job_id}'
     yield from _cancelled(job, tasks, runs)
     yield from _completed(job, tasks, runs)
     yield from _in_order(job, runs)
 
 
+def _may_have_failed(
+    job: Handed, tasks: list[str], runs: dict[str, list[RunLog]]
+) -> bool:
+    counts = [
+        collections.Counter(log.outcome for log in runs[task]) for task in tasks
+    ]
+    failures = [count[FAILED] for count in counts] or [0]
+    attempts = sum(failures) if job.is_gang else max(failures)
+    return attempts >= MAX_ATTEMPTS or any(
+        count[CRASHED] >= MIN_CRASHES for count in counts
+    )
+
+
 def _cancelled(
     job: Handed, tasks: list[str], runs: dict[str, list[RunLog]]
 ) -> Iterator[str]:
