Let a stand-in worker crash in the turn in which it starts a run

Seen in the soak with tasks that crash their workers: runs that were ordered in the same turn of the loop as the crash raised KeyError in a task of the stand-in. They are over, and recorded as such; their work now ends without an exception.

--- a/packages/berylspread-standins/src/berylspread_standins/coordinated/worker.py
+++ b/packages/berylspread-standins/src/berylspread_standins/coordinated/worker.py
@@ -269,7 +269,7 @@
         log = RunLog(self.entry.worker, order.task, order.run, work_s)
         self.running[order.task] = log
         self.history.append(log)
-        detach(self._work(order.task, outcome))
+        detach(self._work(log, outcome))
         return self.clock_ms()
 
     def _refusal(self, order: StartOrder) -> str:
@@ -302,10 +302,12 @@
         if self.running.get(task) is log:
             self._end(task, 'stopped')
 
-    async def _work(self, task: str, outcome: str) -> None:
-        log = self.running[task]
+    async def _work(self, log: RunLog, outcome: str) -> None:
+        if self.running.get(log.task) is not log:
+            # The worker has crashed right after the start.
+            return
         gang = self.gangs.join(self, log)
-        while self.running.get(task) is log:
+        while self.running.get(log.task) is log:
             lease_s = (self.lease_until_ms - self.clock_ms()) / MS
             end = self._next_end(log, gang, lease_s, outcome)
             if end:
