Count a crash whose coordinator is lost with the worker

Cause: a run placed by an earlier coordinator that the worker does not list was always taken for one that had never begun. If the worker had been restarted under its id, and the coordinator was lost before it had stored the crash, the crash was not counted.

The record of a step now holds the start time of each placed run's worker. A successor whose first report comes from another life counts the loss. The new scenario kills the coordinator after each of four starts; on the former code the task was started more than five times, now at most five. Records of the former format are read as before.

--- a/features/coordinator/crashes.feature
+++ b/features/coordinator/crashes.feature
@@ -28,6 +28,16 @@
     Then job "a" is failed
     And task "a.0.0.0" has been started at most 5 times
 
+  Scenario: BUDGET: a crash is counted if the coordinator is lost with the worker
+    Given a cell of 6 nodes and 8 workers
+    And workers are back 0.1 s after a crash
+    And task "a.0.0.0" crashes its worker after 0.01 s
+    And the coordinator is killed after each start of task "a.0.0.0", 4 times
+    When a job "a" with steps of 3 tasks is submitted
+    And 60 s pass
+    Then job "a" is failed
+    And task "a.0.0.0" has been started at most 5 times
+
   Scenario: BUDGET: workers that do not come back are counted
     Given a cell of 1 nodes and 8 workers
     And workers stay down after a crash
--- a/features/coordinator/steps/crash_steps.py
+++ b/features/coordinator/steps/crash_steps.py
@@ -1,5 +1,7 @@
 """Steps for tasks that crash the workers that start them."""
 
+import asyncio
+
 from behave import given, then, when
 
 from berylspread.coordinator.crashes import record_crash
@@ -11,6 +13,7 @@
 from features.coordinator.cell import make_worker, runs_of
 
 LONG_DOWN_S = 60.0
+WATCH_S = 0.005
 
 
 @given('task "{task}" crashes its worker after {seconds:g} s')
@@ -20,8 +23,37 @@
 
 @given('workers stay down after a crash')
 def step_stay_down(context):
+    _set_down_time(context, LONG_DOWN_S)
+
+
+@given('workers are back {seconds:g} s after a crash')
+def step_back_soon(context, seconds):
+    _set_down_time(context, seconds)
+
+
+def _set_down_time(context, seconds):
     for worker in context.cell.workers.values():
-        worker.orders.crash_down_s = LONG_DOWN_S
+        worker.orders.crash_down_s = seconds
+
+
+@given(
+    'the coordinator is killed after each start of task "{task}", '
+    '{count:d} times'
+)
+def step_kill_after_start(context, task, count):
+    async def watch():
+        killed = 0
+        while killed < count:
+            await asyncio.sleep(WATCH_S)
+            leader = context.cell.leader()
+            if leader and len(context.cell.runs(task)) > killed:
+                context.cell.kill(leader)
+                killed += 1
+
+    async def start():
+        context.watching = asyncio.create_task(watch())
+
+    context.run(start())
 
 
 @then('task "{task}" has been started {count:d} times')
--- a/packages/berylspread/src/berylspread/coordinator/dispatcher.py
+++ b/packages/berylspread/src/berylspread/coordinator/dispatcher.py
@@ -262,6 +262,7 @@
         task.phase = Phase.placed
         task.run_number += 1
         task.worker = worker.name
+        task.worker_born_ms = worker.born_ms
         task.was_placed = True
         run = Run(task, worker, Stage.ordered, now())
         worker.add_run(run)
--- a/packages/berylspread/src/berylspread/coordinator/model.py
+++ b/packages/berylspread/src/berylspread/coordinator/model.py
@@ -158,6 +158,7 @@
         'step',
         'was_placed',
         'worker',
+        'worker_born_ms',
     )
 
     def __init__(self, step: 'Step', index: int) -> None:
@@ -166,6 +167,8 @@
         self.phase = Phase.waiting
         self.run_number = 0
         self.worker = ''
+        #: When the worker of the run started; it tells one life from the next.
+        self.worker_born_ms = 0
         self.failures = 0
         #: Evidence that the task crashes its workers, see ``crashes``.
         self.crash_score = 0
@@ -236,6 +239,7 @@
         """Put a task back among the waiting tasks."""
         task.phase = Phase.waiting
         task.worker = ''
+        task.worker_born_ms = 0
         self.waiting_tasks.append(task)
 
 
--- a/packages/berylspread/src/berylspread/coordinator/records.py
+++ b/packages/berylspread/src/berylspread/coordinator/records.py
@@ -30,6 +30,7 @@
     failures: int
     checkpoint: str
     crash_score: int = 0
+    worker_born_ms: int = 0
 
 
 @final
@@ -81,6 +82,7 @@
                     task.failures,
                     task.checkpoint,
                     task.crash_score,
+                    task.worker_born_ms,
                 )
                 for task in step.tasks
             ]
@@ -115,6 +117,7 @@
         task.failures = row.failures
         task.checkpoint = row.checkpoint
         task.crash_score = row.crash_score
+        task.worker_born_ms = row.worker_born_ms
         task.was_placed = task.run_number > 0
         if task.phase is Phase.done:
             step.unfinished_tasks -= 1
--- a/packages/berylspread/src/berylspread/coordinator/session.py
+++ b/packages/berylspread/src/berylspread/coordinator/session.py
@@ -104,10 +104,27 @@
 
     def settle_omitted_runs(self, listed: set[str], sent_at: float) -> None:
         """Settle the runs that a report requested at ``sent_at`` omits."""
+        self._record_inherited_crash(listed)
         for name, run in list(self.worker.runs.items()):
             if name not in listed:
                 self._settle_omitted(run, sent_at)
 
+    def _record_inherited_crash(self, listed: set[str]) -> None:
+        """Count a restart that happened before this coordinator's first report.
+
+        The runs concerned were placed in an earlier life of the worker.
+        """
+        runs = self.worker.runs
+        lost = {
+            name
+            for name, run in runs.items()
+            if name not in listed
+            and run.stage is Stage.inherited
+            and run.task.worker_born_ms not in {0, self.worker.born_ms}
+        }
+        if lost:
+            self.orders.record_crash(RESTARTED, runs.keys() - lost)
+
     def _is_retired(self) -> bool:
         worker = self.worker
         return (
