Acknowledge ends only to the life of the worker that listed them

Cause: a session that had received ends waited up to 0.5 s for the store before it acknowledged them, and went on sending the number while the worker did not reply. The number names no life. A worker that had been restarted under its id in between counts its ends anew, and forgot those up to the number, which it had not reported yet. The run was then taken for lost with the restart.

Evidence: logs of the run: worker-restarted 0.67 s after the start, runs that were ordered with it succeeded in the new life, and no worker-unreachable, so no report had failed in between. The session alone, with a worker that is restarted during the wait, shows the same: it acknowledges 0, 3 and loses both ends of the new life.

A number now leaves only within 0.2 s of a report. If storing took longer, another report is asked for at once, and the number follows it without a further wait, so that ends are acknowledged also while the store stays slow. That costs one more call to the worker for each append that takes longer.

--- a/packages/berylspread/src/berylspread/coordinator/session.py
+++ b/packages/berylspread/src/berylspread/coordinator/session.py
@@ -4,9 +4,14 @@
 its outcome; a report that was requested after the order's result was known does
 not list it; the worker has been restarted; or every lease that was requested
 has expired on the worker's clock.
+
+Ends are acknowledged only to the life of the worker that has listed them.  The
+next life under the same id counts its ends anew, and would forget those up to
+the acknowledged number that it has not yet reported.
 """
 
 import asyncio
+import math
 from typing import Final, final
 
 from berylspread.coordinator.fleet import Run, Stage, Worker
@@ -57,6 +62,9 @@
 #: How long a session waits for outcomes to be stored before it renews without
 #: acknowledging them.
 STORE_WAIT_S: Final = 0.5
+#: Ends are acknowledged only this soon after a report; no worker is restarted
+#: and completes a run in less.
+LIFE_PROVEN_S: Final = 0.2
 #: A coordinator whose authority has not been confirmed for this long renews no
 #: leases, so that a successor knows when they have expired.
 AUTHORITY_GRACE_S: Final = 6.0
@@ -68,8 +76,10 @@
 
     __slots__ = (
         'coordinator',
+        'delivered_seq',
         'orders',
         'pending_store',
+        'reported_at',
         'worker',
         'worker_api',
     )
@@ -86,6 +96,10 @@
         self.orders = OrderSender(worker, worker_api, coordinator)
         #: Done once every recorded outcome is stored.
         self.pending_store: asyncio.Future[Failure | None] | None = None
+        #: The last acknowledged end of which the worker has been told.
+        self.delivered_seq = 0
+        #: When the worker last reported, in loop time.
+        self.reported_at = -math.inf
 
     async def run(self) -> None:
         """Renew the leases and fetch outcomes until the worker is gone."""
@@ -94,12 +108,13 @@
                 await asyncio.sleep(RETRY_S)
                 continue
             sent_at = now()
-            report = await self.worker_api.renew(
-                self.worker.entry, self._build_renewal()
-            )
+            renewal = self._build_renewal()
+            report = await self.worker_api.renew(self.worker.entry, renewal)
             if isinstance(report, Failure):
                 await self._handle_failed_renewal(report)
                 continue
+            self.reported_at = now()
+            self.delivered_seq = max(self.delivered_seq, renewal.acked)
             await self._apply_report(report, sent_at)
 
     def settle_omitted_runs(self, listed: set[str], sent_at: float) -> None:
@@ -151,7 +166,7 @@
         )
         return Renewal(
             token=self.coordinator.token,
-            acked=worker.acked_seq,
+            acked=worker.acked_seq if self._is_life_proven() else 0,
             until_ms=until_ms,
             wait_ms=PENDING_ORDER_WAIT_MS
             if has_pending_order and until_ms
@@ -162,7 +177,9 @@
         )
 
     def _report_wait_ms(self) -> int:
-        if not self.worker.is_reachable:
+        # A number that is withheld needs another report at once.
+        is_withheld = self._has_undelivered_seq() and not self._is_life_proven()
+        if not self.worker.is_reachable or is_withheld:
             return 0
         wait_s = report_wait_s(self.worker, self.coordinator.expected_s, now())
         return int(wait_s * MS_PER_S)
@@ -210,6 +227,7 @@
             # ordered on the former life's clock, so their lease may be as long
             # as the worker grants.
             worker.acked_seq = 0
+            self.delivered_seq = 0
             worker.lease_until_ms = (
                 report.clock_ms + self.coordinator.max_lease_ms
             )
@@ -266,11 +284,19 @@
             # Its record is still being stored, or sending its order failed.
             self.orders.stop(run, 'not-ordered')
 
+    def _is_life_proven(self) -> bool:
+        return now() - self.reported_at <= LIFE_PROVEN_S
+
+    def _has_undelivered_seq(self) -> bool:
+        return self.worker.acked_seq > self.delivered_seq
+
     async def _acknowledge(
         self,
         rows: list[EndedRow],
     ) -> None:
-        if not rows:
+        # The next renewal delivers the number in any case, without a wait for
+        # the store that would make this report too old for it.
+        if not rows or self._has_undelivered_seq():
             return
         if self.pending_store is not None:
             # This also covers outcomes that an earlier report listed: they are
