--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -143,9 +143,8 @@
         self.record_file = (case / 'record.txt').open('w', encoding='utf-8')
         self.began_at = time.monotonic()
         self.events: list[dict] = []
-        net = f'127.{random.randint(64, 250)}.{random.randint(1, 250)}'
+        net, base = _free_network()
         self.net = net
-        base = random.randint(20, 28) * 1000
         self.ports = (base, base + 1, base + 2, base + 10)
         self.store_address = f'{net}.200:{base + 3}'
         self.worker_port = base + 4
@@ -286,6 +285,21 @@
         self.record_file.close()
 
 
+def _free_network() -> tuple[str, int]:
+    """Return a loopback network and a base port that nothing listens on."""
+    while True:
+        net = f'127.{random.randint(64, 250)}.{random.randint(1, 250)}'
+        base = random.randint(20, 28) * 1000
+        try:
+            for host in (1, 100, 200):
+                for port in (base, base + 1, base + 3, base + 4, base + 10, 9464):
+                    with socket.socket() as probe:
+                        probe.bind((f'{net}.{host}', port))
+        except OSError:
+            continue
+        return net, base
+
+
 async def call(
     address: tuple[str, int], method: str, path: str,
     headers: dict[str, str] | None = None, body: bytes = b'',
