Count a silent worker as crashed only once that is proved

What callers saw: an accepted job was shown as failed, though none of its tasks had ended failed and no worker had crashed.

Cause: the runs of a worker whose leases were over were counted like those of a worker that answers from another life. Each expiry added 2 to the crash score of a task that had just started, and at 5 the task was given up. Nothing took the score back when the worker reported again from the same life.

Change: the loss of a run on a silent worker is kept apart from proven crashes, with the worker's address and the start of its life, in the step's record. A report of the same life withdraws it; a report or an entry of a later life, under the same name or at the same address, makes it a crash. A task that would be given up if its silent workers have crashed is on hold until one of them is back or counts, so that a task that crashes its workers costs no more of them than before. A worker that has announced that it leaves has left.

Why this works: only a life that began anew, or an absence far longer than that of a worker that is cut off or restarted, fails a job; and what was counted on silence does not outlive the news that the worker lived on.

The new scenarios that begin with LOST failed on the former code (the cut-off jobs were failed); the three new ones on crashes that nobody is told of at the time hold on both. The mutant crashes-uncounted patches the module that now decides.

--- a/features/coordinator/crashes.feature
+++ b/features/coordinator/crashes.feature
@@ -47,6 +47,90 @@
     Then job "a" is failed
     And task "a.0.0.0" has been started 3 times
 
+  Scenario: BUDGET: a crash is counted when the worker returns under its name
+    Given a cell of 1 nodes and 8 workers
+    And workers are back 8 s after a crash
+    And task "a.0.0.0" crashes its worker after 0.01 s
+    When a job "a" with steps of 3 tasks is submitted
+    And 40 s pass
+    Then job "a" is failed
+    And task "a.0.0.0" has been started 3 times
+
+  Scenario: BUDGET: a crash is counted when another worker takes the address
+    Given a cell of 1 nodes and 8 workers
+    And workers stay down after a crash
+    And 6 s after a crash another worker takes the address
+    And task "a.0.0.0" crashes its worker after 0.01 s
+    When a job "a" with steps of 3 tasks is submitted
+    And 21 s pass
+    Then job "a" is failed
+    And task "a.0.0.0" has been started 3 times
+
+  Scenario: BUDGET: a crash is counted if the coordinator is lost before the return
+    Given a cell of 6 nodes and 8 workers
+    And workers are back 8 s after a crash
+    And task "a.0.0.0" crashes its worker after 0.01 s
+    When a job "a" with steps of 3 tasks is submitted
+    And 6 s pass
+    And the coordinator is killed
+    And 10 s pass
+    And the coordinator is killed
+    And 10 s pass
+    And the coordinator is killed
+    And 60 s pass
+    Then job "a" is failed
+    And task "a.0.0.0" has been started at most 5 times
+
+  # Guards against taking the silence of a worker for its crash.
+  Scenario Outline: LOST: a job is not given up because its workers are cut off
+    Given a cell of 1 nodes and 12 workers
+    And tasks of job "a" take 8 s
+    And the worker of each of the first <starts> starts of job "a" is cut off <after> s later for <cut> s
+    When a job "a" of one <kind> task is submitted
+    And <wait> s pass
+    Then job "a" is <status>
+    And job "a" has a run that was not cut off
+
+    Examples:
+      | kind         | starts | after | cut | wait | status    |
+      | plain        | 3      | 0.5   | 5.5 | 40   | succeeded |
+      | plain        | 8      | 0.5   | 5.5 | 70   | succeeded |
+      | plain        | 8      | 2.5   | 5.5 | 90   | succeeded |
+      | long-running | 8      | 0.5   | 5.5 | 70   | running   |
+
+  # Guards against taking the silence of a worker for its crash.
+  Scenario: LOST: a task is on hold while three of its workers are silent
+    Given a cell of 1 nodes and 12 workers
+    And tasks of job "a" take 8 s
+    And the worker of each of the first 3 starts of job "a" is cut off 0.5 s later for 18 s
+    When a job "a" of one plain task is submitted
+    And 16 s pass
+    Then job "a" is running
+    And task "a.0.0.0" has been started 3 times
+    And the task was logged as held
+    When 30 s pass
+    Then job "a" is succeeded
+    And task "a.0.0.0" has been started 4 times
+
+  # Guards against a hold that ends with the coordinator.
+  Scenario: LOST: a task on hold is released by a later coordinator
+    Given a cell of 5 nodes and 12 workers
+    And tasks of job "a" take 8 s
+    And the worker of each of the first 3 starts of job "a" is cut off 0.5 s later for 18 s
+    When a job "a" of one plain task is submitted
+    And 16 s pass
+    And the coordinator is killed
+    And 30 s pass
+    Then job "a" is succeeded
+    And task "a.0.0.0" has been started 4 times
+
+  # Guards against taking a departure for a crash.
+  Scenario: LOST: a worker that has left as announced has not crashed
+    Given a worker that has listed a run of a plain task 0 s after its start
+    And the worker announced that it leaves
+    When the worker is silent until its leases are over
+    Then the task has no silent loss
+
   Scenario: Jobs beside a task that crashes its workers are not given up
     Given a cell of 1 nodes and 4 workers
     And task "a.0.0.0" crashes its worker after 0.01 s
--- a/features/coordinator/steps/acknowledgement_steps.py
+++ b/features/coordinator/steps/acknowledgement_steps.py
@@ -42,6 +42,16 @@
         return report
 
 
+class FakeSilentLosses:
+    """Keeps nothing."""
+
+    def record(self, worker):
+        """Keep nothing."""
+
+    def apply_report(self, worker):
+        """Settle nothing."""
+
+
 class FakeCoordinator:
     """Stores outcomes after a while."""
 
@@ -51,6 +61,7 @@
     def __init__(self):
         self.log = DecisionLog('n', emit=lambda line: None)
         self.store_s = 0.0
+        self.silent_losses = FakeSilentLosses()
 
     def has_authority(self, grace_s):
         return True
--- a/features/coordinator/steps/crash_steps.py
+++ b/features/coordinator/steps/crash_steps.py
@@ -2,18 +2,23 @@
 
 import asyncio
 
+import msgspec
 from behave import given, then, when
 
 from berylspread.coordinator.crashes import record_crash
 from berylspread.coordinator.fleet import Run, Stage
 from berylspread.coordinator.holds import Holds
+from berylspread.coordinator.messages import JobAccepted
 from berylspread.coordinator.model import Job, StepSpec
 from berylspread.coordinator.planner import StepPlacer
+from berylspread_standins.coordinated import CoordinatedFleet
 from berylspread_standins.coordinated.fleet import TASK, job
-from features.coordinator.cell import make_worker, runs_of
+from berylspread_standins.exchange import detach
+from features.coordinator.cell import make_worker, runs_of, submit_spec
 
 LONG_DOWN_S = 60.0
 WATCH_S = 0.005
+CUT_WATCH_S = 0.02
 
 
 @given('task "{task}" crashes its worker after {seconds:g} s')
@@ -31,6 +36,96 @@
     _set_down_time(context, seconds)
 
 
+@given('{seconds:g} s after a crash another worker takes the address')
+def step_replace(context, seconds):
+    async def watch():
+        replaced = set()
+        while True:
+            await asyncio.sleep(CUT_WATCH_S)
+            for log in context.cell.runs():
+                if log.outcome == 'crashed' and log.worker not in replaced:
+                    replaced.add(log.worker)
+                    detach(_replace(context.cell, log.worker, seconds))
+
+    _start_watching(context, watch())
+
+
+async def _replace(cell, worker, seconds):
+    await asyncio.sleep(seconds)
+    cell.withdraw(worker)
+    cell.add_worker(f'{worker}-next', address=worker, born_ms=2)
+
+
+@given(
+    'the worker of each of the first {count:d} starts of job "{job_id}" is cut '
+    'off {after:g} s later for {cut:g} s'
+)
+def step_cut_after_start(context, count, job_id, after, cut):
+    async def watch():
+        context.cut_runs = []
+        while len(context.cut_runs) < count:
+            await asyncio.sleep(CUT_WATCH_S)
+            for log in runs_of(context, job_id)[len(context.cut_runs) : count]:
+                context.cut_runs.append(log)
+                detach(_cut(context.cell.workers[log.worker], after, cut))
+
+    _start_watching(context, watch())
+
+
+async def _cut(worker, after, cut):
+    await asyncio.sleep(after)
+    worker.is_cut = True
+    await asyncio.sleep(cut)
+    worker.is_cut = False
+
+
+def _start_watching(context, watch):
+    async def start():
+        context.watching = asyncio.create_task(watch)
+
+    context.run(start())
+
+
+@when('a job "{job_id}" of one {kind} task is submitted')
+def step_submit_kind(context, job_id, kind):
+    spec = StepSpec(1, TASK, long_running=kind == 'long-running')
+    assert isinstance(submit_spec(context, job(job_id, spec)), JobAccepted)
+
+
+@then('job "{job_id}" has a run that was not cut off')
+def step_spared(context, job_id):
+    assert len(runs_of(context, job_id)) > len(context.cut_runs)
+
+
+@then('the task was logged as held')
+def step_held(context):
+    assert context.cell.events('task-held')
+
+
+@given('the worker announced that it leaves')
+def step_announced(context):
+    worker = context.worker
+    worker.update_entry(msgspec.structs.replace(worker.entry, is_ready=False))
+
+
+@when('the worker is silent until its leases are over')
+def step_silent(context):
+    async def record():
+        cell = CoordinatedFleet(0)
+        node = cell.start_node('n0').node
+        while node.service is None:
+            await asyncio.sleep(WATCH_S)
+        node.service.coordinator.silent_losses.record(context.worker)
+        cell.kill('n0')
+
+    context.run(record())
+
+
+@then('the task has no silent loss')
+def step_no_loss(context):
+    assert not context.task.silent_losses
+
+
 def _set_down_time(context, seconds):
     for worker in context.cell.workers.values():
         worker.orders.crash_down_s = seconds
@@ -50,10 +145,7 @@
                 context.cell.kill(leader)
                 killed += 1
 
-    async def start():
-        context.watching = asyncio.create_task(watch())
-
-    context.run(start())
+    _start_watching(context, watch())
 
 
 @then('task "{task}" has been started {count:d} times')
--- a/features/mutants/mutants.feature
+++ b/features/mutants/mutants.feature
@@ -26,6 +26,7 @@
       | new-life-forgotten        |
       | success-forgotten         |
       | crashes-uncounted         |
+      | silence-counts-as-crash   |
       | configuration-reverts     |
       | keys-trusted-for-ever     |
 
--- a/features/support/mutants.py
+++ b/features/support/mutants.py
@@ -27,6 +27,7 @@
     policy,
     service,
     session,
+    silent_losses,
 )
 from berylspread.coordinator import coordinator as coordinators
 from berylspread.kernel.errors import Failure
@@ -323,12 +324,19 @@
         'A lost reply of the store changes nothing',
     ),
     'crashes-uncounted': Mutant(
-        coordinators,
+        silent_losses,
         'is_given_up',
         _never,
         'features/coordinator/crashes.feature',
         'BUDGET: a task that crashes each worker that starts it is given up',
     ),
+    'silence-counts-as-crash': Mutant(
+        silent_losses,
+        'GONE_S',
+        0.0,
+        'features/coordinator/crashes.feature',
+        'LOST: a task is on hold while three of its workers are silent',
+    ),
     'configuration-reverts': Mutant(
         policy.PolicyCache,
         'apply',
--- a/packages/berylspread-standins/src/berylspread_standins/coordinated/fleet.py
+++ b/packages/berylspread-standins/src/berylspread_standins/coordinated/fleet.py
@@ -114,9 +114,12 @@
         """Return how a task's next run goes."""
         return self.work.get(task, (1.0, 'done'))
 
-    def add_worker(self, name: str) -> None:
-        """Let a worker join."""
-        worker = WorkerStandin(_entry(name), self.script)
+    def add_worker(
+        self, name: str, *, address: str = '', born_ms: int = 1
+    ) -> None:
+        """Let a worker join; its address is its name unless it is given."""
+        entry = _entry(name, address or name, born_ms)
+        worker = WorkerStandin(entry, self.script)
         self.workers[name] = worker
         self.publish(worker.entry)
 
@@ -255,16 +258,16 @@
     )
 
 
-def _entry(name: str) -> WorkerEntry:
+def _entry(name: str, address: str, born_ms: int) -> WorkerEntry:
     return WorkerEntry(
         worker=name,
         service='desk',
-        address=name,
+        address=address,
         zone='z',
         is_ready=True,
         capacity=CAPACITY,
         rack='r1',
-        born_ms=1,
+        born_ms=born_ms,
     )
 
 
--- a/packages/berylspread/src/berylspread/coordinator/coordinator.py
+++ b/packages/berylspread/src/berylspread/coordinator/coordinator.py
@@ -7,7 +7,6 @@
 import msgspec
 
 from berylspread.coordinator.committer import Committer
-from berylspread.coordinator.crashes import is_given_up
 from berylspread.coordinator.decision_log import DecisionLog
 from berylspread.coordinator.directory import (
     TopicFollower,
@@ -45,10 +44,7 @@
 )
 from berylspread.coordinator.outcomes import find_handler
 from berylspread.coordinator.pacing import pace_fillers
-from berylspread.coordinator.permits import (
-    PermissionRequester,
-    RequestPermissionsVia,
-)
+from berylspread.coordinator.permits import RequestPermissionsVia
 from berylspread.coordinator.planner import (
     TenantUsage,
 )
@@ -58,6 +54,7 @@
     MAX_LEASE_S,
     Session,
 )
+from berylspread.coordinator.silent_losses import SilentLosses
 from berylspread.coordinator.table import JobTable
 from berylspread.kernel.clock import WallClock, now
 from berylspread.kernel.errors import Failure, NotOwner
@@ -119,8 +116,8 @@
         'is_loaded',
         'log',
         'max_lease_ms',
-        'permission_requester',
         'sessions',
+        'silent_losses',
         'table',
         'tasks',
         'tenant_usage',
@@ -148,13 +145,11 @@
         self.table = JobTable(dependencies.policies, dependencies.log)
         self.tenant_usage = TenantUsage(dependencies.policies)
         self.wake = asyncio.Event()
-        self.permission_requester = PermissionRequester(
-            dependencies.ask_through, self.wake.set, dependencies.log
-        )
         self.workers: dict[str, Worker] = {}
         self.sessions: dict[str, Session] = {}
         self.dispatcher = Dispatcher(self)
         self.health_monitor = WorkerHealthMonitor(self)
+        self.silent_losses = SilentLosses(self)
         self.tasks: set[asyncio.Task[Any]] = set()
 
     async def run(self) -> Failure:
@@ -170,7 +165,7 @@
         self.committer.end_epoch(NotOwner('the epoch is over'))
         for session in self.sessions.values():
             session.orders.close()
-        self.permission_requester.close()
+        self.dispatcher.permission_requester.close()
         for task in list(self.tasks):
             task.cancel()
 
@@ -188,10 +183,6 @@
             and self.dependencies.authority_age() <= grace_s
         )
 
-    def has_policies(self) -> bool:
-        """Return whether a configuration is known."""
-        return self.dependencies.policies.version > 0
-
     def wall_ms(self) -> int:
         """Return milliseconds since the epoch."""
         return int(self.dependencies.wall.time() * MS_PER_S)
@@ -209,6 +200,7 @@
         entry = self.dependencies.decode_entry(item)
         if entry is None:
             return
+        self.silent_losses.apply_entry(entry)
         known = self.workers.get(entry.worker)
         if known is None:
             self._start_session(Worker(entry))
@@ -282,10 +274,7 @@
         self.requeue(run.task)
         if run.task.step.spec.gang and run.task.phase is Phase.waiting:
             _stop_members(self, run.task.step)
-        job = run.task.step.job
-        if is_given_up(run.task) and not job.status.is_final:
-            cause = f'{run.task.name} crashed its workers'
-            self.finish_job(job, JobStatus.failed, cause)
+        self.silent_losses.review_task(run.task)
 
     def record_refusal(self, run: Run, cause: str) -> None:
         """Record that a worker refused to start a run."""
@@ -300,7 +289,7 @@
         job = task.step.job
         if job.status.is_final or task.phase is Phase.done:
             return
-        task.step.requeue(task)
+        task.step.requeue(task, is_held=self.silent_losses.is_held(task))
         self.table.ready_steps[task.step.name] = task.step
         self.committer.store_step(task.step)
         self.wake.set()
@@ -371,6 +360,7 @@
         if isinstance(state, Failure):
             return state
         self.table.restore(state.jobs, self.wall_ms())
+        self.silent_losses.restore()
         for item in state.workers.items:
             handle_item(
                 self.apply_entry,
--- a/packages/berylspread/src/berylspread/coordinator/crashes.py
+++ b/packages/berylspread/src/berylspread/coordinator/crashes.py
@@ -9,6 +9,10 @@
 counts little against those that the worker has reported at work before: any of
 them may have caused it, but most have not.  It does not count against
 long-running tasks that were at work, as they see many crashes.
+
+A crash is proved by the worker's next life.  The leases of a worker that was
+only cut off expire as well, so the loss of a worker that is silent counts only
+once the worker has not come back for a long time; see ``silent_losses``.
 """
 
 from collections.abc import Container
@@ -34,26 +38,43 @@
     Returns the tasks that were starting.
     """
     lost = [run for name, run in worker.runs.items() if name not in survivors]
-    starting = [run for run in lost if _may_be_starting(run)]
     for run in lost:
-        run.task.crash_score += _score(run, is_starting=run in starting)
-    for run in starting:
-        run.task.avoided_workers.add(worker.name)
-    return [run.task.name for run in starting]
+        add_crash(run.task, worker.name, crash_score(run))
+    return [run.task.name for run in lost if _may_be_starting(run)]
+
+
+def crash_score(run: Run) -> int:
+    """Return what the crash of its worker would count against a run's task."""
+    if _may_be_starting(run):
+        return STARTING_SCORE
+    return 0 if run.task.step.spec.long_running else PRESENT_SCORE
+
+
+def add_crash(task: Task, worker: str, score: int) -> None:
+    """Count the crash of a worker against a task."""
+    task.crash_score += score
+    if score >= STARTING_SCORE:
+        task.avoided_workers.add(worker)
 
 
 def is_given_up(task: Task) -> bool:
     """Return whether too many workers have crashed under a task."""
-    return task.crash_score >= GIVE_UP_SCORE
+    score = task.crash_score + sum(
+        loss.score for loss in task.silent_losses if loss.counts_as_crash
+    )
+    return score >= GIVE_UP_SCORE
+
+
+def is_on_hold(task: Task) -> bool:
+    """Return whether a task would be given up if silent workers have crashed.
+
+    It is not started until one of them is back, or counts as crashed.
+    """
+    score = task.crash_score + sum(loss.score for loss in task.silent_losses)
+    return score >= GIVE_UP_SCORE
 
 
 def _may_be_starting(run: Run) -> bool:
     if run.confirmed_at is None or run.listed_at is None:
         return True
     return run.listed_at - run.confirmed_at < STARTING_S
-
-
-def _score(run: Run, *, is_starting: bool) -> int:
-    if is_starting:
-        return STARTING_SCORE
-    return 0 if run.task.step.spec.long_running else PRESENT_SCORE
--- a/packages/berylspread/src/berylspread/coordinator/dispatcher.py
+++ b/packages/berylspread/src/berylspread/coordinator/dispatcher.py
@@ -21,6 +21,7 @@
     Step,
 )
 from berylspread.coordinator.permit_choice import FleetView
+from berylspread.coordinator.permits import PermissionRequester
 from berylspread.coordinator.planner import (
     Placement,
     StepPlacer,
@@ -59,11 +60,16 @@
 class Dispatcher:
     """Places waiting tasks whenever something has changed."""
 
-    __slots__ = ('coordinator', 'holds', 'is_paused')
+    __slots__ = ('coordinator', 'holds', 'is_paused', 'permission_requester')
 
     def __init__(self, coordinator: 'Coordinator') -> None:
         self.coordinator = coordinator
         self.holds = Holds()
+        self.permission_requester = PermissionRequester(
+            coordinator.dependencies.ask_through,
+            coordinator.wake.set,
+            coordinator.log,
+        )
         #: Whether nothing more is placed, before a handover.
         self.is_paused = False
 
@@ -111,6 +117,7 @@
         for job_id in coordinator.table.forget_ended(wall_ms - KEEP_ENDED_MS):
             coordinator.committer.drop_key(job_key(job_id))
         coordinator.forget_workers()
+        coordinator.silent_losses.review()
         self._request_ahead()
         self._log_waiting_steps()
 
@@ -128,7 +135,7 @@
             for step in find_upcoming_steps(
                 job, find_run_of, coordinator.expected_s, moment
             ):
-                coordinator.permission_requester.request_if_needed(step, fleet)
+                self.permission_requester.request_if_needed(step, fleet)
 
     def _log_waiting_steps(self) -> None:
         """Log what the most urgent steps wait for."""
@@ -155,7 +162,8 @@
         coordinator = self.coordinator
         # Without a configuration every organisation would be treated as one
         # without a cap.
-        is_ready = coordinator.is_loaded and coordinator.has_policies()
+        has_policies = coordinator.dependencies.policies.version > 0
+        is_ready = coordinator.is_loaded and has_policies
         if (
             self.is_paused
             or not is_ready
@@ -193,7 +201,7 @@
             step, self.holds.kept_quota(step, moment)
         )
         if is_first or limit or step.priority == HIGHEST_PRIORITY:
-            coordinator.permission_requester.request_if_needed(
+            self.permission_requester.request_if_needed(
                 step, fleet, is_first=is_first
             )
         may_preempt = moment >= step.preempt_after
--- a/packages/berylspread/src/berylspread/coordinator/fleet.py
+++ b/packages/berylspread/src/berylspread/coordinator/fleet.py
@@ -131,8 +131,8 @@
         self.since = since
         #: Whether ``since`` is the start; it is not for an inherited run.
         self.is_start_known = stage is not Stage.inherited
-        #: Whether workers have crashed under the task.
-        self.is_suspect = task.crash_score > 0
+        #: Whether workers may have crashed under the task.
+        self.is_suspect = task.is_suspect
         self.reserved = task.step.spec.reserved_resources()
         self.confirmed_at: float | None = None
         #: When a report last listed the run.
@@ -248,7 +248,7 @@
         #: The number of stray runs, which are being stopped; the resources that
         #: they use are unknown.
         self.stray_count = 0
-        #: The number of runs of tasks under which workers have crashed.
+        #: The number of runs of tasks under which workers may have crashed.
         self.suspect_count = 0
         self.health = WorkerHealth()
 
@@ -257,6 +257,11 @@
         """Return the worker's name."""
         return self.entry.worker
 
+    @property
+    def is_leaving(self) -> bool:
+        """Return whether the worker has announced that it leaves."""
+        return bool(self.entry.address) and not self.entry.is_ready
+
     def accepts_runs(self, moment: float) -> bool:
         """Return whether new runs may be placed on the worker."""
         is_usable = (
@@ -281,6 +286,12 @@
             if run.task.step.spec.latency_target_ms:
                 self.serving_count -= 1
 
+    def review_suspicion(self, run: Run) -> None:
+        """Apply that a worker has not crashed under the task of a run."""
+        if run.is_suspect and not run.task.is_suspect:
+            run.is_suspect = False
+            self.suspect_count -= 1
+
     def update_entry(self, entry: WorkerEntry) -> None:
         """Apply a newer entry of the worker."""
         reserved = self.entry.capacity - self.free
--- a/packages/berylspread/src/berylspread/coordinator/lookahead.py
+++ b/packages/berylspread/src/berylspread/coordinator/lookahead.py
@@ -44,7 +44,7 @@
     step: Step, find_run: FindRun, expected_s: ExpectedDuration, moment: float
 ) -> float:
     """Return the expected time until a step ends."""
-    if step.waiting_tasks:
+    if step.waiting_tasks or step.held_tasks:
         return math.inf
     return max(
         (
--- a/packages/berylspread/src/berylspread/coordinator/model.py
+++ b/packages/berylspread/src/berylspread/coordinator/model.py
@@ -142,6 +142,46 @@
     done = 2
 
 
+@final
+class SilentLoss:
+    """The loss of a run on a worker that was silent until its leases were over.
+
+    The worker, which was born at ``born_ms``, may have crashed, or may have
+    been cut off.  ``since_ms`` is in milliseconds since the epoch, ``lost_at``
+    the same moment in loop time.
+    """
+
+    __slots__ = (
+        'address',
+        'born_ms',
+        'counts_as_crash',
+        'lost_at',
+        'score',
+        'since_ms',
+        'worker',
+    )
+
+    def __init__(
+        self,
+        worker: str,
+        address: str,
+        born_ms: int,
+        score: int,
+        since_ms: int,
+        lost_at: float,
+    ) -> None:
+        self.worker = worker
+        self.address = address
+        self.born_ms = born_ms
+        #: What a crash of the worker adds to the score of the task.
+        self.score = score
+        self.since_ms = since_ms
+        self.lost_at = lost_at
+        #: Whether the worker has been silent for so long that it counts as
+        #: crashed.
+        self.counts_as_crash = False
+
+
 @final
 class Task:
     """One task of a step, with its newest run and its failures."""
@@ -155,6 +195,7 @@
         'phase',
         'progress_percent',
         'run_number',
+        'silent_losses',
         'step',
         'was_placed',
         'worker',
@@ -172,6 +213,7 @@
         self.failures = 0
         #: Evidence that the task crashes its workers, see ``crashes``.
         self.crash_score = 0
+        self.silent_losses: list[SilentLoss] = []
         self.checkpoint = ''
         #: The last known percentage of work that the checkpoint contains.
         self.progress_percent = 0
@@ -183,6 +225,11 @@
         """Return the name that workers know the task by."""
         return f'{self.step.name}.{self.index}'
 
+    @property
+    def is_suspect(self) -> bool:
+        """Return whether workers have, or may have, crashed under the task."""
+        return bool(self.crash_score or self.silent_losses)
+
 
 @final
 class Step:
@@ -190,6 +237,7 @@
 
     __slots__ = (
         'blocked_by',
+        'held_tasks',
         'job',
         'name',
         'number',
@@ -212,6 +260,8 @@
         self.waiting_tasks: collections.deque[Task] = collections.deque(
             self.tasks
         )
+        #: Tasks that wait and must not be placed, see ``silent_losses``.
+        self.held_tasks: list[Task] = []
         self.unfinished_tasks = self.spec.count
         self.tickets: StepTickets | None = None
         #: No run is preempted for this step before this time of the loop.
@@ -235,12 +285,26 @@
         )
         return 1 - lowest_percent / WHOLE_PERCENT
 
-    def requeue(self, task: Task) -> None:
-        """Put a task back among the waiting tasks."""
+    def requeue(self, task: Task, *, is_held: bool) -> None:
+        """Put a task back among the waiting, or the held tasks."""
         task.phase = Phase.waiting
         task.worker = ''
         task.worker_born_ms = 0
-        self.waiting_tasks.append(task)
+        self.add_waiting(task, is_held=is_held)
+
+    def add_waiting(self, task: Task, *, is_held: bool) -> None:
+        """Add a task to the waiting, or the held tasks."""
+        if is_held:
+            self.held_tasks.append(task)
+        else:
+            self.waiting_tasks.append(task)
+
+    def remove_waiting(self, task: Task) -> None:
+        """Remove a task that waits or is held."""
+        if task in self.held_tasks:
+            self.held_tasks.remove(task)
+        else:
+            self.waiting_tasks.remove(task)
 
 
 @final
--- a/packages/berylspread/src/berylspread/coordinator/node.py
+++ b/packages/berylspread/src/berylspread/coordinator/node.py
@@ -240,9 +240,11 @@
         assert self.peers is not None
         coordinator = Coordinator(self._coordinator_dependencies(), epoch)
         for name in self.addresses:
-            coordinator.permission_requester.nodes.record_presence(name, now())
+            coordinator.dispatcher.permission_requester.nodes.record_presence(
+                name, now()
+            )
         # This node can send permission requests as long as it coordinates.
-        coordinator.permission_requester.nodes.record_presence(
+        coordinator.dispatcher.permission_requester.nodes.record_presence(
             self.ref.node, math.inf
         )
         self.service = JobService(coordinator)
--- a/packages/berylspread/src/berylspread/coordinator/orders.py
+++ b/packages/berylspread/src/berylspread/coordinator/orders.py
@@ -49,6 +49,16 @@
 AVOIDED_CAUSES: Final = frozenset((LATE, NO_ROOM, UNHEALTHY))
 
 
+class LossRecorder(Protocol):
+    """Keeps the losses of runs on silent workers."""
+
+    def record(self, worker: Worker) -> None:
+        """Record that a worker was silent until its leases were over."""
+
+    def apply_report(self, worker: Worker) -> None:
+        """Settle the losses of a worker that has reported."""
+
+
 class CoordinatorInterface(Protocol):
     """What a session needs of the coordinator."""
 
@@ -57,6 +67,10 @@
     #: The longest lease that a worker grants, on its own clock.
     max_lease_ms: int
 
+    @property
+    def silent_losses(self) -> LossRecorder:
+        """The losses of runs on silent workers."""
+
     def has_authority(self, grace_s: float) -> bool:
         """Return whether the authority was confirmed within ``grace_s``."""
 
@@ -124,7 +138,10 @@
 
     def report_all_lost(self, reason: str) -> None:
         """Report every run of the worker as lost to the coordinator."""
-        self.record_crash(reason)
+        if reason == LEASE_OVER:
+            self.coordinator.silent_losses.record(self.worker)
+        elif not self.worker.is_leaving:
+            self.record_crash(reason)
         for run in list(self.worker.runs.values()):
             self.coordinator.record_lost_run(run, reason)
 
--- a/packages/berylspread/src/berylspread/coordinator/outcomes.py
+++ b/packages/berylspread/src/berylspread/coordinator/outcomes.py
@@ -54,7 +54,7 @@
     """
     for each in step.tasks if step.spec.gang else (task,):
         if each.phase is Phase.waiting:
-            step.waiting_tasks.remove(each)
+            step.remove_waiting(each)
         if each.phase is not Phase.done:
             each.phase = Phase.done
             step.unfinished_tasks -= 1
--- a/packages/berylspread/src/berylspread/coordinator/planner.py
+++ b/packages/berylspread/src/berylspread/coordinator/planner.py
@@ -199,7 +199,7 @@
         )
         self.free[worker.name] -= reserved
         self.tasks_by_worker[worker.name] += 1
-        self.suspects_by_worker[worker.name] += task.crash_score > 0
+        self.suspects_by_worker[worker.name] += task.is_suspect
         return Placement(task, worker, ticket)
 
     def _placement_cost(self, task: Task, worker: Worker) -> tuple[float, ...]:
@@ -221,12 +221,12 @@
     def _crash_cost(self, task: Task, worker: Worker) -> tuple[int, int]:
         """Return what a crash of the worker would cost.
 
-        Tasks under which workers have crashed are kept apart, so that the next
-        crash shows which of them has caused it, and away from other runs.
+        Tasks under which workers may have crashed are kept apart, so that the
+        next crash shows which of them has caused it, and away from other runs.
         """
         return (
             self.suspects_by_worker[worker.name],
-            len(worker.runs) if task.crash_score else 0,
+            len(worker.runs) if task.is_suspect else 0,
         )
 
 
--- a/packages/berylspread/src/berylspread/coordinator/records.py
+++ b/packages/berylspread/src/berylspread/coordinator/records.py
@@ -8,18 +8,33 @@
 
 import msgspec
 
+from berylspread.coordinator.crashes import is_on_hold
 from berylspread.coordinator.model import (
+    MS_PER_S,
     Job,
     JobSpec,
     JobStatus,
     Phase,
+    SilentLoss,
     Step,
 )
+from berylspread.kernel.clock import now
 
 JOB_PREFIX: Final = 'j/'
 STEP_PREFIX: Final = 's/'
 
 
+@final
+class LossRow(msgspec.Struct, frozen=True, array_like=True):
+    """A silent loss in the record of a step."""
+
+    worker: str
+    address: str
+    born_ms: int
+    score: int
+    since_ms: int
+
+
 @final
 class TaskRow(msgspec.Struct, frozen=True, array_like=True):
     """A task in the record of a step."""
@@ -31,6 +46,7 @@
     checkpoint: str
     crash_score: int = 0
     worker_born_ms: int = 0
+    silent_losses: tuple[LossRow, ...] = ()
 
 
 @final
@@ -83,6 +99,7 @@
                     task.checkpoint,
                     task.crash_score,
                     task.worker_born_ms,
+                    tuple(map(_loss_row, task.silent_losses)),
                 )
                 for task in step.tasks
             ]
@@ -100,9 +117,11 @@
     return _job_decoder.decode(blob)
 
 
-def restore_step(step: Step, blob: bytes) -> None:
+def restore_step(step: Step, blob: bytes, wall_ms: float) -> None:
     """Set the tasks of a new step to the state in a record.
 
+    ``wall_ms`` is the time of day.
+
     Raises:
         msgspec.DecodeError: The record is malformed.
 
@@ -118,11 +137,33 @@
         task.checkpoint = row.checkpoint
         task.crash_score = row.crash_score
         task.worker_born_ms = row.worker_born_ms
+        task.silent_losses = [
+            _restore_loss(loss, wall_ms) for loss in row.silent_losses
+        ]
         task.was_placed = task.run_number > 0
         if task.phase is Phase.done:
             step.unfinished_tasks -= 1
         elif task.phase is Phase.waiting:
-            step.waiting_tasks.append(task)
+            step.add_waiting(task, is_held=is_on_hold(task))
+
+
+def _loss_row(loss: SilentLoss) -> LossRow:
+    return LossRow(
+        loss.worker, loss.address, loss.born_ms, loss.score, loss.since_ms
+    )
+
+
+def _restore_loss(row: LossRow, wall_ms: float) -> SilentLoss:
+    # The clock of this VM may be behind that of the VM that wrote the record.
+    age_s = max(wall_ms - row.since_ms, 0) / MS_PER_S
+    return SilentLoss(
+        row.worker,
+        row.address,
+        row.born_ms,
+        row.score,
+        row.since_ms,
+        now() - age_s,
+    )
 
 
 def job_key(job_id: str) -> str:
--- a/packages/berylspread/src/berylspread/coordinator/service.py
+++ b/packages/berylspread/src/berylspread/coordinator/service.py
@@ -183,7 +183,7 @@
 
     def register_node(self, request: NodeUp) -> None:
         """Add a node to those that send permission requests."""
-        self.coordinator.permission_requester.nodes.record_presence(
+        self.coordinator.dispatcher.permission_requester.nodes.record_presence(
             request.node, now()
         )
 
--- a/packages/berylspread/src/berylspread/coordinator/session.py
+++ b/packages/berylspread/src/berylspread/coordinator/session.py
@@ -238,6 +238,7 @@
                 RESTARTED, {row.task for row in report.running}
             )
         worker.born_ms = report.born_ms
+        self.coordinator.silent_losses.apply_report(worker)
 
     def _apply_outcomes(
         self, rows: list[EndedRow]
--- a/packages/berylspread/src/berylspread/coordinator/table.py
+++ b/packages/berylspread/src/berylspread/coordinator/table.py
@@ -100,7 +100,7 @@
             elif item.key.startswith(JOB_PREFIX):
                 self._restore_job(item.key.removeprefix(JOB_PREFIX), item.blob)
         for job in sorted(self.jobs.values(), key=_accepted_ms):
-            if not self._restore_steps(job, steps):
+            if not self._restore_steps(job, steps, wall_ms):
                 continue
             self._charge_share(job)
             self._estimate(job)
@@ -158,6 +158,13 @@
                     task for task in step.tasks if task.phase is Phase.placed
                 )
 
+    def tasks(self) -> Iterator[Task]:
+        """Yield the tasks of all jobs that have not ended."""
+        for job in self.jobs.values():
+            if not job.status.is_final:
+                for step in job.steps.values():
+                    yield from step.tasks
+
     def backlog(self, queue: str, wall_ms: float) -> int:
         """Return how many jobs of a queue are due and have not started."""
         return sum(
@@ -203,13 +210,15 @@
         except UNREADABLE as error:
             self._record_unreadable(job_id, error)
 
-    def _restore_steps(self, job: Job, blobs: Mapping[str, bytes]) -> bool:
+    def _restore_steps(
+        self, job: Job, blobs: Mapping[str, bytes], wall_ms: float
+    ) -> bool:
         """Restore the steps of a job; return whether all could be read."""
         try:
             for step in job.steps.values():
                 blob = blobs.get(step.name)
                 if blob is not None:
-                    restore_step(step, blob)
+                    restore_step(step, blob, wall_ms)
         except UNREADABLE as error:
             del self.jobs[job.spec.job_id]
             self._record_unreadable(job.spec.job_id, error)
