Let accepted jobs follow the configuration of their queue

Cause: the queue was copied into the job's specification on acceptance, and placement, permissions, attempts, priority and objective read the copy. Only caps and weights came from the configuration in force.

Change: each job's queue follows the version in force. The specification names the version that its queue is of, so a coordinator with an older one does not move a job back. A dropped queue keeps the policy that it had last, which is then stored with its jobs. Nothing is placed, and no order leaves, while the configuration is not confirmed in time, and an order whose record took long to store goes by the newest version: the former code sent it to the service that the queue had left.

Why this works: a start goes by the same version by which a call of the moment would be answered, and never by one that may no longer be in force.

Changed step: the jobs of overload.feature have a queue that differs from the cell's configuration under the same name. They now say that it is of a newer version, as a job would; numbers and checks are the same. Records of the former format load.

--- a/bench/orders/engine.py
+++ b/bench/orders/engine.py
@@ -23,6 +23,7 @@
     WHOLE_PERCENT,
     JobStatus,
     Phase,
+    Queue,
     Step,
     Task,
 )
@@ -57,13 +58,22 @@
 class SharedPolicies:
     """The caps and weights of the organisations."""
 
-    __slots__ = ('limit', 'version')
+    __slots__ = ('limit', 'queues', 'version')
 
     def __init__(self, total: Resources) -> None:
         """Take what the whole fleet has."""
         self.version = 1
+        self.queues: dict[str, Queue] = {}
         self.limit = Resources(int(total.cpu_milli * CAP_SHARE), 0)
 
+    def is_outdated(self) -> bool:
+        """Return ``False``: the configuration never changes."""
+        return False
+
+    def find_queue(self, name: str) -> Queue | None:
+        """Return ``None``: the jobs bring their queues."""
+        return self.queues.get(name)
+
     def cap(self, tenant: str) -> Resources | None:
         """Return what an organisation may have running."""
         return self.limit
--- a/features/coordinator/configuration.feature
+++ b/features/coordinator/configuration.feature
@@ -81,3 +81,107 @@
     And version 2 of the configuration is published
     And 2.2 s pass
     Then every node has version 2 of the configuration
+
+  # Guards against placing by the queue as it was when the job was accepted.
+  Scenario Outline: LOST: a job goes to the service that its queue is sent to
+    Given a cell of <nodes> nodes and 2 workers
+    And 2 workers of service "annex"
+    And long-running tasks fill the service of the queue
+    When a job "a" with steps of 4 tasks is submitted
+    And 1 s pass
+    And version 2 sends the queue to service "<second>"
+    And <kills> coordinators are killed 3 s apart
+    And version 3 sends the queue to service "annex"
+    And 6 s pass
+    Then job "a" is succeeded
+    And all tasks of job "a" ran on service "annex"
+
+    Examples:
+      | nodes | kills | second |
+      | 1     | 0     | annex  |
+      | 1     | 0     | void   |
+      | 5     | 1     | annex  |
+      | 6     | 2     | void   |
+
+  Scenario: LOST: a queue that is dropped keeps the service that it had last
+    Given a cell of 5 nodes and 2 workers
+    And long-running tasks fill the service of the queue
+    When a job "a" with steps of 4 tasks is submitted
+    And 1 s pass
+    And version 2 sends the queue to service "annex"
+    And 1 s pass
+    And version 3 drops the queue
+    And 1 s pass
+    And 1 coordinators are killed 3 s apart
+    And 2 workers of service "annex" join
+    And 6 s pass
+    Then job "a" is succeeded
+    And all tasks of job "a" ran on service "annex"
+
+  Scenario: LOST: a queue that comes back sends its jobs where it says
+    Given a cell of 1 nodes and 2 workers
+    And 2 workers of service "annex"
+    And long-running tasks fill the service of the queue
+    When a job "a" with steps of 4 tasks is submitted
+    And 1 s pass
+    And version 2 drops the queue
+    And 1 s pass
+    And version 3 sends the queue to service "annex"
+    And 4 s pass
+    Then job "a" is succeeded
+    And all tasks of job "a" ran on service "annex"
+
+  Scenario: LOST: the rest of a step runs on the service that its queue is sent to
+    Given a cell of 1 nodes and 1 worker
+    And 2 workers of service "annex"
+    And tasks of job "a" take 3 s
+    When a job "a" with steps of 12 tasks is submitted
+    And 1 s pass
+    And version 2 sends the queue to service "annex"
+    And 6 s pass
+    Then job "a" is succeeded
+    And 8 tasks of job "a" ran on service "desk" and 4 on service "annex"
+
+  Scenario: The attempts in force count, not those on acceptance
+    Given a cell of 1 nodes and 2 workers
+    And task "a.0.0.0" always fails
+    When a job "a" with steps of 1 tasks is submitted
+    And version 2 allows 9 attempts
+    And 3.5 s pass
+    And task "a.0.0.0" fails no more
+    And 4 s pass
+    Then job "a" is succeeded
+
+  Scenario: ROUTE: a coordinator with an older version does not move a job back
+    Given a cell of 5 nodes and 2 workers
+    And 2 workers of service "annex"
+    When a job "a" is submitted by a node with version 5, which sends the queue to service "annex"
+    And 4 s pass
+    Then job "a" is succeeded
+    And all tasks of job "a" ran on service "annex"
+
+  # Guards against starts by a configuration that may no longer be in force.
+  Scenario: ROUTE: nothing starts by a configuration that is out of date
+    Given a cell of 1 nodes and 2 workers
+    And 2 workers of service "annex"
+    When 2 s pass
+    And the coordinator's reads of the configuration get no reply
+    And version 2 sends the queue to service "annex"
+    And 5 s pass
+    And a job "a" with steps of 2 tasks is submitted
+    And 2 s pass
+    Then no task of job "a" has run
+    When the coordinator's reads of the configuration get replies again
+    And 6 s pass
+    Then job "a" is succeeded
+    And all tasks of job "a" ran on service "annex"
+
+  Scenario: ROUTE: an order that waited for the store goes by the newest version
+    Given a cell of 1 nodes and 2 workers
+    And 2 workers of service "annex"
+    When 2 s pass
+    And a job "a" is submitted and the next 4 appends are lost
+    And version 2 sends the queue to service "annex"
+    And 9 s pass
+    Then job "a" is succeeded
+    And all tasks of job "a" ran on service "annex"
--- a/features/coordinator/steps/configuration_steps.py
+++ b/features/coordinator/steps/configuration_steps.py
@@ -2,13 +2,156 @@
 
 import asyncio
 
+import msgspec
 from behave import given, then, when
 
+from berylspread.coordinator.messages import JobAccepted, SubmitJob
+from berylspread.coordinator.model import Queue, StepSpec
 from berylspread_standins.coordinated import CoordinatedFleet
-from berylspread_standins.coordinated.fleet import QUEUE, TOPICS
+from berylspread_standins.coordinated.fleet import QUEUE, TASK, TOPICS, job
+from features.coordinator.cell import (
+    find_coordinator,
+    gateway_of,
+    runs_of,
+    submit_spec,
+)
 
 #: How often the age of a configuration is looked at.
 SAMPLE_S = 0.05
+LONG_TIMEOUT_S = 10.0
+WATCHERS = Queue('watchers', 'desk')
+
+
+@given('{count:d} workers of service "{service}"')
+@when('{count:d} workers of service "{service}" join')
+def step_other_service(context, count, service):
+    async def join():
+        for index in range(count):
+            context.cell.add_worker(f'{service}-{index}', service=service)
+
+    context.run(join())
+
+
+@given('long-running tasks fill the service of the queue')
+def step_fill(context):
+    workers = context.cell.workers.values()
+    count = sum(
+        worker.entry.capacity.cpu_milli // TASK.cpu_milli
+        for worker in workers
+        if worker.entry.service == QUEUE.service
+    )
+    spec = job(
+        'watch', StepSpec(count, TASK, long_running=True), queue=WATCHERS
+    )
+    assert isinstance(submit_spec(context, spec), JobAccepted)
+    context.run(asyncio.sleep(1))
+    assert len(runs_of(context, 'watch')) == count
+
+
+@when('version {version:d} sends the queue to service "{service}"')
+def step_move_queue(context, version, service):
+    context.cell.configure(
+        version, msgspec.structs.replace(QUEUE, service=service)
+    )
+
+
+@when('version {version:d} allows {attempts:d} attempts')
+def step_attempts(context, version, attempts):
+    context.cell.configure(
+        version, msgspec.structs.replace(QUEUE, max_attempts=attempts)
+    )
+
+
+@when('version {version:d} drops the queue')
+def step_drop_queue(context, version):
+    context.cell.configure(version, None)
+
+
+@when('task "{task}" fails no more')
+def step_mend(context, task):
+    context.cell.work[task] = (1.0, 'done')
+
+
+@when(
+    'a job "{job_id}" is submitted by a node with version {version:d}, which '
+    'sends the queue to service "{service}"'
+)
+def step_submit_newer(context, job_id, version, service):
+    queue = msgspec.structs.replace(QUEUE, service=service)
+    spec = msgspec.structs.replace(
+        job(job_id, queue=queue), config_version=version
+    )
+    assert isinstance(submit_spec(context, spec), JobAccepted)
+
+
+@when("the coordinator's reads of the configuration get no reply")
+def step_silence(context):
+    view = context.cell.nodes[find_coordinator(context)].view
+    view.silent_topics.add(TOPICS.config)
+
+
+@when("the coordinator's reads of the configuration get replies again")
+def step_unsilence(context):
+    for node in _nodes(context):
+        node.view.silent_topics.clear()
+
+
+@when('a job "{job_id}" is submitted and the next {count:d} appends are lost')
+def step_submit_unstored(context, job_id, count):
+    view = context.cell.nodes[find_coordinator(context)].view
+    view.lose_changes[TOPICS.jobs] = count
+
+    async def submit():
+        context.submitting = asyncio.create_task(
+            gateway_of(context).send_request(
+                SubmitJob(job(job_id)),
+                JobAccepted,
+                request=job_id,
+                timeout_s=LONG_TIMEOUT_S,
+            )
+        )
+        await asyncio.sleep(SAMPLE_S)
+
+    context.run(submit())
+
+
+@given('task "{task}" always fails')
+def step_always_fails(context, task):
+    context.cell.work[task] = (1.0, 'failed')
+
+
+@when('{count:d} coordinators are killed {gap:g} s apart')
+def step_kill_several(context, count, gap):
+    for _ in range(count):
+        context.cell.kill(find_coordinator(context))
+        context.run(asyncio.sleep(gap))
+
+
+@then(
+    '{first:d} tasks of job "{job_id}" ran on service "{one}" and {second:d} '
+    'on service "{other}"'
+)
+def step_split(context, first, job_id, one, second, other):
+    workers = context.cell.workers
+    services = [
+        workers[log.worker].entry.service for log in runs_of(context, job_id)
+    ]
+    assert services.count(one) == first, services
+    assert services.count(other) == second, services
+
+
+@then('no task of job "{job_id}" has run')
+def step_not_run(context, job_id):
+    assert not runs_of(context, job_id)
+
+
+@then('all tasks of job "{job_id}" ran on service "{service}"')
+def step_ran_on(context, job_id, service):
+    runs = runs_of(context, job_id)
+    assert runs
+    workers = context.cell.workers
+    services = {workers[log.worker].entry.service for log in runs}
+    assert services == {service}, services
 
 
 def _nodes(context):
--- a/features/coordinator/steps/overload_steps.py
+++ b/features/coordinator/steps/overload_steps.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+import msgspec
 from behave import given, then, when
 
 from berylspread.coordinator.durations import critical_paths_ms, objective_ms
@@ -20,6 +21,8 @@
 TIMEOUT_S = 2.5
 #: The objective of the queue is 1.5 times one second of work plus 0.5 s.
 OVERLOADED = Queue('q', 'desk', stretch=1.5, target_ms=500)
+#: Newer than the cell's, so that its policy of the queue does not replace this.
+OVERLOADED_VERSION = 2
 OBJECTIVE_S = 2.0
 ONE_TASK = (StepSpec(1, TASK, estimate_ms=1000),)
 #: When a job is examined, in ms after its acceptance, by its lateness.
@@ -27,12 +30,15 @@
 
 
 async def _submit(context, job_id, tenant, steps):
-    spec = job(
-        job_id,
-        *steps,
-        queue=OVERLOADED,
-        tenant=tenant,
-        accepted_ms=int((EPOCH_S + now()) * 1000),
+    spec = msgspec.structs.replace(
+        job(
+            job_id,
+            *steps,
+            queue=OVERLOADED,
+            tenant=tenant,
+            accepted_ms=int((EPOCH_S + now()) * 1000),
+        ),
+        config_version=OVERLOADED_VERSION,
     )
     context.submission_times[job_id] = now()
     gateway = next(iter(context.cell.nodes.values())).node.gateway
--- a/features/mutants/mutants.feature
+++ b/features/mutants/mutants.feature
@@ -27,6 +27,8 @@
       | success-forgotten         |
       | crashes-uncounted         |
       | silence-counts-as-crash   |
+      | queues-as-accepted        |
+      | placed-by-outdated-configuration |
       | configuration-reverts     |
       | keys-trusted-for-ever     |
 
--- a/features/support/mutants.py
+++ b/features/support/mutants.py
@@ -28,6 +28,7 @@
     service,
     session,
     silent_losses,
+    table,
 )
 from berylspread.coordinator import coordinator as coordinators
 from berylspread.kernel.errors import Failure
@@ -337,6 +338,20 @@
         'features/coordinator/crashes.feature',
         'LOST: a task is on hold while three of its workers are silent',
     ),
+    'queues-as-accepted': Mutant(
+        table.JobTable,
+        'update_queues',
+        _nothing,
+        'features/coordinator/configuration.feature',
+        'LOST: a queue that comes back sends its jobs where it says',
+    ),
+    'placed-by-outdated-configuration': Mutant(
+        policy.PolicyCache,
+        'is_outdated',
+        _never,
+        'features/coordinator/configuration.feature',
+        'ROUTE: nothing starts by a configuration that is out of date',
+    ),
     'configuration-reverts': Mutant(
         policy.PolicyCache,
         'apply',
--- a/packages/berylspread-standins/src/berylspread_standins/coordinated/fleet.py
+++ b/packages/berylspread-standins/src/berylspread_standins/coordinated/fleet.py
@@ -115,10 +115,15 @@
         return self.work.get(task, (1.0, 'done'))
 
     def add_worker(
-        self, name: str, *, address: str = '', born_ms: int = 1
+        self,
+        name: str,
+        *,
+        service: str = QUEUE.service,
+        address: str = '',
+        born_ms: int = 1,
     ) -> None:
         """Let a worker join; its address is its name unless it is given."""
-        entry = _entry(name, address or name, born_ms)
+        entry = _entry(name, service, address or name, born_ms)
         worker = WorkerStandin(entry, self.script)
         self.workers[name] = worker
         self.publish(worker.entry)
@@ -134,9 +139,9 @@
             TOPICS.workers, [(entry.worker, msgspec.msgpack.encode(entry))]
         )
 
-    def configure(self, version: int) -> None:
-        """Let the operator publish a configuration."""
-        blob = msgspec.msgpack.encode(_configuration(QUEUE, version))
+    def configure(self, version: int, queue: Queue | None = QUEUE) -> None:
+        """Let the operator publish a configuration, with or without a queue."""
+        blob = msgspec.msgpack.encode(_configuration(queue, version))
         self.store.append(TOPICS.config, [('config', blob)])
 
     def withdraw(self, worker: str) -> None:
@@ -246,10 +251,10 @@
     )
 
 
-def _configuration(queue: Queue, version: int = 1) -> Configuration:
+def _configuration(queue: Queue | None, version: int = 1) -> Configuration:
     return Configuration(
         version=version,
-        routes=(QueueRoute('host', '/q/', queue),),
+        routes=(QueueRoute('host', '/q/', queue),) if queue else (),
         tenants=(
             Tenant('acme', ('key',), ACME_PER_S, Resources()),
             Tenant('hot', ('key-3',), HOT_PER_S, Resources()),
@@ -258,10 +263,10 @@
     )
 
 
-def _entry(name: str, address: str, born_ms: int) -> WorkerEntry:
+def _entry(name: str, service: str, address: str, born_ms: int) -> WorkerEntry:
     return WorkerEntry(
         worker=name,
-        service='desk',
+        service=service,
         address=address,
         zone='z',
         is_ready=True,
--- a/packages/berylspread-standins/src/berylspread_standins/coordinated/store.py
+++ b/packages/berylspread-standins/src/berylspread_standins/coordinated/store.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections
+import math
 import random
 from typing import Final, final
 
@@ -137,7 +138,8 @@
 class StoreView:
     """One node's way to the store; implements ``KeyedStore``.
 
-    ``is_cut`` loses its calls; ``is_refused`` turns them away.
+    ``is_cut`` loses its calls; ``is_refused`` turns them away.  Reads of
+    ``silent_topics`` get no reply.
     ``lose_answers`` counts appends that are done
     and not answered, ``lose_changes``, by topic, those that never arrive;
     ``reads`` and ``appends`` count the calls by topic.
@@ -151,6 +153,7 @@
         'lose_answers',
         'lose_changes',
         'reads',
+        'silent_topics',
         'store',
     )
 
@@ -164,6 +167,7 @@
         self.lose_changes: collections.Counter[str] = collections.Counter()
         self.reads: collections.Counter[str] = collections.Counter()
         self.appends: collections.Counter[str] = collections.Counter()
+        self.silent_topics: set[str] = set()
 
     async def append(
         self,
@@ -197,16 +201,14 @@
         self, topic: str, *, timeout_s: float
     ) -> Snapshot | Failure:
         """Return the newest records."""
-        self.reads[topic] += 1
-        failure = await self._travel(self._way_s(), timeout_s)
+        failure = await self._begin_read(topic, timeout_s)
         return self.store.newest(topic) if failure is None else failure
 
     async def read_from(
         self, topic: str, offset: int, *, wait_s: float, timeout_s: float
     ) -> Batch | Failure:
         """Return records from an offset on, or none after the wait."""
-        self.reads[topic] += 1
-        failure = await self._travel(self._way_s(), timeout_s)
+        failure = await self._begin_read(topic, timeout_s)
         if failure is not None:
             return failure
         found = self.store.topic(topic)
@@ -222,6 +224,13 @@
             len(found.records),
         )
 
+    async def _begin_read(
+        self, topic: str, timeout_s: float
+    ) -> LogUnavailable | None:
+        self.reads[topic] += 1
+        way_s = math.inf if topic in self.silent_topics else self._way_s()
+        return await self._travel(way_s, timeout_s)
+
     async def _wait_for_growth(self, topic: str, wait_s: float) -> None:
         try:
             async with asyncio.timeout(wait_s):
--- a/packages/berylspread/src/berylspread/coordinator/committer.py
+++ b/packages/berylspread/src/berylspread/coordinator/committer.py
@@ -55,6 +55,7 @@
     def store_job(self, job: Job) -> StoredFuture:
         """Store a job's record with the next append."""
         self.changed_jobs[job.spec.job_id] = job
+        job.stored_queue = job.spec.queue
         return self._schedule_append()
 
     def store_step(self, step: Step) -> StoredFuture:
--- a/packages/berylspread/src/berylspread/coordinator/dispatcher.py
+++ b/packages/berylspread/src/berylspread/coordinator/dispatcher.py
@@ -161,15 +161,18 @@
     def _run_pass(self) -> None:
         coordinator = self.coordinator
         # Without a configuration every organisation would be treated as one
-        # without a cap.
-        has_policies = coordinator.dependencies.policies.version > 0
-        is_ready = coordinator.is_loaded and has_policies
+        # without a cap.  By one that is out of date, a task could be started on
+        # a service that its queue has left.
+        policies = coordinator.dependencies.policies
+        is_ready = coordinator.is_loaded and policies.version > 0
         if (
             self.is_paused
             or not is_ready
+            or policies.is_outdated()
             or not coordinator.has_authority(ORDER_GRACE_S)
         ):
             return
+        self._update_queues()
         moment = now()
         fleet = FleetView(coordinator.workers, moment)
         ready = coordinator.table.ready_steps
@@ -183,6 +186,10 @@
             else:
                 ready.pop(step.name)
 
+    def _update_queues(self) -> None:
+        for job in self.coordinator.table.update_queues():
+            self.coordinator.committer.store_job(job)
+
     def _place_step(
         self,
         step: Step,
@@ -291,11 +298,24 @@
             if run.worker.runs.get(run.task.name) is run:
                 self._send_order(run, ticket)
 
+    def _may_be_misrouted(self, run: Run) -> bool:
+        """Return whether the queue may have left the service of the worker.
+
+        The record of a run takes long to store while the store is down.
+        """
+        self._update_queues()
+        spec = run.task.step.job.spec
+        is_outdated = self.coordinator.dependencies.policies.is_outdated()
+        return is_outdated or run.worker.entry.service != spec.queue.service
+
     def _send_order(self, run: Run, ticket: str) -> None:
         coordinator, job = self.coordinator, run.task.step.job
         if job.status.is_final:
             coordinator.record_lost_run(run, 'job-ended')
             return
+        if self._may_be_misrouted(run):
+            coordinator.record_lost_run(run, 'queue-moved')
+            return
         if ticket and _has_ticket_expired(run):
             # The ticket expired while the record of the run was being stored.
             coordinator.record_refusal(run, NO_TICKET)
--- a/packages/berylspread/src/berylspread/coordinator/interface.py
+++ b/packages/berylspread/src/berylspread/coordinator/interface.py
@@ -5,6 +5,7 @@
 
 import msgspec
 
+from berylspread.coordinator.model import Queue
 from berylspread.kernel.errors import Failure, RunState, failure
 from berylspread.model import Resources
 
@@ -290,6 +291,12 @@
     def version(self) -> int:
         """Return the version in force, 0 before the first."""
 
+    def is_outdated(self) -> bool:
+        """Return whether a newer version may have to be in force by now."""
+
+    def find_queue(self, name: str) -> Queue | None:
+        """Return a queue's policy, ``None`` if there is no such queue."""
+
     def cap(self, tenant: str) -> Resources | None:
         """Return a tenant's resource cap, ``None`` if it has none.
 
--- a/packages/berylspread/src/berylspread/coordinator/model.py
+++ b/packages/berylspread/src/berylspread/coordinator/model.py
@@ -84,6 +84,9 @@
     """An accepted job.
 
     ``accepted_ms`` and ``first_ms`` are milliseconds since the epoch.
+    ``queue`` is of the newest version of the configuration that is known to
+    contain it; ``config_version`` is that version, or an earlier one since
+    which the queue has not changed.
     """
 
     job_id: str
@@ -95,6 +98,7 @@
     first_ms: int = 0
     interval_ms: int = 0
     repeat: int = 0
+    config_version: int = 0
 
     def occurrence_count(self) -> int:
         """Return how many times the steps run."""
@@ -354,11 +358,14 @@
         'status',
         'status_stored',
         'steps',
+        'stored_queue',
         'task_durations_ms',
     )
 
     def __init__(self, spec: JobSpec) -> None:
         self.spec = spec
+        #: The queue in the job's record, which may have changed since.
+        self.stored_queue = spec.queue
         self.status = JobStatus.queued
         self.steps = {
             (occurrence, number): Step(self, occurrence, number)
@@ -378,6 +385,19 @@
         #: For each step, the expected duration of its slowest task, in ms.
         self.task_durations_ms: list[float] = []
 
+    def update_queue(self, queue: Queue, config_version: int) -> bool:
+        """Apply the queue's policy; return whether it is another and newer."""
+        spec = self.spec
+        if queue == spec.queue or config_version <= spec.config_version:
+            return False
+        if queue.permission_terms != spec.queue.permission_terms:
+            for step in self.steps.values():
+                step.tickets = None
+        self.spec = msgspec.structs.replace(
+            spec, queue=queue, config_version=config_version
+        )
+        return True
+
     def is_runnable(self, step: Step, wall_ms: float) -> bool:
         """Return whether a step is due and all steps before it are done."""
         return wall_ms >= self.spec.due_ms(step.occurrence) and all(
--- a/packages/berylspread/src/berylspread/coordinator/policy.py
+++ b/packages/berylspread/src/berylspread/coordinator/policy.py
@@ -68,6 +68,7 @@
         'confirmed_at',
         'known',
         'max_age_s',
+        'queues',
         'tenants',
     )
 
@@ -87,6 +88,7 @@
         self.by_host: dict[str, list[QueueRoute]] = {}
         self.by_key: dict[str, Tenant] = {}
         self.tenants: dict[str, Tenant] = {}
+        self.queues: dict[str, Queue] = {}
 
     @property
     def version(self) -> int:
@@ -112,6 +114,9 @@
             for key in tenant.keys
         }
         self.tenants = {each.name: each for each in configuration.tenants}
+        self.queues = {
+            route.queue.name: route.queue for route in configuration.routes
+        }
         self.known.set()
         return True
 
@@ -164,6 +169,10 @@
             return Unauthenticated('the key is missing, unknown or withdrawn')
         return tenant.name
 
+    def find_queue(self, name: str) -> Queue | None:
+        """Return a queue's policy, ``None`` if there is no such queue."""
+        return self.queues.get(name)
+
     def cap(self, tenant: str) -> Resources | None:
         """Return a tenant's resource cap, ``None`` if it has none."""
         found = self.tenants.get(tenant)
--- a/packages/berylspread/src/berylspread/coordinator/table.py
+++ b/packages/berylspread/src/berylspread/coordinator/table.py
@@ -62,6 +62,7 @@
         'jobs',
         'log',
         'policies',
+        'queues_version',
         'ready_steps',
         'share_meter',
         'unreadable_jobs',
@@ -70,6 +71,8 @@
     def __init__(self, policies: Policies, log: DecisionLog) -> None:
         self.policies = policies
         self.log = log
+        #: The version of the configuration that the jobs' queues are of.
+        self.queues_version = 0
         self.share_meter = ShareMeter()
         self.durations = DurationEstimator()
         self.jobs: dict[str, Job] = {}
@@ -86,6 +89,7 @@
         """Add a new job and return it."""
         job = Job(spec)
         self.jobs[spec.job_id] = job
+        self._update_queue(job)
         self._charge_share(job)
         self._estimate(job)
         self.update_ready(job, wall_ms)
@@ -102,11 +106,29 @@
         for job in sorted(self.jobs.values(), key=_accepted_ms):
             if not self._restore_steps(job, steps, wall_ms):
                 continue
+            self._update_queue(job)
             self._charge_share(job)
             self._estimate(job)
             _restore_status(job)
             self.update_ready(job, wall_ms)
 
+    def update_queues(self) -> list[Job]:
+        """Apply the configuration in force to the queues of the jobs.
+
+        Returns the jobs whose queue has been dropped since it changed.  Their
+        records are to be stored, as they alone hold its newest policy.
+        """
+        if self.queues_version == self.policies.version:
+            return []
+        self.queues_version = self.policies.version
+        unfinished = [
+            job for job in self.jobs.values() if not job.status.is_final
+        ]
+        for job in unfinished:
+            if self._update_queue(job):
+                self._estimate(job)
+        return [job for job in unfinished if self._is_queue_at_risk(job)]
+
     def update_ready(self, job: Job, wall_ms: float) -> None:
         """Update which steps of a job may run now."""
         for step in job.steps.values():
@@ -180,6 +202,27 @@
             if not job.status.is_final:
                 self._estimate(job)
 
+    def _update_queue(self, job: Job) -> bool:
+        """Apply the policy of a job's queue; return whether it changed."""
+        name = job.spec.queue.name
+        queue = self.policies.find_queue(name)
+        version = self.policies.version
+        if queue is None or not job.update_queue(queue, version):
+            return False
+        self.log.write(
+            'job-queue-changed',
+            job=job.spec.job_id,
+            queue=name,
+            service=queue.service,
+            config=version,
+        )
+        return True
+
+    def _is_queue_at_risk(self, job: Job) -> bool:
+        queue = job.spec.queue
+        is_dropped = self.policies.find_queue(queue.name) is None
+        return is_dropped and queue != job.stored_queue
+
     def _estimate(self, job: Job) -> None:
         """Compute the objective and size of a job."""
         spec, longest_ms = job.spec, self.durations.expected_longest_ms
