Divide long records, and do not repeat an append that is refused for good

Cause: all tasks of a step were in one record, which outgrew what the store takes; and its status 400 was taken for a lost reply, so the append was repeated without end while all later ones waited behind it.

Change: a step's tasks are divided among records of 100, of which a start writes one. A job's record that is too long is divided in one append. Checkpoints that do not fit are left out. The store's bound comes from the settings. A client error of the store is a refusal for good: a record of the epoch takes the append's place in the sequence, its changes are appended one by one, and those that are refused alone are given up and logged. A job of more than 100,000 tasks, or 800,000 bytes, gets 413.

Why this works: no record of ours grows beyond the bound, and what the store refuses all the same no longer stands in the way of what comes after it.

Records of the former format load; the first change divides them.

--- a/features/adapter/steps/adapter_steps.py
+++ b/features/adapter/steps/adapter_steps.py
@@ -694,6 +694,11 @@
     assert context.result.fields['cause'] == cause
 
 
+@then('the result is records-refused')
+def step_records_refused(context):
+    assert context.result.name == 'records-refused', context.result
+
+
 @then('the result is store-rejected')
 def step_store_rejected(context):
     assert context.result.name == 'store-rejected'
--- a/features/adapter/wire.feature
+++ b/features/adapter/wire.feature
@@ -19,6 +19,9 @@
       | 503 {}                       | log-unavailable, certainly not done |
       | 429 {}                       | log-unavailable, certainly not done |
       | 507 {}                       | log-unavailable, certainly not done |
+      | 400 {}                       | records-refused                     |
+      | 403 {}                       | records-refused                     |
+      | 413 {}                       | records-refused                     |
       | 500 {}                       | log-unavailable, possibly done      |
       | 200 not JSON                 | log-unavailable, possibly done      |
       | no response                  | log-unavailable, possibly done      |
--- a/features/mutants/mutants.feature
+++ b/features/mutants/mutants.feature
@@ -28,6 +28,8 @@
       | crashes-uncounted         |
       | silence-counts-as-crash   |
       | queues-as-accepted        |
+      | refused-append-repeated   |
+      | one-record-for-a-step     |
       | placed-by-outdated-configuration |
       | configuration-reverts     |
       | keys-trusted-for-ever     |
--- a/features/support/mutants.py
+++ b/features/support/mutants.py
@@ -15,6 +15,7 @@
 from berylspread.coordinator import (
     blame,
     dispatcher,
+    fenced_log,
     fleet,
     health_monitor,
     interface,
@@ -352,6 +353,20 @@
         'features/coordinator/configuration.feature',
         'ROUTE: nothing starts by a configuration that is out of date',
     ),
+    'refused-append-repeated': Mutant(
+        fenced_log,
+        'RecordsRefused',
+        type(None),
+        'features/coordinator/large_jobs.feature',
+        'LOST: a record that the store refuses for good holds up no other',
+    ),
+    'one-record-for-a-step': Mutant(
+        model,
+        'TASKS_PER_RECORD',
+        sys.maxsize,
+        'features/coordinator/large_jobs.feature',
+        'LOST: a successor goes on with a step of many tasks',
+    ),
     'configuration-reverts': Mutant(
         policy.PolicyCache,
         'apply',
--- a/packages/berylspread-standins/src/berylspread_standins/coordinated/fleet.py
+++ b/packages/berylspread-standins/src/berylspread_standins/coordinated/fleet.py
@@ -28,6 +28,7 @@
     QueueRoute,
     Tenant,
 )
+from berylspread.coordinator.records import DEFAULT_RECORD_BYTES
 from berylspread.kernel.clock import WallClock, now
 from berylspread.model import Resources
 from berylspread_standins.coordinated.advisor import PermissionServiceStandin
@@ -90,6 +91,7 @@
         'lines',
         'nodes',
         'peers',
+        'record_bytes',
         'store',
         'wall',
         'work',
@@ -99,6 +101,8 @@
     def __init__(self, workers: int, seed: int = 1) -> None:
         """Start the workers; nodes are started one by one."""
         self.store = StoreStandin()
+        #: The longest record of the store, as the nodes are told.
+        self.record_bytes = DEFAULT_RECORD_BYTES
         self.advisor = PermissionServiceStandin()
         self.peers = PeerNetwork(random.Random(seed))
         self.nodes: dict[str, NodeStandin] = {}
@@ -179,6 +183,7 @@
             _decode_config,
             wall_clock=self.wall,
             authority_clock=now,
+            record_bytes=self.record_bytes,
         )
         node = CoordinatingNode(
             peers.ref,
--- a/packages/berylspread-standins/src/berylspread_standins/coordinated/store.py
+++ b/packages/berylspread-standins/src/berylspread_standins/coordinated/store.py
@@ -12,9 +12,11 @@
     KeyedItem,
     Producer,
     Record,
+    RecordsRefused,
     Snapshot,
     StoreRejected,
 )
+from berylspread.coordinator.records import DEFAULT_RECORD_BYTES
 from berylspread.kernel.errors import Failure, LogGap, LogUnavailable
 from berylspread_standins.exchange import detach
 
@@ -65,6 +67,8 @@
         'is_down',
         'jitter_s',
         'late_share',
+        'record_bytes',
+        'refused_keys',
         'rng',
         'topics',
     )
@@ -74,10 +78,14 @@
 
         Calls overtake each other if ``jitter_s`` is set: up to so much more.
         ``late_share`` of the appends over HTTP are carried out seconds late.
+        Appends with a record that is longer than ``record_bytes``, or with one
+        of the ``refused_keys``, are refused for good.
         """
         self.answer_s = answer_s
         self.jitter_s = 0.0
         self.late_share = 0.0
+        self.record_bytes = DEFAULT_RECORD_BYTES
+        self.refused_keys: set[str] = set()
         self.rng = random.Random(seed)
         self.is_down = False
         self.topics: dict[str, _Topic] = {}
@@ -97,8 +105,13 @@
         records: list[Record],
         producer: Producer | None = None,
         at: int | None = None,
-    ) -> Appended | StoreRejected:
+    ) -> Appended | StoreRejected | RecordsRefused:
         """Append by the store's rules, at once."""
+        for key, blob in records:
+            if len(key) + len(blob) > self.record_bytes:
+                return RecordsRefused('the record is too long', key=key)
+            if key in self.refused_keys and blob:
+                return RecordsRefused('the record is refused', key=key)
         topic = self.topic(name)
         if at is not None and at != len(topic.records):
             return StoreRejected('the topic has grown', end=len(topic.records))
--- a/packages/berylspread/src/berylspread/coordinator/committer.py
+++ b/packages/berylspread/src/berylspread/coordinator/committer.py
@@ -1,16 +1,28 @@
-"""Stores changes of the job table in batches."""
+"""Stores changes of the job table in batches.
+
+Load pattern: a record that the store refuses for good, such as one that is too
+long, in a batch with the changes of other jobs.  The changes of a refused batch
+are appended again one by one, and only those that are refused alone are given
+up.
+"""
 
 import asyncio
+import functools
+from collections.abc import Callable, Iterable, Mapping
 from typing import Final, final
 
 from berylspread.coordinator.fenced_log import FencedLog, StoredFuture
-from berylspread.coordinator.interface import Record
-from berylspread.coordinator.model import MS_PER_S, Job, Step
+from berylspread.coordinator.interface import Record, RecordsRefused
+from berylspread.coordinator.model import MS_PER_S, Job, Step, Task
 from berylspread.coordinator.records import (
+    DEFAULT_RECORD_BYTES,
+    JOB_PREFIX,
+    drop_job_parts,
     encode_job,
-    encode_step,
+    encode_step_part,
     job_key,
     step_key,
+    task_part,
 )
 from berylspread.kernel.clock import WallClock
 from berylspread.kernel.errors import Failure
@@ -23,57 +35,117 @@
 #: room are in one append.
 BATCH_DELAY_S: Final = 0.01
 
+#: Returns the newest records of a change; they share an append.
+Encode = Callable[[], list[Record]]
+
+
+@final
+class Change:
+    """A change that is to be stored; ``stored`` is done once it is."""
+
+    __slots__ = ('encode', 'key', 'stored')
+
+    def __init__(self, key: str, encode: Encode) -> None:
+        self.key = key
+        self.encode = encode
+        self.stored = _new_future()
+
+    def finish(self, failure: Failure | None) -> None:
+        """Report that the change is stored, or why it is not."""
+        if not self.stored.done():
+            self.stored.set_result(failure)
+
+
+@final
+class Batch:
+    """Changes that share an append."""
+
+    __slots__ = ('changes', 'records', 'size', 'stored')
+
+    def __init__(self, changes: Iterable[Change]) -> None:
+        """Encode the changes."""
+        self.changes: list[Change] = []
+        self.records: list[Record] = []
+        self.size = 0
+        self.stored = _new_future()
+        for change in changes:
+            self.add(change)
+
+    def add(self, change: Change) -> None:
+        """Add a change with its newest records."""
+        records = change.encode()
+        self.changes.append(change)
+        self.records.extend(records)
+        self.size += sum(len(key) + len(blob) for key, blob in records)
+
 
 @final
 class Committer:
     """Collects changed jobs and steps and appends their newest state.
 
-    ``store_job`` and ``store_step`` mark a change.  Each returns a future that
-    gets ``None`` once the change is stored, or the failure that has ended the
-    coordinator's epoch.
+    ``store_job``, ``store_step`` and ``store_tasks`` mark a change.  Each
+    returns a future that gets ``None`` once this change and all before it are
+    stored, or the failure that has ended the coordinator's epoch.  It gets
+    ``RecordsRefused`` if the store refuses the change for good.
     """
 
     __slots__ = (
-        'changed_jobs',
-        'changed_steps',
-        'dropped_keys',
+        'changes',
         'fenced_log',
-        'next_stored',
+        'record_bytes',
+        'refused_changes',
         'wake',
         'wall_clock',
     )
 
-    def __init__(self, fenced_log: FencedLog, wall_clock: WallClock) -> None:
+    def __init__(
+        self,
+        fenced_log: FencedLog,
+        wall_clock: WallClock,
+        record_bytes: int = DEFAULT_RECORD_BYTES,
+    ) -> None:
+        """Set the log and the clock.
+
+        ``record_bytes`` is the longest record that the store takes.
+        """
         self.fenced_log = fenced_log
         self.wall_clock = wall_clock
-        self.changed_jobs: dict[str, Job] = {}
-        self.changed_steps: dict[str, Step] = {}
-        self.dropped_keys: set[str] = set()
+        self.record_bytes = record_bytes
+        #: The changes of the next append, by key.
+        self.changes: dict[str, Change] = {}
+        #: Changes of refused batches, to be appended one by one.
+        self.refused_changes: list[Change] = []
         self.wake = asyncio.Event()
-        self.next_stored = _new_future()
 
     def store_job(self, job: Job) -> StoredFuture:
         """Store a job's record with the next append."""
-        self.changed_jobs[job.spec.job_id] = job
         job.stored_queue = job.spec.queue
-        return self._schedule_append()
+        key = job_key(job.spec.job_id)
+        return self._add_change(key, functools.partial(self._encode_job, job))
 
     def store_step(self, step: Step) -> StoredFuture:
-        """Store a step's record with the next append."""
-        self.changed_steps[step.name] = step
-        return self._schedule_append()
+        """Store all tasks of a step with the next append."""
+        return self._store_parts(step, range(step.part_count))
+
+    def store_tasks(self, step: Step, tasks: Iterable[Task]) -> StoredFuture:
+        """Store at least one task of a step with the next append."""
+        if step.has_long_record:
+            return self.store_step(step)
+        return self._store_parts(step, {task_part(task) for task in tasks})
+
+    def drop_step(self, step: Step) -> None:
+        """Drop the records of a step with the next append."""
+        for part in range(step.part_count):
+            self._drop_key(step_key(step, part))
 
-    def drop_key(self, key: str) -> None:
-        """Drop the record of a key with the next append."""
-        self.dropped_keys.add(key)
+    def drop_job(self, job_id: str) -> None:
+        """Drop the record of a job that has ended with the next append."""
+        self._drop_key(job_key(job_id))
 
     def has_pending_changes(self) -> bool:
         """Return whether a change is not stored yet."""
         return bool(
-            self.changed_jobs
-            or self.changed_steps
-            or self.dropped_keys
-            or self.fenced_log.pending
+            self.changes or self.refused_changes or self.fenced_log.pending
         )
 
     async def run(self) -> Failure:
@@ -85,44 +157,88 @@
                 return self.fenced_log.end_failure
             await asyncio.sleep(BATCH_DELAY_S)
             self.wake.clear()
-            if self.changed_jobs or self.changed_steps or self.dropped_keys:
-                self._append_changes()
+            self._append_changes()
 
     def end_epoch(self, failure: Failure) -> None:
         """End the epoch; all pending futures get ``failure``."""
         self.fenced_log.end_epoch(failure)
         self.wake.set()
-        if not self.next_stored.done():
-            self.next_stored.set_result(failure)
+        for change in (*self.refused_changes, *self.changes.values()):
+            change.finish(failure)
 
-    def _schedule_append(self) -> StoredFuture:
+    def _add_change(self, key: str, encode: Encode) -> StoredFuture:
         self.wake.set()
-        return self.next_stored
+        change = self.changes.get(key)
+        if change is None:
+            change = Change(key, encode)
+            self.changes[key] = change
+        change.encode = encode
+        return change.stored
 
-    def _append_changes(self) -> None:
-        done, self.next_stored = self.next_stored, _new_future()
-        batches = _split_into_batches(self._collect_records())
-        for batch in batches[:-1]:
-            self.fenced_log.start_append(batch, _new_future())
-        self.fenced_log.start_append(batches[-1], done)
+    def _store_parts(self, step: Step, parts: Iterable[int]) -> StoredFuture:
+        # All changes of an append are stored at the same time, so the future
+        # of any part will do.
+        return [
+            self._add_change(
+                step_key(step, part),
+                functools.partial(self._encode_step_part, step, part),
+            )
+            for part in parts
+        ][-1]
+
+    def _drop_key(self, key: str) -> None:
+        self._add_change(key, lambda: [(key, b'')])
 
-    def _collect_records(self) -> list[Record]:
+    def _encode_job(self, job: Job) -> list[Record]:
         wall_ms = int(self.wall_clock.time() * MS_PER_S)
-        records: list[Record] = [
-            (job_key(name), encode_job(job, wall_ms))
-            for name, job in self.changed_jobs.items()
-        ]
+        records = encode_job(job, wall_ms, self.record_bytes)
+        if job.status.is_final:
+            records.extend(drop_job_parts(job))
+        return records
+
+    def _encode_step_part(self, step: Step, part: int) -> list[Record]:
         # The steps of a job that has ended are dropped in the same append.
-        records.extend(
-            (
-                step_key(step),
-                b'' if step.job.status.is_final else encode_step(step),
-            )
-            for step in self.changed_steps.values()
+        is_final = step.job.status.is_final
+        step.has_long_record = False
+        blob = (
+            b'' if is_final else encode_step_part(step, part, self.record_bytes)
         )
-        records.extend((key, b'') for key in self.dropped_keys)
-        self.changed_jobs, self.changed_steps, self.dropped_keys = {}, {}, set()
-        return records
+        return [(step_key(step, part), blob)]
+
+    def _append_changes(self) -> None:
+        refused, self.refused_changes = self.refused_changes, []
+        changes, self.changes = self.changes, {}
+        batches = [Batch([change]) for change in refused]
+        batches.extend(_split_into_batches(_in_order(changes)))
+        for batch in batches:
+            self.fenced_log.start_append(batch.records, batch.stored)
+        if batches:
+            # The batches are stored in order.
+            batches[-1].stored.add_done_callback(
+                functools.partial(self._finish_batches, batches)
+            )
+
+    def _finish_batches(
+        self, batches: list[Batch], stored: StoredFuture
+    ) -> None:
+        for batch in batches:
+            if not batch.stored.cancelled():
+                self._finish_batch(batch, batch.stored.result())
+
+    def _finish_batch(self, batch: Batch, failure: Failure | None) -> None:
+        if isinstance(failure, RecordsRefused):
+            if len(batch.changes) > 1:
+                self.refused_changes.extend(batch.changes)
+                self.wake.set()
+                return
+            self.fenced_log.log.write(
+                'record-refused',
+                key=batch.changes[0].key,
+                bytes=batch.size,
+                reason=failure.reason,
+            )
+        for change in batch.changes:
+            change.finish(failure)
 
 
 async def wait_stored(stored: StoredFuture) -> Failure | None:
@@ -134,15 +250,24 @@
     return await asyncio.shield(stored)
 
 
-def _split_into_batches(records: list[Record]) -> list[list[Record]]:
-    batches: list[list[Record]] = [[]]
-    size = 0
-    for record in records:
-        if size > MAX_BATCH_BYTES:
-            batches.append([])
-            size = 0
-        batches[-1].append(record)
-        size += len(record[1])
+def _in_order(changes: Mapping[str, Change]) -> list[Change]:
+    """Return the changes in the order in which they must be stored.
+
+    The record of a job that has ended comes before the removal of its steps,
+    and the first part of a step, which replaces the long record of an earlier
+    version, after the others.
+    """
+    jobs = [key for key in changes if key.startswith(JOB_PREFIX)]
+    steps = [key for key in changes if not key.startswith(JOB_PREFIX)]
+    return [changes[key] for key in (*jobs, *sorted(steps, reverse=True))]
+
+
+def _split_into_batches(changes: list[Change]) -> list[Batch]:
+    batches: list[Batch] = []
+    for change in changes:
+        if not batches or batches[-1].size > MAX_BATCH_BYTES:
+            batches.append(Batch(()))
+        batches[-1].add(change)
     return batches
 
 
--- a/packages/berylspread/src/berylspread/coordinator/coordinator.py
+++ b/packages/berylspread/src/berylspread/coordinator/coordinator.py
@@ -48,7 +48,6 @@
 from berylspread.coordinator.planner import (
     TenantUsage,
 )
-from berylspread.coordinator.records import step_key
 from berylspread.coordinator.session import (
     AUTHORITY_GRACE_S,
     MAX_LEASE_S,
@@ -101,6 +100,8 @@
     authority_age: Callable[[], float]
     #: The longest lease that a worker grants.
     longest_grant_ms: int
+    #: The longest record that the store takes.
+    record_bytes: int
 
 
 @final
@@ -141,7 +142,9 @@
             epoch,
             dependencies.log,
         )
-        self.committer = Committer(self.fenced_log, dependencies.wall)
+        self.committer = Committer(
+            self.fenced_log, dependencies.wall, dependencies.record_bytes
+        )
         self.table = JobTable(dependencies.policies, dependencies.log)
         self.tenant_usage = TenantUsage(dependencies.policies)
         self.wake = asyncio.Event()
@@ -259,7 +262,10 @@
             ran_s=round(now() - run.since, 3),
         )
         find_handler(outcome)(self, run)
-        return self.committer.store_step(task.step)
+        # The end of one member of a gang is that of all.
+        if task.step.spec.gang:
+            return self.committer.store_step(task.step)
+        return self.committer.store_tasks(task.step, (task,))
 
     def record_lost_run(self, run: Run, reason: str) -> None:
         """Record that a run is over without an outcome, or never started."""
@@ -291,7 +297,7 @@
             return
         task.step.requeue(task, is_held=self.silent_losses.is_held(task))
         self.table.ready_steps[task.step.name] = task.step
-        self.committer.store_step(task.step)
+        self.committer.store_tasks(task.step, (task,))
         self.wake.set()
 
     def finish_job(self, job: Job, status: JobStatus, cause: str) -> None:
@@ -299,7 +305,7 @@
         self.table.end_job(job, status, self.wall_ms())
         for step in job.steps.values():
             if any(task.was_placed for task in step.tasks):
-                self.committer.drop_key(step_key(step))
+                self.committer.drop_step(step)
         job.status_stored = self.committer.store_job(job)
         took_ms = self.wall_ms() - job.spec.accepted_ms
         self.log.metrics.observe('job', took_ms / MS_PER_S)
--- a/packages/berylspread/src/berylspread/coordinator/dispatcher.py
+++ b/packages/berylspread/src/berylspread/coordinator/dispatcher.py
@@ -31,7 +31,6 @@
     PREEMPTION_PAUSE_S,
     choose_victims,
 )
-from berylspread.coordinator.records import job_key
 from berylspread.coordinator.urgency import urgency
 from berylspread.kernel.clock import now
 from berylspread.kernel.errors import Failure
@@ -115,7 +114,7 @@
         coordinator.table.release_due(wall_ms)
         coordinator.table.update_estimates()
         for job_id in coordinator.table.forget_ended(wall_ms - KEEP_ENDED_MS):
-            coordinator.committer.drop_key(job_key(job_id))
+            coordinator.committer.drop_job(job_id)
         coordinator.forget_workers()
         coordinator.silent_losses.review()
         self._request_ahead()
@@ -265,7 +264,9 @@
         runs = [self._reserve(placement) for placement in placements]
         if step.spec.gang:
             _align_gang_runs(runs)
-        stored = self.coordinator.committer.store_step(step)
+        stored = self.coordinator.committer.store_tasks(
+            step, [run.task for run in runs]
+        )
         tickets = [placement.ticket for placement in placements]
         stored.add_done_callback(
             functools.partial(self._send_orders, runs, tickets)
--- a/packages/berylspread/src/berylspread/coordinator/fenced_log.py
+++ b/packages/berylspread/src/berylspread/coordinator/fenced_log.py
@@ -17,6 +17,7 @@
     KeyedStore,
     Producer,
     Record,
+    RecordsRefused,
     StoreRejected,
 )
 from berylspread.kernel.clock import now
@@ -64,6 +65,7 @@
         'log',
         'mean_latency_s',
         'pending',
+        'refusals',
         'seq',
         'store',
         'tasks',
@@ -85,6 +87,8 @@
         self.pending: collections.deque[tuple[int, StoredFuture]] = (
             collections.deque()
         )
+        #: Why the store refused the records of appends, by sequence number.
+        self.refusals: dict[int, RecordsRefused] = {}
         self.tasks: set[asyncio.Task[None]] = set()
         self.append_done = asyncio.Event()
         self.end_failure: Failure | None = None
@@ -102,14 +106,16 @@
         one, the store would take the first one for a repeat.
         """
         stored: StoredFuture = asyncio.get_running_loop().create_future()
-        self.start_append([(EPOCH_KEY, str(self.epoch).encode())], stored)
+        self.start_append([self._epoch_record()], stored)
         return await stored
 
     def start_append(self, records: list[Record], stored: StoredFuture) -> None:
         """Send an append.
 
         ``stored`` gets ``None`` once this append and all before it are stored,
-        or the failure that has ended the epoch.
+        or the failure that has ended the epoch.  It gets ``RecordsRefused`` if
+        the store refuses the records for good; those before and after it are
+        stored all the same.
         """
         self.seq += 1
         self.last_append_at = now()
@@ -159,13 +165,15 @@
             sent_at = now()
             reply = await self._append_hedged(records, producer)
             if not isinstance(reply, Failure):
-                self._record_latency(now() - sent_at)
-                if self.first_offset is None and seq == 1:
-                    self.first_offset = reply.offset
-                self._resolve_stored(seq)
+                self._record_success(seq, reply, sent_at)
                 return
             if self._handle_rejection(seq, reply):
                 return
+            if isinstance(reply, RecordsRefused) and seq not in self.refusals:
+                # The next append must follow one with this sequence number.
+                self._record_refusal(seq, records, reply)
+                records = [self._epoch_record()]
+                continue
             self._record_failure(seq, reply, sent_at)
             await asyncio.sleep(retry_s * (1 + random.random()))
             retry_s = min(2 * retry_s, MAX_RETRY_S)
@@ -220,6 +228,29 @@
             )
         )
 
+    def _record_success(
+        self, seq: int, reply: Appended, sent_at: float
+    ) -> None:
+        self._record_latency(now() - sent_at)
+        if self.first_offset is None and seq == 1:
+            self.first_offset = reply.offset
+        self._resolve_stored(seq)
+
+    def _epoch_record(self) -> Record:
+        return EPOCH_KEY, str(self.epoch).encode()
+
+    def _record_refusal(
+        self, seq: int, records: list[Record], failure: RecordsRefused
+    ) -> None:
+        self.refusals[seq] = failure
+        self.log.write(
+            'append-refused',
+            seq=seq,
+            records=len(records),
+            bytes=sum(len(key) + len(blob) for key, blob in records),
+            reason=failure.reason,
+        )
+
     def _handle_rejection(self, seq: int, failure: Failure) -> bool:
         """Return whether a failed append must not be retried."""
         if not isinstance(failure, StoreRejected):
@@ -251,9 +282,10 @@
         # The store accepts appends in order: all before it are stored, too.
         self.failing_since = None
         while self.pending and self.pending[0][0] <= seq:
-            _, stored = self.pending.popleft()
+            stored_seq, stored = self.pending.popleft()
+            refusal = self.refusals.pop(stored_seq, None)
             if not stored.done():
-                stored.set_result(None)
+                stored.set_result(refusal)
 
     def _record_latency(self, took_s: float) -> None:
         self.log.metrics.observe('append', took_s)
--- a/packages/berylspread/src/berylspread/coordinator/interface.py
+++ b/packages/berylspread/src/berylspread/coordinator/interface.py
@@ -18,6 +18,14 @@
     http_status = 409
 
 
+@failure
+class RecordsRefused(Failure):
+    """The store refuses records for good, such as one that is too long."""
+
+    name = 'records-refused'
+    http_status = 422
+
+
 @failure
 class OrderRefused(Failure):
     """A worker refused an order; ``cause`` is in ``REFUSAL_CAUSES``."""
@@ -262,8 +270,9 @@
         """Append all records or none; an empty value drops its key.
 
         Returns ``StoreRejected`` if the epoch is old or the topic does not end
-        at ``at``.  Returns ``LogUnavailable`` if the append may or may not have
-        been done; its field ``done`` is false if it certainly has not.
+        at ``at``, and ``RecordsRefused`` if no repetition can succeed.  Returns
+        ``LogUnavailable`` if the append may or may not have been done; its
+        field ``done`` is false if it certainly has not.
         """
 
     async def read_newest(
--- a/packages/berylspread/src/berylspread/coordinator/model.py
+++ b/packages/berylspread/src/berylspread/coordinator/model.py
@@ -14,6 +14,8 @@
 WHOLE_PERCENT: Final = 100
 #: The priority of the queues that are placed before all others.
 HIGHEST_PRIORITY: Final = 0
+#: The tasks of a step that share a record in the store.
+TASKS_PER_RECORD: Final = 100
 
 
 @final
@@ -100,6 +102,10 @@
     repeat: int = 0
     config_version: int = 0
 
+    def task_count(self) -> int:
+        """Return the number of tasks of all occurrences."""
+        return self.occurrence_count() * sum(step.count for step in self.steps)
+
     def occurrence_count(self) -> int:
         """Return how many times the steps run."""
         return max(self.repeat, 1)
@@ -241,6 +247,7 @@
 
     __slots__ = (
         'blocked_by',
+        'has_long_record',
         'held_tasks',
         'job',
         'name',
@@ -267,6 +274,8 @@
         #: Tasks that wait and must not be placed, see ``silent_losses``.
         self.held_tasks: list[Task] = []
         self.unfinished_tasks = self.spec.count
+        #: Whether the first record, of an earlier version, holds all tasks.
+        self.has_long_record = False
         self.tickets: StepTickets | None = None
         #: No run is preempted for this step before this time of the loop.
         self.preempt_after = 0.0
@@ -278,6 +287,11 @@
         """Return the priority of the job's queue; 0 is the most urgent."""
         return self.job.spec.queue.priority
 
+    @property
+    def part_count(self) -> int:
+        """Return the number of records that the tasks are divided among."""
+        return -(-self.spec.count // TASKS_PER_RECORD)
+
     def is_done(self) -> bool:
         """Return whether all tasks have succeeded."""
         return self.unfinished_tasks == 0
@@ -353,6 +367,7 @@
         'critical_paths_ms',
         'deadline_ms',
         'over_share',
+        'record_parts',
         'size_core_s',
         'spec',
         'status',
@@ -372,6 +387,8 @@
             for occurrence in range(spec.occurrence_count())
             for number in range(len(spec.steps))
         }
+        #: The most parts that the record was divided into, 0 if it was not.
+        self.record_parts = 0
         #: Whether the organisation had used up its share on acceptance.
         self.over_share = False
         #: Done when the newest status is stored.
--- a/packages/berylspread/src/berylspread/coordinator/node.py
+++ b/packages/berylspread/src/berylspread/coordinator/node.py
@@ -40,6 +40,7 @@
     SubmitJob,
 )
 from berylspread.coordinator.policy import PolicyCache
+from berylspread.coordinator.records import DEFAULT_RECORD_BYTES
 from berylspread.coordinator.service import JobService
 from berylspread.coordinator.store_access import HandoverPolicy, ObservedStore
 from berylspread.coordinator.succession import Succession
@@ -75,6 +76,7 @@
         'longest_grant_ms',
         'permission_service',
         'policies',
+        'record_bytes',
         'store',
         'wall_clock',
         'worker_api',
@@ -92,6 +94,7 @@
         wall_clock: WallClock,
         authority_clock: Callable[[], float],
         longest_grant_ms: int = DEFAULT_MAX_LEASE_MS,
+        record_bytes: int = DEFAULT_RECORD_BYTES,
     ) -> None:
         """Set the clients and the clocks.
 
@@ -107,6 +110,7 @@
         self.wall_clock = wall_clock
         self.authority_clock = authority_clock
         self.longest_grant_ms = longest_grant_ms
+        self.record_bytes = record_bytes
 
 
 @final
@@ -270,6 +274,7 @@
             log=self.log,
             authority_age=self.leadership.authority_age,
             longest_grant_ms=clients.longest_grant_ms,
+            record_bytes=clients.record_bytes,
         )
 
     async def _announce_regularly(self) -> None:
--- a/packages/berylspread/src/berylspread/coordinator/service.py
+++ b/packages/berylspread/src/berylspread/coordinator/service.py
@@ -1,9 +1,14 @@
 """Handles requests for jobs: submission, status, cancellation and backlog."""
 
+import functools
 from typing import Final, final
 
+import msgspec
+
 from berylspread.coordinator.committer import wait_stored
 from berylspread.coordinator.coordinator import Coordinator
+from berylspread.coordinator.fenced_log import StoredFuture
+from berylspread.coordinator.interface import RecordsRefused
 from berylspread.coordinator.messages import (
     AskBacklog,
     AskJobStatus,
@@ -29,6 +34,11 @@
 #: A coordinator whose authority was confirmed longer ago refuses requests for
 #: jobs: a successor may have accepted jobs that this one does not know.
 ANSWER_GRACE_S: Final = 1.5
+#: The most tasks of a job, over all its occurrences.  A coordinator keeps them
+#: in memory; the largest fleet runs a quarter as many at a time.
+MAX_JOB_TASKS: Final = 100_000
+#: The longest specification of a job; its records share one append.
+MAX_JOB_BYTES: Final = 800_000
 
 
 @failure
@@ -57,6 +67,14 @@
     run_state = RunState.unknown
 
 
+@failure
+class JobTooLarge(Failure):
+    """The job has more tasks, or a longer record, than can be handled."""
+
+    name = 'job-too-large'
+    http_status = 413
+
+
 @final
 class JobService:
     """Handles requests with the coordinator's job table."""
@@ -84,6 +102,9 @@
             return JobAccepted()
         job = table.jobs.get(spec.job_id)
         if job is None:
+            problem = _find_excess(spec)
+            if problem is not None:
+                return problem
             job = self._accept(spec)
         failure = await _wait_stored(job)
         return JobAccepted() if failure is None else failure
@@ -155,6 +176,9 @@
         coordinator = self.coordinator
         job = coordinator.table.add_job(spec, coordinator.wall_ms())
         job.status_stored = coordinator.committer.store_job(job)
+        job.status_stored.add_done_callback(
+            functools.partial(self._withdraw_if_refused, job)
+        )
         coordinator.log.write(
             'job-accepted',
             job=spec.job_id,
@@ -166,6 +190,14 @@
         coordinator.wake.set()
         return job
 
+    def _withdraw_if_refused(self, job: Job, stored: StoredFuture) -> None:
+        """Cancel a job whose record the store refuses for good."""
+        if stored.cancelled() or job.status.is_final:
+            return
+        if isinstance(stored.result(), RecordsRefused):
+            cause = 'the store refuses its record'
+            self.coordinator.finish_job(job, JobStatus.cancelled, cause)
+
     def _may_answer(self) -> bool:
         # Before the table is loaded, every job would seem to be new.
         return self.coordinator.is_loaded and self.coordinator.has_authority(
@@ -193,7 +225,21 @@
     if job.status_stored is None:
         return None
     failure = await wait_stored(job.status_stored)
-    return None if failure is None else NotStored(failure.reason)
+    if failure is None or isinstance(failure, RecordsRefused):
+        return failure
+    return NotStored(failure.reason)
+
+
+def _find_excess(spec: JobSpec) -> JobTooLarge | None:
+    """Return why a job is too large to be accepted."""
+    tasks, size = spec.task_count(), len(msgspec.msgpack.encode(spec))
+    if tasks > MAX_JOB_TASKS:
+        return JobTooLarge(
+            f'the job has {tasks} tasks; at most {MAX_JOB_TASKS} are allowed'
+        )
+    if size > MAX_JOB_BYTES:
+        return JobTooLarge(f'the job needs {size} bytes in the store')
+    return None
 
 
 def _unreadable(job_id: str) -> JobUnreadable:
--- a/packages/berylspread/src/berylspread/coordinator/silent_losses.py
+++ b/packages/berylspread/src/berylspread/coordinator/silent_losses.py
@@ -143,7 +143,7 @@
             add_crash(task, loss.worker, loss.score)
             self._log(loss.worker, task, 'crashed')
         if crashes:
-            self.coordinator.committer.store_step(task.step)
+            self.coordinator.committer.store_tasks(task.step, (task,))
             self.review_task(task)
 
     def _withdraw(self, task: Task, worker: Worker) -> None:
@@ -155,7 +155,7 @@
             return
         task.silent_losses = kept
         self._log(worker.name, task, 'alive')
-        self.coordinator.committer.store_step(task.step)
+        self.coordinator.committer.store_tasks(task.step, (task,))
         run = find_run(self.coordinator.workers, task)
         if run is not None:
             run.worker.review_suspicion(run)
--- a/packages/berylspread/src/berylspread/coordinator/table.py
+++ b/packages/berylspread/src/berylspread/coordinator/table.py
@@ -23,10 +23,12 @@
     Task,
 )
 from berylspread.coordinator.records import (
+    JOB_PART_PREFIX,
     JOB_PREFIX,
     STEP_PREFIX,
     JobRecord,
     decode_job,
+    join_job_parts,
     restore_step,
     restored_status,
 )
@@ -97,12 +99,12 @@
 
     def restore(self, snapshot: Snapshot, wall_ms: float) -> None:
         """Fill an empty table with the jobs and steps in the store."""
-        steps: dict[str, bytes] = {}
-        for item in snapshot.items:
-            if item.key.startswith(STEP_PREFIX):
-                steps[item.key.removeprefix(STEP_PREFIX)] = item.blob
-            elif item.key.startswith(JOB_PREFIX):
-                self._restore_job(item.key.removeprefix(JOB_PREFIX), item.blob)
+        jobs, parts, steps = (
+            _select_blobs(snapshot, prefix)
+            for prefix in (JOB_PREFIX, JOB_PART_PREFIX, STEP_PREFIX)
+        )
+        for job_id, blob in jobs.items():
+            self._restore_job(job_id, blob, parts)
         for job in sorted(self.jobs.values(), key=_accepted_ms):
             if not self._restore_steps(job, steps, wall_ms):
                 continue
@@ -243,13 +245,18 @@
                 spec.accepted_ms / MS_PER_S,
             )
 
-    def _restore_job(self, job_id: str, blob: bytes) -> None:
+    def _restore_job(
+        self, job_id: str, blob: bytes, parts: Mapping[str, bytes]
+    ) -> None:
         try:
-            record = decode_job(blob)
+            whole, part_count = join_job_parts(job_id, blob, parts)
+            record = decode_job(whole)
             if record.spec is None:
                 self._restore_ended(job_id, record)
             else:
-                self.jobs[job_id] = Job(record.spec)
+                job = Job(record.spec)
+                job.record_parts = part_count
+                self.jobs[job_id] = job
         except UNREADABLE as error:
             self._record_unreadable(job_id, error)
 
@@ -259,9 +266,7 @@
         """Restore the steps of a job; return whether all could be read."""
         try:
             for step in job.steps.values():
-                blob = blobs.get(step.name)
-                if blob is not None:
-                    restore_step(step, blob, wall_ms)
+                restore_step(step, blobs, wall_ms)
         except UNREADABLE as error:
             del self.jobs[job.spec.job_id]
             self._record_unreadable(job.spec.job_id, error)
@@ -281,6 +286,15 @@
         )
 
 
+def _select_blobs(snapshot: Snapshot, prefix: str) -> dict[str, bytes]:
+    """Return the blobs of the keys with a prefix, by key without it."""
+    return {
+        item.key.removeprefix(prefix): item.blob
+        for item in snapshot.items
+        if item.key.startswith(prefix)
+    }
+
+
 def _restore_status(job: Job) -> None:
     # A run that is only placed may never have started; the worker's report
     # decides.
