Count inherited leases from the claim that ended their epoch

Cause: a coordinator let the leases of a silent worker count from the end of its own loading, for 10.1 s, and each further coordinator began anew. Nothing told it that the one before it had not reached the worker either.

Change: leases count from the claim that ended the last epoch whose coordinator has reached the worker. The leader's record holds the ages of the newest claims, as spans on clocks that count suspension; no time of day is stored. The last contact with each worker is stored, and no lease is extended before. A coordinator without a sign of authority renews leases for 4 s instead of 6 s.

Why this works: a coordinator that has not reached a worker cannot have extended its leases, so the wait goes on where the one before it had begun. What is not known makes it longer. With one change it ends 8.1 s after the claim.

--- a/features/coordinator/steps/acknowledgement_steps.py
+++ b/features/coordinator/steps/acknowledgement_steps.py
@@ -76,6 +76,9 @@
     def record_lost_run(self, run, reason):
         run.worker.remove_run(run)
 
+    def record_contact(self, worker):
+        return asyncio.ensure_future(asyncio.sleep(0))
+
     def on_report(self, worker):
         """Decide nothing."""
 
--- a/features/mutants/mutants.feature
+++ b/features/mutants/mutants.feature
@@ -30,6 +30,8 @@
       | queues-as-accepted        |
       | refused-append-repeated   |
       | one-record-for-a-step     |
+      | leases-counted-anew       |
+      | leases-extended-before-contact |
       | placed-by-outdated-configuration |
       | configuration-reverts     |
       | keys-trusted-for-ever     |
--- a/features/support/mutants.py
+++ b/features/support/mutants.py
@@ -14,6 +14,7 @@
 
 from berylspread.coordinator import (
     blame,
+    claim_history,
     dispatcher,
     fenced_log,
     fleet,
@@ -367,6 +368,20 @@
         'features/coordinator/large_jobs.feature',
         'LOST: a successor goes on with a step of many tasks',
     ),
+    'leases-counted-anew': Mutant(
+        claim_history.ClaimHistory,
+        'age_after',
+        lambda claims, epoch: 0.0,
+        'features/coordinator/inherited_leases.feature',
+        'LOST: the wait for leases does not begin anew with a coordinator',
+    ),
+    'leases-extended-before-contact': Mutant(
+        session.Session,
+        '_may_extend_leases',
+        lambda self: self.worker.is_reachable,
+        'features/coordinator/inherited_leases.feature',
+        'TWICE: no lease is extended before the contact is stored',
+    ),
     'configuration-reverts': Mutant(
         policy.PolicyCache,
         'apply',
--- a/packages/berylspread-standins/src/berylspread_standins/coordinated/store.py
+++ b/packages/berylspread-standins/src/berylspread_standins/coordinated/store.py
@@ -67,6 +67,7 @@
         'is_down',
         'jitter_s',
         'late_share',
+        'lost_prefixes',
         'record_bytes',
         'refused_keys',
         'rng',
@@ -79,13 +80,15 @@
         Calls overtake each other if ``jitter_s`` is set: up to so much more.
         ``late_share`` of the appends over HTTP are carried out seconds late.
         Appends with a record that is longer than ``record_bytes``, or with one
-        of the ``refused_keys``, are refused for good.
+        of the ``refused_keys``, are refused for good.  Those with a key that
+        begins with one of the ``lost_prefixes`` are lost.
         """
         self.answer_s = answer_s
         self.jitter_s = 0.0
         self.late_share = 0.0
         self.record_bytes = DEFAULT_RECORD_BYTES
         self.refused_keys: set[str] = set()
+        self.lost_prefixes: tuple[str, ...] = ()
         self.rng = random.Random(seed)
         self.is_down = False
         self.topics: dict[str, _Topic] = {}
@@ -199,8 +202,11 @@
         failure = await self._travel(way_s, timeout_s)
         if failure is not None:
             return failure
-        if self.lose_changes[topic] > 0:
-            self.lose_changes[topic] -= 1
+        is_lost = any(
+            key.startswith(self.store.lost_prefixes) for key, _ in records
+        )
+        if is_lost or self.lose_changes[topic] > 0:
+            self.lose_changes[topic] -= not is_lost
             await asyncio.sleep(timeout_s)
             return LogUnavailable('no answer')
         reply = self.store.append(topic, records, producer, at)
--- a/packages/berylspread/src/berylspread/coordinator/committer.py
+++ b/packages/berylspread/src/berylspread/coordinator/committer.py
@@ -17,7 +17,9 @@
 from berylspread.coordinator.records import (
     DEFAULT_RECORD_BYTES,
     JOB_PREFIX,
+    contact_key,
     drop_job_parts,
+    encode_contact,
     encode_job,
     encode_step_part,
     job_key,
@@ -133,6 +135,15 @@
             return self.store_step(step)
         return self._store_parts(step, {task_part(task) for task in tasks})
 
+    def store_contact(self, worker: str, epoch: int) -> StoredFuture:
+        """Store that leases of a worker are extended from an epoch on."""
+        key = contact_key(worker)
+        return self._add_change(key, lambda: [(key, encode_contact(epoch))])
+
+    def drop_contact(self, worker: str) -> None:
+        """Drop the record of a worker's contact with the next append."""
+        self._drop_key(contact_key(worker))
+
     def drop_step(self, step: Step) -> None:
         """Drop the records of a step with the next append."""
         for part in range(step.part_count):
--- a/packages/berylspread/src/berylspread/coordinator/coordinator.py
+++ b/packages/berylspread/src/berylspread/coordinator/coordinator.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from berylspread.coordinator.claim_history import ClaimHistory
 from berylspread.coordinator.committer import Committer
 from berylspread.coordinator.decision_log import DecisionLog
 from berylspread.coordinator.directory import (
@@ -58,9 +59,13 @@
 from berylspread.kernel.clock import WallClock, now
 from berylspread.kernel.errors import Failure, NotOwner
 
-#: How long leases of an earlier coordinator may still be valid on a worker that
-#: does not reply: its grace period plus the longest lease on the slowest clock.
+#: How long after the claim that ended its epoch the leases of an earlier
+#: coordinator may still be valid on a worker: its grace period plus the longest
+#: lease on the slowest clock.
 INHERITED_LEASE_S: Final = AUTHORITY_GRACE_S + MAX_LEASE_S / MIN_CLOCK_RATE
+#: The grace period of earlier versions, which store no contacts with workers.
+UNTRACKED_GRACE_S: Final = 6.0
+UNTRACKED_LEASE_S: Final = UNTRACKED_GRACE_S + MAX_LEASE_S / MIN_CLOCK_RATE
 #: The longest wait for the last changes to be stored before a handover; a reply
 #: of a slow store takes 0.3 s.
 QUIESCE_TIMEOUT_S: Final = 0.5
@@ -98,6 +103,7 @@
     log: DecisionLog
     #: Seconds since the authority was last confirmed.
     authority_age: Callable[[], float]
+    claims: ClaimHistory
     #: The longest lease that a worker grants.
     longest_grant_ms: int
     #: The longest record that the store takes.
@@ -282,6 +288,14 @@
             _stop_members(self, run.task.step)
         self.silent_losses.review_task(run.task)
 
+    def record_contact(self, worker: Worker) -> asyncio.Future[Failure | None]:
+        """Store that this coordinator extends a worker's leases from now on.
+
+        The future is done once that is stored.
+        """
+        self.table.contact_epochs[worker.name] = self.token
+        return self.committer.store_contact(worker.name, self.token)
+
     def record_refusal(self, run: Run, cause: str) -> None:
         """Record that a worker refused to start a run."""
         tickets = run.task.step.tickets
@@ -351,6 +365,9 @@
         for name, worker in list(self.workers.items()):
             if not worker.is_present and name not in self.sessions:
                 del self.workers[name]
+        for name in self.table.contact_epochs.keys() - self.workers.keys():
+            del self.table.contact_epochs[name]
+            self.committer.drop_contact(name)
 
     def _remove_run(self, run: Run) -> None:
         run.worker.remove_run(run)
@@ -389,7 +406,6 @@
 
     def _inherit_runs(self) -> int:
         """Add the runs that an earlier coordinator placed; return how many."""
-        inherited_until = now() + INHERITED_LEASE_S
         count = 0
         for task in self.table.placed_tasks():
             worker = self.workers.get(task.worker)
@@ -399,7 +415,11 @@
                 worker = Worker(placeholder_entry(task.worker))
                 worker.is_present = False
                 self._start_session(worker)
-            worker.inherited_until = inherited_until
+            worker.inherited_until = now() + _inherited_lease_s(
+                self.dependencies.claims,
+                self.table.contact_epochs.get(worker.name, 0),
+                self.token,
+            )
             run = Run(task, worker, Stage.inherited, now())
             run.pace_percent = -1
             worker.add_run(run)
@@ -447,6 +467,19 @@
             self.log.write('task-failed', error=repr(task.exception()))
 
 
+def _inherited_lease_s(
+    claims: ClaimHistory, contact_epoch: int, token: int
+) -> float:
+    """Return for how long leases of earlier coordinators may be valid.
+
+    ``contact_epoch`` is the last epoch whose coordinator has reached the
+    worker; later ones have not extended its leases.
+    """
+    if contact_epoch <= claims.untracked_epoch:
+        return UNTRACKED_LEASE_S - claims.age_after(token - 1)
+    return INHERITED_LEASE_S - claims.age_after(contact_epoch)
+
+
 def _stop_members(coordinator: Coordinator, step: Step) -> None:
     """Stop the members of a gang that would wait for a lost one."""
     for task in step.tasks:
--- a/packages/berylspread/src/berylspread/coordinator/leader_record.py
+++ b/packages/berylspread/src/berylspread/coordinator/leader_record.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from berylspread.coordinator.claim_history import ClaimAge, ClaimHistory
 from berylspread.coordinator.interface import KeyedStore, Producer
 from berylspread.kernel.errors import Failure
 
@@ -31,10 +32,36 @@
         return (self.epoch, self.released) < (other.epoch, other.released)
 
 
-_decoder: Final = msgspec.msgpack.Decoder(LeaderRecord)
+@final
+class StoredLeader(msgspec.Struct, frozen=True, array_like=True):
+    """A leader's record with the ages of the claims at its append.
 
+    Earlier versions store none, and no contacts with workers.
+    """
 
-def decode_record(blob: bytes) -> LeaderRecord:
+    epoch: int
+    node: str
+    incarnation: int
+    address: str
+    released: bool = False
+    claims: tuple[ClaimAge, ...] | None = None
+
+    @property
+    def record(self) -> LeaderRecord:
+        """Return the record without the ages."""
+        return LeaderRecord(
+            self.epoch,
+            self.node,
+            self.incarnation,
+            self.address,
+            self.released,
+        )
+
+
+_decoder: Final = msgspec.msgpack.Decoder(StoredLeader)
+
+
+def decode_record(blob: bytes) -> StoredLeader:
     """Return the record in a value.
 
     Raises:
@@ -85,11 +112,14 @@
 class RecordWriter:
     """Appends records of the leader; one producer numbers them."""
 
-    __slots__ = ('end', 'seq', 'store', 'topic')
+    __slots__ = ('claims', 'end', 'seq', 'store', 'topic')
 
-    def __init__(self, store: KeyedStore, topic: str) -> None:
+    def __init__(
+        self, store: KeyedStore, topic: str, claims: ClaimHistory
+    ) -> None:
         self.store = store
         self.topic = topic
+        self.claims = claims
         self.seq = 0
         #: Where the topic ended after the newest append of this node.
         self.end = 0
@@ -118,9 +148,17 @@
     async def _append(
         self, record: LeaderRecord, at: int | None
     ) -> Failure | None:
+        stored = StoredLeader(
+            record.epoch,
+            record.node,
+            record.incarnation,
+            record.address,
+            record.released,
+            self.claims.ages(),
+        )
         reply = await self.store.append(
             self.topic,
-            [(LEADER_KEY, msgspec.msgpack.encode(record))],
+            [(LEADER_KEY, msgspec.msgpack.encode(stored))],
             producer=Producer(LEADER_KEY, record.epoch, self.seq),
             at=at,
             timeout_s=CALL_TIMEOUT_S,
--- a/packages/berylspread/src/berylspread/coordinator/leadership.py
+++ b/packages/berylspread/src/berylspread/coordinator/leadership.py
@@ -16,6 +16,7 @@
 
 import msgspec
 
+from berylspread.coordinator.claim_history import ClaimHistory
 from berylspread.coordinator.decision_log import DecisionLog
 from berylspread.coordinator.fitness import (
     DEFAULT_CAPACITY,
@@ -138,7 +139,7 @@
         self.next_offset = 0
         #: When the store or the leader last replied, in loop time.
         self.last_heard_at = now()
-        self.writer = RecordWriter(store, topic)
+        self.writer = RecordWriter(store, topic, ClaimHistory(authority_clock))
         self.term = Term(self.writer, self.authority, self._record_reply)
         self.leaving = asyncio.Event()
         #: Set once this node has claimed at the request of another.
@@ -166,6 +167,7 @@
         known = self.current
         if self.history.is_outdated(record, self.current) or record == known:
             return
+        self.writer.claims.record_claimed(record.epoch)
         self.current = record
         if known is not None and record.epoch > known.epoch:
             self.term.end(NotOwner(f'epoch {record.epoch} has begun'))
@@ -327,13 +329,19 @@
 
     def _apply_item(self, item: KeyedItem) -> None:
         try:
-            record = decode_record(item.blob)
+            stored = decode_record(item.blob)
         except msgspec.DecodeError as error:
             self.log.write('leader-unreadable', reason=str(error))
             self.history.is_record_unreadable = True
             return
         self.history.is_record_unreadable = False
         self.last_heard_at = now()
+        record = stored.record
+        self.writer.claims.record_claimed(record.epoch)
+        if stored.claims is None:
+            self.writer.claims.untracked_epoch = record.epoch
+        else:
+            self.writer.claims.apply(stored.claims)
         if self.history.is_outdated(record, self.current):
             self.log.write(
                 'leader-outdated', epoch=record.epoch, leader=record.node
@@ -389,6 +397,7 @@
         )
         if won and not self.history.is_outdated(record, self.current):
             self.authority.confirm(self.authority.claimed_at)
+            self.writer.claims.record_claimed(epoch)
             self.current = record
             return True
         if isinstance(reply, StoreRejected):
--- a/packages/berylspread/src/berylspread/coordinator/node.py
+++ b/packages/berylspread/src/berylspread/coordinator/node.py
@@ -273,6 +273,7 @@
             wall=clients.wall_clock,
             log=self.log,
             authority_age=self.leadership.authority_age,
+            claims=self.leadership.writer.claims,
             longest_grant_ms=clients.longest_grant_ms,
             record_bytes=clients.record_bytes,
         )
--- a/packages/berylspread/src/berylspread/coordinator/orders.py
+++ b/packages/berylspread/src/berylspread/coordinator/orders.py
@@ -88,6 +88,12 @@
     def record_lost_run(self, run: Run, reason: str) -> None:
         """Record that a run has been lost or has never started."""
 
+    def record_contact(self, worker: Worker) -> asyncio.Future[Failure | None]:
+        """Store that this coordinator extends a worker's leases from now on.
+
+        The future is done once that is stored.
+        """
+
     def record_refusal(self, run: Run, cause: str) -> None:
         """Record that a worker refused to start a run."""
 
--- a/packages/berylspread/src/berylspread/coordinator/records.py
+++ b/packages/berylspread/src/berylspread/coordinator/records.py
@@ -9,6 +9,9 @@
 divided among records with the keys ``p/JOB/PART``, and ``j/JOB`` holds their
 number.  The records of a job share an append.
 
+``w/WORKER`` holds the last epoch whose coordinator may have extended the
+worker's leases.
+
 Earlier versions wrote one record for all tasks of a step.
 """
 
@@ -35,6 +38,7 @@
 JOB_PREFIX: Final = 'j/'
 JOB_PART_PREFIX: Final = 'p/'
 STEP_PREFIX: Final = 's/'
+CONTACT_PREFIX: Final = 'w/'
 #: Separates the part of a step, or of a job's record, from the name.
 PART_SEPARATOR: Final = '/'
 #: The longest record that the store takes, unless the settings give another.
@@ -277,6 +281,26 @@
     return STEP_PREFIX + step.name + suffix
 
 
+def contact_key(worker: str) -> str:
+    """Return the key of the record of a worker's last contact."""
+    return CONTACT_PREFIX + worker
+
+
+def encode_contact(epoch: int) -> bytes:
+    """Return the record of a contact in an epoch."""
+    return str(epoch).encode()
+
+
+def decode_contact(blob: bytes) -> int:
+    """Return the epoch in the record of a contact.
+
+    Raises:
+        ValueError: The record is malformed.
+
+    """
+    return int(blob)
+
+
 def task_part(task: Task) -> int:
     """Return the part of its step that a task is stored in."""
     return task.index // TASKS_PER_RECORD
--- a/packages/berylspread/src/berylspread/coordinator/session.py
+++ b/packages/berylspread/src/berylspread/coordinator/session.py
@@ -66,8 +66,11 @@
 #: and completes a run in less.
 LIFE_PROVEN_S: Final = 0.2
 #: A coordinator whose authority has not been confirmed for this long renews no
-#: leases, so that a successor knows when they have expired.
-AUTHORITY_GRACE_S: Final = 6.0
+#: leases, so that a successor knows when they have expired.  Tasks outlast an
+#: outage of the store for this time and a lease.
+AUTHORITY_GRACE_S: Final = 4.0
+#: How long a session waits at a time for its first contact to be stored.
+CONTACT_WAIT_S: Final = 0.1
 
 
 @final
@@ -75,6 +78,7 @@
     """Renews one worker's leases and settles the runs that are over."""
 
     __slots__ = (
+        'contact_stored',
         'coordinator',
         'delivered_seq',
         'orders',
@@ -94,6 +98,8 @@
         self.worker_api = worker_api
         self.coordinator = coordinator
         self.orders = OrderSender(worker, worker_api, coordinator)
+        #: Done once it is stored that this coordinator extends the leases.
+        self.contact_stored: asyncio.Future[Failure | None] | None = None
         #: Done once every recorded outcome is stored.
         self.pending_store: asyncio.Future[Failure | None] | None = None
         #: The last acknowledged end of which the worker has been told.
@@ -104,6 +110,7 @@
     async def run(self) -> None:
         """Renew the leases and fetch outcomes until the worker is gone."""
         while not self._is_retired():
+            await self._wait_for_contact()
             if not self.coordinator.has_authority(AUTHORITY_GRACE_S):
                 await asyncio.sleep(RETRY_S)
                 continue
@@ -140,6 +147,40 @@
         if lost:
             self.orders.record_crash(RESTARTED, runs.keys() - lost)
 
+    async def _wait_for_contact(self) -> None:
+        """Wait a little for the first contact to be stored."""
+        stored = self.contact_stored
+        if stored is None:
+            return
+        if not stored.done():
+            await asyncio.wait((stored,), timeout=CONTACT_WAIT_S)
+        elif stored.result() is not None:
+            # The store refused it; the next report is another contact.
+            self.contact_stored = None
+
+    def _may_extend_leases(self) -> bool:
+        stored = self.contact_stored
+        return (
+            self.worker.is_reachable
+            and stored is not None
+            and stored.done()
+            and stored.result() is None
+        )
+
+    def _record_contact(self, report: WorkerReport) -> None:
+        """Record the first report of a worker to this coordinator.
+
+        Until that is stored, no lease is extended: a successor counts from the
+        end of the last epoch that may have extended one.
+        """
+        if self.contact_stored is None:
+            # The worker refuses earlier coordinators from now on; the leases
+            # that they were granted are no longer than this.
+            self.worker.lease_until_ms = max(
+                self.worker.lease_until_ms, report.clock_ms + LEASE_MS
+            )
+            self.contact_stored = self.coordinator.record_contact(self.worker)
+
     def _is_retired(self) -> bool:
         worker = self.worker
         return (
@@ -153,7 +194,7 @@
         until_ms = 0
         # A renewal that may not arrive must not extend the lease: that of a
         # worker that is gone would never expire.
-        if worker.clock.observed_at is not None and worker.is_reachable:
+        if self._may_extend_leases():
             until_ms = worker.clock.estimate_ms(now()) + LEASE_MS
             worker.lease_until_ms = max(worker.lease_until_ms, until_ms)
         has_pending_order = (
@@ -181,6 +222,9 @@
         is_withheld = self._has_undelivered_seq() and not self._is_life_proven()
         if not self.worker.is_reachable or is_withheld:
             return 0
+        if self.contact_stored is not None and not self._may_extend_leases():
+            # The leases need another renewal soon.
+            return 0
         wait_s = report_wait_s(self.worker, self.coordinator.expected_s, now())
         return int(wait_s * MS_PER_S)
 
@@ -210,6 +254,7 @@
         self._detect_restart(report)
         worker.clock.observe(report.clock_ms, now())
         worker.is_reachable = True
+        self._record_contact(report)
         stored = self._apply_outcomes(report.ended)
         listed = self._apply_running(report.running)
         if not report.more:
--- a/packages/berylspread/src/berylspread/coordinator/table.py
+++ b/packages/berylspread/src/berylspread/coordinator/table.py
@@ -23,10 +23,12 @@
     Task,
 )
 from berylspread.coordinator.records import (
+    CONTACT_PREFIX,
     JOB_PART_PREFIX,
     JOB_PREFIX,
     STEP_PREFIX,
     JobRecord,
+    decode_contact,
     decode_job,
     join_job_parts,
     restore_step,
@@ -58,6 +60,7 @@
     """Jobs by id; jobs that have ended are kept separately for some time."""
 
     __slots__ = (
+        'contact_epochs',
         'durations',
         'ended_jobs',
         'future_steps',
@@ -77,6 +80,9 @@
         self.queues_version = 0
         self.share_meter = ShareMeter()
         self.durations = DurationEstimator()
+        #: The last epoch whose coordinator may have extended the leases of a
+        #: worker, as earlier coordinators have stored it.
+        self.contact_epochs: dict[str, int] = {}
         self.jobs: dict[str, Job] = {}
         self.ended_jobs: dict[str, EndedJob] = {}
         #: Jobs with a record that this version cannot read.  They are left as
@@ -99,10 +105,17 @@
 
     def restore(self, snapshot: Snapshot, wall_ms: float) -> None:
         """Fill an empty table with the jobs and steps in the store."""
-        jobs, parts, steps = (
+        jobs, parts, steps, contacts = (
             _select_blobs(snapshot, prefix)
-            for prefix in (JOB_PREFIX, JOB_PART_PREFIX, STEP_PREFIX)
+            for prefix in (
+                JOB_PREFIX,
+                JOB_PART_PREFIX,
+                STEP_PREFIX,
+                CONTACT_PREFIX,
+            )
         )
+        for worker, blob in contacts.items():
+            self._restore_contact(worker, blob)
         for job_id, blob in jobs.items():
             self._restore_job(job_id, blob, parts)
         for job in sorted(self.jobs.values(), key=_accepted_ms):
@@ -260,6 +273,15 @@
         except UNREADABLE as error:
             self._record_unreadable(job_id, error)
 
+    def _restore_contact(self, worker: str, blob: bytes) -> None:
+        try:
+            self.contact_epochs[worker] = decode_contact(blob)
+        except ValueError as error:
+            # Without it, leases count from this coordinator's claim.
+            self.log.write(
+                'contact-unreadable', worker=worker, reason=str(error)
+            )
+
     def _restore_steps(
         self, job: Job, blobs: Mapping[str, bytes], wall_ms: float
     ) -> bool:
