--- a/features/explorer/explorer.feature
+++ b/features/explorer/explorer.feature
@@ -15,6 +15,9 @@
       | cut     |
       | leave   |
       | slow    |
+      | cuts    |
+      | in-turn |
+      | move    |
 
   Scenario: All workers are replaced by others under new names
     Given 2 nodes and the script "replace"
@@ -37,6 +40,9 @@
       | cut     |
       | slow    |
       | replace |
+      | cuts    |
+      | in-turn |
+      | move    |
 
   Scenario: A violation is shrunk to the deviations that it needs
     Given 2 nodes and the script "calm"
--- a/features/process_soak/soak.feature
+++ b/features/process_soak/soak.feature
@@ -64,3 +64,15 @@
     And worker "w1" restarted at 1.5
     And its runs were 0.0 w1 0 1 done, 0.0 w2 2 3 done, 1.0 w1 4 5 done
     Then the promises broken are ""
+
+  Scenario Outline: Runs go to a service that the queue may have
+    Given job "a" of steps 1 and 1 that was accepted and is "completed"
+    And the queue was sent to service "annex" at <moved> and back at <back>
+    And its runs were 0.0 w1 10 11 done, 1.0 w1 12 13 done
+    Then the promises broken are "<broken>"
+
+    Examples:
+      | moved | back | broken |
+      | 9     | 99   |        |
+      | 4     | 99   | on a service that the queue has left |
+      | 4     | 9    |        |
--- a/features/process_soak/steps/soak_steps.py
+++ b/features/process_soak/steps/soak_steps.py
@@ -107,3 +107,12 @@
     found = broken_promises(context.fleet, [context.job])
     kinds = {line.split(':')[0] for line in found}
     assert kinds == set(filter(None, broken.split(', '))), found
+
+
+@given(
+    'the queue was sent to service "{service}" at {moved:g} and back at '
+    '{back:g}'
+)
+def step_moved(context, service, moved, back):
+    home = context.fleet.services[0][0]
+    context.fleet.services.extend([(service, moved), (home, back)])
--- a/packages/berylspread-standins/src/berylspread_standins/explorer/invariants.py
+++ b/packages/berylspread-standins/src/berylspread_standins/explorer/invariants.py
@@ -62,7 +62,11 @@
 def _may_follow(world: World, earlier: RunLog, later: RunLog) -> bool:
     if earlier.ended_at is None or later.started_at < earlier.ended_at:
         return False
-    return earlier.outcome != 'done' or earlier.worker in world.lost_workers
+    if earlier.outcome != 'done' or earlier.worker in world.lost_workers:
+        return True
+    # A success whose worker's lease lapses unacknowledged need not be known.
+    worker = world.fleet.workers[earlier.worker]
+    return worker.has_lapsed(earlier.ended_at, later.started_at)
 
 
 @check
--- a/packages/berylspread-standins/src/berylspread_standins/explorer/scripts.py
+++ b/packages/berylspread-standins/src/berylspread_standins/explorer/scripts.py
@@ -3,6 +3,8 @@
 from collections.abc import Callable, Coroutine
 from typing import TYPE_CHECKING, Any, Final
 
+import msgspec
+
 if TYPE_CHECKING:
     from berylspread_standins.explorer.world import World
 
@@ -19,6 +21,14 @@
 LOST_AFTER_S: Final = 0.6
 #: How long it takes until others join, longer than a lease.
 REPLACED_AFTER_S: Final = 9.0
+#: Cuts of workers, longer than a lease, one after the other.
+WORKER_CUTS: Final = 4
+WORKER_CUT_S: Final = 4.6
+#: Changes of the coordinator, and the time between them.
+KILLS_IN_TURN: Final = 3
+BETWEEN_KILLS_S: Final = 2.5
+#: How long a queue is sent to another service.
+MOVED_S: Final = 1.5
 
 
 def script(name: str) -> Callable[[Script], Script]:
@@ -83,3 +93,40 @@
     await world.sleep(REPLACED_AFTER_S)
     for name in names:
         world.fleet.add_worker(f'new-{name}')
+
+
+@script('cuts')
+async def cut_workers(world: 'World') -> None:
+    """Cut off the worker of the newest run, again and again."""
+    for _ in range(WORKER_CUTS):
+        await world.sleep(LOST_AFTER_S)
+        worker = world.newest_worker()
+        if worker is not None:
+            worker.is_cut = True
+            await world.sleep(WORKER_CUT_S)
+            worker.is_cut = False
+
+
+@script('in-turn')
+async def kill_in_turn(world: 'World') -> None:
+    """Lose all workers, and then one coordinator after the other."""
+    await world.sleep(LOST_AFTER_S)
+    names = list(world.fleet.workers)
+    for name in names:
+        world.lose_worker(name)
+    for _ in range(KILLS_IN_TURN):
+        await kill_coordinator(world)
+        await world.sleep(BETWEEN_KILLS_S)
+    for name in names:
+        world.fleet.add_worker(f'new-{name}')
+
+
+@script('move')
+async def move_queue(world: 'World') -> None:
+    """Send the queue to another service, drop it, and send it back."""
+    world.fleet.add_worker('annex', service='annex')
+    queue = world.queue()
+    moved = msgspec.structs.replace(queue, service='annex')
+    for version, newest in enumerate((moved, None, queue), 2):
+        await world.sleep(MOVED_S)
+        world.fleet.configure(version, newest)
--- a/packages/berylspread-standins/src/berylspread_standins/explorer/world.py
+++ b/packages/berylspread-standins/src/berylspread_standins/explorer/world.py
@@ -23,7 +23,7 @@
     TOPICS,
     job,
 )
-from berylspread_standins.coordinated.worker import RunLog
+from berylspread_standins.coordinated.worker import RunLog, WorkerStandin
 from berylspread_standins.explorer.choices import Chooser
 from berylspread_standins.explorer.faults import (
     ExploredStore,
@@ -141,6 +141,15 @@
         """Return the node that coordinates, if there is one."""
         return self.fleet.leader()
 
+    def newest_worker(self) -> WorkerStandin | None:
+        """Return the worker with the newest run, if there is a run."""
+        runs = self.fleet.runs()
+        return self.fleet.workers.get(runs[-1].worker) if runs else None
+
+    def queue(self) -> Queue:
+        """Return the queue of the jobs."""
+        return QUEUE
+
     async def sleep(self, seconds: float) -> None:
         """Wait in virtual time."""
         await asyncio.sleep(seconds)
--- a/packages/berylspread-standins/src/berylspread_standins/process_soak/callers.py
+++ b/packages/berylspread-standins/src/berylspread_standins/process_soak/callers.py
@@ -32,6 +32,9 @@
 LASTING: Final = 0.1
 #: The share of the jobs with a task that crashes its workers.
 CRASHING: Final = 0.03
+#: The share of the jobs with a step of many tasks, and how many.
+LARGE: Final = 0.005
+LARGE_STEP: Final = 400
 WIDEST_GANG: Final = 4
 LASTING_S: Final = 4.0
 WIDEST: Final = 6
@@ -187,6 +190,8 @@
             self.fleet.lasting.add(job.job_id)
         elif draw < GANGS + LASTING + CRASHING:
             self.fleet.crashing.add(f'{job.job_id}.0.0.0')
+        elif draw < GANGS + LASTING + CRASHING + LARGE:
+            job.steps = [LARGE_STEP]
         return job
 
     async def _follow(self, job: Handed) -> None:
--- a/packages/berylspread-standins/src/berylspread_standins/process_soak/faults.py
+++ b/packages/berylspread-standins/src/berylspread_standins/process_soak/faults.py
@@ -7,7 +7,12 @@
 from typing import Final, final
 
 from berylspread.kernel.registry import Plugin, Registry
-from berylspread_standins.process_soak.fleet import NodeProcess, ProcessFleet
+from berylspread_standins.process_soak.fleet import (
+    OTHER_SERVICE,
+    SERVICE,
+    NodeProcess,
+    ProcessFleet,
+)
 from berylspread_standins.process_soak.proxy import Direction, LoopbackProxy
 
 SHORTEST_S: Final = 0.5
@@ -15,6 +20,11 @@
 DELAY_S: Final = 0.25
 LATE_SHARE: Final = 0.3
 MAX_CLOCK_OFF_S: Final = 30.0
+#: Cuts of a task's workers, each longer than a lease.
+WORKER_CUTS: Final = 4
+WORKER_CUT_S: Final = 4.6
+#: Between two kills: up to a takeover and a while.
+LONGEST_GAP_S: Final = 3.0
 BOTH_WAYS: Final = frozenset(Direction)
 
 
@@ -253,6 +263,61 @@
             worker.fails_all = False
 
 
+@faults.register
+@final
+class WorkerCuts(ProcessFault):
+    """The workers of one task are cut off one after the other, and run on."""
+
+    name = 'worker-cuts'
+
+    async def inject(self, fleet: ProcessFleet, rng: random.Random) -> None:
+        """Cut off the worker of the newest run of a task, several times."""
+        task = ''
+        for _ in range(WORKER_CUTS):
+            run = fleet.newest_run(task)
+            if run is None or run.worker not in fleet.worker_proxies:
+                return
+            task = run.task
+            proxy = fleet.worker_proxies[run.worker]
+            _silence(proxy, BOTH_WAYS)
+            try:
+                await asyncio.sleep(WORKER_CUT_S)
+            finally:
+                _heal(proxy)
+
+
+@faults.register
+@final
+class LostInTurn(ProcessFault):
+    """A worker is lost for good, and then one program after the other."""
+
+    name = 'lost-in-turn'
+
+    async def inject(self, fleet: ProcessFleet, rng: random.Random) -> None:
+        """Replace a worker and kill the programs in turn."""
+        await fleet.replace_worker(rng.choice(list(fleet.worker_proxies)))
+        for node in fleet.nodes:
+            node.send(signal.SIGKILL)
+            await fleet.restart(node)
+            await asyncio.sleep(rng.uniform(0, LONGEST_GAP_S))
+
+
+@faults.register
+@final
+class QueueMoved(ProcessFault):
+    """The queue is sent to another service, and back."""
+
+    name = 'queue-moved'
+
+    async def inject(self, fleet: ProcessFleet, rng: random.Random) -> None:
+        """Publish two versions of the configuration."""
+        fleet.send_queue_to(OTHER_SERVICE)
+        try:
+            await self.hold(rng)
+        finally:
+            fleet.send_queue_to(SERVICE)
+
+
 def _delay(proxy: LoopbackProxy, way: Set[Direction]) -> None:
     proxy.delay_s = DELAY_S
 
--- a/packages/berylspread-standins/src/berylspread_standins/process_soak/fleet.py
+++ b/packages/berylspread-standins/src/berylspread_standins/process_soak/fleet.py
@@ -19,6 +19,7 @@
 )
 from berylspread_standins.coordinated.gangs import Gangs
 from berylspread_standins.coordinated.wire import AdviceApp, StoreApp, WorkerApp
+from berylspread_standins.coordinated.worker import RunLog
 from berylspread_standins.process_soak.proxy import LoopbackProxy
 from berylspread_standins.serving import HttpServer
 
@@ -49,14 +50,18 @@
 WATCH_S: Final = 0.2
 #: Share of the runs that fail by their own fault.
 FAILURES: Final = 0.03
-CONFIG: Final = {
-    'version': 1,
+#: The queue's service, and another one that it is sent to for a while.
+SERVICE: Final = 'desk'
+OTHER_SERVICE: Final = 'annex'
+OTHER_WORKERS: Final = 2
+#: The longest record of the store; that of a step of 400 tasks would be longer.
+RECORD_BYTES: Final = 16_000
+CONFIG: Final[dict[str, Any]] = {
     'routes': [
         {
             'name': 'r-1',
             'host': HOST,
             'pathPrefix': '/q/',
-            'service': 'desk',
             'maxAttempts': MAX_ATTEMPTS,
             'advice': {'decideMs': 20, 'eachMs': 1, 'validMs': 2000},
         }
@@ -73,6 +78,7 @@
 readyAddr = "{ip}:{ready}"
 [platform]
 address = "{store}"
+recordBytes = {record_bytes}
 """
 
 
@@ -133,6 +139,7 @@
                 ready=READY_PORT,
                 advice=advice,
                 store=self.proxy.address,
+                record_bytes=RECORD_BYTES,
             )
         )
         with (self.folder / f'{self.name}.log').open('ab') as log:
@@ -180,6 +187,7 @@
         'restarts',
         'rng',
         'servers',
+        'services',
         'store',
         'worker_proxies',
         'workers',
@@ -190,6 +198,9 @@
         self.folder = folder
         self.rng = rng
         self.store = StoreStandin()
+        self.store.record_bytes = RECORD_BYTES
+        #: The queue's services, and from when on each was published.
+        self.services: list[tuple[str, float]] = [(SERVICE, 0.0)]
         self.nodes: list[NodeProcess] = []
         self.workers: dict[str, WorkerStandin] = {}
         #: The ways to the workers that are there; ``workers`` has all.
@@ -212,9 +223,11 @@
         """Start the platform's stand-ins and then the programs."""
         store = await self._serve(StoreApp(self.store))
         self.advice = await self._serve(AdviceApp(PermissionServiceStandin()))
-        self.store.append('keyed.op', [('config', _pack(CONFIG))])
+        self.send_queue_to(SERVICE)
         for _ in range(workers):
-            await self._add_worker()
+            await self._add_worker(SERVICE)
+        for _ in range(OTHER_WORKERS):
+            await self._add_worker(OTHER_SERVICE)
         for index in range(nodes):
             proxy = LoopbackProxy(store)
             await proxy.start()
@@ -256,13 +269,34 @@
         self.restarts.append((name, now()))
         self.workers[name].restart()
 
+    def newest_run(self, task: str = '') -> RunLog | None:
+        """Return the newest run of a task, or of any."""
+        runs = [
+            log
+            for worker in self.workers.values()
+            for log in worker.history
+            if task in {'', log.task}
+        ]
+        return max(runs, key=_started_at, default=None)
+
+    def send_queue_to(self, service: str) -> None:
+        """Publish a version that sends the queue to a service."""
+        self.services.append((service, now()))
+        route = {**CONFIG['routes'][0], 'service': service}
+        document = {
+            **CONFIG,
+            'version': len(self.services),
+            'routes': [route],
+        }
+        self.store.append('keyed.op', [('config', _pack(document))])
+
     async def replace_worker(self, name: str) -> None:
         """Let a worker vanish, and another one come under a new name."""
         self.restarts.append((name, now()))
         self.workers[name].vanish()
         self.store.append('keyed.servers', [(name, b'')])
         await self.worker_proxies.pop(name).stop()
-        await self._add_worker()
+        await self._add_worker(self.workers[name].entry.service)
 
     async def _serve(self, app: Any) -> str:
         server = HttpServer(app)
@@ -270,10 +304,10 @@
         self.servers.append(server)
         return server.addresses[0]
 
-    async def _add_worker(self) -> None:
+    async def _add_worker(self, service: str) -> None:
         name = f'i-{len(self.workers)}'
         worker = WorkerStandin(
-            WorkerEntry(name, 'desk', '', 'z', True, Resources(), born_ms=1),
+            WorkerEntry(name, service, '', 'z', True, Resources(), born_ms=1),
             self._script,
         )
         worker.gangs = self.gangs
@@ -283,7 +317,7 @@
         self.workers[name] = worker
         self.worker_proxies[name] = proxy
         entry = {
-            'service': 'desk',
+            'service': service,
             'address': proxy.address,
             'zone': 'z',
             'state': 'ready',
@@ -302,6 +336,10 @@
         return self.rng.uniform(WORK_S / 3, WORK_S * 3), outcome
 
 
+def _started_at(log: RunLog) -> float:
+    return log.started_at
+
+
 def _pack(document: dict[str, Any]) -> bytes:
     return json.dumps(document).encode()
 
--- a/packages/berylspread-standins/src/berylspread_standins/process_soak/promises.py
+++ b/packages/berylspread-standins/src/berylspread_standins/process_soak/promises.py
@@ -14,6 +14,10 @@
 
 #: Starts of a cancelled job may come this long after its acknowledgement.
 CANCEL_S: Final = 3.0
+#: How long a version may be in force after the next is published.
+CONFIG_APPLY_S: Final = 2.5
+#: How long an order that it allowed may be on its way.
+ORDER_S: Final = 1.8
 DONE: Final = 'done'
 FAILED: Final = 'failed'
 CRASHED: Final = 'crashed'
@@ -41,6 +45,7 @@
     known = {job.job_id: job for job in jobs}
     return [
         *(line for logs in runs.values() for line in _task(fleet, logs)),
+        *(line for logs in runs.values() for line in _routes(fleet, logs)),
         *(line for task in fleet.crashing for line in _crashes(runs, task)),
         *(line for job in jobs for line in _job(job, by_job, runs)),
         *(line for name in fleet.workers for line in _worker(fleet, name)),
@@ -65,6 +70,23 @@
         last = log
 
 
+def _routes(fleet: ProcessFleet, logs: list[RunLog]) -> Iterator[str]:
+    for log in logs:
+        if not _may_be_routed(fleet, log):
+            yield f'on a service that the queue has left: {log.task} {log.run}'
+
+
+def _may_be_routed(fleet: ProcessFleet, log: RunLog) -> bool:
+    """Return whether a version that sent the queue there may be in force."""
+    service = fleet.workers[log.worker].entry.service
+    earliest = log.started_at - CONFIG_APPLY_S - ORDER_S
+    ends = [at for _, at in fleet.services[1:]] + [NEVER]
+    return any(
+        name == service and begun <= log.started_at and ended >= earliest
+        for (name, begun), ended in zip(fleet.services, ends, strict=True)
+    )
+
+
 def _crashes(runs: dict[str, list[RunLog]], task: str) -> Iterator[str]:
     crashes = sum(log.outcome == CRASHED for log in runs.get(task, ()))
     if crashes > MAX_CRASHES:
