Count a crash once, and only against runs that it may have ended

Cause: a worker's restart counted against every run on it: again with each further restart until the run was settled, again by the next coordinator, and against runs whose order had not been sent.

Change: a run counts once, if it has been ordered, and not if the new life lists it. The record of the task tells later coordinators that it has counted. An order whose worker has restarted since the record was stored is withdrawn, as a successor would count it.

Why this works: each start of a task adds to its score at most once.

--- a/features/coordinator/crashes.feature
+++ b/features/coordinator/crashes.feature
@@ -112,6 +112,44 @@
     Then job "a" is succeeded
     And task "a.0.0.0" has been started 4 times
 
+  # Guards against counting one run several times.
+  Scenario: LOST: a worker that restarts again and again counts once for a run
+    Given a cell of 3 nodes and 2 workers
+    And tasks of job "a" take 8 s
+    When a job "a" of one plain task is submitted
+    And 0.5 s pass
+    And the worker of job "a" is restarted 3 times, 0.02 s apart
+    And the coordinator is killed
+    And 30 s pass
+    Then job "a" is succeeded
+    And task "a.0.0.0" has been started 2 times
+
+  # Guards against counting a run that the next life has started.
+  Scenario: LOST: a run that a worker's next life has ended is no crash
+    Given a cell of 1 nodes and 1 worker
+    And tasks of job "a" take 0.05 s
+    When 1 s passes
+    And orders to workers take 0.3 s in transit
+    And a job "a" of one plain task is submitted
+    And 0.1 s pass
+    And all workers are restarted
+    And 2 s pass
+    Then job "a" is succeeded
+    And no crash counts against job "a"
+
+  Scenario Outline: A crash counts once, and against a run that was ordered
+    Given a worker that has listed a run of a plain task 0 s after its start
+    And its run <what>
+    When the worker crashes
+    And the worker crashes
+    Then the score of the task is <score>
+
+    Examples:
+      | what                                  | score |
+      | was ordered                           | 2     |
+      | was not ordered yet                   | 0     |
+      | was counted by an earlier coordinator | 0     |
+
   # Guards against a hold that ends with the coordinator.
   Scenario: LOST: a task on hold is released by a later coordinator
     Given a cell of 5 nodes and 12 workers
--- a/features/coordinator/steps/crash_steps.py
+++ b/features/coordinator/steps/crash_steps.py
@@ -5,8 +5,12 @@
 import msgspec
 from behave import given, then, when
 
-from berylspread.coordinator.crashes import record_crash
-from berylspread.coordinator.fleet import Run, Stage
+from berylspread.coordinator.crashes import (
+    STARTING_SCORE,
+    add_crash,
+    record_crash,
+)
+from berylspread.coordinator.fleet import Run, Stage, find_run
 from berylspread.coordinator.holds import Holds
 from berylspread.coordinator.messages import JobAccepted
 from berylspread.coordinator.model import Job, StepSpec
@@ -14,7 +18,13 @@
 from berylspread_standins.coordinated import CoordinatedFleet
 from berylspread_standins.coordinated.fleet import TASK, job
 from berylspread_standins.exchange import detach
-from features.coordinator.cell import make_worker, runs_of, submit_spec
+from features.coordinator.cell import (
+    find_coordinator,
+    make_worker,
+    runs_of,
+    submit_spec,
+    worker_of,
+)
 
 LONG_DOWN_S = 60.0
 WATCH_S = 0.005
@@ -173,11 +183,83 @@
     context.task = Job(job('a', spec)).steps[0, 0].tasks[0]
     context.worker = make_worker('w')
     run = Run(context.task, context.worker, Stage.running, 0.0)
+    run.record_order(0.0)
     run.confirmed_at = 0.0
     run.listed_at = age
     context.worker.add_run(run)
 
 
+@given('its run was ordered')
+def step_ordered(context):
+    _only_run(context).record_order(0.0)
+
+
+@given('its run was not ordered yet')
+def step_unordered(context):
+    _replace_run(context, Stage.ordered)
+
+
+@given('its run was counted by an earlier coordinator')
+def step_counted(context):
+    _only_run(context).record_crash()
+    _replace_run(context, Stage.inherited)
+
+
+def _only_run(context):
+    return next(iter(context.worker.runs.values()))
+
+
+def _replace_run(context, stage):
+    context.worker.remove_run(_only_run(context))
+    context.worker.add_run(Run(context.task, context.worker, stage, 0.0))
+
+
+@when(
+    'the worker of job "{job_id}" is restarted {count:d} times, {gap:g} s apart'
+)
+def step_restart_often(context, job_id, count, gap):
+    async def restart():
+        worker = worker_of(context, job_id)
+        for _ in range(count):
+            worker.restart()
+            await asyncio.sleep(gap)
+
+    context.run(restart())
+
+
+def _coordinator(context):
+    service = context.cell.nodes[find_coordinator(context)].node.service
+    return service.coordinator
+
+
+def _only_step(coordinator, job_id):
+    job = coordinator.table.jobs[job_id]
+    return job.steps[0, 0]
+
+
+@then('no crash counts against job "{job_id}"')
+def step_no_crash(context, job_id):
+    step = _only_step(_coordinator(context), job_id)
+    scores = [task.crash_score for task in step.tasks]
+    assert not any(scores), scores
+
+
+@when(
+    '{count:d} crashes of its workers count against task "{task}", whose run '
+    'is stopped'
+)
+def step_count_and_stop(context, count, task):
+    async def stop():
+        coordinator = _coordinator(context)
+        found = _only_step(coordinator, task.partition('.')[0]).tasks[0]
+        for _ in range(count):
+            add_crash(found, '', STARTING_SCORE)
+        run = find_run(coordinator.workers, found)
+        coordinator.sessions[run.worker.name].orders.stop(run, 'test')
+
+    context.run(stop())
+
+
 @when('the worker crashes')
 def step_crash(context):
     record_crash(context.worker)
--- a/packages/berylspread-standins/src/berylspread_standins/process_soak/faults.py
+++ b/packages/berylspread-standins/src/berylspread_standins/process_soak/faults.py
@@ -18,6 +18,8 @@
 SHORTEST_S: Final = 0.5
 LONGEST_S: Final = 5.0
 DELAY_S: Final = 0.25
+#: The usual time of the store's replies.
+ANSWER_S: Final = 0.004
 LATE_SHARE: Final = 0.3
 MAX_CLOCK_OFF_S: Final = 30.0
 #: Cuts of a task's workers, each longer than a lease.
@@ -177,12 +179,12 @@
             await self.hold(rng)
         finally:
             fleet.store.is_down = False
-        usual_s = fleet.store.answer_s
         fleet.store.answer_s = DELAY_S
         try:
             await self.hold(rng)
         finally:
-            fleet.store.answer_s = usual_s
+            # Two outages may overlap: the slow one is not the usual time.
+            fleet.store.answer_s = ANSWER_S
 
 
 @faults.register
--- a/packages/berylspread/src/berylspread/coordinator/crashes.py
+++ b/packages/berylspread/src/berylspread/coordinator/crashes.py
@@ -34,12 +34,19 @@
 def record_crash(worker: Worker, survivors: Container[str] = ()) -> list[str]:
     """Count a crash of a worker against the tasks that it ran.
 
-    ``survivors`` are the tasks whose runs have not ended with the crash.
+    ``survivors`` are the tasks whose runs have not ended with the crash.  A
+    worker may crash again before it is known that a run is over: the run counts
+    once.
     Returns the tasks that were starting.
     """
-    lost = [run for name, run in worker.runs.items() if name not in survivors]
+    lost = [
+        run
+        for name, run in worker.runs.items()
+        if name not in survivors and run.may_count_crash
+    ]
     for run in lost:
         add_crash(run.task, worker.name, crash_score(run))
+        run.record_crash()
     return [run.task.name for run in lost if _may_be_starting(run)]
 
 
--- a/packages/berylspread/src/berylspread/coordinator/dispatcher.py
+++ b/packages/berylspread/src/berylspread/coordinator/dispatcher.py
@@ -20,6 +20,7 @@
     Phase,
     Step,
 )
+from berylspread.coordinator.orders import RESTARTED
 from berylspread.coordinator.permit_choice import FleetView
 from berylspread.coordinator.permits import PermissionRequester
 from berylspread.coordinator.planner import (
@@ -314,6 +315,10 @@
         if job.status.is_final:
             coordinator.record_lost_run(run, 'job-ended')
             return
+        if run.task.worker_born_ms != run.worker.born_ms:
+            # A successor would take the run for one of the former life.
+            coordinator.record_lost_run(run, RESTARTED)
+            return
         if self._may_be_misrouted(run):
             coordinator.record_lost_run(run, 'queue-moved')
             return
--- a/packages/berylspread/src/berylspread/coordinator/fleet.py
+++ b/packages/berylspread/src/berylspread/coordinator/fleet.py
@@ -109,6 +109,7 @@
         'is_suspect',
         'latency_or_cpu',
         'listed_at',
+        'may_count_crash',
         'number',
         'pace_percent',
         'progress',
@@ -131,6 +132,11 @@
         self.since = since
         #: Whether ``since`` is the start; it is not for an inherited run.
         self.is_start_known = stage is not Stage.inherited
+        #: Whether a crash of the worker may count against the task: once, and
+        #: only if the run has been ordered.
+        self.may_count_crash = stage is Stage.inherited and bool(
+            task.worker_born_ms
+        )
         #: Whether workers may have crashed under the task.
         self.is_suspect = task.is_suspect
         self.reserved = task.step.spec.reserved_resources()
@@ -149,6 +155,7 @@
     def record_order(self, moment: float) -> None:
         """Record that the order to start the run is sent."""
         self.since = moment
+        self.may_count_crash = True
         self.progress.record_start(moment)
 
     def full_duration_s(self, ended_at: float) -> float | None:
@@ -165,6 +172,11 @@
             else None
         )
 
+    def record_crash(self) -> None:
+        """Record that a crash has been counted, also for later coordinators."""
+        self.may_count_crash = False
+        self.task.worker_born_ms = 0
+
     def record_running(self) -> None:
         """Record that the worker has confirmed the run."""
         self.stage = Stage.running
--- a/packages/berylspread/src/berylspread/coordinator/session.py
+++ b/packages/berylspread/src/berylspread/coordinator/session.py
@@ -279,8 +279,11 @@
             self.coordinator.log.write(
                 'worker-restarted', worker=worker.name, born_ms=report.born_ms
             )
+            # Both lists are of the new life.
             self.orders.record_crash(
-                RESTARTED, {row.task for row in report.running}
+                RESTARTED,
+                {row.task for row in report.running}
+                | {row.task for row in report.ended},
             )
         worker.born_ms = report.born_ms
         self.coordinator.silent_losses.apply_report(worker)
--- a/packages/berylspread/src/berylspread/coordinator/silent_losses.py
+++ b/packages/berylspread/src/berylspread/coordinator/silent_losses.py
@@ -57,7 +57,7 @@
             return
         for run in worker.runs.values():
             score = crash_score(run)
-            if score:
+            if score and run.may_count_crash:
                 loss = SilentLoss(
                     worker.name,
                     worker.entry.address,
