Give up a task on hold when its run ends otherwise

Cause: since tasks that may crash their workers can be on hold, a task with the score to be given up was held as soon as it waited again, but the score was reviewed only after a lost run.

Change: the score is reviewed whenever a task waits again, and when a coordinator has loaded the records.

The scenario failed on the former code: the job stayed as it was.

--- a/features/coordinator/crashes.feature
+++ b/features/coordinator/crashes.feature
@@ -137,6 +137,17 @@
     Then job "a" is succeeded
     And no crash counts against job "a"
 
+  # Guards against a hold without an end.
+  Scenario: BUDGET: a task is given up when its last run ends otherwise
+    Given a cell of 2 nodes and 2 workers
+    And tasks of job "a" take 2 s
+    When 1 s passes
+    And a job "a" of one plain task is submitted
+    And 0.5 s pass
+    And 3 crashes of its workers count against task "a.0.0.0", whose run is stopped
+    And 3 s pass
+    Then job "a" is failed
+
   Scenario Outline: A crash counts once, and against a run that was ordered
     Given a worker that has listed a run of a plain task 0 s after its start
     And its run <what>
--- a/packages/berylspread/src/berylspread/coordinator/coordinator.py
+++ b/packages/berylspread/src/berylspread/coordinator/coordinator.py
@@ -286,7 +286,6 @@
         self.requeue(run.task)
         if run.task.step.spec.gang and run.task.phase is Phase.waiting:
             _stop_members(self, run.task.step)
-        self.silent_losses.review_task(run.task)
 
     def record_contact(self, worker: Worker) -> asyncio.Future[Failure | None]:
         """Store that this coordinator extends a worker's leases from now on.
@@ -312,6 +311,7 @@
         task.step.requeue(task, is_held=self.silent_losses.is_held(task))
         self.table.ready_steps[task.step.name] = task.step
         self.committer.store_tasks(task.step, (task,))
+        self.silent_losses.review_task(task)
         self.wake.set()
 
     def finish_job(self, job: Job, status: JobStatus, cause: str) -> None:
--- a/packages/berylspread/src/berylspread/coordinator/silent_losses.py
+++ b/packages/berylspread/src/berylspread/coordinator/silent_losses.py
@@ -44,9 +44,10 @@
 
     def restore(self) -> None:
         """Find the losses that earlier coordinators have stored."""
-        for task in self.coordinator.table.tasks():
+        for task in list(self.coordinator.table.tasks()):
             for loss in task.silent_losses:
                 self._add(loss.worker, task)
+            self.review_task(task)
 
     def record(self, worker: Worker) -> None:
         """Record that a worker was silent until its leases were over.
