Log how many attempts are counted at each failed run

An operator who asked why a job was shown as failed saw each run's end, and not what the coordinator had counted: the members of a gang, a second report and a successor's count could not be told apart.

attempt-failed has the task, its run, the worker, the attempts counted so far for the task or its gang, and the most that the queue allows. The count itself is as before.

--- a/packages/berylspread/src/berylspread/coordinator/outcomes.py
+++ b/packages/berylspread/src/berylspread/coordinator/outcomes.py
@@ -101,7 +101,17 @@
         coordinator.requeue(task)
         return
     coordinator.health_monitor.record_failure(run)
-    if _count_attempts(step, task.failures) < job.spec.queue.max_attempts:
+    attempts = _count_attempts(step, task.failures)
+    max_attempts = job.spec.queue.max_attempts
+    coordinator.log.write(
+        'attempt-failed',
+        task=task.name,
+        run=run.number,
+        worker=run.worker.name,
+        attempts=attempts,
+        max_attempts=max_attempts,
+    )
+    if attempts < max_attempts:
         coordinator.requeue(task)
     elif not job.status.is_final:
         coordinator.finish_job(job, JobStatus.failed, f'{task.name} failed')
