Count a failed run of a gang once

Cause: the attempts of a gang were the sum of the failures of its tasks, so a run counted once for each member that failed in it. Two members were enough to use up a queue's two attempts in the first run. The class: one event that several observers report is counted for each report, as the count is not tied to what identifies the event.

Change: a task records the number of its newest failed run, and the run counts only if no member of its gang has recorded it or a later one; the members of a gang share their runs. Why it works: a gang is placed only when all members wait, so all ends of a run are settled before the next one begins, and the number tells the two apart whoever reports first, late, twice, or to a successor. The number is in the step's record. Records of earlier versions hold a run with each member, so the attempts are at most the number of runs; earlier versions skip the field and read each run once.

--- a/features/coordinator/attempts.feature
+++ b/features/coordinator/attempts.feature
@@ -11,3 +11,48 @@
       | task    | run | attempts | max_attempts |
       | a.0.0.1 | 1   | 1        | 2            |
       | a.0.0.1 | 2   | 2        | 2            |
+
+  Scenario Outline: A run of a gang is one attempt, whichever members fail in it
+    Given a step whose 3 tasks are a <kind>
+    When its tasks fail as "<failures>"
+    Then <attempts> attempts of its task 0 have failed
+
+    Examples: failures are the index of a task and the number of its run
+      | kind           | failures        | attempts |
+      | gang           | 0:1 1:1 2:1     | 1        |
+      | gang           | 0:1 1:1 1:2     | 2        |
+      | gang           | 1:1 2:2         | 2        |
+      | gang           | 0:1 0:1         | 1        |
+      | gang           | 0:1 1:1 2:3     | 2        |
+      | plain step     | 0:1 1:1 2:1     | 1        |
+      | plain step     | 0:1 0:3 1:2     | 2        |
+
+  Scenario Outline: A successor counts the failed run of a gang that it has read
+    Given a step whose 3 tasks are a gang
+    When its tasks fail as "<before>"
+    And its record is read by a successor
+    And its tasks fail as "<after>"
+    Then <attempts> attempts of its task 0 have failed
+
+    Examples:
+      | before  | after | attempts |
+      | 0:1     | 1:1   | 1        |
+      | 0:1 1:1 | 2:2   | 2        |
+
+  Scenario Outline: The record of an earlier version counts a run with each member
+    Given a step whose 3 tasks are a gang
+    When its record of an earlier version says that run <run> was the newest and tasks failed <failures> times
+    Then <attempts> attempts of its task 0 have failed
+    When its tasks fail as "<after>"
+    Then <later> attempts of its task 0 have failed
+
+    Examples:
+      | run | failures | attempts | after | later |
+      | 1   | 1, 1, 0  | 1        | 2:1   | 1     |
+      | 1   | 1, 1, 0  | 1        | 0:2   | 2     |
+      | 2   | 0, 1, 1  | 2        | 0:3   | 3     |
+
+  Scenario: An earlier version reads the record of a gang
+    Given a step whose 3 tasks are a gang
+    When its tasks fail as "0:1 1:1 2:2"
+    Then an earlier version reads that its tasks failed 1, 0, 1 times
--- a/features/coordinator/steps/attempt_steps.py
+++ b/features/coordinator/steps/attempt_steps.py
@@ -1,6 +1,96 @@
 """Steps about the attempts of tasks and gangs that are counted."""
 
-from behave import then
+import msgspec
+from behave import given, then, when
+
+from berylspread.coordinator.attempts import count_attempts, record_failure
+from berylspread.coordinator.model import Job, StepSpec
+from berylspread.coordinator.records import (
+    DEFAULT_RECORD_BYTES,
+    encode_step_part,
+    restore_step,
+)
+from berylspread_standins.coordinated.fleet import TASK, job
+
+WAITING = 0
+
+
+class EarlierTaskRow(msgspec.Struct, frozen=True, array_like=True):
+    """A task in the record of a step, as earlier versions read it."""
+
+    phase: int
+    run: int
+    worker: str
+    failures: int
+    checkpoint: str
+    crash_score: int = 0
+    worker_born_ms: int = 0
+    silent_losses: tuple[tuple[str, str, int, int, int], ...] = ()
+
+
+class EarlierStepRecord(msgspec.Struct, frozen=True, array_like=True):
+    """The record of a step, as earlier versions read it."""
+
+    tasks: list[EarlierTaskRow]
+
+
+def new_step(spec):
+    return Job(job('a', spec)).steps[0, 0]
+
+
+def encode(step):
+    return encode_step_part(step, 0, DEFAULT_RECORD_BYTES)
+
+
+def restore(context, blob):
+    context.step = new_step(context.step.spec)
+    restore_step(context.step, {context.step.name: blob}, 0)
+
+
+@given('a step whose {count:d} tasks are a {kind}')
+def step_tasks(context, count, kind):
+    context.step = new_step(StepSpec(count, TASK, gang=kind == 'gang'))
+
+
+@when('its tasks fail as "{failures}"')
+def step_fail(context, failures):
+    for failure in failures.split():
+        index, run = map(int, failure.split(':'))
+        for task in context.step.tasks:
+            task.run_number = max(task.run_number, run)
+        record_failure(context.step.tasks[index], run)
+
+
+@when('its record is read by a successor')
+def step_read(context):
+    restore(context, encode(context.step))
+
+
+@when(
+    'its record of an earlier version says that run {run:d} was the newest'
+    ' and tasks failed {failures} times'
+)
+def step_read_earlier(context, run, failures):
+    rows = [
+        EarlierTaskRow(WAITING, run, '', int(count), '')
+        for count in failures.split(', ')
+    ]
+    restore(context, msgspec.msgpack.encode(EarlierStepRecord(rows)))
+
+
+@then('{attempts:d} attempts of its task {index:d} have failed')
+def step_attempts(context, attempts, index):
+    counted = count_attempts(context.step.tasks[index])
+    assert counted == attempts, counted
+
+
+@then('an earlier version reads that its tasks failed {failures} times')
+def step_earlier_reads(context, failures):
+    record = msgspec.msgpack.decode(
+        encode(context.step), type=EarlierStepRecord
+    )
+    found = [str(row.failures) for row in record.tasks]
+    assert found == failures.split(', '), found
 
 
 @then('the log counts the failed attempts of job "{job_id}" as')
--- a/features/mutants/mutants.feature
+++ b/features/mutants/mutants.feature
@@ -22,6 +22,7 @@
       | permissions-ignored                |
       | crawling-not-seen                  |
       | failures-not-blamed                |
+      | gang-failures-counted-per-member   |
       | speeds-not-used                    |
       | batch-on-fast-workers              |
       | time-left-ignored                  |
--- a/features/support/mutants.py
+++ b/features/support/mutants.py
@@ -18,6 +18,7 @@
 
 from berylspread.config import review
 from berylspread.coordinator import (
+    attempts,
     blame,
     claim_history,
     closed_zones,
@@ -64,6 +65,7 @@
 from berylspread_platform import hangups
 
 MUTANT_ENV: Final = 'BERYLSPREAD_MUTANT'
+ATTEMPTS: Final = 'features/coordinator/attempts.feature'
 COORDINATION: Final = 'features/coordinator/coordination.feature'
 CHECK: Final = 'features/cli/check.feature'
 EXPLORER: Final = 'features/explorer/explorer.feature'
@@ -201,7 +203,7 @@
     return [choice for choice in chosen if choice is not None]
 
 
-def _no_attempts(step: model.Step, failures: int) -> int:
+def _no_attempts(task: model.Task) -> int:
     """Count no attempt."""
     return 0
 
@@ -384,7 +386,7 @@
     ),
     'attempts-uncounted': Mutant(
         outcomes,
-        '_count_attempts',
+        'count_attempts',
         _no_attempts,
         COORDINATION,
         'A job whose task fails every attempt is shown as failed',
@@ -424,6 +426,13 @@
         WORKER_HEALTH,
         'A worker that fails every task is soon avoided',
     ),
+    'gang-failures-counted-per-member': Mutant(
+        attempts,
+        '_newest_failed_run',
+        lambda task: 0,
+        ATTEMPTS,
+        'A run of a gang is one attempt, whichever members fail in it',
+    ),
     'speeds-not-used': Mutant(
         planner,
         'speed_penalty',
--- a/packages/berylspread/src/berylspread/coordinator/model.py
+++ b/packages/berylspread/src/berylspread/coordinator/model.py
@@ -120,6 +120,7 @@
         'avoided_workers',
         'checkpoint',
         'crash_score',
+        'failed_run',
         'failures',
         'has_crawled',
         'has_moved',
@@ -142,7 +143,10 @@
         self.worker = ''
         #: When the worker of the run started; it tells one life from the next.
         self.worker_born_ms = 0
+        #: Failed attempts, see ``attempts``.
         self.failures = 0
+        #: The newest run that ended as failed, 0 if none did.
+        self.failed_run = 0
         #: Evidence that the task crashes its workers, see ``crashes``.
         self.crash_score = 0
         self.silent_losses: list[SilentLoss] = []
--- a/packages/berylspread/src/berylspread/coordinator/outcomes.py
+++ b/packages/berylspread/src/berylspread/coordinator/outcomes.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 from typing import TYPE_CHECKING, Final
 
+from berylspread.coordinator.attempts import count_attempts, record_failure
 from berylspread.coordinator.fleet import Run
 from berylspread.coordinator.interface import Outcome
 from berylspread.coordinator.model import (
@@ -96,12 +97,12 @@
     if task.phase is Phase.done:
         return
     task.avoided_workers.add(run.worker.name)
-    task.failures += 1
+    record_failure(task, run.number)
     if step.spec.long_running:
         coordinator.requeue(task)
         return
     coordinator.health_monitor.record_failure(run)
-    attempts = _count_attempts(step, task.failures)
+    attempts = count_attempts(task)
     max_attempts = job.spec.queue.max_attempts
     coordinator.log.write(
         'attempt-failed',
@@ -117,13 +118,6 @@
         coordinator.finish_job(job, JobStatus.failed, f'{task.name} failed')
 
 
-def _count_attempts(step: Step, failures: int) -> int:
-    # A gang fails as a whole, so the failed runs of all members count.
-    if step.spec.gang:
-        return sum(task.failures for task in step.tasks)
-    return failures
-
-
 @handles(
     Outcome.stopped,
     Outcome.lease_over,
--- a/packages/berylspread/src/berylspread/coordinator/records.py
+++ b/packages/berylspread/src/berylspread/coordinator/records.py
@@ -73,6 +73,7 @@
     crash_score: int = 0
     worker_born_ms: int = 0
     silent_losses: tuple[LossRow, ...] = ()
+    failed_run: int = 0
 
 
 @final
@@ -190,6 +191,7 @@
         task.crash_score,
         task.worker_born_ms,
         tuple(map(_loss_row, task.silent_losses)),
+        task.failed_run,
     )
 
 
@@ -244,6 +246,7 @@
         task.run_number = row.run
         task.worker = row.worker
         task.failures = row.failures
+        task.failed_run = row.failed_run
         task.checkpoint = row.checkpoint
         task.crash_score = row.crash_score
         task.worker_born_ms = row.worker_born_ms
