Add failing scenarios for tasks held up by their siblings' tickets

Callers see a long-running task without a run for longer than the 3 s that it may be away in calm (LOST), although a permitted worker has room. Suspected behind some of the reported cases, not shown for any of them.

Cause: `room_for` in permit_choice.py compares the limit per worker with the free room only, not with the tasks of the step that already run there. So a valid ticket of a worker that runs as many as it may counts as a place, and the step sends no request for the worker that it could use until those tickets expire.

It takes a step that is not the first of its queue and organisation, as the first one renews all of its tickets.

--- a/features/coordinator/permissions.feature
+++ b/features/coordinator/permissions.feature
@@ -170,3 +170,20 @@
     When the workers are replaced by "w4", "w5" and "w6"
     And the step sends requests at 2 s
     Then the requests name "w4 w5 w6"
+
+  Scenario: Workers that may run no more tasks of a step count as no place
+    Given a step of 3 tasks, at most 1 on a worker, of which 2 run on "w1" and "w2"
+    And it has tickets for "w1" and "w2" until 5 s and "w3" until 3 s
+    And workers "w1", "w2" and "w3" of which "" are new
+    When the step sends requests at 4 s
+    Then the requests name "w3"
+
+  Scenario: A failed long-running task starts again while its step's other workers have tickets
+    Given a cell of 9 nodes and 8 workers whose permissions take 720 ms and 6.5 ms a worker
+    And worker "w7" has room for 3 tasks only
+    When a long-running job "watch" is submitted with 8 tasks as large as 3 others, at most 1 on a worker
+    And an older job waits for which no worker has room
+    And the task of job "watch" on "w0" fails
+    And 0.1 s pass
+    And the task of job "watch" on "w7" fails
+    Then that task starts again within 3 s
--- a/features/coordinator/steps/permission_steps.py
+++ b/features/coordinator/steps/permission_steps.py
@@ -2,13 +2,16 @@
 
 import asyncio
 import collections
+import math
 
+import msgspec
 from behave import given, then, when
 
 from berylspread.coordinator.decision_log import DecisionLog
 from berylspread.coordinator.fleet import Run, Stage
 from berylspread.coordinator.interface import Permissions
 from berylspread.coordinator.lookahead import find_upcoming_steps
+from berylspread.coordinator.messages import JobAccepted
 from berylspread.coordinator.model import (
     Job,
     PermissionTerms,
@@ -24,10 +27,17 @@
     choose_requests,
 )
 from berylspread.coordinator.permits import PermissionRequester, RequestingNodes
-from berylspread_standins.coordinated.fleet import TASK, job
-from features.coordinator.cell import make_worker
+from berylspread.kernel.clock import now
+from berylspread_standins.coordinated import CoordinatedFleet
+from berylspread_standins.coordinated.advisor import PermissionServiceStandin
+from berylspread_standins.coordinated.fleet import CAPACITY, TASK, WALL_MS, job
+from features.coordinator.cell import make_worker, submit_spec
 
 NAMES = ('w1', 'w2', 'w3')
+VALID_MS = 2000.0
+SETTLE_S = 3.0
+WATCH_S = 0.01
+LONGEST_WATCH_S = 20.0
 
 
 @given('nodes "a", "b" and "c" that send requests')
@@ -427,3 +437,107 @@
 def step_sends_when(context, when):
     expected = [context.job.steps[0, 1]] if when == 'at once' else []
     assert context.upcoming == expected, context.upcoming
+
+
+@given(
+    'a step of {count:d} tasks, at most {limit:d} on a worker, of which 2 run '
+    'on "{first}" and "{second}"'
+)
+def step_limited(context, count, limit, first, second):
+    context.step = _step(
+        count, PermissionTerms(30.0, 1.0, VALID_MS), max_per_worker=limit
+    )
+    for worker in (first, second):
+        task = context.step.waiting_tasks.popleft()
+        task.phase = Phase.placed
+        task.worker = worker
+
+
+@given(
+    'it has tickets for "w1" and "w2" until {valid:g} s and "w3" until '
+    '{expired:g} s'
+)
+def step_three_tickets(context, valid, expired):
+    context.step.tickets.by_worker = {
+        'w1': ('t', valid),
+        'w2': ('t', valid),
+        'w3': ('t', expired),
+    }
+
+
+@given(
+    'a cell of {nodes:d} nodes and {workers:d} workers whose permissions take '
+    '{base:g} ms and {each:g} ms a worker'
+)
+def step_slow_permissions(context, nodes, workers, base, each):
+    terms = PermissionTerms(base, each, VALID_MS)
+    context.queue = Queue('q', 'desk', priority=1, permission_terms=terms)
+
+    async def start():
+        context.cell = CoordinatedFleet(workers)
+        for index in range(nodes):
+            # The service handles the requests of each node in turn.
+            context.cell.advisor = PermissionServiceStandin(
+                base_s=base / 1000, each_s=each / 1000
+            )
+            context.cell.start_node(f'n{index}', queue=context.queue)
+        await asyncio.sleep(SETTLE_S)
+
+    context.run(start())
+
+
+@given('worker "{name}" has room for {count:d} tasks only')
+def step_small_worker(context, name, count):
+    entry = context.cell.workers[name].entry
+    context.cell.publish(msgspec.structs.replace(entry, capacity=TASK * count))
+
+
+@when(
+    'a long-running job "{job_id}" is submitted with {count:d} tasks as large '
+    'as {size:d} others, at most {limit:d} on a worker'
+)
+def step_submit_limited(context, job_id, count, size, limit):
+    for index in range(count):
+        name = f'{job_id}.0.0.{index}'
+        context.cell.work[name] = (math.inf, 'failed')
+    step = StepSpec(count, TASK * size, long_running=True, max_per_worker=limit)
+    spec = job(job_id, step, queue=context.queue)
+    assert isinstance(submit_spec(context, spec), JobAccepted)
+    context.run(asyncio.sleep(SETTLE_S))
+    assert len(context.cell.runs()) == count
+
+
+@when('an older job waits for which no worker has room')
+def step_wait_for_room(context):
+    spec = job(
+        'older',
+        StepSpec(1, CAPACITY + TASK, long_running=True),
+        queue=context.queue,
+        accepted_ms=WALL_MS - 1000,
+    )
+    assert isinstance(submit_spec(context, spec), JobAccepted)
+    context.run(asyncio.sleep(SETTLE_S))
+
+
+@when('the task of job "{job_id}" on "{worker}" fails')
+def step_fail_now(context, job_id, worker):
+    running = context.cell.workers[worker].running
+    context.failed_run = next(
+        log for name, log in running.items() if name.startswith(job_id)
+    )
+    context.failed_run.left_s = 0.0
+
+
+@then('that task starts again within {seconds:g} s')
+def step_starts_again(context, seconds):
+    failed, cell = context.failed_run, context.cell
+
+    async def wait():
+        began = now()
+        while cell.runs(failed.task)[-1] is failed:
+            assert now() - began < LONGEST_WATCH_S, 'it did not start'
+            await asyncio.sleep(WATCH_S)
+
+    context.run(wait())
+    gap_s = cell.runs(failed.task)[-1].started_at - failed.ended_at
+    assert gap_s <= seconds, gap_s
