--- a/features/coordinator/steps/permission_steps.py
+++ b/features/coordinator/steps/permission_steps.py
@@ -142,6 +142,10 @@
 def step_workers(context, unknown):
     context.step.tickets.answered_workers = set(NAMES) - set(unknown.split())
     context.workers = [make_worker(name) for name in NAMES]
+    for task in context.step.tasks:
+        if task.phase is Phase.placed:
+            worker = context.workers[NAMES.index(task.worker)]
+            worker.add_run(Run(task, worker, Stage.running, 0.0))
 
 
 @given('workers "w1", "w2" and "w3" of which "" are new')
--- a/packages/berylspread/src/berylspread/coordinator/fleet.py
+++ b/packages/berylspread/src/berylspread/coordinator/fleet.py
@@ -10,6 +10,7 @@
     MS_PER_S,
     WHOLE_PERCENT,
     JobStatus,
+    Step,
     Task,
 )
 from berylspread.model import ZERO
@@ -332,6 +333,10 @@
             if run.task.step.spec.latency_target_ms:
                 self.serving_count -= 1
 
+    def count_runs(self, step: Step) -> int:
+        """Return how many tasks of a step have a run here."""
+        return sum(run.task.step is step for run in self.runs.values())
+
     def review_suspicion(self, run: Run) -> None:
         """Apply that a worker has not crashed under the task of a run."""
         if run.is_suspect and not run.task.is_suspect:
--- a/packages/berylspread/src/berylspread/coordinator/zone_moves.py
+++ b/packages/berylspread/src/berylspread/coordinator/zone_moves.py
@@ -173,10 +173,7 @@
         if not reserved.fits(worker.free):
             return False
         limit = step.spec.max_per_worker
-        if not limit:
-            return True
-        siblings = sum(run.task.step is step for run in worker.runs.values())
-        return siblings < limit
+        return not limit or worker.count_runs(step) < limit
 
 
 def find_movable(
