Move no run to a worker at its step's limit per worker

A stalled run was stopped for a worker that had room but may not take another task of its step, so it lost its work and waited, or came back.

Cause: the same as in the choice of permission requests: the room of a worker was compared without the tasks of the step that run there.

Change: the unused part of the limit is a method of the worker, which permission requests, moves to faster workers and moves out of closed zones share.

python -m behave features/coordinator -i worker_health before: the new outline failed with limit 1 (the run was stopped); after: all pass

--- a/features/coordinator/steps/worker_health_steps.py
+++ b/features/coordinator/steps/worker_health_steps.py
@@ -137,6 +137,23 @@
     context.workers['w1'] = make_worker('w1', labels=(label,))
 
 
+@given('a stalled run of a step of 2 tasks, at most {limit:d} on a worker')
+def step_limited(context, limit):
+    spec = StepSpec(2, TASK, estimate_ms=1000, max_per_worker=limit)
+    context.workers = {name: make_worker(name) for name in ('w0', 'w1')}
+    tasks = Job(job('a', spec)).steps[0, 0].tasks
+    context.checked_run, context.other_run = (
+        Run(task, worker, Stage.running, 0.0)
+        for task, worker in zip(tasks, context.workers.values(), strict=True)
+    )
+    context.workers['w0'].add_run(context.checked_run)
+
+
+@given('the only other worker with room runs the other task')
+def step_sibling(context):
+    context.workers['w1'].add_run(context.other_run)
+
+
 @when('the health of the worker is reviewed')
 def step_review(context):
     context.stopped = []
--- a/features/coordinator/worker_health.feature
+++ b/features/coordinator/worker_health.feature
@@ -126,6 +126,18 @@
       | gpu   | is stopped |
       | disk  | continues  |
 
+  Scenario Outline: A run does not move to a worker at its step's limit
+    Given a stalled run of a step of 2 tasks, at most <limit> on a worker
+    And the only other worker with room runs the other task
+    When the health of the worker is reviewed
+    Then the run <moves>
+
+    Examples:
+      | limit | moves      |
+      | 0     | is stopped |
+      | 2     | is stopped |
+      | 1     | continues  |
+
   Scenario: A worker that fails every task is soon avoided
     Given a cell of 2 nodes and 3 workers
     When 1 s passes
--- a/packages/berylspread/src/berylspread/coordinator/fleet.py
+++ b/packages/berylspread/src/berylspread/coordinator/fleet.py
@@ -333,9 +333,13 @@
             if run.task.step.spec.latency_target_ms:
                 self.serving_count -= 1
 
-    def count_runs(self, step: Step) -> int:
-        """Return how many tasks of a step have a run here."""
-        return sum(run.task.step is step for run in self.runs.values())
+    def unused_limit(self, step: Step) -> int:
+        """Return how many more tasks the step's limit per worker allows."""
+        limit = step.spec.max_per_worker
+        if not limit:
+            return MAX_RUNS
+        siblings = sum(run.task.step is step for run in self.runs.values())
+        return max(limit - siblings, 0)
 
     def review_suspicion(self, run: Run) -> None:
         """Apply that a worker has not crashed under the task of a run."""
--- a/packages/berylspread/src/berylspread/coordinator/moves.py
+++ b/packages/berylspread/src/berylspread/coordinator/moves.py
@@ -153,6 +153,7 @@
             if may_run(step, worker, moment)
             and (tickets is None or worker.name in tickets.by_worker)
             and needed.fit_count(holds.free_room(worker, step, moment))
+            and worker.unused_limit(step)
         ),
         key=lambda worker: worker.slowness,
         default=None,
--- a/packages/berylspread/src/berylspread/coordinator/permit_choice.py
+++ b/packages/berylspread/src/berylspread/coordinator/permit_choice.py
@@ -311,9 +311,5 @@
 
 def room_for(step: Step, worker: Worker) -> int:
     """Return how many more tasks of a step a worker has room for now."""
-    spec = step.spec
-    fitting = spec.reserved_resources().fit_count(worker.free)
-    if not spec.max_per_worker:
-        return fitting
-    unused = max(spec.max_per_worker - worker.count_runs(step), 0)
-    return min(fitting, unused)
+    fitting = step.spec.reserved_resources().fit_count(worker.free)
+    return min(fitting, worker.unused_limit(step))
--- a/packages/berylspread/src/berylspread/coordinator/zone_moves.py
+++ b/packages/berylspread/src/berylspread/coordinator/zone_moves.py
@@ -170,10 +170,7 @@
     def _has_room(
         self, worker: Worker, step: Step, reserved: Resources
     ) -> bool:
-        if not reserved.fits(worker.free):
-            return False
-        limit = step.spec.max_per_worker
-        return not limit or worker.count_runs(step) < limit
+        return reserved.fits(worker.free) and worker.unused_limit(step) > 0
 
 
 def find_movable(
