Count a gang's failed run once against a worker

Callers saw work wait while workers were sound: a gang whose members ended `failed` together took the workers that ran two of them out of use for two seconds and more.

Cause: `record_failure` added blame for each failed member, so that two members of one run were taken for "two failures within half a second".

Change: a worker remembers the newest failed runs of gangs by step and run number, and only the first member of a run adds blame. A second failed run counts again; a scenario shows both.

--- a/features/coordinator/steps/worker_health_steps.py
+++ b/features/coordinator/steps/worker_health_steps.py
@@ -238,10 +238,10 @@
     assert may_mark_unhealthy(context.workers, 1.0)
 
 
-def _submit(context, job_id, count):
+def _submit(context, job_id, count, **fields):
     spec = job(
         job_id,
-        StepSpec(count, TASK, estimate_ms=1000, image='image'),
+        StepSpec(count, TASK, estimate_ms=1000, image='image', **fields),
         queue=Queue('q', 'desk', max_attempts=4),
     )
     assert isinstance(submit_spec(context, spec), JobAccepted)
@@ -253,6 +253,12 @@
     context.run(asyncio.sleep(2))
 
 
+@given('all {count:d} tasks of job "{job_id}" fail as they begin')
+def step_fail_at_once(context, count, job_id):
+    for index in range(count):
+        context.cell.work[f'{job_id}.0.0.{index}'] = (0.0, 'failed')
+
+
 @when('tasks on worker "{name}" stall')
 def step_stall(context, name):
     context.cell.workers[name].is_still = True
@@ -268,6 +274,11 @@
     _submit(context, job_id, count)
 
 
+@when('a job "{job_id}" with a gang of {count:d} such tasks is submitted')
+def step_submit_gang(context, job_id, count):
+    _submit(context, job_id, count, gang=True)
+
+
 @when('{jobs:d} jobs of {count:d} tasks each are submitted {gap:g} s apart')
 def step_submit_many(context, jobs, count, gap):
     for number in range(jobs):
@@ -281,6 +292,22 @@
     assert 0 < len(failed) <= count, len(failed)
 
 
+@then('run {run:d} has failed on {count:d} workers')
+def step_run_failed(context, run, count):
+    workers = {
+        log.worker
+        for log in context.cell.runs()
+        if log.run == run and log.outcome == 'failed'
+    }
+    assert len(workers) == count, workers
+
+
+@then('no worker was marked as unhealthy')
+def step_none_marked(context):
+    found = context.cell.events(UNHEALTHY_EVENT)
+    assert not found, found
+
+
 @then('worker "{name}" was marked as unhealthy')
 def step_marked(context, name):
     found = [line['worker'] for line in context.cell.events(UNHEALTHY_EVENT)]
--- a/features/coordinator/worker_health.feature
+++ b/features/coordinator/worker_health.feature
@@ -133,3 +133,26 @@
     And 30 jobs of 1 tasks each are submitted 0.1 s apart
     And 3 s pass
     Then at most 5 runs have failed
+
+  # Guards against a gang's failed run counting once for each member
+  Scenario: LOST: a gang that fails as a whole counts once against a worker
+    Given a cell of 2 nodes and 4 workers
+    And the tasks of job "a" work only as a gang of 8
+    And all 8 tasks of job "a" fail as they begin
+    When 1 s passes
+    And version 2 allows 99 attempts
+    And a job "a" with a gang of 8 such tasks is submitted
+    And 0.05 s pass
+    Then run 1 has failed on 4 workers
+    And no worker was marked as unhealthy
+
+  Scenario: A worker on which each run of a gang fails is unhealthy
+    Given a cell of 2 nodes and 1 workers
+    And the tasks of job "a" work only as a gang of 2
+    And all 2 tasks of job "a" fail as they begin
+    When 1 s passes
+    And version 2 allows 99 attempts
+    And a job "a" with a gang of 2 such tasks is submitted
+    And 1 s passes
+    Then run 2 has failed on 1 workers
+    And worker "w0" was marked as unhealthy
--- a/packages/berylspread/src/berylspread/coordinator/blame.py
+++ b/packages/berylspread/src/berylspread/coordinator/blame.py
@@ -6,6 +6,7 @@
 against a worker.
 """
 
+import collections
 import math
 from typing import Final, final
 
@@ -25,6 +26,8 @@
 SUCCESS_DECAY: Final = 0.5
 #: The blame halves in this time.
 BLAME_HALF_LIFE_S: Final = 3.0
+#: The newest failed runs of gangs that a worker remembers.
+FAILED_GANG_RUNS: Final = 32
 
 
 @final
@@ -34,6 +37,7 @@
     __slots__ = (
         'blame',
         'blamed_at',
+        'failed_gang_runs',
         'kind_tier',
         'own_tier',
         'slowness',
@@ -44,6 +48,10 @@
     def __init__(self) -> None:
         self.blame = 0.0
         self.blamed_at = 0.0
+        #: The step and number of the newest runs of gangs that failed here.
+        self.failed_gang_runs: collections.deque[tuple[str, int]] = (
+            collections.deque(maxlen=FAILED_GANG_RUNS)
+        )
         self.unhealthy_until = -math.inf
         #: The length of the last period without new runs.
         self.unhealthy_s = 0.0
@@ -75,6 +83,16 @@
         self.blamed_at = moment
         return self.blame >= UNHEALTHY_BLAME
 
+    def record_gang_failure(self, step: str, run: int) -> bool:
+        """Record that a member of a gang's run has failed on the worker.
+
+        Returns whether it is the first of that run here.
+        """
+        if (step, run) in self.failed_gang_runs:
+            return False
+        self.failed_gang_runs.append((step, run))
+        return True
+
     def is_unhealthy(self, moment: float) -> bool:
         """Return whether the worker gets no new runs at a time."""
         return moment < self.unhealthy_until
--- a/packages/berylspread/src/berylspread/coordinator/health_monitor.py
+++ b/packages/berylspread/src/berylspread/coordinator/health_monitor.py
@@ -97,13 +97,17 @@
             coordinator.log.write('worker-speeds', slowness=factors)
 
     def record_failure(self, run: Run) -> None:
-        """Count a failed task against its worker."""
-        step = run.task.step
+        """Count a failed task, or a gang once, against its worker."""
+        step, health = run.task.step, run.worker.health
+        if step.spec.gang and not health.record_gang_failure(
+            step.name, run.number
+        ):
+            return
         moment = now()
         failing_workers = {
             name for task in step.tasks for name in task.avoided_workers
         }
-        if run.worker.health.record_failure(len(failing_workers), moment):
+        if health.record_failure(len(failing_workers), moment):
             self._mark_unhealthy(run.worker, moment, f'failed: {run.task.name}')
 
     def mean_duration_s(
