--- a/features/coordinator/worker_health.feature
+++ b/features/coordinator/worker_health.feature
@@ -156,3 +156,15 @@
     And 1 s passes
     Then run 2 has failed on 1 workers
     And worker "w0" was marked as unhealthy
+
+  # Guards against blaming workers for the rest of a job that has failed
+  Scenario: LOST: a job that can never succeed makes no worker unhealthy
+    Given a cell of 2 nodes and 4 workers
+    And all 8 tasks of job "a" fail as they begin
+    When 1 s passes
+    And version 2 allows 1 attempts
+    And a job "a" with 8 tasks of that image is submitted
+    And 0.2 s pass
+    Then job "a" is failed
+    And run 1 has failed on 4 workers
+    And no worker was marked as unhealthy
