Count failures, not hand-outs, as attempts of a job's tasks

Callers saw a task ended as failed after one failure, though its queue allowed three: it had lost its worker twice before.

Cause: `_may_retry` compared the number of hand-outs with `max_attempts`. That number also grows with attempts that were lost, preempted, stopped with their gang or never started, and so did the delay before a retry.

Change: the home counts the attempts that have failed, and a gang's run once, whichever members fail in it. Hand-outs only number the attempts. The count goes to the partition's owner with the grant and comes back with its inventory, so that the next home knows it. Both fields have a default; messages of earlier versions are read as 0 failures, and earlier versions skip the field. Still lost with the home, as before, are the failures of tasks that wait for a retry, and those of tasks whose owner has changed as well.

Before: `features/jobs/endings.feature`, "LOST: a task that lost its workers has all its attempts left" failed with ASSERT FAILED: {'failed': 1}. The scenarios on gangs and on the next home passed before as well; they guard the new count. After: 46 scenarios of `features/jobs` pass.

.venv/bin/python -m behave features/jobs

--- a/features/jobs/endings.feature
+++ b/features/jobs/endings.feature
@@ -31,3 +31,12 @@
       | queue   | starts |
       | ledger  | 3      |
       | billing | 1      |
+
+  # Guards against counting interrupted runs as attempts
+  Scenario: LOST: a task that lost its workers has all its attempts left
+    Given a fleet of one rack
+    And 1 tasks of ledger that run 20 s
+    When the job loses a worker 2 times, each for 40 s
+    And task 0 of the job fails
+    Then within 60 s the job has ended with 1 succeeded
+    And 4 tasks were started
--- a/features/jobs/gangs.feature
+++ b/features/jobs/gangs.feature
@@ -51,3 +51,12 @@
     And within 60 s the job has ended with 10 succeeded
     And 20 tasks were started
     And every guarantee held
+
+  Scenario: A run of a gang of which several members fail is one attempt
+    Given a fleet of three racks
+    And 6 tasks of pattern-proof that run 20 s
+    When tasks 0, 1, 2 of the job fail
+    And all members run again and task 3 of the job fails
+    And all members run again
+    Then within 60 s the job has ended with 6 succeeded
+    And 18 tasks were started
--- a/features/jobs/steps/job_fault_steps.py
+++ b/features/jobs/steps/job_fault_steps.py
@@ -6,9 +6,34 @@
 from behave import given, then, when
 from behave.runner import Context
 
+from berylspread.model import TaskState
+from berylspread_standins.run import Ending
 from features.support.fault_steps import report
+from features.support.fault_world import FaultWorld
 
 NEXT_POLL_S = 1.0
+RESTART_LIMIT_S = 60.0
+FAILED = Ending(TaskState.failed, exit_code=1)
+
+
+def fail_tasks(world: FaultWorld, indexes: list[int]) -> None:
+    """Let running tasks of the job fail at one moment."""
+    names = {f'{world.job.job_id}/{index}' for index in indexes}
+    runs = [
+        world.worker(run.worker).runs[run.name]
+        for run in world.runs_of(world.job)
+        if run.name in names
+    ]
+    assert len(runs) == len(indexes), world.runs_of(world.job)
+    world.broken_at = world.time()
+    world.call_soon(lambda: [run.end(FAILED) for run in runs])
+    world.sleep(NEXT_POLL_S)
+
+
+def wait_for_members(world: FaultWorld) -> None:
+    """Wait until all tasks of the job run."""
+    spec = world.job
+    world.wait(lambda: len(world.runs_of(spec)) == spec.tasks, RESTART_LIMIT_S)
 
 
 @given('every worker fails every task')
@@ -46,6 +71,38 @@
     world.sleep(NEXT_POLL_S)
 
 
+@when('the job loses a worker {count:d} times, each for {seconds:g} s')
+def step_workers_die(context: Context, count: int, seconds: float) -> None:
+    world = context.world
+    for _ in range(count):
+        worker = world.worker(world.runs_of(world.job)[0].worker)
+        world.call_soon(worker.die)
+        world.sleep(seconds)
+        worker.faults.is_unreachable = False
+        wait_for_members(world)
+
+
+@when('task {index:d} of the job fails')
+def step_task_fails(context: Context, index: int) -> None:
+    fail_tasks(context.world, [index])
+
+
+@when('tasks {indexes} of the job fail')
+def step_tasks_fail(context: Context, indexes: str) -> None:
+    fail_tasks(context.world, [int(index) for index in indexes.split(', ')])
+
+
+@when('all members run again')
+def step_members_again(context: Context) -> None:
+    wait_for_members(context.world)
+
+
+@when('all members run again and task {index:d} of the job fails')
+def step_again_and_fails(context: Context, index: int) -> None:
+    wait_for_members(context.world)
+    fail_tasks(context.world, [index])
+
+
 @then('within {limit:g} s all members run at the same time')
 def step_all_members(context: Context, limit: float) -> None:
     world = context.world
--- a/features/jobs/takeover.feature
+++ b/features/jobs/takeover.feature
@@ -41,3 +41,20 @@
     Then within 90 s the job has ended with 6 succeeded
     And each task was started once
     And every guarantee held
+
+  Scenario: The failures of a running task are known to the next home
+    Given a fleet of one rack
+    And 1 tasks of ledger that run 60 s
+    When task 0 of the job fails
+    And all members run again and task 0 of the job fails
+    And all members run again
+    And the job's home dies
+    And 30 s pass
+    And task 0 of the job fails
+    Then within 10 s the job has ended with 1 failed
+    And 3 tasks were started
+
+  Scenario: Earlier versions do not count failures
+    Given a task that is handed out after 2 failures
+    Then an earlier version reads its messages
+    And the messages of an earlier version tell 0 failures
--- a/packages/berylspread/src/berylspread/jobs/job_table.py
+++ b/packages/berylspread/src/berylspread/jobs/job_table.py
@@ -183,6 +183,7 @@
             payload=spec.payload,
             checkpoint=progress.checkpoints.get(index, ''),
             constraints=spec.constraints,
+            failures=progress.failures_of(index),
         )
 
     def apply_event(self, event: TaskEvent) -> bool:
@@ -322,6 +323,8 @@
             progress.started.discard(index)
         if event.state is TaskState.failed:
             progress.avoid_workers.add(event.worker)
+        if _has_ended_by_itself(progress, event.state):
+            progress.record_failure(index)
         resumes = bool(event.checkpoint) and not progress.cancelled
         if resumes or self._may_retry(progress, index, event.state):
             self._retry(progress, index, event.state)
@@ -359,7 +362,7 @@
         if not spec.idempotent or state not in _RETRIABLE_STATES:
             return False
         if state is TaskState.failed:
-            return progress.attempts[index] < spec.max_attempts
+            return progress.failures_of(index) < spec.max_attempts
         return True
 
     def _retry(
@@ -371,7 +374,7 @@
             return
         progress.handed_out.pop(index, None)
         backoff = min(
-            RETRY_BASE_S * 2 ** (progress.attempts[index] - 1), MAX_RETRY_S
+            RETRY_BASE_S * 2 ** (progress.failures_of(index) - 1), MAX_RETRY_S
         )
         heapq.heappush(
             self.delayed_retries, (now() + backoff, progress.spec.job_id, index)
@@ -403,6 +406,12 @@
 )
 
 
+def _has_ended_by_itself(progress: JobProgress, state: TaskState) -> bool:
+    return state is TaskState.failed or (
+        state is TaskState.succeeded and progress.spec.kind is JobKind.service
+    )
+
+
 def _outcome_state(progress: JobProgress, state: TaskState) -> TaskState:
     if progress.cancelled and state in {TaskState.lost, TaskState.pending}:
         return TaskState.cancelled
--- a/packages/berylspread/src/berylspread/jobs/progress.py
+++ b/packages/berylspread/src/berylspread/jobs/progress.py
@@ -11,7 +11,7 @@
     TaskKey,
     TaskState,
 )
-from berylspread.partition.messages import UnitEpoch
+from berylspread.partition.messages import HeldTask, UnitEpoch
 
 
 @final
@@ -40,6 +40,9 @@
     somewhere and wait for the inventories of the partitions.  Tasks in
     ``handed_out`` are with a partition owner.  Tasks in ``ended`` have a
     terminal state.
+
+    ``attempts`` numbers what was handed out.  ``failures`` counts the attempts
+    that have failed: those of each task, or the runs of a gang.
     """
 
     __slots__ = (
@@ -49,8 +52,11 @@
         'cancelled',
         'checkpoints',
         'ended',
+        'failed_run',
+        'failures',
         'handed_out',
         'pending',
+        'run',
         'spec',
         'started',
         'unsure',
@@ -67,6 +73,10 @@
         self.handed_out: dict[int, HandedOutAttempt] = {}
         self.ended: dict[int, TaskState] = {}
         self.attempts: collections.Counter[int] = collections.Counter()
+        self.failures: collections.Counter[int] = collections.Counter()
+        #: The newest run of a gang, and the newest that has failed.
+        self.run = 0
+        self.failed_run = -1
         self.started: set[int] = set()
         self.checkpoints: dict[int, str] = {}
         self.avoid_workers: set[str] = set()
@@ -103,20 +113,39 @@
             job=self.spec.job_id,
             index=index,
         )
+        if not self.handed_out:
+            self.run += 1
         self.attempts[index] += 1
         self.started.add(index)
         attempt = HandedOutAttempt(self.attempts[index], unit, epoch)
         self.handed_out[index] = attempt
         return index, attempt
 
-    def adopt_attempt(
-        self, index: int, attempt: int, unit: str, epoch: int
-    ) -> None:
-        """Record an attempt from an inventory as handed out."""
+    def adopt_attempt(self, held: HeldTask, partition: UnitEpoch) -> None:
+        """Record an attempt from a partition's inventory as handed out."""
+        index = held.task.index
         self.unsure.discard(index)
-        self.attempts[index] = max(self.attempts[index], attempt)
+        self.attempts[index] = max(self.attempts[index], held.attempt)
+        counted = self._counted_index(index)
+        self.failures[counted] = max(self.failures[counted], held.failures)
         self.started.add(index)
-        self.handed_out[index] = HandedOutAttempt(attempt, unit, epoch)
+        attempt = HandedOutAttempt(
+            held.attempt, partition.unit, partition.epoch
+        )
+        attempt.worker = held.worker
+        attempt.state = held.state
+        self.handed_out[index] = attempt
+
+    def failures_of(self, index: int) -> int:
+        """Return how many attempts of a task, or of its gang, have failed."""
+        return self.failures[self._counted_index(index)]
+
+    def record_failure(self, index: int) -> None:
+        """Count a failed attempt; the members of a gang fail together."""
+        if self.is_gang and self.failed_run == self.run:
+            return
+        self.failed_run = self.run
+        self.failures[self._counted_index(index)] += 1
 
     def requeue(self, index: int) -> None:
         """Make a task pending again; it must not run anywhere."""
@@ -148,6 +177,9 @@
         """Whether the tasks start either all at once or not at all."""
         return self.spec.kind is JobKind.gang
 
+    def _counted_index(self, index: int) -> int:
+        return 0 if self.is_gang else index
+
     def summary_state(self) -> TaskState:
         """Return the worst state among the tasks that have ended."""
         states = set(self.ended.values())
--- a/packages/berylspread/src/berylspread/jobs/reconcile.py
+++ b/packages/berylspread/src/berylspread/jobs/reconcile.py
@@ -133,11 +133,7 @@
             attempt is None or attempt.attempt != held.attempt
         ):
             return
-        progress.adopt_attempt(
-            index, held.attempt, partition.unit, partition.epoch
-        )
-        progress.handed_out[index].worker = held.worker
-        progress.handed_out[index].state = held.state
+        progress.adopt_attempt(held, partition)
 
     def _lose_missing(self, inventory: PartitionInventory) -> None:
         partition = inventory.partition
--- a/packages/berylspread/src/berylspread/partition/attempts.py
+++ b/packages/berylspread/src/berylspread/partition/attempts.py
@@ -68,6 +68,7 @@
         return HeldTask(
             task=self.grant.task,
             attempt=self.grant.attempt,
+            failures=self.grant.failures,
             team=self.grant.team,
             shape=self.grant.shape,
             state=self.state,
--- a/packages/berylspread/src/berylspread/partition/messages.py
+++ b/packages/berylspread/src/berylspread/partition/messages.py
@@ -29,7 +29,10 @@
 
 @final
 class TaskGrant(msgspec.Struct, frozen=True):
-    """One attempt of a task that a home hands out to a partition owner."""
+    """One attempt of a task that a home hands out to a partition owner.
+
+    ``failures`` is how many earlier attempts have failed.
+    """
 
     task: TaskKey
     attempt: int
@@ -44,6 +47,7 @@
     payload: str = ''
     checkpoint: str = ''
     constraints: Constraints = Constraints()
+    failures: int = 0
 
 
 @message
@@ -137,7 +141,10 @@
 
 @final
 class HeldTask(msgspec.Struct, frozen=True):
-    """A task in a partition, in the state that the partition owner has."""
+    """A task in a partition, in the state that the partition owner has.
+
+    An owner that has adopted the attempt from its worker knows no ``failures``.
+    """
 
     task: TaskKey
     attempt: int
@@ -145,6 +152,7 @@
     shape: Resources
     state: TaskState
     worker: str = ''
+    failures: int = 0
 
 
 @final
