End a gang as a whole when a member fails every attempt

Callers saw a gang's other members run, and end as succeeded, without the one that had failed for the last time; a gang runs all at once or not at all.

Cause: a gang is due when all members that have not ended wait, so the rest was started again as a smaller gang.

Change: each round cancels the gangs of which a member has ended without success. This is decided from the outcomes in the log, so that the next home does it as well.

Before: `features/jobs/gangs.feature`, "LOST: a gang whose member fails every attempt ends as a whole" failed with ASSERT FAILED: not within 10.0 s, and "The next home ends a gang whose member fails every attempt" with ASSERT FAILED: {'failed': 1, 'succeeded': 5}. After: both pass, the gang ends 1.0 s after the failure; features/jobs passes.

--- a/features/jobs/gangs.feature
+++ b/features/jobs/gangs.feature
@@ -60,3 +60,27 @@
     And all members run again
     Then within 60 s the job has ended with 6 succeeded
     And 18 tasks were started
+
+  # Guards against restarting a gang without the member that has failed
+  Scenario: LOST: a gang whose member fails every attempt ends as a whole
+    Given a fleet of three racks
+    And 6 tasks of pattern-proof that run 20 s
+    When task 0 of the job fails
+    And all members run again and task 0 of the job fails
+    And all members run again and task 0 of the job fails
+    Then within 10 s the gang has ended with 1 member failed and 5 stopped
+    And 18 tasks were started
+    And every guarantee held
+
+  Scenario: The next home ends a gang whose member fails every attempt
+    Given a fleet of three racks
+    And 6 tasks of pattern-proof that run 60 s
+    When task 0 of the job fails
+    And all members run again and task 0 of the job fails
+    And all members run again
+    Given the next 30 StopTasks messages are lost
+    When task 0 of the job fails
+    And the job's home dies
+    Then within 60 s the gang has ended with 1 member failed and 5 stopped
+    And 18 tasks were started
+    And every guarantee held
--- a/features/jobs/steps/job_fault_steps.py
+++ b/features/jobs/steps/job_fault_steps.py
@@ -124,6 +124,22 @@
         assert dict(ended.counts) == {state: count}, ended.counts
 
 
+@then(
+    'within {limit:g} s the gang has ended with {failed:d} member failed and'
+    ' {stopped:d} stopped'
+)
+def step_gang_ended(
+    context: Context, limit: float, failed: int, stopped: int
+) -> None:
+    world = context.world
+    world.wait(lambda: world.ended(world.job) is not None, limit)
+    report(context, world.time() - world.broken_at)
+    ended = world.ended(world.job)
+    assert ended is not None
+    found = dict(ended.counts)
+    assert found == {'failed': failed, 'cancelled': stopped}, found
+
+
 @then('at most {count:d} tasks were started')
 def step_at_most(context: Context, count: int) -> None:
     assert context.world.starts() <= count, context.world.starts()
--- a/packages/berylspread/src/berylspread/jobs/gangs.py
+++ b/packages/berylspread/src/berylspread/jobs/gangs.py
@@ -27,6 +27,8 @@
     from berylspread.jobs.home import JobHome
 
 HOLD_S: Final = 5.0
+#: Why the other members of a gang are cancelled.
+MEMBER_FAILED: Final = 'a member of the gang has failed'
 REQUEST_TIMEOUT_S: Final = 2.0
 MIN_RETRY_S: Final = 0.2
 MAX_RETRY_S: Final = 2.0
@@ -64,6 +66,7 @@
         """Try to start every due gang of which no task is handed out."""
         if not self.home.tenure.is_valid(now()):
             return
+        self._end_failed_gangs()
         for progress in self._due_gangs():
             await self._start_gang(progress)
 
@@ -77,6 +80,20 @@
                 progress.task_key(index) for index in progress.handed_out
             )
 
+    def _end_failed_gangs(self) -> None:
+        """Cancel the other members of gangs that cannot be whole any more.
+
+        It is decided from the outcomes in the log, as the home may have changed
+        since a member failed.
+        """
+        for progress in list(self.home.job_table.jobs.values()):
+            if progress.is_gang and progress.has_failed_for_good:
+                self.home.stopper.stop_tasks(
+                    self.home.job_table.cancel_job(
+                        progress.spec.job_id, MEMBER_FAILED
+                    )
+                )
+
     def _due_gangs(self) -> list[JobProgress]:
         self.home.job_table.requeue_due_retries()
         gangs = [
--- a/packages/berylspread/src/berylspread/jobs/progress.py
+++ b/packages/berylspread/src/berylspread/jobs/progress.py
@@ -177,6 +177,13 @@
         """Whether the tasks start either all at once or not at all."""
         return self.spec.kind is JobKind.gang
 
+    @property
+    def has_failed_for_good(self) -> bool:
+        """Whether a task that has ended did not succeed."""
+        return any(
+            state is not TaskState.succeeded for state in self.ended.values()
+        )
+
     def _counted_index(self, index: int) -> int:
         return 0 if self.is_gang else index
 
