Count a run once in the trail of a job that two coordinators served

Readers of `berylspread trace` saw a failed attempt, or a lost run, listed twice: a successor is told again of an end that its predecessor has logged and not stored.

Cause: the trail counted lines, not runs.

Change: failed and lost runs are told apart by task and number.

Before: `features/cli/logs.feature`, "The cause of an outcome", failed for e5 with "The job is failed after 1.120 s: e5.0.0.0 failed on w1, w1, w2.", and for f6 with "runs lost: 2 gone". After: features/cli passes.

.venv/bin/python -m behave features/cli

--- a/features/cli/logs.feature
+++ b/features/cli/logs.feature
@@ -19,6 +19,17 @@
        1.300 n3 {"at": 101.3, "node": "n3", "event": "unanswered", "request": "c3", "kind": "SubmitJob", "attempts": 2, "waited_s": 1.5, "may_have_run": true, "reason": "n1: no reply"}
        1.350 n1 {"at": 101.35, "node": "n1", "event": "job-accepted", "job": "d4", "queue": "q", "tenant": "acme", "tasks": 1, "objective_ms": 2000}
        1.360 n1 {"at": 101.36, "node": "n1", "event": "worker-sick", "worker": "w1", "reason": "failed: x", "blame": 1.5, "for_s": 2.0}
+       1.390 n1 {"at": 101.39, "node": "n1", "event": "job-accepted", "job": "e5", "queue": "q", "tenant": "acme", "tasks": 1, "objective_ms": 2000}
+       1.400 n1 {"at": 101.4, "node": "n1", "event": "start", "task": "e5.0.0.0", "run": 1, "worker": "w1", "waited_ms": 10}
+       1.500 n1 {"at": 101.5, "node": "n1", "event": "run-ended", "task": "e5.0.0.0", "run": 1, "worker": "w1", "outcome": "failed"}
+       2.300 n2 {"at": 102.3, "node": "n2", "event": "run-ended", "task": "e5.0.0.0", "run": 1, "worker": "w1", "outcome": "failed"}
+       2.400 n2 {"at": 102.4, "node": "n2", "event": "start", "task": "e5.0.0.0", "run": 2, "worker": "w2", "waited_ms": 1010}
+       2.500 n2 {"at": 102.5, "node": "n2", "event": "run-ended", "task": "e5.0.0.0", "run": 2, "worker": "w2", "outcome": "failed"}
+       2.510 n2 {"at": 102.51, "node": "n2", "event": "job-ended", "job": "e5", "status": "failed", "cause": "e5.0.0.0 failed", "took_ms": 1120}
+       1.391 n1 {"at": 101.391, "node": "n1", "event": "job-accepted", "job": "f6", "queue": "q", "tenant": "acme", "tasks": 1, "objective_ms": 2000}
+       1.501 n1 {"at": 101.501, "node": "n1", "event": "run-lost", "task": "f6.0.0.0", "run": 1, "worker": "w1", "reason": "gone"}
+       2.301 n2 {"at": 102.301, "node": "n2", "event": "run-lost", "task": "f6.0.0.0", "run": 1, "worker": "w1", "reason": "gone"}
+       2.511 n2 {"at": 102.511, "node": "n2", "event": "job-ended", "job": "f6", "status": "succeeded", "cause": "all tasks done", "took_ms": 1120}
        4.000 n1 {"at": 104.0, "node": "n1", "event": "job-acc
       """
 
@@ -34,6 +45,8 @@
       | b2       | n3 refused it with 503: no coordinator is known.                                                                 |
       | c3       | No coordinator answered n3 within 1.5 s (it may have run): n1: no reply.                                         |
       | d4       | The job was accepted and no task was started; no line tells its end.                                             |
+      | e5       | The job is failed after 1.120 s: e5.0.0.0 failed on w1, w2.                                                      |
+      | f6       | The job is succeeded after 1.120 s; runs lost: 1 gone.                                                           |
       | a1.0.0.0 | The last of 4 lines is 'run-ended'.                                                                              |
 
   Scenario: The decisions on a job are in order, across coordinators
--- a/packages/berylspread-cli/src/berylspread_cli/logs/causes.py
+++ b/packages/berylspread-cli/src/berylspread_cli/logs/causes.py
@@ -118,22 +118,26 @@
 def _attempts(line: LogLine, lines: list[LogLine]) -> str:
     cause = str(line.fields.get('cause'))
     task = cause.partition(' ')[0]
-    workers = [
-        str(each.fields.get('worker'))
+    # A successor may be told again of an end that was not stored.
+    workers = {
+        each.fields.get('run'): str(each.fields.get('worker'))
         for each in lines
         if each.event == 'run-ended'
         and each.fields.get('task') == task
         and each.fields.get('outcome') == 'failed'
-    ]
-    return f'{cause} on {", ".join(workers)}' if workers else cause
+    }
+    return f'{cause} on {", ".join(workers.values())}' if workers else cause
 
 
 def _interrupted(lines: list[LogLine]) -> str:
-    reasons = collections.Counter(
-        str(line.fields.get('reason'))
+    lost = {
+        (line.fields.get('task'), line.fields.get('run')): str(
+            line.fields.get('reason')
+        )
         for line in lines
         if line.event == 'run-lost'
-    )
+    }
+    reasons = collections.Counter(lost.values())
     parts = [f'{count} {reason}' for reason, count in reasons.most_common()]
     return f'; runs lost: {", ".join(parts)}' if parts else ''
 
