--- a/features/jobs/steps/job_fault_steps.py
+++ b/features/jobs/steps/job_fault_steps.py
@@ -6,9 +6,37 @@
 from behave import given, then, when
 from behave.runner import Context
 
+from berylspread.model import TaskState
+from berylspread_standins.run import Ending
 from features.support.fault_steps import report
+from features.support.fault_world import FaultWorld
 
 NEXT_POLL_S = 1.0
+RESTART_LIMIT_S = 60.0
+FAILED = Ending(TaskState.failed, exit_code=1)
+SUCCEEDED = Ending(TaskState.succeeded)
+
+
+def end_tasks(
+    world: FaultWorld, indexes: list[int], ending: Ending = FAILED
+) -> None:
+    """Let running tasks of the job end at one moment."""
+    names = {f'{world.job.job_id}/{index}' for index in indexes}
+    runs = [
+        world.worker(run.worker).runs[run.name]
+        for run in world.runs_of(world.job)
+        if run.name in names
+    ]
+    assert len(runs) == len(indexes), world.runs_of(world.job)
+    world.broken_at = world.time()
+    world.call_soon(lambda: [run.end(ending) for run in runs])
+    world.sleep(NEXT_POLL_S)
+
+
+def wait_for_members(world: FaultWorld) -> None:
+    """Wait until all tasks of the job run."""
+    spec = world.job
+    world.wait(lambda: len(world.runs_of(spec)) == spec.tasks, RESTART_LIMIT_S)
 
 
 @given('every worker fails every task')
@@ -17,6 +45,12 @@
         worker.faults.fails_all = True
 
 
+@given('tasks that start later run {factor:g} times as long')
+def step_run_factor(context: Context, factor: float) -> None:
+    for worker in context.world.cluster.workers.values():
+        worker.faults.run_factor = factor
+
+
 @when('{jobs:d} jobs of {tasks:d} tasks that run {run_s:g} s come to {queue}')
 def step_jobs(
     context: Context, jobs: int, tasks: int, run_s: float, queue: str
@@ -46,6 +80,58 @@
     world.sleep(NEXT_POLL_S)
 
 
+@when('the job loses a worker {count:d} times, each for {seconds:g} s')
+def step_workers_die(context: Context, count: int, seconds: float) -> None:
+    world = context.world
+    for _ in range(count):
+        worker = world.worker(world.runs_of(world.job)[0].worker)
+        world.call_soon(worker.die)
+        world.sleep(seconds)
+        worker.faults.is_unreachable = False
+        wait_for_members(world)
+
+
+@when('task {index:d} of the job fails')
+def step_task_fails(context: Context, index: int) -> None:
+    end_tasks(context.world, [index])
+
+
+@when('all tasks of the job fail')
+def step_all_fail(context: Context) -> None:
+    end_tasks(context.world, list(range(context.world.job.tasks)))
+
+
+@when('tasks {indexes} of the job fail')
+def step_tasks_fail(context: Context, indexes: str) -> None:
+    end_tasks(context.world, [int(index) for index in indexes.split(', ')])
+
+
+@when(
+    'the store is down for {seconds:g} s while task {ends:d} ends and task'
+    ' {fails:d} fails'
+)
+def step_store_down(
+    context: Context, seconds: float, ends: int, fails: int
+) -> None:
+    world = context.world
+    world.cluster.log.is_down = True
+    end_tasks(world, [ends], SUCCEEDED)
+    end_tasks(world, [fails])
+    world.sleep(seconds - 2 * NEXT_POLL_S)
+    world.cluster.log.is_down = False
+
+
+@when('all members run again')
+def step_members_again(context: Context) -> None:
+    wait_for_members(context.world)
+
+
+@when('all members run again and task {index:d} of the job fails')
+def step_again_and_fails(context: Context, index: int) -> None:
+    wait_for_members(context.world)
+    end_tasks(context.world, [index])
+
+
 @then('within {limit:g} s all members run at the same time')
 def step_all_members(context: Context, limit: float) -> None:
     world = context.world
@@ -67,11 +153,42 @@
         assert dict(ended.counts) == {state: count}, ended.counts
 
 
+@then(
+    'within {limit:g} s the gang has ended with {failed:d} member failed and'
+    ' {stopped:d} stopped'
+)
+def step_gang_ended(
+    context: Context, limit: float, failed: int, stopped: int
+) -> None:
+    world = context.world
+    world.wait(lambda: world.ended(world.job) is not None, limit)
+    report(context, world.time() - world.broken_at)
+    ended = world.ended(world.job)
+    assert ended is not None
+    found = dict(ended.counts)
+    assert found == {'failed': failed, 'cancelled': stopped}, found
+
+
 @then('at most {count:d} tasks were started')
 def step_at_most(context: Context, count: int) -> None:
     assert context.world.starts() <= count, context.world.starts()
 
 
+@then('no worker is in quarantine')
+def step_no_quarantine(context: Context) -> None:
+    placers = [
+        sim.node.partitions.placer
+        for sim in context.world.cluster.nodes.values()
+        if sim.node is not None
+    ]
+    found = [
+        worker
+        for placer in placers
+        for worker in placer.supervisor.monitor.quarantines
+    ]
+    assert not found, found
+
+
 @then('nothing runs')
 def step_nothing(context: Context) -> None:
     assert not context.world.runs(), context.world.runs()
