Show that a failed run of a gang counts once for each member

No scenario had two members fail in one run: those that fail in the stand-ins end the others as `broken`.

The stand-in of a gang now lets chosen members fail together in chosen runs.

--- a/packages/berylspread-standins/src/berylspread_standins/coordinated/gangs.py
+++ b/packages/berylspread-standins/src/berylspread_standins/coordinated/gangs.py
@@ -9,6 +9,8 @@
 
 #: How long a member waits for the others.
 GANG_S: Final = 2.0
+#: The work of a member before it fails.
+FAILS_AFTER_S: Final = 0.5
 
 
 @final
@@ -44,13 +46,18 @@
 
 @final
 class Gangs:
-    """The gangs of a platform; ``sizes`` names the steps that are gangs."""
+    """The gangs of a platform; ``sizes`` names the steps that are gangs.
 
-    __slots__ = ('by_run', 'sizes')
+    ``failing`` holds the task and the run of each member that fails; those of
+    one run fail together.
+    """
+
+    __slots__ = ('by_run', 'failing', 'sizes')
 
     def __init__(self) -> None:
         """Know no gang."""
         self.sizes: dict[str, int] = {}
+        self.failing: set[tuple[str, int]] = set()
         self.by_run: dict[tuple[str, int], Gang] = {}
 
     def join(self, worker: 'WorkerStandin', log: 'RunLog') -> Gang | None:
@@ -63,6 +70,19 @@
         gang.members[log.task] = (worker, log)
         return gang
 
+    def peers_of(
+        self, log: 'RunLog', end: str
+    ) -> list[tuple['WorkerStandin', 'RunLog']]:
+        """Return the members that end with one that ends as ``end``."""
+        gang = self.find(log)
+        if gang is None or end not in {'done', 'failed'}:
+            return []
+        return [
+            (worker, member)
+            for worker, member in gang.members.values()
+            if end == 'done' or (member.task, member.run) in self.failing
+        ]
+
     def find(self, log: 'RunLog') -> Gang | None:
         """Return the gang of a run."""
         return self.by_run.get((log.task.rpartition('.')[0], log.run))
