Take only the outcome of a probe for that of a probe

Callers saw tasks fail on a worker that had left quarantine too early, and room unused on one that had mended.

Cause: while a probe ran, the next outcome on the worker ended it, whichever task or call it was of: also those that had been running since before the quarantine. The probe's own outcome was then passed over.

Change: an outcome counts for the quarantine only if its attempt was started after the probe was booked; nothing else is started on a quarantined worker.

Before (with the scenario's `started_at`, which the code did not know, left out): `features/health/health.feature`, "Only the outcomes of probes count in a quarantine", failed in both examples at its last step (ASSERT FAILED). After: 19 scenarios of features/health pass, and features/partition/upkeep.

.venv/bin/python -m behave features/health

--- a/features/health/health.feature
+++ b/features/health/health.feature
@@ -44,6 +44,21 @@
     And a probe of worker "w0" succeeds
     Then no worker is in quarantine
 
+  # Guards against taking the outcome of another task for that of a probe
+  Scenario Outline: Only the outcomes of probes count in a quarantine
+    Given 40 workers that serve 4 job classes
+    When worker "w0" fails 5 tasks of different classes
+    And 10 s pass
+    And 2 tasks of worker "w0" from before the quarantine <end> during a probe
+    And the running probe of worker "w0" <outcome>
+    And a probe of worker "w0" succeeds
+    Then <result>
+
+    Examples:
+      | end     | outcome  | result                       |
+      | fail    | succeeds | no worker is in quarantine   |
+      | succeed | fails    | worker "w0" is in quarantine |
+
   Scenario: Only a probe may use a quarantined worker
     Given 40 workers that serve 4 job classes
     When worker "w0" fails 5 tasks of different classes
--- a/packages/berylspread/src/berylspread/health/monitor.py
+++ b/packages/berylspread/src/berylspread/health/monitor.py
@@ -1,6 +1,7 @@
 """Detection and quarantine of workers that fail tasks by their own fault."""
 
 import collections
+import math
 from typing import Final, final
 
 from berylspread.health.failure_rates import (
@@ -73,10 +74,17 @@
         self.quarantines.pop(worker, None)
 
     def record_task(
-        self, worker: str, job_class: str, now: float, *, failed: bool
+        self,
+        worker: str,
+        job_class: str,
+        now: float,
+        *,
+        failed: bool,
+        started_at: float = math.inf,
     ) -> None:
         """Record the outcome of a task that was not cancelled or preempted.
 
+        ``started_at`` tells whether the task was the worker's running probe.
         The fault for a failure is shared between the job class and the worker.
         """
         class_record = self._class_record(job_class, now)
@@ -90,7 +98,9 @@
         view = self.find_worker(worker)
         if view is not None:
             view.fault_probability = self.fault_probability(worker)
-            self._update_quarantine(view, now, failed=failed)
+            self._update_quarantine(
+                view, now, failed=failed, started_at=started_at
+            )
 
     def fault_probability(self, worker: str) -> float:
         """Return the probability that the worker makes a task fail, 0 to 1."""
@@ -152,13 +162,15 @@
         return record
 
     def _update_quarantine(
-        self, view: WorkerView, now: float, *, failed: bool
+        self, view: WorkerView, now: float, *, failed: bool, started_at: float
     ) -> None:
         quarantine = self.quarantines.get(view.worker)
         if quarantine is None:
             if failed and self._should_quarantine(view.worker):
                 self._start_quarantine(view, now)
-        elif quarantine.record_task(now, failed=failed):
+        elif quarantine.is_probe(started_at) and quarantine.record_probe(
+            now, failed=failed
+        ):
             self._end_quarantine(view)
 
     def _should_quarantine(self, worker: str) -> bool:
--- a/packages/berylspread/src/berylspread/health/quarantine.py
+++ b/packages/berylspread/src/berylspread/health/quarantine.py
@@ -21,6 +21,7 @@
         'is_probe_running',
         'next_probe_at',
         'probe_interval_s',
+        'probe_started_at',
         'succeeded_probes',
     )
 
@@ -28,6 +29,7 @@
         self.probe_interval_s = INITIAL_PROBE_INTERVAL_S
         self.next_probe_at = now + self.probe_interval_s
         self.is_probe_running = False
+        self.probe_started_at = now
         self.succeeded_probes = 0
 
     def may_probe(self, now: float) -> bool:
@@ -40,16 +42,19 @@
     def start_probe(self, now: float) -> None:
         """Record that a probe was started."""
         self.is_probe_running = True
+        self.probe_started_at = now
         self.next_probe_at = now + PROBE_TIMEOUT_S
 
-    def record_task(self, now: float, *, failed: bool) -> bool:
-        """Record the outcome of a task; return whether the quarantine ends.
+    def is_probe(self, started_at: float) -> bool:
+        """Return whether a task that started then is the running probe.
 
-        Only probes count.  The outcomes of tasks that were already running
-        when the quarantine began add no information.
+        The outcomes of tasks that were already running when the quarantine
+        began add no information.
         """
-        if not self.is_probe_running:
-            return False
+        return self.is_probe_running and started_at >= self.probe_started_at
+
+    def record_probe(self, now: float, *, failed: bool) -> bool:
+        """Record the outcome of the probe; return if the quarantine ends."""
         self.is_probe_running = False
         if failed:
             self.succeeded_probes = 0
--- a/packages/berylspread/src/berylspread/partition/supervisor.py
+++ b/packages/berylspread/src/berylspread/partition/supervisor.py
@@ -1,6 +1,7 @@
 """Health probes and preemption on the workers of a node's partitions."""
 
 import collections
+import math
 from collections.abc import Iterable
 from typing import Final, final
 
@@ -73,11 +74,15 @@
                 attempt.grant.job_class,
                 now(),
                 failed=failed,
+                started_at=attempt.started_at,
             )
 
     def record_call(self, worker: str, queue: str, *, failed: bool) -> None:
         """Record the outcome of an interactive call."""
-        self.monitor.record_task(worker, queue, now(), failed=failed)
+        # Probes are tasks.
+        self.monitor.record_task(
+            worker, queue, now(), failed=failed, started_at=-math.inf
+        )
 
     def probe_quarantined(self, classes: Iterable[DemandClass]) -> None:
         """Place a batch task on each quarantined worker whose probe is due."""
--- a/packages/berylspread/src/berylspread/partition/worker_link.py
+++ b/packages/berylspread/src/berylspread/partition/worker_link.py
@@ -132,6 +132,7 @@
     def start_attempt(self, attempt: Attempt) -> None:
         """Send the start of an attempt with the next command."""
         self.attempts[attempt.name] = attempt
+        attempt.started_at = now()
         attempt.lease_lapses_at = now()
         self.starts.append(attempt)
         self.wake.set()
