Add a failing scenario for a lasting task that asks for no permission

Callers see a long-running task without a run for as long as batch work of a lower priority fills the workers.

Cause: only the first step of a queue and organisation requests permissions for workers without room. All lasting jobs without an organisation share one queue, so one of them that finds no place keeps the others from it. These hold no ticket when room comes, and cannot preempt.

--- a/features/coordinator/permissions.feature
+++ b/features/coordinator/permissions.feature
@@ -187,3 +187,23 @@
     And 0.1 s pass
     And the task of job "watch" on "w7" fails
     Then that task starts again within 3 s
+
+  Scenario: A failed long-running task gets its place back from batch work
+    Given a cell of 9 nodes and 3 workers whose permissions take 720 ms and 6.5 ms a worker
+    And tasks of job "batch" take 30 s
+    When a long-running job "watch" is submitted with a task as large as 3 others
+    And a batch job "batch" of "acme" with 30 tasks waits for room
+    And a later job waits for which no worker has room
+    And the worker of job "watch" shrinks to room for 5 tasks
+    And the task of job "watch" fails
+    Then that task starts again within 3 s
+
+  Scenario: A failed long-running task gets its place back while an older job waits
+    Given a cell of 9 nodes and 3 workers whose permissions take 720 ms and 6.5 ms a worker
+    And tasks of job "batch" take 30 s
+    When a long-running job "watch" is submitted with a task as large as 3 others
+    And a batch job "batch" of "acme" with 30 tasks waits for room
+    And an older job waits for which no worker has room
+    And the worker of job "watch" shrinks to room for 5 tasks
+    And the task of job "watch" fails
+    Then that task starts again within 3 s
--- a/features/coordinator/steps/permission_steps.py
+++ b/features/coordinator/steps/permission_steps.py
@@ -31,13 +31,15 @@
 from berylspread_standins.coordinated import CoordinatedFleet
 from berylspread_standins.coordinated.advisor import PermissionServiceStandin
 from berylspread_standins.coordinated.fleet import CAPACITY, TASK, WALL_MS, job
-from features.coordinator.cell import make_worker, submit_spec
+from features.coordinator.cell import make_worker, runs_of, submit_spec
 
 NAMES = ('w1', 'w2', 'w3')
 VALID_MS = 2000.0
 SETTLE_S = 3.0
 WATCH_S = 0.01
-LONGEST_WATCH_S = 20.0
+LONGEST_WATCH_S = 60.0
+#: When other jobs were accepted, relative to the job of a scenario.
+ACCEPTED_MS = {'older': -1000, 'later': 1000}
 
 
 @given('nodes "a", "b" and "c" that send requests')
@@ -507,27 +509,48 @@
     assert len(context.cell.runs()) == count
 
 
-@when('an older job waits for which no worker has room')
-def step_wait_for_room(context):
+@when(
+    'a long-running job "{job_id}" is submitted with a task as large as '
+    '{size:d} others'
+)
+def step_submit_large(context, job_id, size):
+    step_submit_limited(context, job_id, 1, size, 0)
+
+
+@when('a {age} job waits for which no worker has room')
+@when('an {age} job waits for which no worker has room')
+def step_wait_for_room(context, age):
     spec = job(
-        'older',
+        age,
         StepSpec(1, CAPACITY + TASK, long_running=True),
         queue=context.queue,
-        accepted_ms=WALL_MS - 1000,
+        accepted_ms=WALL_MS + ACCEPTED_MS[age],
     )
     assert isinstance(submit_spec(context, spec), JobAccepted)
     context.run(asyncio.sleep(SETTLE_S))
 
 
+@when('the worker of job "{job_id}" shrinks to room for {count:d} tasks')
+def step_shrink(context, job_id, count):
+    step_small_worker(context, runs_of(context, job_id)[-1].worker, count)
+    context.run(asyncio.sleep(1))
+
+
 @when('the task of job "{job_id}" on "{worker}" fails')
-def step_fail_now(context, job_id, worker):
-    running = context.cell.workers[worker].running
+def step_fail_on(context, job_id, worker):
     context.failed_run = next(
-        log for name, log in running.items() if name.startswith(job_id)
+        log
+        for log in runs_of(context, job_id)
+        if log.worker == worker and log.ended_at is None
     )
     context.failed_run.left_s = 0.0
 
 
+@when('the task of job "{job_id}" fails')
+def step_fail_now(context, job_id):
+    step_fail_on(context, job_id, runs_of(context, job_id)[-1].worker)
+
+
 @then('that task starts again within {seconds:g} s')
 def step_starts_again(context, seconds):
     failed, cell = context.failed_run, context.cell
