Tell how long a task was without a run

An operator could not see from the logs that a long-running task waited for its next run: step-waits names the five most urgent steps only, and start tells the time since the job was accepted.

start has the time since the task's last run was over, and the histogram restart has it for long-running tasks. The scenario needs both, so it fails without them.

--- a/features/coordinator/attempts.feature
+++ b/features/coordinator/attempts.feature
@@ -12,6 +12,13 @@
       | a.0.0.1 | 1   | 1        | 2            |
       | a.0.0.1 | 2   | 2        | 2            |
 
+  Scenario: The log and the metrics tell how long a long-running task was away
+    Given a cell of 2 nodes and 3 workers
+    When 1 s passes
+    And a long-running task of job "a" fails after 1 s and begins again
+    Then the log tells that task "a.0.0.0" began again after less than 0.1 s
+    And the metrics count 1 duration of "restart"
+
   Scenario Outline: A run of a gang is one attempt, whichever members fail in it
     Given a step whose 3 tasks are a <kind>
     When its tasks fail as "<failures>"
--- a/features/coordinator/steps/attempt_steps.py
+++ b/features/coordinator/steps/attempt_steps.py
@@ -1,16 +1,20 @@
 """Steps about the attempts of tasks and gangs that are counted."""
 
+import asyncio
+
 import msgspec
 from behave import given, then, when
 
 from berylspread.coordinator.attempts import count_attempts, record_failure
-from berylspread.coordinator.model import Job, StepSpec
+from berylspread.coordinator.messages import JobAccepted
+from berylspread.coordinator.model import MS_PER_S, Job, StepSpec
 from berylspread.coordinator.records import (
     DEFAULT_RECORD_BYTES,
     encode_step_part,
     restore_step,
 )
 from berylspread_standins.coordinated.fleet import TASK, job
+from features.coordinator.cell import find_coordinator, submit_spec
 
 WAITING = 0
 
@@ -84,6 +88,32 @@
     assert counted == attempts, counted
 
 
+@when('a long-running task of job "{job_id}" fails after 1 s and begins again')
+def step_long_running(context, job_id):
+    context.cell.work[f'{job_id}.0.0.0'] = (1.0, 'failed')
+    spec = job(job_id, StepSpec(1, TASK, long_running=True))
+    assert isinstance(submit_spec(context, spec), JobAccepted)
+    context.run(asyncio.sleep(1.5))
+
+
+@then(
+    'the log tells that task "{task}" began again after less than {limit:g} s'
+)
+def step_away(context, task, limit):
+    first, again = (
+        line for line in context.cell.events('start') if line['task'] == task
+    )
+    assert first['away_ms'] == 0, first
+    assert 0 < again['away_ms'] < limit * MS_PER_S, again
+
+
+@then('the metrics count {count:d} duration of "{name}"')
+def step_durations(context, count, name):
+    node = context.cell.nodes[find_coordinator(context)].node
+    _, found = node.log.metrics.histograms[name].buckets()[-1]
+    assert found == count, found
+
+
 @then('an earlier version reads that its tasks failed {failures} times')
 def step_earlier_reads(context, failures):
     record = msgspec.msgpack.decode(
--- a/packages/berylspread/src/berylspread/coordinator/dispatcher.py
+++ b/packages/berylspread/src/berylspread/coordinator/dispatcher.py
@@ -443,6 +443,9 @@
         run.record_order(now())
         waited_ms = coordinator.wall_ms() - job.spec.accepted_ms
         coordinator.log.metrics.observe('wait', waited_ms / MS_PER_S)
+        away_s = run.task.away_s(now())
+        if away_s and run.task.step.spec.long_running:
+            coordinator.log.metrics.observe('restart', away_s)
         coordinator.log.write(
             'start',
             task=run.task.name,
@@ -450,6 +453,7 @@
             worker=run.worker.name,
             token=coordinator.token,
             waited_ms=waited_ms,
+            away_ms=round(away_s * MS_PER_S),
         )
         coordinator.sessions[run.worker.name].orders.start(run, ticket)
 
--- a/packages/berylspread/src/berylspread/coordinator/model.py
+++ b/packages/berylspread/src/berylspread/coordinator/model.py
@@ -13,6 +13,7 @@
     Queue,
     StepSpec,
 )
+from berylspread.kernel.clock import now
 from berylspread.kernel.errors import Failure
 
 __all__ = (
@@ -113,7 +114,7 @@
 
 
 @final
-class Task:
+class Task:  # noqa: WPS230
     """One task of a step, with its newest run and its failures."""
 
     __slots__ = (
@@ -127,6 +128,7 @@
         'index',
         'phase',
         'progress_percent',
+        'requeued_at',
         'run_number',
         'silent_losses',
         'step',
@@ -154,6 +156,8 @@
         #: The last known percentage of work that the checkpoint contains.
         self.progress_percent = 0
         self.was_placed = False
+        #: The time of the loop at which its last run was known to be over.
+        self.requeued_at: float | None = None
         #: Whether a run was moved since it was slow, not stalled.
         self.has_crawled = False
         #: Whether a run was stopped for a faster worker, see ``moves``.
@@ -165,6 +169,10 @@
         """Return the name that workers know the task by."""
         return f'{self.step.name}.{self.index}'
 
+    def away_s(self, moment: float) -> float:
+        """Return for how long it has had no run since its last, or 0."""
+        return 0.0 if self.requeued_at is None else moment - self.requeued_at
+
     @property
     def is_suspect(self) -> bool:
         """Return whether workers have, or may have, crashed under the task."""
@@ -247,6 +255,7 @@
         task.phase = Phase.waiting
         task.worker = ''
         task.worker_born_ms = 0
+        task.requeued_at = now()
         self.add_waiting(task, is_held=is_held)
 
     def add_waiting(self, task: Task, *, is_held: bool) -> None:
