Restart a gang whose member is lost with its rack's owner

Callers saw a gang go on without a member for as long as the others ran.

Cause: the other members are stopped when an event reports the end of one. A member that the home itself finds to be lost, since the inventory of the rack's next owner omits it, has no such event.

Change: each round stops the members of gangs of which others wait to be started. The members of a run are handed out in one step, so none of a sound run waits.

Before: `features/jobs/gangs.feature`, "GANG: a member that is lost with its rack's owner restarts the gang" failed with ASSERT FAILED: not within 90.0 s. After: the gang runs again as a whole after 23.8 s; 56 scenarios of features/jobs pass.

.venv/bin/python -m behave features/jobs

--- a/features/jobs/gangs.feature
+++ b/features/jobs/gangs.feature
@@ -93,3 +93,11 @@
     Then no worker is in quarantine
     And within 60 s the job has ended with 10 succeeded
     And 20 tasks were started
+
+  # Guards against a gang that goes on without a lost member
+  Scenario: GANG: a member that is lost with its rack's owner restarts the gang
+    Given a fleet of three racks
+    And 10 tasks of pattern-proof that run 300 s
+    When a worker of the job and the owner of its rack die
+    Then within 90 s all members of the next run have started together
+    And 20 tasks were started
--- a/features/jobs/steps/job_fault_steps.py
+++ b/features/jobs/steps/job_fault_steps.py
@@ -132,6 +132,27 @@
     end_tasks(context.world, [index])
 
 
+@when('a worker of the job and the owner of its rack die')
+def step_worker_and_owner_die(context: Context) -> None:
+    world = context.world
+    run = world.runs_of(world.job)[0]
+    world.fail({world.owner_name(world.partition_of(run.worker))})
+    world.call_soon(world.worker(run.worker).die)
+
+
+@then('within {limit:g} s all members of the next run have started together')
+def step_next_run(context: Context, limit: float) -> None:
+    world = context.world
+    spec = world.job
+
+    def is_next_run() -> bool:
+        runs = world.runs_of(spec)
+        return len(runs) == spec.tasks and all(run.attempt > 1 for run in runs)
+
+    world.wait(is_next_run, limit)
+    report(context, world.time() - world.broken_at)
+
+
 @then('within {limit:g} s all members run at the same time')
 def step_all_members(context: Context, limit: float) -> None:
     world = context.world
--- a/packages/berylspread/src/berylspread/jobs/gangs.py
+++ b/packages/berylspread/src/berylspread/jobs/gangs.py
@@ -67,6 +67,7 @@
         if not self.home.tenure.is_valid(now()):
             return
         self._end_failed_gangs()
+        self._stop_broken_gangs()
         for progress in self._due_gangs():
             await self._start_gang(progress)
 
@@ -94,6 +95,17 @@
                     )
                 )
 
+    def _stop_broken_gangs(self) -> None:
+        """Stop the members of gangs of which others wait to be started.
+
+        Those may have been found to be lost in an inventory, without an event.
+        """
+        for progress in self.home.job_table.jobs.values():
+            if progress.is_gang and progress.pending:
+                self.home.stopper.stop_tasks(
+                    progress.task_key(index) for index in progress.handed_out
+                )
+
     def _due_gangs(self) -> list[JobProgress]:
         self.home.job_table.requeue_due_retries()
         gangs = [
