Count the failed runs of a gang in the soak of processes

A job of a gang may now be `failed` only after as many distinct failed runs as its attempts, and no run of a gang may begin after these, unless their ends need not be known. Of two in five gangs at least two members fail together, in one run, in two, or in every run.

The example rows show that each check can fail.

--- a/features/process_soak/soak.feature
+++ b/features/process_soak/soak.feature
@@ -37,6 +37,34 @@
       | 0.0 w1 0 1 failed, 0.0 w2 2 3 failed   | failed without cause |
       | 0.0 w1 0 1 failed, 0.0 w2 2 3 failed, 0.0 w1 4 5 failed | |
 
+  Scenario Outline: A gang is given up after as many failed runs as its attempts
+    Given gang "a" of 2 tasks that was accepted and is "failed"
+    And the runs of its members were <runs>
+    Then the promises broken are "<broken>"
+
+    Examples: runs as member, run, worker, begin, end and outcome
+      | runs | broken |
+      | 0 1 w1 0 1 failed, 1 1 w2 0 1 broken, 0 2 w1 2 3 broken, 1 2 w2 2 3 failed, 0 3 w1 4 5 failed, 1 3 w2 4 5 failed | |
+      | 0 1 w1 0 1 failed, 1 1 w2 0 1 failed, 0 2 w1 2 3 failed, 1 2 w2 2 3 failed | failed without cause |
+      | 0 1 w1 0 1 failed, 1 1 w2 0 1 failed, 0 2 w1 2 3 failed, 1 2 w2 2 3 failed, 0 3 w1 4 5 stopped, 1 3 w2 4 5 stopped | failed without cause |
+      | 0 1 w1 0 1 crashed, 1 1 w2 0 1 broken, 0 2 w1 2 3 crashed, 1 2 w2 2 3 broken | |
+
+  Scenario Outline: A gang that has used its attempts runs no more
+    Given gang "a" of 2 tasks that was accepted and is "failed"
+    And the runs of its members were 0 1 w1 0 1 failed, 1 1 w2 0 1 broken, 0 2 w1 2 3 broken, 1 2 w2 2 3 failed, 0 3 w1 4 5 failed, 1 3 w2 4 5 broken, 0 4 w1 6 7 broken, 1 4 w2 6 7 stopped
+    And a lease of worker "w1" lapsed at <lapsed>
+    And worker "w2" restarted at <restarted>
+    Then the promises broken are "<broken>"
+
+    Examples: An end that a restart or a lapse has lost need not be known
+      | lapsed | restarted | broken                   |
+      | 0.5    | 1.5       | gang beyond its attempts |
+      | 0.5    | 2.5       | gang beyond its attempts |
+      | 6.5    | 2.5       | gang beyond its attempts |
+      | 0.5    | 3.5       |                          |
+      | 1.5    | 2.5       |                          |
+      | 5.5    | 2.5       |                          |
+
   Scenario: A job that was refused must not run
     Given job "a" of steps 1 and 1 that was refused
     And its runs were 0.0 w1 0 1 done
--- a/features/process_soak/steps/soak_steps.py
+++ b/features/process_soak/steps/soak_steps.py
@@ -65,9 +65,17 @@
     _job(context, first, second, REFUSED)
 
 
-async def _log(fleet, task, worker, times, outcome):
-    log = RunLog(worker, f'a.0.{task}', 1)
-    log.started_at, log.ended_at = times
+@given('gang "a" of {count:d} tasks that was accepted and is "{state}"')
+def step_gang(context, count, state):
+    step_accepted(context, count, 0, state)
+    context.job.steps = [count]
+    context.job.is_gang = True
+
+
+async def _log(fleet, task, row, run=1):
+    worker, begin, end, outcome = row
+    log = RunLog(worker, f'a.0.{task}', run)
+    log.started_at, log.ended_at = float(begin), float(end)
     log.outcome = outcome
     fleet.workers[worker].history.append(log)
 
@@ -75,10 +83,15 @@
 @given('its runs were {runs}')
 def step_runs(context, runs):
     for row in runs.split(', '):
-        task, worker, *times, outcome = row.split()
-        asyncio.run(
-            _log(context.fleet, task, worker, map(float, times), outcome)
-        )
+        task, *rest = row.split()
+        asyncio.run(_log(context.fleet, task, rest))
+
+
+@given('the runs of its members were {rows}')
+def step_member_runs(context, rows):
+    for row in rows.split(', '):
+        index, run, *rest = row.split()
+        asyncio.run(_log(context.fleet, f'0.{index}', rest, int(run)))
 
 
 @given('task "{task}" crashes its workers')
--- a/packages/berylspread-standins/src/berylspread_standins/process_soak/callers.py
+++ b/packages/berylspread-standins/src/berylspread_standins/process_soak/callers.py
@@ -30,6 +30,10 @@
 #: Shares of the jobs that are a gang, and that run until they are cancelled.
 GANGS: Final = 0.15
 LASTING: Final = 0.1
+#: The share of the gangs of which several members fail in the same run, and in
+#: how many runs; in the longest, the attempts are used up.
+FAILING_GANGS: Final = 0.4
+FAILING_RUNS: Final = (1, 2, 100)
 #: The share of the jobs with a task that crashes its workers.
 CRASHING: Final = 0.03
 #: The share of the jobs with a step of many tasks, and how many.
@@ -184,6 +188,8 @@
             job.is_gang = True
             job.steps = [self.rng.randint(2, WIDEST_GANG)]
             self.fleet.gangs.sizes[f'{job.job_id}.0.0'] = job.steps[0]
+            if draw < GANGS * FAILING_GANGS:
+                self._let_fail(job)
         elif draw < GANGS + LASTING:
             job.is_lasting = True
             job.steps = job.steps[:1]
@@ -194,6 +200,14 @@
             job.steps = [LARGE_STEP]
         return job
 
+    def _let_fail(self, job: Handed) -> None:
+        """Let two or more members of a gang fail together."""
+        for run in range(1, self.rng.choice(FAILING_RUNS) + 1):
+            failing = self.rng.randint(2, job.steps[0])
+            for index in self.rng.sample(range(job.steps[0]), failing):
+                task = f'{job.job_id}.0.0.{index}'
+                self.fleet.gangs.failing.add((task, run))
+
     async def _follow(self, job: Handed) -> None:
         job.tries_cancel = job.is_lasting or self.rng.random() < CANCELLED
         if job.is_lasting:
--- a/packages/berylspread-standins/src/berylspread_standins/process_soak/promises.py
+++ b/packages/berylspread-standins/src/berylspread_standins/process_soak/promises.py
@@ -39,7 +39,7 @@
         for log in worker.history:
             runs[log.task].append(log)
     for logs in runs.values():
-        logs.sort(key=lambda log: log.started_at)
+        logs.sort(key=_starts)
     by_job: dict[str, list[str]] = collections.defaultdict(list)
     for task in runs:
         by_job[task.split('.', 1)[0]].append(task)
@@ -50,6 +50,7 @@
         *(line for logs in runs.values() for line in _zones(fleet, logs)),
         *(line for task in fleet.crashing for line in _crashes(runs, task)),
         *(line for job in jobs for line in _job(job, by_job, runs)),
+        *(line for job in jobs for line in _gang(fleet, job, by_job, runs)),
         *(line for name in fleet.workers for line in _worker(fleet, name)),
         *(f'unasked: {job_id}' for job_id in by_job.keys() - known.keys()),
     ]
@@ -130,6 +131,10 @@
     return NEVER if log.ended_at is None else log.ended_at
 
 
+def _starts(log: RunLog) -> float:
+    return log.started_at
+
+
 def _job(
     job: Handed, by_job: dict[str, list[str]], runs: dict[str, list[RunLog]]
 ) -> Iterator[str]:
@@ -157,11 +162,39 @@
     counts = [
         collections.Counter(log.outcome for log in runs[task]) for task in tasks
     ]
-    failures = [count[FAILED] for count in counts] or [0]
-    attempts = sum(failures) if job.is_gang else max(failures)
-    return attempts >= MAX_ATTEMPTS or any(
-        count[CRASHED] >= MIN_CRASHES for count in counts
-    )
+    if any(count[CRASHED] >= MIN_CRASHES for count in counts):
+        return True
+    if job.is_gang:
+        logs = [log for task in tasks for log in runs[task]]
+        return len(_failed_runs(logs)) >= MAX_ATTEMPTS
+    return any(count[FAILED] >= MAX_ATTEMPTS for count in counts)
+
+
+def _failed_runs(logs: list[RunLog]) -> set[int]:
+    """Return the runs of a gang of which a member has failed."""
+    return {log.run for log in logs if log.outcome == FAILED}
+
+
+def _gang(
+    fleet: ProcessFleet,
+    job: Handed,
+    by_job: dict[str, list[str]],
+    runs: dict[str, list[RunLog]],
+) -> Iterator[str]:
+    if not job.is_gang:
+        return
+    logs = [log for task in by_job.get(job.job_id, []) for log in runs[task]]
+    for run in sorted({log.run for log in logs}):
+        first = min((log for log in logs if log.run == run), key=_starts)
+        known = [
+            log
+            for log in logs
+            if log.run < run
+            and _ends(log) <= first.started_at
+            and not _is_forgotten(fleet, log, first)
+        ]
+        if len(_failed_runs(known)) >= MAX_ATTEMPTS:
+            yield f'gang beyond its attempts: {job.job_id} run {run}'
 
 
 def _cancelled(
