Explore schedules in which members of a gang fail together

The script `gangs` submits one of which two members fail in the first run and one of which two fail in every run, and kills the coordinator when they have failed. The first must succeed; the other must fail after exactly its attempts. Other jobs must succeed as before.

--- a/features/explorer/explorer.feature
+++ b/features/explorer/explorer.feature
@@ -25,6 +25,16 @@
     When the schedules with at most 0 deviations are run
     Then no schedule violates a check
 
+  Scenario: LOST: gangs of which members fail together use their attempts
+    Given 2 nodes and the script "gangs"
+    When the first 60 schedules with at most 1 deviation are run
+    Then no schedule violates a check
+
+  Scenario: LOST: gangs of three nodes use their attempts in random schedules
+    Given 3 nodes and the script "gangs"
+    When random schedules of the seeds 1 to 6 are run
+    Then no schedule violates a check
+
   Scenario: Schedules with one deviation while the store is slow
     Given 2 nodes and the script "slow"
     When the first 40 schedules with at most 1 deviation are run
--- a/packages/berylspread-standins/src/berylspread_standins/explorer/invariants.py
+++ b/packages/berylspread-standins/src/berylspread_standins/explorer/invariants.py
@@ -136,9 +136,36 @@
 
 @check
 def accepted_jobs_succeed(world: World) -> list[str]:
-    """Every accepted job is known and ends in bounded time."""
+    """Every accepted job is known and ends in bounded time.
+
+    It succeeds, unless it is a gang whose every run fails.
+    """
     return [
         f'job {job_id} is {world.statuses.get(job_id, "unknown")}'
         for job_id in sorted(world.accepted)
-        if world.statuses.get(job_id) != 'succeeded'
+        if world.statuses.get(job_id) != world.expected[job_id]
+    ]
+
+
+@check
+def gangs_use_their_attempts(world: World) -> list[str]:
+    """A gang fails after its attempts, neither sooner nor later."""
+    limit = world.queue().max_attempts
+    return [
+        f'{len(failed)} failed runs of {step}'
+        for step in world.gangs.sizes
+        if len(failed := _failed_runs(world, step)) > limit
+        or (_has_failed(world, step) and len(failed) < limit)
     ]
+
+
+def _failed_runs(world: World, step: str) -> set[int]:
+    return {
+        log.run
+        for log in world.fleet.runs()
+        if log.task.startswith(f'{step}.') and log.outcome == 'failed'
+    }
+
+
+def _has_failed(world: World, step: str) -> bool:
+    return world.statuses.get(step.partition('.')[0]) == 'failed'
--- a/packages/berylspread-standins/src/berylspread_standins/explorer/scripts.py
+++ b/packages/berylspread-standins/src/berylspread_standins/explorer/scripts.py
@@ -36,6 +36,10 @@
 LONG_WORK_S: Final = 3.0
 #: How long a queue is sent to another service.
 MOVED_S: Final = 1.5
+#: More runs of a gang than a schedule has.
+ALWAYS: Final = 100
+#: The time until members of a gang have failed.
+FAILED_S: Final = 0.55
 
 
 def script(name: str) -> Callable[[Script], Script]:
@@ -155,3 +159,12 @@
     for version, newest in enumerate((moved, None, queue), 2):
         await world.sleep(MOVED_S)
         world.fleet.configure(version, newest)
+
+
+@script('gangs')
+async def fail_gangs(world: 'World') -> None:
+    """Let members of gangs fail together, and kill the coordinator then."""
+    await world.submit_gang('fails-once', 1)
+    await world.submit_gang('fails', ALWAYS)
+    await world.sleep(FAILED_S)
+    await kill_coordinator(world)
--- a/packages/berylspread-standins/src/berylspread_standins/explorer/world.py
+++ b/packages/berylspread-standins/src/berylspread_standins/explorer/world.py
@@ -14,7 +14,12 @@
     JobStatusReply,
     SubmitJob,
 )
-from berylspread.coordinator.model import PermissionTerms, Queue, StepSpec
+from berylspread.coordinator.model import (
+    JobSpec,
+    PermissionTerms,
+    Queue,
+    StepSpec,
+)
 from berylspread.kernel.clock import now
 from berylspread_standins.coordinated import CoordinatedFleet
 from berylspread_standins.coordinated.fleet import (
@@ -23,6 +28,7 @@
     TOPICS,
     job,
 )
+from berylspread_standins.coordinated.gangs import Gangs
 from berylspread_standins.coordinated.worker import RunLog, WorkerStandin
 from berylspread_standins.explorer.choices import Chooser
 from berylspread_standins.explorer.faults import (
@@ -60,6 +66,7 @@
     StepSpec(3, TASK, estimate_ms=ESTIMATE_MS),
     StepSpec(2, TASK, estimate_ms=ESTIMATE_MS, after=(0,)),
 )
+GANG: Final = StepSpec(3, TASK, estimate_ms=ESTIMATE_MS, gang=True)
 #: When each job is submitted, in seconds after the start of the window.
 SUBMITTED_S: Final = {'a': 0.1, 'b': 0.9, 'c': 2.2}
 
@@ -71,7 +78,9 @@
     __slots__ = (
         'accepted',
         'chooser',
+        'expected',
         'fleet',
+        'gangs',
         'lost_workers',
         'nodes',
         'statuses',
@@ -86,6 +95,9 @@
         #: Jobs that were acknowledged.
         self.accepted: set[str] = set()
         self.statuses: dict[str, str] = {}
+        #: How the jobs must end.
+        self.expected = dict.fromkeys(SUBMITTED_S, 'succeeded')
+        self.gangs = Gangs()
         #: Workers that were replaced, whose ends may be lost.
         self.lost_workers: set[str] = set()
         for job_id in SUBMITTED_S:
@@ -102,7 +114,9 @@
         await asyncio.sleep(START_S)
         self.chooser.is_open = True
         work = [
-            asyncio.create_task(self._submit(job_id, after_s))
+            asyncio.create_task(
+                self.submit(job(job_id, *STEPS, queue=QUEUE), after_s)
+            )
             for job_id, after_s in SUBMITTED_S.items()
         ]
         work.append(asyncio.create_task(SCRIPTS[script](self)))
@@ -146,6 +160,20 @@
         runs = self.fleet.runs()
         return self.fleet.workers.get(runs[-1].worker) if runs else None
 
+    async def submit_gang(self, job_id: str, failing_runs: int) -> None:
+        """Submit a gang of which two members fail together in some runs."""
+        size = GANG.count
+        self.gangs.sizes[f'{job_id}.0.0'] = size
+        for run in range(failing_runs):
+            for index in (run, run + 1):
+                task = f'{job_id}.0.0.{index % size}'
+                self.gangs.failing.add((task, run + 1))
+        for worker in self.fleet.workers.values():
+            worker.gangs = self.gangs
+        is_last = failing_runs >= QUEUE.max_attempts
+        self.expected[job_id] = 'failed' if is_last else 'succeeded'
+        await self.submit(job(job_id, GANG, queue=QUEUE))
+
     def queue(self) -> Queue:
         """Return the queue of the jobs."""
         return QUEUE
@@ -173,9 +201,10 @@
             found.setdefault(log.task, []).append(log)
         return found
 
-    async def _submit(self, job_id: str, after_s: float) -> None:
+    async def submit(self, spec: JobSpec, after_s: float = 0.0) -> None:
+        """Submit a job until it is accepted."""
         await asyncio.sleep(after_s)
-        spec = job(job_id, *STEPS, queue=QUEUE)
+        job_id = spec.job_id
         while job_id not in self.accepted:
             gateway = next(iter(self.fleet.nodes.values())).node.gateway
             assert gateway is not None
@@ -198,9 +227,7 @@
                 self.statuses[job_id] = await self._ask_status(job_id)
 
     def _has_ended(self) -> bool:
-        return len(self.statuses) == len(SUBMITTED_S) and set(
-            self.statuses.values()
-        ) == {'succeeded'}
+        return self.statuses == self.expected
 
     async def _ask_status(self, job_id: str) -> str:
         gateway = next(iter(self.fleet.nodes.values())).node.gateway
