Assume failures of attempts that a home cannot know

Callers could have seen a task that fails run once more than its queue allows: if the owner of its rack and its home were lost one after the other, its failures counted from 0.

Cause: an owner that adopts an attempt from its worker's report does not know how many failed, and told 0.

Change: it tells that it does not know, as do messages of earlier versions; a home that has not handed out the task itself then takes each earlier attempt as failed.

python -m behave features/jobs, "BUDGET: attempts are counted beyond changes of the owner and the home"; found by the review, failed before with "not within 30 s" "LOST: a home that has handed the attempts out knows which have failed" guards the other side and passed before as well.

--- a/features/jobs/takeover.feature
+++ b/features/jobs/takeover.feature
@@ -54,7 +54,32 @@
     Then within 10 s the job has ended with 1 failed
     And 3 tasks were started
 
+  # Guards against attempts without end
+  Scenario: BUDGET: attempts are counted beyond changes of the owner and the home
+    Given a fleet of one rack
+    And 1 tasks of ledger that run 300 s
+    When task 0 of the job fails
+    And all members run again and task 0 of the job fails
+    And all members run again
+    And the owner of the rack dies
+    And 30 s pass
+    And the job's home dies
+    And 30 s pass
+    And task 0 of the job fails
+    Then within 30 s the job has ended with 1 failed
+    And 3 tasks were started
+
+  Scenario: LOST: a home that has handed the attempts out knows which have failed
+    Given a fleet of one rack
+    And 1 tasks of ledger that run 300 s
+    When the job loses a worker 2 times, each for 40 s
+    And the owner of the rack dies
+    And 30 s pass
+    And task 0 of the job fails
+    And all members run again
+    Then 4 tasks were started
+
   Scenario: Earlier versions do not count failures
     Given a task that is handed out after 2 failures
     Then an earlier version reads its messages
-    And the messages of an earlier version tell 0 failures
+    And the messages of an earlier version do not tell the failures
--- a/packages/berylspread/src/berylspread/jobs/progress.py
+++ b/packages/berylspread/src/berylspread/jobs/progress.py
@@ -11,7 +11,11 @@
     TaskKey,
     TaskState,
 )
-from berylspread.partition.messages import HeldTask, UnitEpoch
+from berylspread.partition.messages import (
+    UNKNOWN_FAILURES,
+    HeldTask,
+    UnitEpoch,
+)
 
 
 @final
@@ -125,9 +129,11 @@
         """Record an attempt from a partition's inventory as handed out."""
         index = held.task.index
         self.unsure.discard(index)
-        self.attempts[index] = max(self.attempts[index], held.attempt)
         counted = self._counted_index(index)
-        self.failures[counted] = max(self.failures[counted], held.failures)
+        self.failures[counted] = max(
+            self.failures[counted], self._earlier_failures(held)
+        )
+        self.attempts[index] = max(self.attempts[index], held.attempt)
         self.started.add(index)
         attempt = HandedOutAttempt(
             held.attempt, partition.unit, partition.epoch
@@ -184,6 +190,13 @@
             state is not TaskState.succeeded for state in self.ended.values()
         )
 
+    def _earlier_failures(self, held: HeldTask) -> int:
+        """Return how many attempts before a held one may have failed."""
+        if held.failures != UNKNOWN_FAILURES:
+            return held.failures
+        has_handed_out = held.task.index in self.attempts
+        return 0 if has_handed_out else held.attempt - 1
+
     def _counted_index(self, index: int) -> int:
         return 0 if self.is_gang else index
 
--- a/packages/berylspread/src/berylspread/partition/messages.py
+++ b/packages/berylspread/src/berylspread/partition/messages.py
@@ -4,7 +4,7 @@
 highest that it has seen for that unit.
 """
 
-from typing import final
+from typing import Final, final
 
 import msgspec
 
@@ -18,6 +18,10 @@
 from berylspread.peers import Message, message
 from berylspread.placement.demand import DemandClass, TeamUsage
 
+#: An owner that has adopted an attempt from its worker, or a node of an earlier
+#: version, does not know how many attempts have failed.
+UNKNOWN_FAILURES: Final = -1
+
 
 @final
 class UnitEpoch(msgspec.Struct, frozen=True, array_like=True):
@@ -31,7 +35,7 @@
 class TaskGrant(msgspec.Struct, frozen=True):
     """One attempt of a task that a home hands out to a partition owner.
 
-    ``failures`` is how many earlier attempts have failed.
+    ``failures`` is how many earlier attempts have failed, if it is known.
     """
 
     task: TaskKey
@@ -47,7 +51,7 @@
     payload: str = ''
     checkpoint: str = ''
     constraints: Constraints = Constraints()
-    failures: int = 0
+    failures: int = UNKNOWN_FAILURES
 
 
 @message
@@ -143,7 +147,7 @@
 class HeldTask(msgspec.Struct, frozen=True):
     """A task in a partition, in the state that the partition owner has.
 
-    An owner that has adopted the attempt from its worker knows no ``failures``.
+    ``failures`` is how many earlier attempts have failed, if it is known.
     """
 
     task: TaskKey
@@ -152,7 +156,7 @@
     shape: Resources
     state: TaskState
     worker: str = ''
-    failures: int = 0
+    failures: int = UNKNOWN_FAILURES
 
 
 @final
