Count nothing for runs that fail after their job has ended

An operator saw attempt-failed with 0 attempts after the last attempt of a gang: the tasks of a job that has ended are dropped, so nothing is left to count.

Change: the end of such a run counts nowhere, neither as an attempt nor against its worker, which was checked apart before. Also: the limit per worker is looked at only where there is room, as runs are counted for it, and two descriptions are worded by what the code does.

--- a/features/coordinator/attempts.feature
+++ b/features/coordinator/attempts.feature
@@ -12,6 +12,24 @@
       | a.0.0.1 | 1   | 1        | 2            |
       | a.0.0.1 | 2   | 2        | 2            |
 
+  # Guards against counting what is left of a gang after its job has ended.
+  Scenario: The log counts the attempts of a gang until its job has failed
+    Given a cell of 2 nodes and 4 workers
+    And the tasks of job "a" work only as a gang of 3
+    And the queue allows 2 attempts
+    And members 0 and 1 and 2 of the gang fail in run 1
+    And members 0 and 1 and 2 of the gang fail in run 2
+    When 1 s passes
+    And a job "a" with a gang of 3 tasks for different workers is submitted
+    And 5 s pass
+    Then job "a" is failed
+    And the log counts the failed attempts of job "a" as
+      | run | attempts | max_attempts |
+      | 1   | 1        | 2            |
+      | 1   | 1        | 2            |
+      | 1   | 1        | 2            |
+      | 2   | 2        | 2            |
+
   Scenario: The log and the metrics tell how long a long-running task was away
     Given a cell of 2 nodes and 3 workers
     When 1 s passes
--- a/packages/berylspread/src/berylspread/coordinator/attempts.py
+++ b/packages/berylspread/src/berylspread/coordinator/attempts.py
@@ -10,7 +10,7 @@
 def record_failure(task: Task, run: int) -> None:
     """Record that a run of a task ended as failed.
 
-    Of the members of a gang, the first that fails in a run has the attempt.
+    A run of a gang is counted with the member whose failure is recorded first.
     """
     if run > _newest_failed_run(task):
         task.failures += 1
--- a/packages/berylspread/src/berylspread/coordinator/health_monitor.py
+++ b/packages/berylspread/src/berylspread/coordinator/health_monitor.py
@@ -99,9 +99,6 @@
     def record_failure(self, run: Run) -> None:
         """Count a failed task, or a gang once, against its worker."""
         step, health = run.task.step, run.worker.health
-        if step.job.status.is_final:
-            # The other workers that have failed its steps are forgotten.
-            return
         if step.spec.gang and not health.record_gang_failure(
             step.name, run.number
         ):
--- a/packages/berylspread/src/berylspread/coordinator/model.py
+++ b/packages/berylspread/src/berylspread/coordinator/model.py
@@ -238,7 +238,7 @@
         return self.unfinished_tasks == 0
 
     def has_task_away(self) -> bool:
-        """Return whether a long-running task that has run waits again."""
+        """Return whether a long-running task waits that was placed before."""
         return self.spec.long_running and any(
             task.was_placed for task in self.waiting_tasks
         )
--- a/packages/berylspread/src/berylspread/coordinator/outcomes.py
+++ b/packages/berylspread/src/berylspread/coordinator/outcomes.py
@@ -94,7 +94,8 @@
     The job fails after the last attempt.
     """
     task, step, job = run.task, run.task.step, run.task.step.job
-    if task.phase is Phase.done:
+    # The tasks of a job that has ended, and what failed before, are dropped.
+    if job.status.is_final or task.phase is Phase.done:
         return
     task.avoided_workers.add(run.worker.name)
     record_failure(task, run.number)
@@ -114,7 +115,7 @@
     )
     if attempts < max_attempts:
         coordinator.requeue(task)
-    elif not job.status.is_final:
+    else:
         coordinator.finish_job(job, JobStatus.failed, f'{task.name} failed')
 
 
--- a/packages/berylspread/src/berylspread/coordinator/permit_choice.py
+++ b/packages/berylspread/src/berylspread/coordinator/permit_choice.py
@@ -312,4 +312,4 @@
 def room_for(step: Step, worker: Worker) -> int:
     """Return how many more tasks of a step a worker has room for now."""
     fitting = step.spec.reserved_resources().fit_count(worker.free)
-    return min(fitting, worker.unused_limit(step))
+    return min(fitting, worker.unused_limit(step)) if fitting else 0
