Stop no runs for quota that a step at its limit per worker cannot use

Callers saw batch work stopped again and again for a step of their own organisation that could start nothing: its tasks were at their limit on every worker that it may use.

Change: no runs are chosen for more tasks than the limit leaves on the candidates.

--- a/features/coordinator/coordination.feature
+++ b/features/coordinator/coordination.feature
@@ -340,6 +340,23 @@
     And at most 1 runs of job "batch" were stopped
     And at most 2 tasks of job "batch" ran at a time
 
+  Scenario Outline: Batch work gives way only to tasks that their limit per worker allows
+    Given a cell of 2 nodes and 1 workers
+    And tasks of job "batch" take 6 s
+    And tasks of job "a" take 60 s
+    When 1 s passes
+    And a batch job "batch" of the capped team with 1 tasks is submitted
+    And 1 s passes
+    And a job "a" of the capped team with 2 tasks, at most <limit> on a worker, is submitted
+    And 5 s pass
+    Then at most <stopped> runs of job "batch" were stopped
+    And <running> tasks of job "a" are running
+
+    Examples:
+      | limit | stopped | running |
+      | 1     | 0       | 1       |
+      | 2     | 1       | 2       |
+
   Scenario: Urgent work waits for batch work that saves nothing
     Given a cell of 2 nodes and 1 worker
     And tasks of job "batch" take 3 s
--- a/features/coordinator/steps/coordination_outcome_steps.py
+++ b/features/coordinator/steps/coordination_outcome_steps.py
@@ -48,6 +48,12 @@
     assert len(stopped) <= count, len(stopped)
 
 
+@then('{count:d} tasks of job "{job_id}" are running')
+def step_running(context, count, job_id):
+    running = [log for log in runs_of(context, job_id) if not log.outcome]
+    assert len(running) == count, len(running)
+
+
 @then('every node finds the coordinator')
 def step_all_find(context):
     async def ask(node):
--- a/features/coordinator/steps/coordination_steps.py
+++ b/features/coordinator/steps/coordination_steps.py
@@ -168,6 +168,16 @@
     )
 
 
+@when(
+    'a job "{job_id}" of the capped team with {count:d} tasks, at most '
+    '{limit:d} on a worker, is submitted'
+)
+def step_submit_capped_limited(context, job_id, count, limit):
+    step = StepSpec(count, TASK, max_per_worker=limit)
+    spec = job(job_id, step, tenant='capped')
+    assert isinstance(submit_spec(context, spec), JobAccepted)
+
+
 @when(
     'a report requested at the moment of the reply to the start omits the run'
 )
--- a/packages/berylspread/src/berylspread/coordinator/preemption.py
+++ b/packages/berylspread/src/berylspread/coordinator/preemption.py
@@ -35,9 +35,12 @@
 
     ``quota_room`` is how many of them the quota of the step's organisation
     allows.  If it does not allow all, runs of the organisation are chosen, on
-    any worker.  ``ordering`` says which runs give way.
+    any worker.  ``ordering`` says which runs give way.  Nothing is stopped for
+    tasks beyond the step's limit per worker.
     """
-    wanted = len(step.waiting_tasks)
+    candidates = list(candidates)
+    placeable = sum(worker.unused_limit(step) for worker in candidates)
+    wanted = min(len(step.waiting_tasks), placeable)
     if quota_room < wanted:
         return choose_within_quota(
             step, wanted - quota_room, workers, moment, ordering
