Let one step with a long-running task away ask ahead, not all

Change: of each queue and organisation, the first step asks ahead as before, and the first with a long-running task away. So the requests stay bounded, and such a step still does not wait behind one that has yet to start.

python -m behave features/coordinator -i permissions: 42 passed

--- a/packages/berylspread/src/berylspread/coordinator/dispatcher.py
+++ b/packages/berylspread/src/berylspread/coordinator/dispatcher.py
@@ -244,15 +244,14 @@
         fleet = self._view_fleet(moment)
         ready = coordinator.table.ready_steps
         ordering = self._view_order()
-        seen: set[tuple[str, str]] = set()
+        seen: set[tuple[str, str, bool]] = set()
         for step in ordering.arrange(ready.values()):
             if step.waiting_tasks:
-                kind = (step.job.spec.queue.name, step.job.spec.tenant)
-                # Permissions take longer than other steps need to take the
-                # room, so a task that is away has its ticket before.
-                is_first = kind not in seen or step.has_task_away()
-                self._place_step(step, fleet, ordering, is_first=is_first)
-                seen.add(kind)
+                kinds = _find_kinds(step)
+                self._place_step(
+                    step, fleet, ordering, is_first=not kinds <= seen
+                )
+                seen |= kinds
             else:
                 ready.pop(step.name)
 
@@ -271,7 +270,7 @@
         """Place the waiting tasks of a step, or preempt other runs for them.
 
         ``is_first`` says that the step is the most urgent one of its queue and
-        organisation, or that a long-running task of it is away.
+        organisation, or the most urgent of these with a long-running task away.
         """
         coordinator = self.coordinator
         moment = fleet.moment
@@ -459,6 +458,16 @@
         coordinator.sessions[run.worker.name].orders.start(run, ticket)
 
 
+def _find_kinds(step: Step) -> set[tuple[str, str, bool]]:
+    """Return the kinds of steps of which only the first asks ahead.
+
+    A step whose long-running task is away does not wait behind steps that have
+    yet to start: while it asks, less urgent steps would take its room.
+    """
+    queue, tenant = step.job.spec.queue.name, step.job.spec.tenant
+    return {(queue, tenant, False), (queue, tenant, step.has_task_away())}
+
+
 def _is_on_worker(run: Run) -> bool:
     return run.worker.runs.get(run.task.name) is run
 
