Name gang runs and scenarios for what they say; add two mutants

Scenarios on the health of workers no longer name the rule LOST, which they do not test. Mutants for the places of a step's own tasks and for tasks that are away.

python -m features.support.mutants own-tasks-count-as-room away-tasks-wait-their-turn: both caught

--- a/features/coordinator/worker_health.feature
+++ b/features/coordinator/worker_health.feature
@@ -147,7 +147,7 @@
     Then at most 5 runs have failed
 
   # Guards against a gang's failed run counting once for each member
-  Scenario: LOST: a gang that fails as a whole counts once against a worker
+  Scenario: A gang that fails as a whole counts once against a worker
     Given a cell of 2 nodes and 4 workers
     And the tasks of job "a" work only as a gang of 8
     And all 8 tasks of job "a" fail as they begin
@@ -170,7 +170,7 @@
     And worker "w0" was marked as unhealthy
 
   # Guards against blaming workers for the rest of a job that has failed
-  Scenario: LOST: a job that can never succeed makes no worker unhealthy
+  Scenario: A job that can never succeed makes no worker unhealthy
     Given a cell of 2 nodes and 4 workers
     And all 8 tasks of job "a" fail as they begin
     When 1 s passes
--- a/features/jobs/gangs.feature
+++ b/features/jobs/gangs.feature
@@ -62,7 +62,7 @@
     And 18 tasks were started
 
   # Guards against restarting a gang without the member that has failed
-  Scenario: LOST: a gang whose member fails every attempt ends as a whole
+  Scenario: A gang whose member fails every attempt ends as a whole
     Given a fleet of three racks
     And 6 tasks of pattern-proof that run 20 s
     When task 0 of the job fails
@@ -86,7 +86,7 @@
     And every guarantee held
 
   # Guards against counting a gang's failed run once for each member
-  Scenario: LOST: a gang that fails as a whole counts once against a worker
+  Scenario: A gang that fails as a whole counts once against a worker
     Given a fleet of one rack
     And 10 tasks of pattern-proof that run 20 s
     When all tasks of the job fail
--- a/features/mutants/mutants.feature
+++ b/features/mutants/mutants.feature
@@ -23,6 +23,8 @@
       | crawling-not-seen                  |
       | failures-not-blamed                |
       | gang-failures-counted-per-member   |
+      | own-tasks-count-as-room            |
+      | away-tasks-wait-their-turn         |
       | speeds-not-used                    |
       | batch-on-fast-workers              |
       | time-left-ignored                  |
--- a/features/support/mutants.py
+++ b/features/support/mutants.py
@@ -80,6 +80,7 @@
 )
 CALLERS: Final = 'features/adapter/callers.feature'
 CONTENTION: Final = 'features/coordinator/contention.feature'
+PERMISSIONS: Final = 'features/coordinator/permissions.feature'
 PACING: Final = 'features/coordinator/pacing.feature'
 
 
@@ -433,6 +434,21 @@
         ATTEMPTS,
         'A run of a gang is one attempt, whichever members fail in it',
     ),
+    'own-tasks-count-as-room': Mutant(
+        fleet.Worker,
+        'unused_limit',
+        lambda self, step: fleet.MAX_RUNS,
+        PERMISSIONS,
+        'Workers that may run no more tasks of a step count as no place',
+    ),
+    'away-tasks-wait-their-turn': Mutant(
+        dispatcher,
+        '_find_kinds',
+        lambda step: {step.job.spec.queue.name},
+        PERMISSIONS,
+        'A failed long-running task gets its place back while an older job'
+        ' waits',
+    ),
     'speeds-not-used': Mutant(
         planner,
         'speed_penalty',
--- a/packages/berylspread/src/berylspread/jobs/progress.py
+++ b/packages/berylspread/src/berylspread/jobs/progress.py
@@ -56,11 +56,11 @@
         'cancelled',
         'checkpoints',
         'ended',
-        'failed_run',
         'failures',
         'handed_out',
+        'newest_failed_run',
+        'newest_run',
         'pending',
-        'run',
         'spec',
         'started',
         'unsure',
@@ -78,9 +78,9 @@
         self.ended: dict[int, TaskState] = {}
         self.attempts: collections.Counter[int] = collections.Counter()
         self.failures: collections.Counter[int] = collections.Counter()
-        #: The newest run of a gang, and the newest that has failed.
-        self.run = 0
-        self.failed_run = -1
+        #: The number of a gang's newest run, and of the newest that has failed.
+        self.newest_run = 0
+        self.newest_failed_run = -1
         self.started: set[int] = set()
         self.checkpoints: dict[int, str] = {}
         self.avoid_workers: set[str] = set()
@@ -118,7 +118,7 @@
             index=index,
         )
         if not self.handed_out:
-            self.run += 1
+            self.newest_run += 1
         self.attempts[index] += 1
         self.started.add(index)
         attempt = HandedOutAttempt(self.attempts[index], unit, epoch)
@@ -148,9 +148,9 @@
 
     def record_failure(self, index: int) -> None:
         """Count a failed attempt; the members of a gang fail together."""
-        if self.is_gang and self.failed_run == self.run:
+        if self.is_gang and self.newest_failed_run == self.newest_run:
             return
-        self.failed_run = self.run
+        self.newest_failed_run = self.newest_run
         self.failures[self._counted_index(index)] += 1
 
     def requeue(self, index: int) -> None:
