--- a/review/standins-2/platform_standins.py
+++ b/review/standins-2/platform_standins.py
@@ -390,6 +390,10 @@
                 rest_s = work_s - (time.monotonic() - run.at)
                 await asyncio.sleep(min(max(rest_s, 0), max(left_s, 0), 0.1) + 0.001)
 
+    def end_run(self, run, how):
+        """End a run by its own fault."""
+        self._end(run, how)
+
     def _end(self, run, how):
         if self.running.get(run.task) is not run:
             return
@@ -645,7 +649,7 @@
         return job, {'spec': spec, 'steps': steps}
 
     async def call(self, method, job, body=None, node=None, key=KEY,
-                   deadline_ms=3000, timeout_s=None):
+                   deadline_ms=3000, timeout_s=None, prefix=PREFIX):
         """Return the status and document of one call; 0 for no answer."""
         node = node or random.choice(self.nodes)
         headers = {'Host': HOST, 'X-Api-Key': key,
@@ -653,7 +657,7 @@
         began = time.monotonic()
         try:
             async with self.session.request(
-                method, f'http://{node.front}{PREFIX}{job}', json=body,
+                method, f'http://{node.front}{prefix}{job}', json=body,
                 headers=headers,
                 timeout=aiohttp.ClientTimeout(
                     total=timeout_s or deadline_ms / 1000
