--- a/review/standins-2/platform_standins.py
+++ b/review/standins-2/platform_standins.py
@@ -28,6 +28,7 @@
 GRACE_S = 6.0
 HOLD_MAX_MS = 6000
 STOP_S = 0.2
+START_SPAN_S = 0.25
 TROUBLE = os.environ.get('TROUBLE', '1') != '0'
 
 
@@ -466,7 +467,8 @@
     service = 'desk'
     stop_s = STOP_S
 
-    def __init__(self, folder, nodes=3, memory_mb=300):
+    def __init__(self, folder, nodes=3, memory_mb=300, first_nodes=None):
+        self.first_nodes = first_nodes or nodes
         self.record = Record(folder)
         self.temporary = tempfile.TemporaryDirectory(prefix='review-')
         self.folder = Path(self.temporary.name)
@@ -581,6 +583,12 @@
         })
         self.record.write('operator publishes version', self.version)
 
+    async def add_nodes(self, pause_s):
+        """Add the machines that did not start at first, one by one."""
+        for node in self.nodes[self.first_nodes :]:
+            await node.start()
+            await asyncio.sleep(pause_s)
+
     async def add_worker(self, name, capacity, labels=('a', 'r1-1')):
         worker = Worker(self, name, capacity, labels)
         self.workers[name] = worker
@@ -598,8 +606,10 @@
         port = site._server.sockets[0].getsockname()[1]
         self.store_address = f'127.0.0.1:{port}'
         self.publish()
-        for node in self.nodes:
+        for node in self.nodes[: self.first_nodes]:
             await node.start()
+            # All machines start within 0.3 s of each other.
+            await asyncio.sleep(START_SPAN_S / self.first_nodes)
         return self
 
     async def __aexit__(self, *_):
